Set down the workspace, the core types and the tables

Cause: everything else stands on the shape that the users ask for: entities in tables, named types for ids and units, sealed interfaces for what varies.

Ruled out: one package with everything (the arrows unit, table, fleet, system, adapter could not be checked by the compiler); rows that hold pointers to other rows (a late answer could reach an entity that was deleted, a Row with a reuse count cannot).

Change: named ids and units, a dense table with rows that are recognised as stale, indexes, timers, the entity tables, inputs, commands, stored rows and policies, and the wire types generated from one schema.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Commands of the workspace. `make demo` and `make test` need Go and nothing else.
+MODULES := quetzalcore quetzalentry quetzalstandin
+PROGRAMS := quetzalentry quetzalstandin
+LINT_VERSION := v2.15.0
+FUMPT_VERSION := v0.12.0
+SCHEMA_VERSION := v0.24.1
+TOOLS := $(CURDIR)/bin/tools
+
+.PHONY: build
+build: $(PROGRAMS:%=build-%)
+
+.PHONY: build-%
+build-%:
+	cd $* && go build -o $(CURDIR)/bin/$* .
+
+.PHONY: vet
+vet: $(MODULES:%=vet-%)
+
+.PHONY: vet-%
+vet-%:
+	cd $* && go vet ./...
+
+.PHONY: tools
+tools: $(TOOLS)/golangci-lint $(TOOLS)/gofumpt
+
+$(TOOLS)/golangci-lint:
+	GOBIN=$(TOOLS) GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+$(TOOLS)/gofumpt:
+	GOBIN=$(TOOLS) GOWORK=off go install mvdan.cc/gofumpt@$(FUMPT_VERSION)
+
+$(TOOLS)/go-jsonschema:
+	GOBIN=$(TOOLS) GOWORK=off go install github.com/atombender/go-jsonschema@$(SCHEMA_VERSION)
+
+.PHONY: lint
+lint: tools
+	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+.PHONY: format
+format: tools
+	$(TOOLS)/gofumpt -extra -w $$(git ls-files '*.go')
+
+.PHONY: generate
+generate: $(TOOLS)/go-jsonschema
+	cd quetzalcore/quetzalwire && PATH=$(TOOLS):$$PATH go generate .
