--- /dev/null
+++ b/quetzalcore/quetzalcodec/claim.go
@@ -0,0 +1,120 @@
+package quetzalcodec
+
+import (
+	"encoding/base64"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// contentType is the one header field that is stored with an answer.
+const contentType = "Content-Type"
+
+func claimDoc(v *quetzalfleet.ClaimRow) quetzalwire.ClaimDoc {
+	d := quetzalwire.ClaimDoc{
+		Request: string(v.Request), Entry: string(v.Entry), Incarnation: int(v.Incarnation),
+		State: quetzalwire.ClaimDocState(v.State.String()), BodySum: string(v.Sum),
+	}
+	if v.Answer != nil {
+		d.Status, d.ContentType, d.Answer = encodeAnswer(v.Answer)
+	}
+	return d
+}
+
+func claimRow(d *quetzalwire.ClaimDoc) (quetzalfleet.StoredRow, error) {
+	state, err := parseState(string(d.State), quetzalfleet.ClaimHeld, quetzalfleet.ClaimReleased)
+	if err != nil {
+		return nil, err
+	}
+	v := quetzalfleet.ClaimRow{
+		Request: quetzalunit.RequestID(d.Request), Entry: quetzalunit.EntryID(d.Entry),
+		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, Sum: quetzalunit.BodySum(d.BodySum),
+	}
+	if state == quetzalfleet.ClaimDone {
+		v.Answer, err = decodeAnswer(d.Status, d.ContentType, d.Answer)
+	}
+	return v, err
+}
+
+func encodeAnswer(a *quetzalfleet.Payload) (status int, kind, body string) {
+	for _, f := range a.Fields {
+		if f.Name == contentType {
+			kind = f.Value
+		}
+	}
+	return int(a.Status), kind, base64.StdEncoding.EncodeToString(a.Body)
+}
+
+func decodeAnswer(status int, kind, body string) (*quetzalfleet.Payload, error) {
+	text, err := base64.StdEncoding.DecodeString(body)
+	if err != nil {
+		return nil, eris.Wrap(err, "decode answer")
+	}
+	return &quetzalfleet.Payload{
+		Status: quetzalunit.Status(status),
+		Fields: []quetzalfleet.Field{{Name: contentType, Value: kind}},
+		Body:   text,
+	}, nil
+}
+
+// The names of outcomes, as headers and peers write them.
+const (
+	OutcomeRan       = "Ran"
+	OutcomeNotRun    = "NotRun"
+	OutcomeUnknown   = "Unknown"
+	OutcomeCancelled = "Cancelled"
+	OutcomeInvalid   = "Invalid"
+	OutcomeConflict  = "Conflict"
+)
+
+// OutcomeName returns the name of an outcome and its reason.
+func OutcomeName(o quetzalfleet.Outcome) (name, reason string) {
+	switch o := o.(type) {
+	case quetzalfleet.Ran:
+		return OutcomeRan, ""
+	case quetzalfleet.NotRun:
+		return OutcomeNotRun, string(o.Reason)
+	case quetzalfleet.Unknown:
+		return OutcomeUnknown, string(o.Reason)
+	case quetzalfleet.Cancelled:
+		return OutcomeCancelled, ""
+	case quetzalfleet.Conflict:
+		return OutcomeConflict, ""
+	case quetzalfleet.Invalid:
+		return OutcomeInvalid, string(o.Reason)
+	}
+	return OutcomeInvalid, ""
+}
+
+// JoinReply returns the reply to a peer that joined a request.
+func JoinReply(o quetzalfleet.Outcome) quetzalwire.JoinReply {
+	name, reason := OutcomeName(o)
+	reply := quetzalwire.JoinReply{Known: name != OutcomeInvalid, Outcome: name, Reason: reason}
+	if ran, ok := o.(quetzalfleet.Ran); ok {
+		reply.Status, reply.ContentType, reply.Answer = encodeAnswer(ran.Answer)
+	}
+	return reply
+}
+
+// JoinOutcome returns the outcome of a reply, or nil when the peer does not know it.
+func JoinOutcome(reply *quetzalwire.JoinReply) (quetzalfleet.Outcome, error) {
+	if !reply.Known {
+		return nil, nil //nolint:nilnil // no outcome is a valid reply
+	}
+	switch reply.Outcome {
+	case OutcomeRan:
+		a, err := decodeAnswer(reply.Status, reply.ContentType, reply.Answer)
+		return quetzalfleet.Ran{Answer: a}, err
+	case OutcomeNotRun:
+		return quetzalfleet.NotRun{Reason: quetzalfleet.NotRunReason(reply.Reason)}, nil
+	case OutcomeCancelled:
+		return quetzalfleet.Cancelled{}, nil
+	case OutcomeConflict:
+		return quetzalfleet.Conflict{}, nil
+	default:
+		return quetzalfleet.Unknown{Reason: quetzalfleet.UnknownReason(reply.Reason)}, nil
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalcodec/gossip.go
@@ -0,0 +1,80 @@
+package quetzalcodec
+
+import (
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// EncodeGossip returns the message of gossip.
+func EncodeGossip(m *quetzalfleet.Gossip) (*quetzalwire.GossipMessage, error) {
+	d := &quetzalwire.GossipMessage{
+		From: string(m.From), Incarnation: int(m.Incarnation), Zone: string(m.Zone), Stopping: m.Stopping,
+		Since: int(m.Since), Seen: int(m.Seen), SettingsVersion: int(m.SettingsVersion),
+		Confirmed: generationDocs(m.Confirmed), Leaving: generationDocs(m.Leaving),
+	}
+	for _, l := range m.Loads {
+		d.Loads = append(d.Loads, quetzalwire.PoolLoad{Pool: string(l.Pool), Queued: int(l.Queued), Running: int(l.Running)})
+	}
+	for _, row := range m.Rows {
+		text, err := EncodeRow(row.Row)
+		if err != nil {
+			return nil, err
+		}
+		d.Rows = append(d.Rows, quetzalwire.Row{
+			Table: string(row.Key.Table), Key: row.Key.Key, Value: text, Revision: int(row.Revision),
+		})
+	}
+	return d, nil
+}
+
+// DecodeGossip is the inverse of EncodeGossip.
+func DecodeGossip(d *quetzalwire.GossipMessage) (quetzalfleet.Gossip, error) {
+	m := quetzalfleet.Gossip{
+		From: quetzalunit.EntryID(d.From), Incarnation: quetzalunit.Incarnation(d.Incarnation),
+		Zone: quetzalunit.ZoneID(d.Zone), Stopping: d.Stopping,
+		Since: quetzalunit.Revision(d.Since), Seen: quetzalunit.Revision(d.Seen),
+		SettingsVersion: quetzalunit.Version(d.SettingsVersion),
+		Confirmed:       generations(d.Confirmed), Leaving: generations(d.Leaving),
+	}
+	for _, l := range d.Loads {
+		m.Loads = append(m.Loads, quetzalfleet.PoolLoad{
+			Pool: quetzalunit.PoolID(l.Pool), Queued: quetzalunit.Requests(l.Queued), Running: quetzalunit.Requests(l.Running),
+		})
+	}
+	rows, err := DecodeRows(d.Rows)
+	m.Rows = rows
+	return m, err
+}
+
+// DecodeRows returns the stored rows of documents.
+func DecodeRows(docs []quetzalwire.Row) ([]quetzalfleet.RevisedRow, error) {
+	rows := make([]quetzalfleet.RevisedRow, 0, len(docs))
+	for _, d := range docs {
+		key := quetzalfleet.RowKey{Table: quetzalfleet.TableName(d.Table), Key: d.Key}
+		row, err := DecodeRow(key, d.Value)
+		if err != nil {
+			return rows, err
+		}
+		rows = append(rows, quetzalfleet.RevisedRow{Key: key, Revision: quetzalunit.Revision(d.Revision), Row: row})
+	}
+	return rows, nil
+}
+
+func generationDocs(list []quetzalfleet.HostGeneration) []quetzalwire.HostGeneration {
+	var docs []quetzalwire.HostGeneration
+	for _, g := range list {
+		docs = append(docs, quetzalwire.HostGeneration{Host: string(g.Host), Generation: int(g.Generation)})
+	}
+	return docs
+}
+
+func generations(docs []quetzalwire.HostGeneration) []quetzalfleet.HostGeneration {
+	var list []quetzalfleet.HostGeneration
+	for _, d := range docs {
+		list = append(list, quetzalfleet.HostGeneration{
+			Host: quetzalunit.HostID(d.Host), Generation: quetzalunit.Generation(d.Generation),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/quetzalcore/quetzalcodec/row.go
@@ -0,0 +1,263 @@
+package quetzalcodec
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalsettings"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// RowError tells that a stored row cannot be decoded.
+type RowError struct {
+	Key     quetzalfleet.RowKey
+	Problem string
+}
+
+// Error implements error.
+func (e *RowError) Error() string {
+	return fmt.Sprintf("row %s/%s: %s", e.Key.Table, e.Key.Key, e.Problem)
+}
+
+// EncodeRow returns the JSON of a stored row.
+func EncodeRow(row quetzalfleet.StoredRow) (string, error) {
+	text, err := json.Marshal(rowDoc(row))
+	if err != nil {
+		return "", eris.Wrap(err, "encode row")
+	}
+	return string(text), nil
+}
+
+// rowDoc returns the document of a stored row.
+func rowDoc(row quetzalfleet.StoredRow) any {
+	switch v := row.(type) {
+	case quetzalfleet.HostRow:
+		return HostDoc(&v.HostSpec)
+	case quetzalfleet.PoolRow:
+		return quetzalwire.PoolDoc{Pool: string(v.ID), Spare: v.Spare, Budgets: budgetDocs(v.Budgets)}
+	case quetzalfleet.QueueRow:
+		return quetzalwire.QueueDoc{Queue: string(v.ID), Pool: string(v.Pool)}
+	case quetzalfleet.TeamRow:
+		return quetzalwire.TeamDoc{Team: string(v.ID), Weight: int(v.Weight), MaxQueued: int(v.MaxQueued)}
+	case quetzalfleet.SettingRow:
+		return quetzalwire.SettingDoc{
+			Path: string(v.Path), Version: int(v.Version), ChangeID: string(v.ChangeID),
+			Deleted: v.Deleted, Values: quetzalsettings.FormatValues(&v.Values),
+		}
+	case quetzalfleet.HeadRow:
+		return quetzalwire.HeadDoc{Version: int(v.Version)}
+	case quetzalfleet.RosterRow:
+		return rosterDoc(&v)
+	case quetzalfleet.EpochRow:
+		return quetzalwire.EpochDoc{Holder: string(v.Holder), Epoch: int(v.Epoch)}
+	case quetzalfleet.RenewalRow:
+		return quetzalwire.RenewalDoc{Holder: string(v.Holder), Epoch: int(v.Epoch), Count: int(v.Count)}
+	case quetzalfleet.WaveRow:
+		return WaveDoc(&v.WaveSpec)
+	case quetzalfleet.ClaimRow:
+		return claimDoc(&v)
+	case quetzalfleet.ChangeRow:
+		return quetzalwire.ChangeDoc{ChangeID: string(v.ID), Subject: v.Subject, Version: int(v.Version)}
+	}
+	return nil
+}
+
+// DecodeRow returns the stored row of a document.
+func DecodeRow(key quetzalfleet.RowKey, text string) (quetzalfleet.StoredRow, error) {
+	row, err := decodeRow(key, []byte(text))
+	if err != nil {
+		return nil, &RowError{Key: key, Problem: err.Error()}
+	}
+	return row, nil
+}
+
+func decodeRow(key quetzalfleet.RowKey, text []byte) (quetzalfleet.StoredRow, error) {
+	switch key.Table {
+	case quetzalfleet.TableHosts:
+		return decode(text, hostRow)
+	case quetzalfleet.TablePools:
+		return decode(text, poolRow)
+	case quetzalfleet.TableQueues:
+		return decode(text, func(d *quetzalwire.QueueDoc) (quetzalfleet.StoredRow, error) {
+			return quetzalfleet.QueueRow{ID: quetzalunit.QueueID(d.Queue), Pool: quetzalunit.PoolID(d.Pool)}, nil
+		})
+	case quetzalfleet.TableTeams:
+		return decode(text, teamRow)
+	case quetzalfleet.TableSettings:
+		return decode(text, settingRow)
+	case quetzalfleet.TableHeads:
+		return decode(text, func(d *quetzalwire.HeadDoc) (quetzalfleet.StoredRow, error) {
+			return quetzalfleet.HeadRow{Version: quetzalunit.Version(d.Version)}, nil
+		})
+	case quetzalfleet.TableRosters:
+		return decode(text, func(d *quetzalwire.RosterDoc) (quetzalfleet.StoredRow, error) { return rosterRow(key, d), nil })
+	case quetzalfleet.TableEpochs:
+		return decode(text, func(d *quetzalwire.EpochDoc) (quetzalfleet.StoredRow, error) { return epochRow(key, d), nil })
+	case quetzalfleet.TableRenewals:
+		return decode(text, func(d *quetzalwire.RenewalDoc) (quetzalfleet.StoredRow, error) { return renewalRow(key, d), nil })
+	case quetzalfleet.TableWaves:
+		return decode(text, waveRow)
+	case quetzalfleet.TableClaims:
+		return decode(text, claimRow)
+	case quetzalfleet.TableChanges:
+		return decode(text, func(d *quetzalwire.ChangeDoc) (quetzalfleet.StoredRow, error) {
+			return quetzalfleet.ChangeRow{
+				ID: quetzalunit.ChangeID(d.ChangeID), Subject: d.Subject, Version: quetzalunit.Version(d.Version),
+			}, nil
+		})
+	}
+	return nil, eris.New("unknown table")
+}
+
+func decode[D any](text []byte, convert func(*D) (quetzalfleet.StoredRow, error)) (quetzalfleet.StoredRow, error) {
+	var doc D
+	if err := json.Unmarshal(text, &doc); err != nil {
+		return nil, eris.Wrap(err, "decode")
+	}
+	return convert(&doc)
+}
+
+// HostDoc returns the document of a host.
+func HostDoc(h *quetzalfleet.HostSpec) quetzalwire.HostDoc {
+	return quetzalwire.HostDoc{
+		Host: string(h.ID), Address: string(h.Address), Zone: string(h.Zone), Rack: string(h.Rack),
+		Pool: string(h.Pool), State: quetzalwire.HostDocState(h.State.String()), Generation: int(h.Generation),
+		NextPool: string(h.NextPool), MoveTo: string(h.MoveTo), HomePool: string(h.HomePool),
+		Wave: string(h.Wave), WaveDone: string(h.WaveDone), BootBefore: int(h.BootBefore),
+	}
+}
+
+func hostRow(d *quetzalwire.HostDoc) (quetzalfleet.StoredRow, error) {
+	state, err := parseState(string(d.State), quetzalfleet.HostServing, quetzalfleet.HostRetired)
+	return quetzalfleet.HostRow{HostSpec: quetzalfleet.HostSpec{
+		ID: quetzalunit.HostID(d.Host), Address: quetzalunit.Address(d.Address), Zone: quetzalunit.ZoneID(d.Zone),
+		Rack: quetzalunit.RackID(d.Rack), Pool: quetzalunit.PoolID(d.Pool), State: state,
+		Generation: quetzalunit.Generation(d.Generation), NextPool: quetzalunit.PoolID(d.NextPool),
+		MoveTo: quetzalunit.PoolID(d.MoveTo), HomePool: quetzalunit.PoolID(d.HomePool),
+		Wave: quetzalunit.WaveID(d.Wave), WaveDone: quetzalunit.WaveID(d.WaveDone), BootBefore: quetzalunit.Boot(d.BootBefore),
+	}}, err
+}
+
+// named is a state that a document names.
+type named interface {
+	~uint8
+	String() string
+}
+
+// parseState finds the state with a name between the first and the last.
+func parseState[S named](name string, first, last S) (S, error) {
+	for s := first; s <= last; s++ {
+		if s.String() == name {
+			return s, nil
+		}
+	}
+	return first, eris.Errorf("unknown state %q", name)
+}
+
+func budgetDocs(budgets []quetzalfleet.ZoneBudget) []quetzalwire.ZoneBudget {
+	docs := make([]quetzalwire.ZoneBudget, 0, len(budgets))
+	for _, b := range budgets {
+		docs = append(docs, quetzalwire.ZoneBudget{Zone: string(b.Zone), MinHosts: int(b.MinHosts)})
+	}
+	return docs
+}
+
+// ZoneBudgets converts the budgets of a pool.
+func ZoneBudgets(docs []quetzalwire.ZoneBudget) []quetzalfleet.ZoneBudget {
+	budgets := make([]quetzalfleet.ZoneBudget, 0, len(docs))
+	for _, d := range docs {
+		budgets = append(budgets, quetzalfleet.ZoneBudget{
+			Zone: quetzalunit.ZoneID(d.Zone), MinHosts: quetzalunit.Hosts(d.MinHosts),
+		})
+	}
+	return budgets
+}
+
+func poolRow(d *quetzalwire.PoolDoc) (quetzalfleet.StoredRow, error) {
+	return quetzalfleet.PoolRow{ID: quetzalunit.PoolID(d.Pool), Spare: d.Spare, Budgets: ZoneBudgets(d.Budgets)}, nil
+}
+
+func teamRow(d *quetzalwire.TeamDoc) (quetzalfleet.StoredRow, error) {
+	return quetzalfleet.TeamRow{
+		ID: quetzalunit.TeamID(d.Team), Weight: quetzalunit.Weight(d.Weight), MaxQueued: quetzalunit.Requests(d.MaxQueued),
+	}, nil
+}
+
+func settingRow(d *quetzalwire.SettingDoc) (quetzalfleet.StoredRow, error) {
+	values, err := quetzalsettings.ParseValues(&d.Values)
+	return quetzalfleet.SettingRow{
+		Path: quetzalunit.NodePath(d.Path), Version: quetzalunit.Version(d.Version),
+		ChangeID: quetzalunit.ChangeID(d.ChangeID), Deleted: d.Deleted, Values: values,
+	}, err
+}
+
+func rosterDoc(v *quetzalfleet.RosterRow) quetzalwire.RosterDoc {
+	d := quetzalwire.RosterDoc{Entries: make([]quetzalwire.RosterEntry, 0, len(v.Entries))}
+	for _, e := range v.Entries {
+		d.Entries = append(d.Entries, quetzalwire.RosterEntry{
+			Entry: string(e.Entry), Incarnation: int(e.Incarnation), PeerAddress: string(e.Address),
+		})
+	}
+	return d
+}
+
+func rosterRow(key quetzalfleet.RowKey, d *quetzalwire.RosterDoc) quetzalfleet.RosterRow {
+	v := quetzalfleet.RosterRow{Zone: quetzalunit.ZoneID(key.Key)}
+	for _, e := range d.Entries {
+		v.Entries = append(v.Entries, quetzalfleet.RosterEntry{
+			Entry: quetzalunit.EntryID(e.Entry), Incarnation: quetzalunit.Incarnation(e.Incarnation),
+			Address: quetzalunit.Address(e.PeerAddress),
+		})
+	}
+	return v
+}
+
+func epochRow(key quetzalfleet.RowKey, d *quetzalwire.EpochDoc) quetzalfleet.EpochRow {
+	return quetzalfleet.EpochRow{
+		Zone: quetzalunit.ZoneID(key.Key), Holder: quetzalunit.EntryID(d.Holder), Epoch: quetzalunit.Epoch(d.Epoch),
+	}
+}
+
+func renewalRow(key quetzalfleet.RowKey, d *quetzalwire.RenewalDoc) quetzalfleet.RenewalRow {
+	return quetzalfleet.RenewalRow{
+		Zone: quetzalunit.ZoneID(key.Key), Holder: quetzalunit.EntryID(d.Holder),
+		Epoch: quetzalunit.Epoch(d.Epoch), Count: int64(d.Count),
+	}
+}
+
+// WaveDoc returns the document of a wave.
+func WaveDoc(v *quetzalfleet.WaveSpec) quetzalwire.WaveDoc {
+	return quetzalwire.WaveDoc{
+		Wave: string(v.ID), State: quetzalwire.WaveDocState(v.State.String()),
+		Zones: toStrings(v.Zones), Pools: toStrings(v.Pools), MaxConcurrent: int(v.MaxConcurrent),
+	}
+}
+
+func waveRow(d *quetzalwire.WaveDoc) (quetzalfleet.StoredRow, error) {
+	state, err := parseState(string(d.State), quetzalfleet.WaveRunning, quetzalfleet.WaveFinished)
+	return quetzalfleet.WaveRow{WaveSpec: quetzalfleet.WaveSpec{
+		ID: quetzalunit.WaveID(d.Wave), State: state, Zones: FromStrings[quetzalunit.ZoneID](d.Zones),
+		Pools: FromStrings[quetzalunit.PoolID](d.Pools), MaxConcurrent: quetzalunit.Hosts(d.MaxConcurrent),
+	}}, err
+}
+
+func toStrings[S ~string](list []S) []string {
+	texts := make([]string, 0, len(list))
+	for _, s := range list {
+		texts = append(texts, string(s))
+	}
+	return texts
+}
+
+// FromStrings converts a list of names.
+func FromStrings[S ~string](list []string) []S {
+	names := make([]S, 0, len(list))
+	for _, s := range list {
+		names = append(names, S(s))
+	}
+	return names
+}
--- /dev/null
+++ b/quetzalcore/quetzalfront/callers.go
@@ -0,0 +1,347 @@
+package quetzalfront
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalcodec"
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalupstream"
+	"quetzalstair/quetzalcore/quetzalwaiter"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// Header fields of the callers' interface.
+const (
+	HeaderRequestID  = quetzalupstream.HeaderRequestID
+	HeaderClass      = "Request-Class"
+	HeaderUrgent     = "Request-Urgent"
+	HeaderIdempotent = "Request-Idempotent"
+	HeaderTimeout    = "Request-Timeout"
+	HeaderTeam       = "Request-Team"
+	HeaderOutcome    = quetzalupstream.HeaderOutcome
+)
+
+const (
+	maxTimeout = 24 * time.Hour
+	// bodyTimeout bounds the time in which a caller sends a body.
+	bodyTimeout = 30 * time.Second
+	// maxWait bounds the Wait parameter.
+	maxWait = 5 * time.Minute
+)
+
+// HeaderError tells that a header field or parameter has a value that is not permitted.
+type HeaderError struct {
+	Field   string
+	Value   string
+	Problem string
+}
+
+// Error implements error.
+func (e *HeaderError) Error() string {
+	return fmt.Sprintf("%s: %q %s", e.Field, e.Value, e.Problem)
+}
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._~:-]{0,127}$`)
+
+// Callers serves the requests of callers.
+type Callers struct {
+	// Post hands an input to the World.
+	Post func(quetzalfleet.Input)
+	// Waiting are the callers whose requests have no outcome yet.
+	Waiting *quetzalwaiter.Waiters[quetzalfleet.AnswerCaller]
+	// Ready tells whether the entry takes requests.
+	Ready func() bool
+	// MaxBody is the size of the largest body in bytes.
+	MaxBody int64
+	// DefaultTimeout is the deadline of a request that names none.
+	DefaultTimeout time.Duration
+	// MintPrefix begins the ids that this process mints.
+	MintPrefix string
+	minted     atomic.Int64
+}
+
+// Handler returns the routes of the callers' interface.
+func (c *Callers) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /queues/{Queue}/requests", c.submit)
+	mux.HandleFunc("GET /requests/{Id}", c.result)
+	mux.HandleFunc("DELETE /requests/{Id}", c.cancel)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "alive") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !c.Ready() {
+			writeText(w, http.StatusServiceUnavailable, "not ready")
+			return
+		}
+		writeText(w, http.StatusOK, "ready")
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		writeError(w, http.StatusNotFound, quetzalwire.ErrorDoc{
+			Code: quetzalcodec.OutcomeInvalid, Message: "no such path: " + r.URL.Path,
+		})
+	})
+	return mux
+}
+
+func (c *Callers) submit(w http.ResponseWriter, r *http.Request) {
+	in, err := c.arrival(r)
+	if err != nil {
+		writeBadRequest(w, http.StatusBadRequest, err)
+		return
+	}
+	body, status, err := readBody(w, r, c.MaxBody)
+	if err != nil {
+		writeBadRequest(w, status, err)
+		return
+	}
+	in.Work = &quetzalfleet.Payload{Fields: workFields(r.Header), Body: body}
+	if !in.Minted {
+		in.Sum = digest(in.Queue, body)
+	}
+	c.await(w, r, in.Timeout+time.Second, func(caller quetzalunit.Caller) quetzalfleet.Input {
+		in.Caller = caller
+		return in
+	})
+}
+
+func digest(queue quetzalunit.QueueID, body []byte) quetzalunit.BodySum {
+	h := sha256.New()
+	_, _ = io.WriteString(h, string(queue)+"\n")
+	_, _ = h.Write(body)
+	return quetzalunit.BodySum(hex.EncodeToString(h.Sum(nil)))
+}
+
+// await posts the input of a new caller and writes the outcome. A caller that
+// leaves or outstays limit is reported to the World.
+func (c *Callers) await(
+	w http.ResponseWriter, r *http.Request, limit time.Duration, input func(quetzalunit.Caller) quetzalfleet.Input,
+) {
+	caller, answered, forget := c.Waiting.Add()
+	c.Post(input(caller))
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case a := <-answered:
+		writeOutcome(w, a.ID, a.Outcome)
+		return
+	case <-r.Context().Done():
+	case <-timer.C:
+	}
+	if forget() {
+		c.Post(quetzalfleet.CallerGone{Caller: caller})
+		writeError(w, http.StatusGatewayTimeout, quetzalwire.ErrorDoc{
+			Code: quetzalcodec.OutcomeUnknown, Message: "the request has no outcome yet",
+		})
+		return
+	}
+	a := <-answered
+	writeOutcome(w, a.ID, a.Outcome)
+}
+
+func (c *Callers) result(w http.ResponseWriter, r *http.Request) {
+	wait := time.Duration(0)
+	if text := r.URL.Query().Get("Wait"); text != "" {
+		var err error
+		if wait, err = parseSpan("Wait", text, maxWait); err != nil {
+			writeBadRequest(w, http.StatusBadRequest, err)
+			return
+		}
+	}
+	id := quetzalunit.RequestID(r.PathValue("Id"))
+	c.await(w, r, max(wait, time.Millisecond), func(caller quetzalunit.Caller) quetzalfleet.Input {
+		return quetzalfleet.ResultAsked{Caller: caller, ID: id}
+	})
+}
+
+func (c *Callers) cancel(w http.ResponseWriter, r *http.Request) {
+	id := quetzalunit.RequestID(r.PathValue("Id"))
+	c.await(w, r, c.DefaultTimeout, func(caller quetzalunit.Caller) quetzalfleet.Input {
+		return quetzalfleet.CancelAsked{Caller: caller, ID: id}
+	})
+}
+
+// arrival checks the header of a request.
+func (c *Callers) arrival(r *http.Request) (quetzalfleet.RequestArrived, error) {
+	in := quetzalfleet.RequestArrived{
+		Queue:   quetzalunit.QueueID(r.PathValue("Queue")),
+		Team:    quetzalunit.TeamID(r.Header.Get(HeaderTeam)),
+		ID:      quetzalunit.RequestID(r.Header.Get(HeaderRequestID)),
+		Timeout: c.DefaultTimeout,
+	}
+	if in.ID == "" {
+		in.ID = quetzalunit.RequestID(c.MintPrefix + strconv.FormatInt(c.minted.Add(1), 36))
+		in.Minted = true
+	} else if !idPattern.MatchString(string(in.ID)) {
+		return in, &HeaderError{
+			Field: HeaderRequestID, Value: string(in.ID), Problem: "is not 1 to 128 letters, digits or . _ ~ : -",
+		}
+	}
+	var err error
+	if in.Class, err = parseClass(r.Header.Get(HeaderClass)); err != nil {
+		return in, err
+	}
+	if in.Idempotent, err = parseFlag(HeaderIdempotent, r.Header.Get(HeaderIdempotent)); err != nil {
+		return in, err
+	}
+	if in.Urgent, err = parseFlag(HeaderUrgent, r.Header.Get(HeaderUrgent)); err != nil {
+		return in, err
+	}
+	if text := r.Header.Get(HeaderTimeout); text != "" {
+		in.Timeout, err = parseSpan(HeaderTimeout, text, maxTimeout)
+	}
+	return in, err
+}
+
+func parseClass(text string) (quetzalfleet.Class, error) {
+	switch text {
+	case "", "Short":
+		return quetzalfleet.Short, nil
+	case "Long":
+		return quetzalfleet.Long, nil
+	}
+	return quetzalfleet.Short, &HeaderError{Field: HeaderClass, Value: text, Problem: "is not Short or Long"}
+}
+
+func parseFlag(field, text string) (bool, error) {
+	switch text {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	}
+	return false, &HeaderError{Field: field, Value: text, Problem: "is not true or false"}
+}
+
+func parseSpan(field, text string, limit time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > limit {
+		return 0, &HeaderError{
+			Field: field, Value: text, Problem: "is not a span of time such as 1.5s, above 0 and at most " + limit.String(),
+		}
+	}
+	return d, nil
+}
+
+// readBody reads a whole body of at most limit bytes, and returns the status of a failure.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int, error) {
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge, &http.MaxBytesError{Limit: limit}
+	}
+	// The deadline is cleared afterwards: it would end the wait for the answer.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	reader := http.MaxBytesReader(w, r.Body, limit)
+	var body []byte
+	var err error
+	if r.ContentLength >= 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(reader, body)
+	} else {
+		body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, http.StatusRequestEntityTooLarge, tooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest, &HeaderError{Field: "body", Problem: "ended early: " + err.Error()}
+	}
+	return body, 0, nil
+}
+
+// workFields returns the header fields that travel with the work to the minion.
+func workFields(h http.Header) []quetzalfleet.Field {
+	list := make([]quetzalfleet.Field, 0, len(h))
+	for name, values := range h {
+		if quetzalupstream.HopByHop(name) || name == HeaderRequestID || strings.HasPrefix(name, "Pool") {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, quetzalfleet.Field{Name: name, Value: v})
+		}
+	}
+	return list
+}
+
+func writeOutcome(w http.ResponseWriter, id quetzalunit.RequestID, o quetzalfleet.Outcome) {
+	name, reason := quetzalcodec.OutcomeName(o)
+	header := w.Header()
+	header[HeaderOutcome] = []string{name}
+	header[HeaderRequestID] = []string{string(id)}
+	doc := quetzalwire.ErrorDoc{Code: name, RequestID: string(id)}
+	switch o := o.(type) {
+	case quetzalfleet.Ran:
+		writePayload(w, o.Answer)
+	case quetzalfleet.NotRun:
+		status := http.StatusServiceUnavailable
+		if o.Reason == quetzalfleet.OverQuota {
+			status = http.StatusTooManyRequests
+		}
+		doc.Message = "the request did not run: " + reason
+		doc.RetryAfterMs = int(o.RetryAfter.Milliseconds())
+		header["Retry-After"] = []string{strconv.Itoa(int((o.RetryAfter + time.Second - 1) / time.Second))}
+		writeError(w, status, doc)
+	case quetzalfleet.Unknown:
+		doc.Message = "the request may have run and will not run again: " + reason
+		writeError(w, http.StatusGatewayTimeout, doc)
+	case quetzalfleet.Cancelled:
+		doc.Message = "the request was cancelled and did not run"
+		writeError(w, http.StatusConflict, doc)
+	case quetzalfleet.Conflict:
+		doc.Message = "the request's id belongs to a request with another body"
+		writeError(w, http.StatusConflict, doc)
+	case quetzalfleet.Invalid:
+		doc.Message = reason
+		writeError(w, http.StatusNotFound, doc)
+	}
+}
+
+func writePayload(w http.ResponseWriter, p *quetzalfleet.Payload) {
+	header := w.Header()
+	for _, f := range p.Fields {
+		if f.Name != HeaderOutcome && f.Name != HeaderRequestID {
+			header[f.Name] = append(header[f.Name], f.Value)
+		}
+	}
+	header["Content-Length"] = []string{strconv.Itoa(len(p.Body))}
+	w.WriteHeader(int(p.Status))
+	_, _ = w.Write(p.Body)
+}
+
+func writeBadRequest(w http.ResponseWriter, status int, err error) {
+	w.Header().Set(HeaderOutcome, quetzalcodec.OutcomeInvalid)
+	writeError(w, status, quetzalwire.ErrorDoc{Code: quetzalcodec.OutcomeInvalid, Message: err.Error()})
+}
+
+func writeError(w http.ResponseWriter, status int, doc quetzalwire.ErrorDoc) {
+	writeJSON(w, status, doc)
+}
+
+func writeJSON(w http.ResponseWriter, status int, doc any) {
+	text, err := json.Marshal(doc)
+	if err != nil {
+		writeText(w, http.StatusInternalServerError, "encode: "+err.Error())
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(text, '\n'))
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text+"\n")
+}
--- /dev/null
+++ b/quetzalcore/quetzalfront/operators.go
@@ -0,0 +1,279 @@
+package quetzalfront
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalcodec"
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalsettings"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwaiter"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+const (
+	// operatorTimeout bounds the wait for the World's result.
+	operatorTimeout = 15 * time.Second
+	// maxChange is the size of the largest change in bytes.
+	maxChange = 64 << 10
+)
+
+// Operators serves the administration API.
+type Operators struct {
+	// Post hands an input to the World.
+	Post func(quetzalfleet.Input)
+	// Waiting are the operators whose actions have no result yet.
+	Waiting *quetzalwaiter.Waiters[quetzalfleet.AnswerOperator]
+	// Token authenticates operators.
+	Token string
+	// Version is the program's version.
+	Version string
+	// Metrics serves the metrics; it needs no token.
+	Metrics http.Handler
+}
+
+// Handler returns the routes of the administration API.
+func (o *Operators) Handler() http.Handler {
+	mux := http.NewServeMux()
+	o.routeQueries(mux)
+	o.routeChanges(mux)
+	all := http.NewServeMux()
+	all.Handle("GET /metrics", o.Metrics)
+	all.Handle("/", o.authenticate(mux))
+	return all
+}
+
+func (o *Operators) routeQueries(mux *http.ServeMux) {
+	mux.HandleFunc("GET /status", o.query(quetzalfleet.GetStatus{}))
+	mux.HandleFunc("GET /pools", o.query(quetzalfleet.GetPools{}))
+	mux.HandleFunc("GET /queues", o.query(quetzalfleet.GetQueues{}))
+	mux.HandleFunc("GET /teams", o.query(quetzalfleet.GetTeams{}))
+	mux.HandleFunc("GET /hosts", o.query(quetzalfleet.GetHosts{}))
+	mux.HandleFunc("GET /waves", o.query(quetzalfleet.GetWaves{}))
+	mux.HandleFunc("GET /decisions", o.query(quetzalfleet.GetDecisions{}))
+	mux.HandleFunc("GET /settings/versions", o.query(quetzalfleet.GetVersions{}))
+	mux.HandleFunc("GET /settings/{Path...}", o.getSetting)
+}
+
+func (o *Operators) routeChanges(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /settings/{Path...}", change(o, settingChange(false)))
+	mux.HandleFunc("DELETE /settings/{Path...}", change(o, settingChange(true)))
+	mux.HandleFunc("PUT /pools/{Name}", change(o, poolChange))
+	mux.HandleFunc("PUT /queues/{Name}", change(o, queueChange))
+	mux.HandleFunc("PUT /teams/{Name}", change(o, teamChange))
+	mux.HandleFunc("PUT /hosts/{Name}", change(o, hostChange))
+	mux.HandleFunc("POST /hosts/{Name}/move", change(o, moveChange))
+	mux.HandleFunc("PUT /waves/{Name}", change(o, waveChange))
+	mux.HandleFunc("POST /waves/{Name}/pause", change(o, waveState(quetzalfleet.WavePaused)))
+	mux.HandleFunc("POST /waves/{Name}/resume", change(o, waveState(quetzalfleet.WaveRunning)))
+	mux.HandleFunc("POST /waves/{Name}/cancel", change(o, waveState(quetzalfleet.WaveCancelled)))
+}
+
+// authenticate admits requests with the token, compared in constant time.
+func (o *Operators) authenticate(next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte("Bearer " + o.Token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := sha256.Sum256([]byte(r.Header.Get("Authorization")))
+		if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			writeError(w, http.StatusUnauthorized, quetzalwire.ErrorDoc{
+				Code: "Unauthorized", Message: "send the operators' token: Authorization: Bearer TOKEN",
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (o *Operators) query(action quetzalfleet.OperatorAction) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { o.perform(w, r, action) }
+}
+
+// perform posts an action and writes its result.
+func (o *Operators) perform(w http.ResponseWriter, r *http.Request, action quetzalfleet.OperatorAction) {
+	caller, answered, forget := o.Waiting.Add()
+	o.Post(quetzalfleet.OperatorAsked{Caller: caller, Action: action})
+	timer := time.NewTimer(operatorTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-answered:
+		o.writeResult(w, r, a.Result)
+		return
+	case <-r.Context().Done():
+	case <-timer.C:
+	}
+	forget()
+	writeError(w, http.StatusGatewayTimeout, quetzalwire.ErrorDoc{
+		Code: "Unknown", Message: "no result in time: send the change again with the same ChangeId",
+	})
+}
+
+func (o *Operators) getSetting(w http.ResponseWriter, r *http.Request) {
+	path, err := parsePath(r.PathValue("Path"))
+	if err != nil {
+		writeBadRequest(w, http.StatusBadRequest, err)
+		return
+	}
+	o.perform(w, r, quetzalfleet.GetSetting{Path: path})
+}
+
+// parsePath checks a path of the settings tree: Fleet, Fleet/Zone or Fleet/Zone/Pool.
+func parsePath(text string) (quetzalunit.NodePath, error) {
+	parts := strings.Split(text, "/")
+	const deepest = 3
+	if parts[0] != "Fleet" || len(parts) > deepest {
+		return "", &HeaderError{Field: "Path", Value: text, Problem: "is not Fleet, Fleet/{Zone} or Fleet/{Zone}/{Pool}"}
+	}
+	for _, p := range parts[1:] {
+		if err := quetzalsettings.CheckName("Path", p); err != nil {
+			return "", err
+		}
+	}
+	return quetzalunit.NodePath(text), nil
+}
+
+// change returns a handler that decodes the body strictly and performs the
+// action which convert makes of it.
+func change[D any](
+	o *Operators, convert func(*http.Request, *D) (quetzalfleet.OperatorAction, error),
+) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var doc D
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&doc); err != nil {
+			writeBadRequest(w, http.StatusBadRequest, &HeaderError{Field: "body", Problem: err.Error()})
+			return
+		}
+		if name := r.PathValue("Name"); name != "" {
+			if err := quetzalsettings.CheckName("name", name); err != nil {
+				writeBadRequest(w, http.StatusBadRequest, err)
+				return
+			}
+		}
+		action, err := convert(r, &doc)
+		if err != nil {
+			writeBadRequest(w, http.StatusBadRequest, err)
+			return
+		}
+		o.perform(w, r, action)
+	}
+}
+
+func changeID(text string) (quetzalunit.ChangeID, error) {
+	if !idPattern.MatchString(text) {
+		return "", &HeaderError{
+			Field: "ChangeId", Value: text, Problem: "is not 1 to 128 letters, digits or . _ ~ : -; choose one for each change",
+		}
+	}
+	return quetzalunit.ChangeID(text), nil
+}
+
+func settingChange(
+	deleted bool,
+) func(*http.Request, *quetzalwire.SettingChange) (quetzalfleet.OperatorAction, error) {
+	return func(r *http.Request, d *quetzalwire.SettingChange) (quetzalfleet.OperatorAction, error) {
+		id, err := changeID(d.ChangeID)
+		if err != nil {
+			return nil, err
+		}
+		path, err := parsePath(r.PathValue("Path"))
+		if err != nil {
+			return nil, err
+		}
+		values, err := quetzalsettings.ParseValues(&d.Values)
+		if err != nil {
+			return nil, err //nolint:wrapcheck // the error names the field
+		}
+		a := quetzalfleet.ChangeSetting{ID: id, Path: path, Delete: deleted, Values: values}
+		if d.IfVersion != nil {
+			v := quetzalunit.Version(*d.IfVersion)
+			a.IfVersion = &v
+		}
+		return a, nil
+	}
+}
+
+func poolChange(r *http.Request, d *quetzalwire.PoolChange) (quetzalfleet.OperatorAction, error) {
+	id, err := changeID(d.ChangeID)
+	for _, b := range d.Budgets {
+		if b.MinHosts < 0 && err == nil {
+			err = &HeaderError{Field: "MinHosts", Value: fmt.Sprint(b.MinHosts), Problem: "is below 0"}
+		}
+	}
+	pool := quetzalfleet.PoolRow{ID: quetzalunit.PoolID(r.PathValue("Name")), Budgets: quetzalcodec.ZoneBudgets(d.Budgets)}
+	if d.Spare != nil {
+		pool.Spare = *d.Spare
+	}
+	return quetzalfleet.ChangePool{ID: id, Pool: pool}, err
+}
+
+func queueChange(r *http.Request, d *quetzalwire.QueueChange) (quetzalfleet.OperatorAction, error) {
+	id, err := changeID(d.ChangeID)
+	return quetzalfleet.ChangeQueue{ID: id, Queue: quetzalfleet.QueueRow{
+		ID: quetzalunit.QueueID(r.PathValue("Name")), Pool: quetzalunit.PoolID(d.Pool),
+	}}, err
+}
+
+func teamChange(r *http.Request, d *quetzalwire.TeamChange) (quetzalfleet.OperatorAction, error) {
+	id, err := changeID(d.ChangeID)
+	if d.Weight < 1 && err == nil {
+		err = &HeaderError{Field: "Weight", Value: fmt.Sprint(d.Weight), Problem: "is below 1"}
+	}
+	return quetzalfleet.ChangeTeam{ID: id, Team: quetzalfleet.TeamRow{
+		ID: quetzalunit.TeamID(r.PathValue("Name")), Weight: quetzalunit.Weight(d.Weight),
+		MaxQueued: quetzalunit.Requests(d.MaxQueued),
+	}}, err
+}
+
+func hostChange(r *http.Request, d *quetzalwire.HostChange) (quetzalfleet.OperatorAction, error) {
+	id, err := changeID(d.ChangeID)
+	if err == nil {
+		err = quetzalsettings.CheckAddress("Address", d.Address)
+	}
+	return quetzalfleet.RegisterHost{ID: id, Host: quetzalfleet.HostSpec{
+		ID: quetzalunit.HostID(r.PathValue("Name")), Address: quetzalunit.Address(d.Address),
+		Zone: quetzalunit.ZoneID(d.Zone), Rack: quetzalunit.RackID(d.Rack), Pool: quetzalunit.PoolID(d.Pool),
+	}}, err
+}
+
+func moveChange(r *http.Request, d *quetzalwire.MoveChange) (quetzalfleet.OperatorAction, error) {
+	id, err := changeID(d.ChangeID)
+	return quetzalfleet.MoveHost{
+		ID: id, Host: quetzalunit.HostID(r.PathValue("Name")), Pool: quetzalunit.PoolID(d.Pool),
+	}, err
+}
+
+func waveChange(r *http.Request, d *quetzalwire.WaveChange) (quetzalfleet.OperatorAction, error) {
+	id, err := changeID(d.ChangeID)
+	if err != nil {
+		return nil, err
+	}
+	wave := quetzalfleet.WaveSpec{
+		ID:    quetzalunit.WaveID(r.PathValue("Name")),
+		Zones: quetzalcodec.FromStrings[quetzalunit.ZoneID](d.Zones),
+		Pools: quetzalcodec.FromStrings[quetzalunit.PoolID](d.Pools),
+	}
+	if d.MaxConcurrent != nil {
+		wave.MaxConcurrent = quetzalunit.Hosts(*d.MaxConcurrent)
+	}
+	if r.URL.Query().Get("DryRun") == "true" {
+		return quetzalfleet.PlanWave{Wave: wave}, nil
+	}
+	return quetzalfleet.CreateWave{ID: id, Wave: wave}, nil
+}
+
+func waveState(
+	state quetzalfleet.WaveState,
+) func(*http.Request, *quetzalwire.WaveChange) (quetzalfleet.OperatorAction, error) {
+	return func(r *http.Request, d *quetzalwire.WaveChange) (quetzalfleet.OperatorAction, error) {
+		id, err := changeID(d.ChangeID)
+		return quetzalfleet.SetWaveState{ID: id, Wave: quetzalunit.WaveID(r.PathValue("Name")), State: state}, err
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalplatform/tables.go
@@ -0,0 +1,117 @@
+package quetzalplatform
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// RowID names a row.
+type RowID struct {
+	Table string
+	Key   string
+}
+
+// Row is a row with the revision of its last write.
+type Row struct {
+	RowID
+	Value    string
+	Revision quetzalunit.Revision
+}
+
+// Condition requires that a row still has a revision; zero requires its absence.
+type Condition struct {
+	RowID
+	Revision quetzalunit.Revision
+}
+
+// Write sets the value of a row.
+type Write struct {
+	RowID
+	Value string
+}
+
+// Tables is a transactional table service. The zero value is empty. It is safe
+// for concurrent use.
+type Tables struct {
+	mu   sync.Mutex
+	rows map[RowID]Row
+	// revision is the revision of the last commit.
+	revision quetzalunit.Revision
+	// commits, writes and reads count transactions, rows written and rows or scans read.
+	commits, writes, reads int64
+}
+
+// Commit applies all writes when every condition holds. Otherwise it returns
+// the rows, as they are, of the conditions that failed; an absent one has no revision.
+func (t *Tables) Commit(conditions []Condition, writes []Write) (quetzalunit.Revision, []Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var conflicts []Row
+	for _, c := range conditions {
+		row := t.rows[c.RowID]
+		if row.Revision != c.Revision {
+			row.RowID = c.RowID
+			conflicts = append(conflicts, row)
+		}
+	}
+	if len(conflicts) > 0 {
+		return 0, conflicts
+	}
+	if t.rows == nil {
+		t.rows = make(map[RowID]Row)
+	}
+	t.revision++
+	t.commits++
+	t.writes += int64(len(writes))
+	for _, w := range writes {
+		t.rows[w.RowID] = Row{RowID: w.RowID, Value: w.Value, Revision: t.revision}
+	}
+	return t.revision, nil
+}
+
+// Read returns the rows that exist among ids, and the revision of the snapshot.
+func (t *Tables) Read(ids []RowID) ([]Row, quetzalunit.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	var rows []Row
+	for _, id := range ids {
+		if row, ok := t.rows[id]; ok {
+			rows = append(rows, row)
+		}
+	}
+	return rows, max(1, t.revision)
+}
+
+// Scan returns the rows of some tables above a revision in the order of their
+// revisions, and the revision of the snapshot, which is at least 1.
+func (t *Tables) Scan(tables []string, after quetzalunit.Revision) ([]Row, quetzalunit.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	var rows []Row
+	for id, row := range t.rows {
+		if row.Revision > after && slices.Contains(tables, id.Table) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Table, b.Table), cmp.Compare(a.Key, b.Key))
+	})
+	return rows, max(1, t.revision)
+}
+
+// Load is the work that the service has done.
+type Load struct {
+	Commits, Writes, Reads int64
+}
+
+// Load returns the work that the service has done so far.
+func (t *Tables) Load() Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Load{Commits: t.commits, Writes: t.writes, Reads: t.reads}
+}
--- /dev/null
+++ b/quetzalcore/quetzalsettings/file.go
@@ -0,0 +1,184 @@
+package quetzalsettings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// FileError tells that a settings file cannot be used.
+type FileError struct {
+	File string
+	// Line and Column are zero when the whole file is meant.
+	Line, Column int
+	Problem      string
+}
+
+// Error implements error.
+func (e *FileError) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("%s: %s", e.File, e.Problem)
+	}
+	return fmt.Sprintf("%s:%d:%d: %s", e.File, e.Line, e.Column, e.Problem)
+}
+
+// Load decodes a YAML file strictly: an unknown field is an error.
+func Load(file string, v any) ([]byte, error) {
+	text, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, eris.Wrap(&FileError{File: file, Problem: err.Error()}, "read settings")
+	}
+	err = yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(v)
+	if err == nil {
+		return text, nil
+	}
+	problem := &FileError{File: file, Problem: err.Error()}
+	var syntax yaml.Error
+	if errors.As(err, &syntax) {
+		position := syntax.GetToken().Position
+		problem.Line, problem.Column, problem.Problem = position.Line, position.Column, syntax.GetMessage()
+	}
+	return nil, problem
+}
+
+// lineOf returns the line of a top-level field, or zero.
+func lineOf(text []byte, field string) int {
+	at := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(field) + `\s*:`).FindIndex(text)
+	if at == nil {
+		return 0
+	}
+	return bytes.Count(text[:at[0]], []byte("\n")) + 1
+}
+
+// LoadEntry reads and checks the settings of an entry.
+func LoadEntry(file string) (quetzalwire.EntrySettings, error) {
+	var s quetzalwire.EntrySettings
+	text, err := Load(file, &s)
+	if err != nil {
+		return s, err
+	}
+	withDefaults(&s)
+	var field *FieldError
+	if errors.As(CheckEntry(&s), &field) {
+		return s, &FileError{File: file, Line: lineOf(text, field.Field), Column: 1, Problem: field.Error()}
+	}
+	return s, nil
+}
+
+// The defaults of an entry's settings.
+const (
+	defaultMaxBodyBytes  = 1 << 20
+	defaultTimeoutMs     = 30_000
+	defaultStopNoticeMs  = 1_000
+	defaultStopTimeoutMs = 60_000
+	defaultLeaseMs       = 5_000
+	defaultPollMs        = 1_500
+	defaultGossipMs      = 1_000
+	defaultLogLevel      = "info"
+)
+
+func withDefaults(s *quetzalwire.EntrySettings) {
+	setDefault(&s.MaxBodyBytes, defaultMaxBodyBytes)
+	setDefault(&s.DefaultTimeoutMs, defaultTimeoutMs)
+	setDefault(&s.StopNoticeMs, defaultStopNoticeMs)
+	setDefault(&s.StopTimeoutMs, defaultStopTimeoutMs)
+	setDefault(&s.LeaseMs, defaultLeaseMs)
+	setDefault(&s.PollMs, defaultPollMs)
+	setDefault(&s.GossipMs, defaultGossipMs)
+	setDefault(&s.LogLevel, defaultLogLevel)
+}
+
+func setDefault[V any](field **V, v V) {
+	if *field == nil {
+		*field = &v
+	}
+}
+
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// CheckName checks the name of an entity.
+func CheckName(field, name string) error {
+	if !namePattern.MatchString(name) {
+		return &FieldError{Field: field, Value: fmt.Sprintf("%q", name), Problem: "is not a name of 1 to 63 letters, digits, dots, dashes or underscores"}
+	}
+	return nil
+}
+
+// CheckAddress checks an IP number and port.
+func CheckAddress(field, address string) error {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return &FieldError{Field: field, Value: fmt.Sprintf("%q", address), Problem: "is not an IP number and port, such as 127.0.0.1:8080"}
+	}
+	return nil
+}
+
+const (
+	// leasePolls is the least length of a lease in polls: a holder must be seen in time.
+	leasePolls = 3
+	minToken   = 8
+)
+
+// CheckEntry checks the settings of an entry, with their defaults.
+func CheckEntry(s *quetzalwire.EntrySettings) error {
+	checks := []error{
+		CheckName("Entry", s.Entry),
+		CheckName("Zone", s.Zone),
+		CheckAddress("CallerAddress", s.CallerAddress),
+		CheckAddress("OperatorAddress", s.OperatorAddress),
+		CheckAddress("PeerAddress", s.PeerAddress),
+		checkURL("PlatformURL", s.PlatformURL),
+		checkToken("OperatorToken", s.OperatorToken),
+		checkRange("MaxBodyBytes", *s.MaxBodyBytes, 1, 64<<20),
+		checkRange("DefaultTimeoutMs", *s.DefaultTimeoutMs, 1, dayMs),
+		checkRange("StopNoticeMs", *s.StopNoticeMs, 0, tenMinMs),
+		checkRange("StopTimeoutMs", *s.StopTimeoutMs, 1, dayMs),
+		checkRange("PollMs", *s.PollMs, 50, minuteMs),
+		checkRange("GossipMs", *s.GossipMs, 50, minuteMs),
+		checkRange("LeaseMs", *s.LeaseMs, leasePolls**s.PollMs, tenMinMs),
+	}
+	for _, err := range checks {
+		if err != nil {
+			return err
+		}
+	}
+	return checkLevel(string(*s.LogLevel))
+}
+
+func checkLevel(level string) error {
+	switch level {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return &FieldError{Field: "LogLevel", Value: level, Problem: "is not debug, info, warn or error"}
+}
+
+func checkURL(field, text string) error {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return &FieldError{Field: field, Value: fmt.Sprintf("%q", text), Problem: "is not a URL such as http://127.0.0.1:7000"}
+	}
+	return nil
+}
+
+func checkToken(field, token string) error {
+	if len(token) < minToken {
+		return &FieldError{Field: field, Value: "the token", Problem: fmt.Sprintf("is shorter than %d characters", minToken)}
+	}
+	return nil
+}
+
+func checkRange(field string, v, low, high int) error {
+	if v < low || v > high {
+		return &FieldError{Field: field, Value: fmt.Sprint(v), Problem: fmt.Sprintf("is not between %d and %d", low, high)}
+	}
+	return nil
+}
--- /dev/null
+++ b/quetzalcore/quetzalsettings/values.go
@@ -0,0 +1,221 @@
+package quetzalsettings
+
+import (
+	"fmt"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// FieldError tells that a field has a value that is not permitted.
+type FieldError struct {
+	Field   string
+	Value   string
+	Problem string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("%s: %s %s", e.Field, e.Value, e.Problem)
+}
+
+// checker collects the first error of a list of fields.
+type checker struct {
+	err error
+}
+
+func (c *checker) fail(field, value, problem string) {
+	if c.err == nil {
+		c.err = &FieldError{Field: field, Value: value, Problem: problem}
+	}
+}
+
+// number checks a number's range and converts it.
+func number[T ~int32 | ~int64](c *checker, field string, v *int, low, high int) *T {
+	if v == nil {
+		return nil
+	}
+	if *v < low || *v > high {
+		c.fail(field, fmt.Sprint(*v), fmt.Sprintf("is not between %d and %d", low, high))
+	}
+	n := T(*v)
+	return &n
+}
+
+func millis(c *checker, field string, v *int, high int) *time.Duration {
+	n := number[int64](c, field, v, 1, high)
+	if n == nil {
+		return nil
+	}
+	d := time.Duration(*n) * time.Millisecond
+	return &d
+}
+
+// choice converts the name of a policy.
+func choice[S ~string, P any](c *checker, field string, v *S, policies map[S]P) *P {
+	if v == nil {
+		return nil
+	}
+	p, ok := policies[*v]
+	if !ok {
+		c.fail(field, fmt.Sprintf("%q", string(*v)), "is not one of the policies of the settings reference")
+	}
+	return &p
+}
+
+// The bounds of the values, as wire.yaml states them.
+const (
+	maxPercent  = 100
+	maxAttempts = 100
+	maxFailures = 1000
+	maxQueued   = 1_000_000
+	minuteMs    = 60_000
+	tenMinMs    = 600_000
+	hourMs      = 3_600_000
+	dayMs       = 86_400_000
+)
+
+// ParseValues checks and converts the values of a node of the settings tree.
+func ParseValues(v *quetzalwire.SettingValues) (quetzalfleet.SettingValues, error) {
+	var c checker
+	parsed := quetzalfleet.SettingValues{
+		Dispatch:           choice(&c, "DispatchPolicy", v.DispatchPolicy, dispatchPolicies),
+		Retry:              choice(&c, "RetryPolicy", v.RetryPolicy, retryPolicies),
+		Move:               choice(&c, "MovePolicy", v.MovePolicy, movePolicies),
+		Lanes:              choice(&c, "LanePolicy", v.LanePolicy, lanePolicies),
+		RetryMaxAttempts:   number[quetzalunit.Attempts](&c, "RetryMaxAttempts", v.RetryMaxAttempts, 1, maxAttempts),
+		RetryBudget:        number[quetzalunit.Percent](&c, "RetryBudgetPercent", v.RetryBudgetPercent, 0, maxPercent),
+		RetryBase:          millis(&c, "RetryBaseMs", v.RetryBaseMs, minuteMs),
+		RetryCap:           millis(&c, "RetryCapMs", v.RetryCapMs, tenMinMs),
+		LongSlots:          number[quetzalunit.Percent](&c, "LongSlotsPercent", v.LongSlotsPercent, 1, maxPercent),
+		ShortRun:           millis(&c, "ShortRunMs", v.ShortRunMs, hourMs),
+		QueueLimit:         number[quetzalunit.Requests](&c, "QueueLimit", v.QueueLimit, 1, maxQueued),
+		TeamQueueLimit:     number[quetzalunit.Requests](&c, "TeamQueueLimit", v.TeamQueueLimit, 1, maxQueued),
+		EjectAfterFailures: number[quetzalunit.Attempts](&c, "EjectAfterFailures", v.EjectAfterFailures, 1, maxFailures),
+		EjectMax:           number[quetzalunit.Percent](&c, "EjectMaxPercent", v.EjectMaxPercent, 0, maxPercent),
+		EjectFor:           millis(&c, "EjectMs", v.EjectMs, hourMs),
+		DrainTimeout:       millis(&c, "DrainTimeoutMs", v.DrainTimeoutMs, dayMs),
+		SurviveRackLoss:    v.SurviveRackLoss,
+	}
+	return parsed, c.err
+}
+
+var (
+	dispatchPolicies = map[quetzalwire.SettingValuesDispatchPolicy]quetzalfleet.DispatchPolicy{
+		"Shared": quetzalfleet.SharedDispatch{},
+		"Fixed":  quetzalfleet.FixedDispatch{},
+		"Borrow": quetzalfleet.BorrowDispatch{},
+	}
+	retryPolicies = map[quetzalwire.SettingValuesRetryPolicy]quetzalfleet.RetryPolicy{
+		"None":        quetzalfleet.NoRetry{},
+		"Exponential": quetzalfleet.ExponentialRetry{},
+		"FourPhase":   quetzalfleet.FourPhaseRetry{},
+	}
+	movePolicies = map[quetzalwire.SettingValuesMovePolicy]quetzalfleet.MovePolicy{
+		"Fixed":     quetzalfleet.FixedBuffer{},
+		"Reactive":  quetzalfleet.ReactiveMoves{},
+		"SkiRental": quetzalfleet.SkiRentalMoves{},
+	}
+	lanePolicies = map[quetzalwire.SettingValuesLanePolicy]quetzalfleet.LanePolicy{
+		"Open":    quetzalfleet.OpenLanes{},
+		"Reserve": quetzalfleet.ReserveLanes{},
+		"Demote":  quetzalfleet.DemoteLanes{},
+	}
+)
+
+func dispatchName(p quetzalfleet.DispatchPolicy) quetzalwire.SettingValuesDispatchPolicy {
+	switch p.(type) {
+	case quetzalfleet.FixedDispatch:
+		return "Fixed"
+	case quetzalfleet.BorrowDispatch:
+		return "Borrow"
+	default:
+		return "Shared"
+	}
+}
+
+func retryName(p quetzalfleet.RetryPolicy) quetzalwire.SettingValuesRetryPolicy {
+	switch p.(type) {
+	case quetzalfleet.NoRetry:
+		return "None"
+	case quetzalfleet.FourPhaseRetry:
+		return "FourPhase"
+	default:
+		return "Exponential"
+	}
+}
+
+func moveName(p quetzalfleet.MovePolicy) quetzalwire.SettingValuesMovePolicy {
+	switch p.(type) {
+	case quetzalfleet.FixedBuffer:
+		return "Fixed"
+	case quetzalfleet.ReactiveMoves:
+		return "Reactive"
+	default:
+		return "SkiRental"
+	}
+}
+
+func laneName(p quetzalfleet.LanePolicy) quetzalwire.SettingValuesLanePolicy {
+	switch p.(type) {
+	case quetzalfleet.OpenLanes:
+		return "Open"
+	case quetzalfleet.ReserveLanes:
+		return "Reserve"
+	default:
+		return "Demote"
+	}
+}
+
+// FormatValues is the inverse of ParseValues.
+func FormatValues(v *quetzalfleet.SettingValues) quetzalwire.SettingValues {
+	return quetzalwire.SettingValues{
+		DispatchPolicy:     format(v.Dispatch, dispatchName),
+		RetryPolicy:        format(v.Retry, retryName),
+		MovePolicy:         format(v.Move, moveName),
+		LanePolicy:         format(v.Lanes, laneName),
+		RetryMaxAttempts:   format(v.RetryMaxAttempts, toInt),
+		RetryBudgetPercent: format(v.RetryBudget, toInt),
+		RetryBaseMs:        format(v.RetryBase, toMillis),
+		RetryCapMs:         format(v.RetryCap, toMillis),
+		LongSlotsPercent:   format(v.LongSlots, toInt),
+		ShortRunMs:         format(v.ShortRun, toMillis),
+		QueueLimit:         format(v.QueueLimit, toInt),
+		TeamQueueLimit:     format(v.TeamQueueLimit, toInt),
+		EjectAfterFailures: format(v.EjectAfterFailures, toInt),
+		EjectMaxPercent:    format(v.EjectMax, toInt),
+		EjectMs:            format(v.EjectFor, toMillis),
+		DrainTimeoutMs:     format(v.DrainTimeout, toMillis),
+		SurviveRackLoss:    v.SurviveRackLoss,
+	}
+}
+
+// FormatEffective returns the effective values, every field set.
+func FormatEffective(s *quetzalfleet.Settings) quetzalwire.SettingValues {
+	return FormatValues(&quetzalfleet.SettingValues{
+		Dispatch: &s.Dispatch, Retry: &s.Retry, Move: &s.Move, Lanes: &s.Lanes,
+		RetryMaxAttempts: &s.RetryMaxAttempts, RetryBudget: &s.RetryBudget,
+		RetryBase: &s.RetryBase, RetryCap: &s.RetryCap, LongSlots: &s.LongSlots, ShortRun: &s.ShortRun,
+		QueueLimit: &s.QueueLimit, TeamQueueLimit: &s.TeamQueueLimit,
+		EjectAfterFailures: &s.EjectAfterFailures, EjectMax: &s.EjectMax, EjectFor: &s.EjectFor,
+		DrainTimeout: &s.DrainTimeout, SurviveRackLoss: &s.SurviveRackLoss,
+	})
+}
+
+func format[V, W any](v *V, convert func(V) W) *W {
+	if v == nil {
+		return nil
+	}
+	converted := convert(*v)
+	return &converted
+}
+
+func toInt[N ~int32](n N) int {
+	return int(n)
+}
+
+func toMillis(d time.Duration) int {
+	return int(d.Milliseconds())
+}
--- /dev/null
+++ b/quetzalcore/quetzalstore/client.go
@@ -0,0 +1,212 @@
+package quetzalstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalcodec"
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+const (
+	// callTimeout bounds one call of the platform.
+	callTimeout = 2 * time.Second
+	// maxReply bounds the size of a reply, in bytes.
+	maxReply = 64 << 20
+	// maxConnections bounds the connections to the platform.
+	maxConnections = 16
+)
+
+// StatusError tells that the platform answered with an unexpected status.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return "platform: " + e.Path + ": status " + strconv.Itoa(e.Status)
+}
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	base  string
+	http  http.Client
+	bytes atomic.Int64
+}
+
+// New returns a client of the platform at a base URL, and a function that
+// closes its idle connections.
+func New(base string) (*Client, func()) {
+	transport := &http.Transport{MaxConnsPerHost: maxConnections, MaxIdleConnsPerHost: maxConnections}
+	c := &Client{base: base, http: http.Client{Transport: transport, Timeout: callTimeout}}
+	return c, transport.CloseIdleConnections
+}
+
+// Bytes returns the bytes of all message bodies sent and received.
+func (c *Client) Bytes() int64 {
+	return c.bytes.Load()
+}
+
+// Perform executes a command that calls the platform; other commands end with nil.
+func (c *Client) Perform(ctx context.Context, command quetzalfleet.Command) (quetzalfleet.StoreResult, error) {
+	var result quetzalfleet.StoreResult
+	var err error
+	switch v := command.(type) {
+	case quetzalfleet.WriteStore:
+		result, err = c.commit(ctx, &v.Transaction)
+	case quetzalfleet.ReadStore:
+		result, err = c.read(ctx, v.Keys)
+	case quetzalfleet.ScanStore:
+		result, err = c.scan(ctx, v.After)
+	case quetzalfleet.ListHosts:
+		result, err = c.list(ctx)
+	case quetzalfleet.RebootHost:
+		result, err = c.reboot(ctx, v.Host, v.Before)
+	default:
+		return nil, nil //nolint:nilnil // not a command for the platform
+	}
+	if err != nil {
+		return quetzalfleet.NoAnswer{}, err
+	}
+	return result, nil
+}
+
+func (c *Client) commit(ctx context.Context, t *quetzalfleet.Transaction) (quetzalfleet.StoreResult, error) {
+	req := quetzalwire.TransactionRequest{
+		Conditions: make([]quetzalwire.RowCondition, 0, len(t.Conditions)),
+		Writes:     make([]quetzalwire.RowWrite, 0, len(t.Writes)),
+	}
+	for _, v := range t.Conditions {
+		req.Conditions = append(req.Conditions, conditionDoc(v.Key, v.Revision))
+	}
+	for _, v := range t.Writes {
+		text, err := quetzalcodec.EncodeRow(v.Row)
+		if err != nil {
+			return nil, err
+		}
+		req.Writes = append(req.Writes, quetzalwire.RowWrite{Table: string(v.Key.Table), Key: v.Key.Key, Value: text})
+	}
+	var reply quetzalwire.TransactionReply
+	if err := c.call(ctx, http.MethodPost, "/transactions", req, &reply); err != nil {
+		return nil, err
+	}
+	if reply.Committed {
+		return quetzalfleet.Committed{Revision: quetzalunit.Revision(reply.Revision)}, nil
+	}
+	rows, err := decodePresent(reply.Conflicts)
+	return quetzalfleet.Conflicted{Rows: rows}, err
+}
+
+// decodePresent decodes rows, of which absent ones have no revision.
+func decodePresent(docs []quetzalwire.Row) ([]quetzalfleet.RevisedRow, error) {
+	present := make([]quetzalwire.Row, 0, len(docs))
+	for _, d := range docs {
+		if d.Revision > 0 {
+			present = append(present, d)
+		}
+	}
+	return quetzalcodec.DecodeRows(present)
+}
+
+func conditionDoc(key quetzalfleet.RowKey, rev quetzalunit.Revision) quetzalwire.RowCondition {
+	return quetzalwire.RowCondition{Table: string(key.Table), Key: key.Key, Revision: int(rev)}
+}
+
+func (c *Client) read(ctx context.Context, keys []quetzalfleet.RowKey) (quetzalfleet.StoreResult, error) {
+	req := quetzalwire.ReadRequest{Rows: make([]quetzalwire.RowCondition, 0, len(keys))}
+	for _, key := range keys {
+		req.Rows = append(req.Rows, conditionDoc(key, 0))
+	}
+	return c.rows(ctx, http.MethodPost, "/reads", req)
+}
+
+func (c *Client) scan(ctx context.Context, after quetzalunit.Revision) (quetzalfleet.StoreResult, error) {
+	query := url.Values{"After": {strconv.FormatInt(int64(after), 10)}}
+	for _, table := range quetzalfleet.FleetTables() {
+		query.Add("Table", string(table))
+	}
+	return c.rows(ctx, http.MethodGet, "/rows?"+query.Encode(), nil)
+}
+
+func (c *Client) rows(ctx context.Context, method, path string, body any) (quetzalfleet.StoreResult, error) {
+	var reply quetzalwire.ScanReply
+	if err := c.call(ctx, method, path, body, &reply); err != nil {
+		return nil, err
+	}
+	rows, err := quetzalcodec.DecodeRows(reply.Rows)
+	return quetzalfleet.RowsRead{Revision: quetzalunit.Revision(reply.Revision), Rows: rows}, err
+}
+
+func (c *Client) list(ctx context.Context) (quetzalfleet.StoreResult, error) {
+	var reply quetzalwire.HostList
+	if err := c.call(ctx, http.MethodGet, "/hosts", nil, &reply); err != nil {
+		return nil, err
+	}
+	result := quetzalfleet.HostsListed{Hosts: make([]quetzalfleet.ListedHost, 0, len(reply.Hosts))}
+	for _, d := range reply.Hosts {
+		h := quetzalfleet.ListedHost{ID: quetzalunit.HostID(d.Host), Boot: quetzalunit.Boot(d.Boot)}
+		switch d.State {
+		case quetzalwire.ListedHostStateLeaving:
+			h.State = quetzalfleet.ListedLeaving
+		case quetzalwire.ListedHostStateGone:
+			h.State = quetzalfleet.ListedGone
+		case quetzalwire.ListedHostStateLive:
+		}
+		result.Hosts = append(result.Hosts, h)
+	}
+	return result, nil
+}
+
+func (c *Client) reboot(
+	ctx context.Context, host quetzalunit.HostID, before quetzalunit.Boot,
+) (quetzalfleet.StoreResult, error) {
+	path := "/hosts/" + url.PathEscape(string(host)) + "/reboot?Before=" + strconv.FormatInt(int64(before), 10)
+	if err := c.call(ctx, http.MethodPost, path, nil, nil); err != nil {
+		return nil, err
+	}
+	return quetzalfleet.RebootAccepted{}, nil
+}
+
+// call sends one request with a JSON body and decodes the JSON reply.
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
+	var text []byte
+	if body != nil {
+		var err error
+		if text, err = json.Marshal(body); err != nil {
+			return eris.Wrap(err, "encode")
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(text))
+	if err != nil {
+		return eris.Wrap(err, "build request")
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "call platform")
+	}
+	defer res.Body.Close() //nolint:errcheck // the body was read
+	answer, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	c.bytes.Add(int64(len(path) + len(text) + len(answer)))
+	if err != nil {
+		return eris.Wrap(err, "read reply")
+	}
+	if res.StatusCode != http.StatusOK {
+		return &StatusError{Path: path, Status: res.StatusCode}
+	}
+	if reply == nil {
+		return nil
+	}
+	return eris.Wrap(json.Unmarshal(answer, reply), "decode reply")
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -0,0 +1,217 @@
+package quetzalsystem
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+const (
+	// gossipSpacing is the least time between two messages to the zone's peers.
+	gossipSpacing = 50 * time.Millisecond
+	// gossipRowLimit bounds the rows of one message.
+	gossipRowLimit = 200
+)
+
+// gossip tells the zone's peers what has changed, soon after it did.
+func gossip(w *quetzalfleet.World) {
+	if !w.GossipNow {
+		return
+	}
+	if wait := gossipSpacing - w.Now.Sub(w.GossipedAt); wait > 0 {
+		if !w.GossipWaiting {
+			w.GossipWaiting = true
+			w.After(wait, quetzalfleet.Wake{})
+		}
+		return
+	}
+	w.GossipNow, w.GossipWaiting = false, false
+	tellZone(w)
+}
+
+// gossipRound tells the zone's peers, and one random peer of another zone.
+func gossipRound(w *quetzalfleet.World) {
+	w.After(w.Jitter(w.Self.Gossip), quetzalfleet.GossipDue{})
+	tellZone(w)
+	var others []quetzalfleet.Row
+	for row, p := range w.Peers.All() {
+		if p.Zone != w.Self.Zone {
+			others = append(others, row)
+		}
+	}
+	if len(others) > 0 {
+		tell(w, others[w.Rand().IntN(len(others))])
+	}
+}
+
+func tellZone(w *quetzalfleet.World) {
+	w.GossipedAt = w.Now
+	for row, p := range w.Peers.All() {
+		if p.Zone == w.Self.Zone {
+			tell(w, row)
+		}
+	}
+}
+
+func tell(w *quetzalfleet.World, row quetzalfleet.Row) {
+	p := w.Peers.At(row)
+	if p.InFlight {
+		return
+	}
+	p.InFlight = true
+	p.Told = w.NewestRow
+	rows, seen := rowsSince(w, p.Seen)
+	w.Emit(quetzalfleet.TellPeer{Peer: p.ID, Address: p.Address, Message: quetzalfleet.Gossip{
+		From:            w.Self.Entry,
+		Incarnation:     w.Self.Incarnation,
+		Zone:            w.Self.Zone,
+		Stopping:        w.Stop != quetzalfleet.StopNone,
+		Since:           p.Seen,
+		Seen:            seen,
+		SettingsVersion: w.InForce,
+		Rows:            rows,
+		Confirmed:       confirmedHosts(w),
+		Leaving:         leavingHosts(w),
+		Loads:           loads(w),
+	}})
+}
+
+// rowsSince returns the rows above a revision, oldest first, and the revision
+// up to which they are complete.
+func rowsSince(w *quetzalfleet.World, since quetzalunit.Revision) ([]quetzalfleet.RevisedRow, quetzalunit.Revision) {
+	if since >= w.NewestRow && since >= w.Seen {
+		return nil, w.Seen
+	}
+	var rows []quetzalfleet.RevisedRow
+	for key, row := range w.Rows {
+		if row.Revision > since && key.Table != quetzalfleet.TableRenewals {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b quetzalfleet.RevisedRow) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key.Table, b.Key.Table), cmp.Compare(a.Key.Key, b.Key.Key))
+	})
+	if len(rows) <= gossipRowLimit {
+		return rows, w.Seen
+	}
+	return rows[:gossipRowLimit], min(w.Seen, rows[gossipRowLimit-1].Revision-1)
+}
+
+// confirmedHosts lists the zone's hosts out of service on which this entry runs nothing.
+func confirmedHosts(w *quetzalfleet.World) []quetzalfleet.HostGeneration {
+	var confirmed []quetzalfleet.HostGeneration
+	for _, h := range w.Hosts.All() {
+		if h.Zone == w.Self.Zone && h.State == quetzalfleet.HostLeaving && idleHere(w, h) {
+			confirmed = append(confirmed, quetzalfleet.HostGeneration{Host: h.ID, Generation: h.Generation})
+		}
+	}
+	return confirmed
+}
+
+// idleHere tells whether nothing that this entry sent can still run on a host.
+func idleHere(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
+	return h.Running == 0 && h.LingerUntil <= w.Now
+}
+
+func leavingHosts(w *quetzalfleet.World) []quetzalfleet.HostGeneration {
+	var leaving []quetzalfleet.HostGeneration
+	for _, h := range w.Hosts.All() {
+		if h.LeavingFirstHand && h.LeavingSeen == h.Generation {
+			leaving = append(leaving, quetzalfleet.HostGeneration{Host: h.ID, Generation: h.Generation})
+		}
+	}
+	return leaving
+}
+
+// loads lists the demand for each pool that has any.
+func loads(w *quetzalfleet.World) []quetzalfleet.PoolLoad {
+	var list []quetzalfleet.PoolLoad
+	for _, p := range w.Pools.All() {
+		if l := ownLoad(w, p); l.Queued > 0 || l.Running > 0 {
+			list = append(list, l)
+		}
+	}
+	return list
+}
+
+func ownLoad(w *quetzalfleet.World, p *quetzalfleet.Pool) quetzalfleet.PoolLoad {
+	l := quetzalfleet.PoolLoad{Pool: p.ID}
+	for _, row := range p.Queues {
+		q := w.Queues.At(row)
+		l.Queued += q.Queued
+		l.Running += q.Running
+	}
+	return l
+}
+
+func hearGossip(w *quetzalfleet.World, in quetzalfleet.PeerSaid) {
+	m := in.Message
+	applyRows(w, m.Rows)
+	if m.Since <= w.Seen {
+		advanceSeen(w, m.Seen)
+	}
+	hearPeer(w, &m)
+	for _, c := range m.Confirmed {
+		confirm(w, &m, c)
+	}
+	for _, l := range m.Leaving {
+		if row := w.HostByID.Get(l.Host); row != 0 {
+			seeLeaving(w, row, l.Generation)
+		}
+	}
+	joinRosterIfKnown(w)
+	w.Emit(quetzalfleet.AnswerGossip{Caller: in.Caller, Seen: w.Seen, SettingsVersion: w.InForce})
+}
+
+// joinRosterIfKnown joins the roster as soon as the rows are known.
+func joinRosterIfKnown(w *quetzalfleet.World) {
+	if w.Seen > 0 && !w.PlatformFailing {
+		joinRoster(w)
+	}
+}
+
+func hearPeer(w *quetzalfleet.World, m *quetzalfleet.Gossip) {
+	p := w.Peers.At(w.PeerByID.Get(m.From))
+	if p == nil || p.Incarnation != m.Incarnation {
+		return
+	}
+	p.HeardAt = w.Now
+	p.Stopping = m.Stopping
+	p.Loads = m.Loads
+	p.SettingsVersion = max(p.SettingsVersion, m.SettingsVersion)
+	p.Seen = max(p.Seen, m.Seen)
+}
+
+func confirm(w *quetzalfleet.World, m *quetzalfleet.Gossip, c quetzalfleet.HostGeneration) {
+	key := quetzalfleet.ConfirmationKey{Entry: m.From, Host: c.Host}
+	row := w.ConfirmedBy.Get(key)
+	if row == 0 {
+		row = w.Confirmed.Insert(quetzalfleet.Confirmation{Entry: m.From, Host: c.Host})
+		w.ConfirmedBy.Put(key, row)
+	}
+	v := w.Confirmed.At(row)
+	if v.Incarnation != m.Incarnation || v.Generation != c.Generation {
+		v.Incarnation, v.Generation = m.Incarnation, c.Generation
+		w.PlanDirty = true
+	}
+}
+
+func hearReply(w *quetzalfleet.World, in quetzalfleet.PeerAnswered) {
+	p := w.Peers.At(w.PeerByID.Get(in.Peer))
+	if p == nil {
+		return
+	}
+	p.InFlight = false
+	if in.Failed {
+		return
+	}
+	p.HeardAt = w.Now
+	p.Seen = in.Seen
+	p.SettingsVersion = max(p.SettingsVersion, in.SettingsVersion)
+	if w.NewestRow > max(p.Told, p.Seen) {
+		w.GossipNow = true
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/line.go
@@ -0,0 +1,114 @@
+package quetzalsystem
+
+import (
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// longShareLimit is the share of short-declared runs that ran long from which on
+// a team's short requests are treated as long.
+const longShareLimit quetzalunit.Percent = 50
+
+func laneOf(c quetzalfleet.Class, urgent bool) quetzalfleet.Lane {
+	switch {
+	case urgent:
+		return quetzalfleet.UrgentLane
+	case c == quetzalfleet.Long:
+		return quetzalfleet.LongLane
+	}
+	return quetzalfleet.ShortLane
+}
+
+// treatedClass returns the class that a request is scheduled by.
+func treatedClass(w *quetzalfleet.World, r *quetzalfleet.Request) quetzalfleet.Class {
+	if _, ok := settingsOf(w, w.Queues.At(r.Queue).Pool).Lanes.(quetzalfleet.DemoteLanes); !ok {
+		return r.Class
+	}
+	if w.Teams.At(r.Team).LongShare > longShareLimit {
+		return quetzalfleet.Long
+	}
+	return r.Class
+}
+
+// enqueue links a request into its line, at the front when it was sent back.
+func enqueue(w *quetzalfleet.World, row quetzalfleet.Row, front bool) {
+	r := w.Requests.At(row)
+	key := quetzalfleet.LineKey{Queue: r.Queue, Team: r.Team, Lane: laneOf(r.Treated, r.Urgent)}
+	lineRow := w.LineByKey.Get(key)
+	if lineRow == 0 {
+		lineRow = w.Lines.Insert(quetzalfleet.Line{Queue: r.Queue, Team: r.Team, Lane: key.Lane})
+		w.LineByKey.Put(key, lineRow)
+	}
+	l := w.Lines.At(lineRow)
+	r.State = quetzalfleet.RequestQueued
+	r.Line = lineRow
+	link(w, l, row, front)
+	q := w.Queues.At(r.Queue)
+	q.Queued++
+	w.Teams.At(r.Team).Queued++
+	if l.Length == 1 {
+		l.Turns = w.Teams.At(r.Team).Weight
+		q.Lanes[key.Lane] = append(q.Lanes[key.Lane], lineRow)
+	}
+	w.DirtyPools.Add(q.Pool)
+}
+
+func link(w *quetzalfleet.World, l *quetzalfleet.Line, row quetzalfleet.Row, front bool) {
+	r := w.Requests.At(row)
+	l.Length++
+	switch {
+	case l.Head == 0:
+		l.Head, l.Tail = row, row
+	case front:
+		r.Next = l.Head
+		w.Requests.At(l.Head).Prev = row
+		l.Head = row
+	default:
+		r.Prev = l.Tail
+		w.Requests.At(l.Tail).Next = row
+		l.Tail = row
+	}
+}
+
+// unlink takes a queued request out of its line.
+func unlink(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
+	l := w.Lines.At(r.Line)
+	if prev := w.Requests.At(r.Prev); prev != nil {
+		prev.Next = r.Next
+	} else {
+		l.Head = r.Next
+	}
+	if next := w.Requests.At(r.Next); next != nil {
+		next.Prev = r.Prev
+	} else {
+		l.Tail = r.Prev
+	}
+	l.Length--
+	q := w.Queues.At(r.Queue)
+	q.Queued--
+	w.Teams.At(r.Team).Queued--
+	if l.Length == 0 {
+		lines := q.Lanes[l.Lane]
+		i := slices.Index(lines, r.Line)
+		q.Lanes[l.Lane] = slices.Delete(lines, i, i+1)
+	}
+	r.Prev, r.Next, r.Line = 0, 0, 0
+}
+
+// passTurn counts a started request and lets the next team go first when the
+// team has had its turns.
+func passTurn(w *quetzalfleet.World, queueRow, lineRow quetzalfleet.Row) {
+	l := w.Lines.At(lineRow)
+	q := w.Queues.At(queueRow)
+	l.Turns--
+	lines := q.Lanes[l.Lane]
+	if l.Turns > 0 || len(lines) < 2 || lines[0] != lineRow {
+		return
+	}
+	l.Turns = max(1, w.Teams.At(l.Team).Weight)
+	copy(lines, lines[1:])
+	lines[len(lines)-1] = lineRow
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -0,0 +1,248 @@
+package quetzalsystem
+
+import (
+	"fmt"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+const (
+	// planPeriod is the longest time between two plans.
+	planPeriod = 500 * time.Millisecond
+	// rebootRepeat is the time after which an unanswered reboot is asked for again.
+	rebootRepeat = 5 * time.Second
+	// waveRetry is the wait before a wave takes a host again that did not drain.
+	waveRetry = 30 * time.Second
+)
+
+// plan lets the holder of the zone's duties take the next step of every move,
+// reboot and wave.
+func plan(w *quetzalfleet.World) {
+	if !w.PlanDirty {
+		return
+	}
+	w.PlanDirty = false
+	if !holdsDuty(w) || w.Stop != quetzalfleet.StopNone {
+		return
+	}
+	removeDeadEntries(w)
+	for row, h := range w.Hosts.All() {
+		if h.Zone == w.Self.Zone && h.ChangeCall == 0 {
+			advanceHost(w, row)
+		}
+	}
+	repairPools(w)
+	followWishes(w)
+	runWaves(w)
+	followDemand(w)
+}
+
+// advanceHost takes the next step of a host that is out of service.
+func advanceHost(w *quetzalfleet.World, row quetzalfleet.Row) {
+	h := w.Hosts.At(row)
+	switch h.State {
+	case quetzalfleet.HostLeaving:
+		advanceLeaving(w, row)
+	case quetzalfleet.HostRebooting:
+		advanceRebooting(w, row)
+	case quetzalfleet.HostServing, quetzalfleet.HostRetired:
+	}
+}
+
+func advanceLeaving(w *quetzalfleet.World, row quetzalfleet.Row) {
+	h := w.Hosts.At(row)
+	if !drained(w, h) {
+		if w.Now.Sub(h.ChangedAt) > settingsOf(w, h.PoolRow).DrainTimeout {
+			takeBack(w, row)
+		}
+		return
+	}
+	next := h.HostSpec
+	next.Generation++
+	if h.NextPool != "" {
+		next.State, next.Pool, next.NextPool = quetzalfleet.HostServing, h.NextPool, ""
+		changeHost(w, row, next, rosterCondition(w), poolCondition(w, h.NextPool))
+		w.Decide(quetzalfleet.DecisionMove, string(h.ID), fmt.Sprintf("drained; serves pool %s from generation %d", next.Pool, next.Generation))
+		return
+	}
+	next.State, next.BootBefore = quetzalfleet.HostRebooting, h.Boot
+	changeHost(w, row, next, rosterCondition(w))
+	w.Decide(quetzalfleet.DecisionWave, string(h.ID), "drained; reboots")
+}
+
+// drained tells whether every entry of the zone has confirmed that it runs
+// nothing on a host and will send nothing.
+func drained(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
+	r := zoneRoster(w)
+	if r == nil || !idleHere(w, h) {
+		return false
+	}
+	for _, e := range r.Entries {
+		if e.Entry == w.Self.Entry {
+			continue
+		}
+		c := w.Confirmed.At(w.ConfirmedBy.Get(quetzalfleet.ConfirmationKey{Entry: e.Entry, Host: h.ID}))
+		if c == nil || c.Incarnation != e.Incarnation || c.Generation != h.Generation {
+			return false
+		}
+	}
+	return true
+}
+
+// takeBack returns a host that did not drain in time to its pool.
+func takeBack(w *quetzalfleet.World, row quetzalfleet.Row) {
+	h := w.Hosts.At(row)
+	next := h.HostSpec
+	next.Generation++
+	next.State, next.NextPool, next.Wave = quetzalfleet.HostServing, "", ""
+	h.WaveRetryAt = w.Now.Add(waveRetry)
+	changeHost(w, row, next)
+	w.Decide(quetzalfleet.DecisionMove, string(h.ID), "not drained in time; serves its pool again")
+}
+
+func advanceRebooting(w *quetzalfleet.World, row quetzalfleet.Row) {
+	h := w.Hosts.At(row)
+	if h.Boot > h.BootBefore && h.Listed == quetzalfleet.ListedLive {
+		next := h.HostSpec
+		next.Generation++
+		next.State, next.WaveDone, next.Wave = quetzalfleet.HostServing, h.Wave, ""
+		changeHost(w, row, next)
+		w.Decide(quetzalfleet.DecisionWave, string(h.ID), "rebooted; serves again")
+		return
+	}
+	if w.Now.Sub(h.RebootAskedAt) < rebootRepeat {
+		return
+	}
+	h.RebootAskedAt = w.Now
+	w.Emit(quetzalfleet.RebootHost{
+		Call: addCall(w, quetzalfleet.ForReboot{Host: row}), Host: h.ID, Before: h.BootBefore,
+	})
+}
+
+func poolCondition(w *quetzalfleet.World, id quetzalunit.PoolID) quetzalfleet.Condition {
+	c := quetzalfleet.Condition{Key: quetzalfleet.RowKey{Table: quetzalfleet.TablePools, Key: string(id)}}
+	if p := w.Pools.At(w.PoolByID.Get(id)); p != nil {
+		c.Revision = p.Revision
+	}
+	return c
+}
+
+// changeHost writes the next generation of a host's row. The write is fenced,
+// and fails when the row or one of the conditions changed.
+func changeHost(w *quetzalfleet.World, row quetzalfleet.Row, next quetzalfleet.HostSpec, more ...quetzalfleet.Condition) {
+	h := w.Hosts.At(row)
+	key := quetzalfleet.RowKey{Table: quetzalfleet.TableHosts, Key: string(h.ID)}
+	conditions := append([]quetzalfleet.Condition{{Key: key, Revision: h.Revision}, fence(w)}, more...)
+	h.ChangeCall = write(w, quetzalfleet.ForHost{Host: row}, quetzalfleet.Transaction{
+		Conditions: conditions,
+		Writes:     []quetzalfleet.Write{{Key: key, Row: quetzalfleet.HostRow{HostSpec: next}}},
+	})
+}
+
+func endHostChange(w *quetzalfleet.World, row quetzalfleet.Row) {
+	if h := w.Hosts.At(row); h != nil {
+		h.ChangeCall = 0
+	}
+	w.PlanDirty = true
+}
+
+// startMove takes a host out of its pool for another one.
+func startMove(w *quetzalfleet.World, row quetzalfleet.Row, to quetzalunit.PoolID, home quetzalunit.PoolID, reason string) {
+	h := w.Hosts.At(row)
+	next := h.HostSpec
+	next.Generation++
+	next.State, next.NextPool, next.HomePool, next.MoveTo = quetzalfleet.HostLeaving, to, home, ""
+	changeHost(w, row, next, poolCondition(w, h.Pool), poolCondition(w, to))
+	w.Decide(quetzalfleet.DecisionMove, string(h.ID), fmt.Sprintf("leaves pool %s for %s: %s", h.Pool, to, reason))
+}
+
+// startWaveStep takes a host out of its pool for a wave.
+func startWaveStep(w *quetzalfleet.World, row quetzalfleet.Row, wave quetzalunit.WaveID) {
+	h := w.Hosts.At(row)
+	next := h.HostSpec
+	next.Generation++
+	next.State, next.Wave = quetzalfleet.HostLeaving, wave
+	changeHost(w, row, next, poolCondition(w, h.Pool))
+	w.Decide(quetzalfleet.DecisionWave, string(h.ID), fmt.Sprintf("leaves pool %s for wave %s", h.Pool, wave))
+}
+
+// followWishes starts the moves that operators asked for, within the budgets.
+func followWishes(w *quetzalfleet.World) {
+	for row, h := range w.Hosts.All() {
+		if h.MoveTo == "" || h.Zone != w.Self.Zone || h.MoveTo == h.Pool || !mayTake(w, row) {
+			continue
+		}
+		startMove(w, row, h.MoveTo, "", "asked by an operator")
+	}
+}
+
+// repairPools lends spare hosts to pools that are below their budgets.
+func repairPools(w *quetzalfleet.World) {
+	for row, p := range w.Pools.All() {
+		if p.Spare || headroom(w, row, 0)+arriving(w, p.ID) >= 0 {
+			continue
+		}
+		if spare := lendable(w, p.ID); spare != 0 {
+			lend(w, spare, p.ID, "the pool is below its budget")
+		}
+	}
+}
+
+// arriving counts the hosts that are on their way to a pool.
+func arriving(w *quetzalfleet.World, id quetzalunit.PoolID) quetzalunit.Hosts {
+	var n quetzalunit.Hosts
+	for _, h := range w.Hosts.All() {
+		if h.Zone != w.Self.Zone {
+			continue
+		}
+		if call := w.StoreCalls.At(h.ChangeCall); call != nil && arrivesBy(call, id) {
+			n++
+			continue
+		}
+		if h.State == quetzalfleet.HostLeaving && h.NextPool == id {
+			n++
+		}
+	}
+	return n
+}
+
+// arrivesBy tells whether a change in flight brings a host to a pool.
+func arrivesBy(call *quetzalfleet.StoreCall, id quetzalunit.PoolID) bool {
+	for _, wr := range call.Transaction.Writes {
+		if v, ok := wr.Row.(quetzalfleet.HostRow); ok && (v.NextPool == id || v.Pool == id && v.State == quetzalfleet.HostServing) {
+			return true
+		}
+	}
+	return false
+}
+
+// lendable returns an available host of a spare pool that may be taken within
+// its budget, in a rack that the receiving pool uses least; or zero.
+func lendable(w *quetzalfleet.World, to quetzalunit.PoolID) quetzalfleet.Row {
+	racks := make(map[quetzalunit.RackID]int)
+	for _, row := range w.Pools.At(w.PoolByID.Get(to)).Hosts {
+		racks[w.Hosts.At(row).Rack]++
+	}
+	var best quetzalfleet.Row
+	for _, p := range w.Pools.All() {
+		if !p.Spare || p.ID == to {
+			continue
+		}
+		for _, row := range p.Hosts {
+			h := w.Hosts.At(row)
+			if !available(w, h) || !mayTake(w, row) {
+				continue
+			}
+			if best == 0 || racks[h.Rack] < racks[w.Hosts.At(best).Rack] {
+				best = row
+			}
+		}
+	}
+	return best
+}
+
+func lend(w *quetzalfleet.World, row quetzalfleet.Row, to quetzalunit.PoolID, reason string) {
+	startMove(w, row, to, w.Hosts.At(row).Pool, reason)
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -0,0 +1,146 @@
+package quetzalsystem
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// claimRetry is the wait before a call of the platform without an answer is repeated.
+const claimRetry = 250 * time.Millisecond
+
+// poll reads the platform's tables and list, unless a read is in flight.
+func poll(w *quetzalfleet.World) {
+	w.After(w.Jitter(w.Self.Poll), quetzalfleet.PollDue{})
+	if w.ScanCall == 0 {
+		w.ScanCall = addCall(w, quetzalfleet.ForScan{})
+		w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, After: w.Seen})
+	}
+	if w.ListCall == 0 {
+		w.ListCall = addCall(w, quetzalfleet.ForHostList{})
+		w.Emit(quetzalfleet.ListHosts{Call: w.ListCall})
+	}
+}
+
+func addCall(w *quetzalfleet.World, purpose quetzalfleet.StorePurpose) quetzalfleet.Row {
+	return w.StoreCalls.Insert(quetzalfleet.StoreCall{Purpose: purpose, SentAt: w.Now})
+}
+
+// write commits a transaction and returns its call.
+func write(
+	w *quetzalfleet.World, purpose quetzalfleet.StorePurpose, t quetzalfleet.Transaction,
+) quetzalfleet.Row {
+	call := addCall(w, purpose)
+	w.StoreCalls.At(call).Transaction = t
+	w.Emit(quetzalfleet.WriteStore{Call: call, Transaction: t})
+	return call
+}
+
+func read(w *quetzalfleet.World, purpose quetzalfleet.StorePurpose, keys []quetzalfleet.RowKey) {
+	w.Emit(quetzalfleet.ReadStore{Call: addCall(w, purpose), Keys: keys})
+}
+
+func applyStoreAnswer(w *quetzalfleet.World, in quetzalfleet.StoreAnswered) {
+	c := w.StoreCalls.At(in.Call)
+	if c == nil {
+		return
+	}
+	call := *c
+	w.StoreCalls.Delete(in.Call)
+	_, failed := in.Result.(quetzalfleet.NoAnswer)
+	w.PlatformFailing = failed
+	if !failed {
+		w.PlatformAnsweredAt = w.Now
+	}
+	learnRows(w, &call, in.Result)
+	route(w, &call, in.Result)
+}
+
+// learnRows applies what the answer tells of FleetTables.
+func learnRows(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
+	switch result := result.(type) {
+	case quetzalfleet.Committed:
+		rows := make([]quetzalfleet.RevisedRow, 0, len(call.Transaction.Writes))
+		for _, wr := range call.Transaction.Writes {
+			rows = append(rows, quetzalfleet.RevisedRow{Key: wr.Key, Revision: result.Revision, Row: wr.Row})
+		}
+		applyRows(w, rows)
+	case quetzalfleet.Conflicted:
+		applyRows(w, result.Rows)
+	case quetzalfleet.RowsRead:
+		applyRows(w, result.Rows)
+	case quetzalfleet.HostsListed, quetzalfleet.RebootAccepted, quetzalfleet.NoAnswer:
+	}
+}
+
+// route hands an answer to the system that asked.
+func route(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
+	switch p := call.Purpose.(type) {
+	case quetzalfleet.ForScan:
+		endScan(w, result)
+	case quetzalfleet.ForHostList:
+		endHostList(w, result)
+	case quetzalfleet.ForRoster:
+		endRoster(w, p, result)
+	case quetzalfleet.ForRosterRemoval:
+		w.PlanDirty = true
+	case quetzalfleet.ForTakeover:
+		endTakeover(w, call, result)
+	case quetzalfleet.ForRenewal:
+		endRenewal(w, call, result)
+	case quetzalfleet.ForResignation:
+		w.DutyCall, w.HeldEpoch = 0, 0
+	case quetzalfleet.ForClaims:
+		endClaims(w, p.Requests, result)
+	case quetzalfleet.ForClaimRead:
+		endClaimRead(w, p.Requests, result)
+	case quetzalfleet.ForClaimOutcome:
+		endClaimOutcome(w, p.Requests, result)
+	case quetzalfleet.ForHost:
+		endHostChange(w, p.Host)
+	case quetzalfleet.ForReboot:
+		w.PlanDirty = true
+	case quetzalfleet.ForWave:
+		endWaveChange(w, p.Wave)
+	case quetzalfleet.ForChange:
+		endChange(w, p.Change, result)
+	case quetzalfleet.ForChangeRead:
+		endChangeRead(w, p.Change, result)
+	}
+}
+
+func endScan(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+	w.ScanCall = 0
+	if read, ok := result.(quetzalfleet.RowsRead); ok {
+		advanceSeen(w, read.Revision)
+		joinRoster(w)
+	}
+}
+
+func endHostList(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+	w.ListCall = 0
+	listed, ok := result.(quetzalfleet.HostsListed)
+	if !ok {
+		return
+	}
+	for _, l := range listed.Hosts {
+		if h := w.Hosts.At(w.HostByID.Get(l.ID)); h != nil {
+			applyListed(w, h, l)
+			continue
+		}
+		if p := w.Peers.At(w.PeerByID.Get(quetzalunit.EntryID(l.ID))); p != nil {
+			p.Listed = l.State
+		}
+	}
+}
+
+func applyListed(w *quetzalfleet.World, h *quetzalfleet.Host, l quetzalfleet.ListedHost) {
+	h.ListedAt = w.Now
+	if h.Listed == l.State && h.Boot == l.Boot {
+		return
+	}
+	h.Listed, h.Boot = l.State, l.Boot
+	w.PlanDirty = true
+	w.DirtyPools.Add(h.PoolRow)
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -0,0 +1,182 @@
+package quetzalsystem
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// silentPeer is how long a peer that the list shows as gone must have been
+// silent before it is removed from the roster.
+const silentPeer = 3 * time.Second
+
+func rosterKey(zone quetzalunit.ZoneID) quetzalfleet.RowKey {
+	return quetzalfleet.RowKey{Table: quetzalfleet.TableRosters, Key: string(zone)}
+}
+
+func zoneRoster(w *quetzalfleet.World) *quetzalfleet.Roster {
+	return w.Rosters.At(w.RosterByZone.Get(w.Self.Zone))
+}
+
+// inRoster tells whether this process is in its zone's roster. A process that
+// is not must send nothing to a minion, because a move would not wait for it.
+func inRoster(w *quetzalfleet.World) bool {
+	r := zoneRoster(w)
+	if r == nil {
+		return false
+	}
+	return slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
+		return e.Entry == w.Self.Entry && e.Incarnation == w.Self.Incarnation
+	})
+}
+
+// rosterPosition returns the number of entries in the zone's roster and the
+// position of this one.
+func rosterPosition(w *quetzalfleet.World) (entries, position int) {
+	r := zoneRoster(w)
+	if r == nil || len(r.Entries) == 0 {
+		return 1, 0
+	}
+	i := slices.IndexFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool { return e.Entry == w.Self.Entry })
+	return len(r.Entries), max(0, i)
+}
+
+// joinRoster adds this process to its zone's roster.
+func joinRoster(w *quetzalfleet.World) {
+	if w.RosterCall != 0 || w.Stop != quetzalfleet.StopNone || inRoster(w) {
+		return
+	}
+	self := quetzalfleet.RosterEntry{
+		Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
+	}
+	entries := append(rosterWithout(w, w.Self.Entry), self)
+	slices.SortFunc(entries, func(a, b quetzalfleet.RosterEntry) int { return cmp.Compare(a.Entry, b.Entry) })
+	w.RosterCall = write(w, quetzalfleet.ForRoster{}, rosterTransaction(w, entries))
+}
+
+func rosterWithout(w *quetzalfleet.World, id quetzalunit.EntryID) []quetzalfleet.RosterEntry {
+	r := zoneRoster(w)
+	if r == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.Entries), func(e quetzalfleet.RosterEntry) bool { return e.Entry == id })
+}
+
+func rosterTransaction(w *quetzalfleet.World, entries []quetzalfleet.RosterEntry) quetzalfleet.Transaction {
+	return quetzalfleet.Transaction{
+		Conditions: []quetzalfleet.Condition{rosterCondition(w)},
+		Writes: []quetzalfleet.Write{{
+			Key: rosterKey(w.Self.Zone),
+			Row: quetzalfleet.RosterRow{Zone: w.Self.Zone, Entries: entries},
+		}},
+	}
+}
+
+// rosterCondition requires that nobody joined or left the zone's roster meanwhile.
+func rosterCondition(w *quetzalfleet.World) quetzalfleet.Condition {
+	c := quetzalfleet.Condition{Key: rosterKey(w.Self.Zone)}
+	if r := zoneRoster(w); r != nil {
+		c.Revision = r.Revision
+	}
+	return c
+}
+
+func endRoster(w *quetzalfleet.World, p quetzalfleet.ForRoster, result quetzalfleet.StoreResult) {
+	w.RosterCall = 0
+	_, conflicted := result.(quetzalfleet.Conflicted)
+	if conflicted && !p.Leave {
+		joinRoster(w)
+	}
+}
+
+// leaveRoster removes this process from its zone's roster.
+func leaveRoster(w *quetzalfleet.World) {
+	if w.RosterCall != 0 || !inRoster(w) {
+		return
+	}
+	w.RosterCall = write(w, quetzalfleet.ForRoster{Leave: true}, rosterTransaction(w, rosterWithout(w, w.Self.Entry)))
+}
+
+// removeDeadEntries removes from the roster the silent entries whose hosts the
+// platform lists as gone.
+func removeDeadEntries(w *quetzalfleet.World) {
+	r := zoneRoster(w)
+	if r == nil {
+		return
+	}
+	for _, e := range r.Entries {
+		p := w.Peers.At(w.PeerByID.Get(e.Entry))
+		if p == nil || p.Listed != quetzalfleet.ListedGone || w.Now.Sub(p.HeardAt) < silentPeer {
+			continue
+		}
+		t := rosterTransaction(w, rosterWithout(w, e.Entry))
+		t.Conditions = append(t.Conditions, fence(w))
+		write(w, quetzalfleet.ForRosterRemoval{Entry: e.Entry}, t)
+		p.HeardAt = w.Now
+		w.Decide(quetzalfleet.DecisionRoster, string(e.Entry), "removed from the roster: the platform lists its host as gone")
+		return
+	}
+}
+
+func applyRoster(w *quetzalfleet.World, v quetzalfleet.RosterRow, rev quetzalunit.Revision) {
+	row := w.RosterByZone.Get(v.Zone)
+	if row == 0 {
+		row = w.Rosters.Insert(quetzalfleet.Roster{Zone: v.Zone})
+		w.RosterByZone.Put(v.Zone, row)
+	}
+	r := w.Rosters.At(row)
+	r.Entries, r.Revision = v.Entries, rev
+	for _, e := range v.Entries {
+		meetPeer(w, v.Zone, e)
+	}
+	dropPeers(w, r)
+	w.PlanDirty = true
+	dirtyAllPools(w)
+}
+
+func meetPeer(w *quetzalfleet.World, zone quetzalunit.ZoneID, e quetzalfleet.RosterEntry) {
+	if e.Entry == w.Self.Entry {
+		return
+	}
+	row := w.PeerByID.Get(e.Entry)
+	if row == 0 {
+		row = w.Peers.Insert(quetzalfleet.Peer{ID: e.Entry, HeardAt: w.Now})
+		w.PeerByID.Put(e.Entry, row)
+	}
+	p := w.Peers.At(row)
+	if p.Incarnation != e.Incarnation {
+		p.Seen, p.Stopping, p.Loads = 0, false, nil
+		p.HeardAt = w.Now
+	}
+	p.Zone, p.Incarnation, p.Address = zone, e.Incarnation, e.Address
+}
+
+// dropPeers forgets the peers that left a zone's roster.
+func dropPeers(w *quetzalfleet.World, r *quetzalfleet.Roster) {
+	for row, p := range w.Peers.All() {
+		if p.Zone != r.Zone || slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool { return e.Entry == p.ID }) {
+			continue
+		}
+		w.PeerByID.Delete(p.ID)
+		w.Peers.Delete(row)
+	}
+}
+
+// idlePeers counts the other entries of the roster without demand for a pool.
+func idlePeers(w *quetzalfleet.World, pool quetzalunit.PoolID) int {
+	r := zoneRoster(w)
+	if r == nil {
+		return 0
+	}
+	idle := 0
+	for _, e := range r.Entries {
+		p := w.Peers.At(w.PeerByID.Get(e.Entry))
+		if p != nil && !slices.ContainsFunc(p.Loads, func(l quetzalfleet.PoolLoad) bool { return l.Pool == pool }) {
+			idle++
+		}
+	}
+	return idle
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/row.go
@@ -0,0 +1,213 @@
+package quetzalsystem
+
+import (
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// applyRows applies rows of FleetTables that are newer than those held.
+func applyRows(w *quetzalfleet.World, rows []quetzalfleet.RevisedRow) {
+	if w.Rows == nil {
+		w.Rows = make(map[quetzalfleet.RowKey]quetzalfleet.RevisedRow)
+	}
+	for _, row := range rows {
+		if row.Row == nil || row.Revision <= w.Rows[row.Key].Revision {
+			continue
+		}
+		if !applyRow(w, row) {
+			continue
+		}
+		w.Rows[row.Key] = row
+		if row.Key.Table != quetzalfleet.TableRenewals {
+			w.NewestRow = max(w.NewestRow, row.Revision)
+		}
+	}
+}
+
+// applyRow applies one row and tells whether it belongs to FleetTables.
+func applyRow(w *quetzalfleet.World, row quetzalfleet.RevisedRow) bool {
+	switch v := row.Row.(type) {
+	case quetzalfleet.HostRow:
+		applyHost(w, v.HostSpec, row.Revision)
+	case quetzalfleet.PoolRow:
+		applyPool(w, v, row.Revision)
+	case quetzalfleet.QueueRow:
+		applyQueue(w, v, row.Revision)
+	case quetzalfleet.TeamRow:
+		applyTeam(w, v, row.Revision)
+	case quetzalfleet.SettingRow:
+		applySetting(w, v, row.Revision)
+	case quetzalfleet.HeadRow:
+		w.Head, w.HeadRevision = v.Version, row.Revision
+		w.GossipNow = true
+	case quetzalfleet.RosterRow:
+		applyRoster(w, v, row.Revision)
+	case quetzalfleet.EpochRow:
+		applyEpoch(w, v, row.Revision)
+	case quetzalfleet.RenewalRow:
+		d := dutyOf(w, v.Zone)
+		d.RenewalRevision, d.RenewalCount, d.RenewalSeenAt = row.Revision, v.Count, w.Now
+	case quetzalfleet.WaveRow:
+		applyWave(w, v.WaveSpec, row.Revision)
+	case quetzalfleet.ClaimRow, quetzalfleet.ChangeRow:
+		return false
+	}
+	return true
+}
+
+// advanceSeen records that every row up to a revision is applied.
+func advanceSeen(w *quetzalfleet.World, seen quetzalunit.Revision) {
+	w.Seen = max(w.Seen, seen)
+	if w.HeadRevision <= w.Seen {
+		w.InForce = max(w.InForce, w.Head)
+	}
+}
+
+func applyHost(w *quetzalfleet.World, spec quetzalfleet.HostSpec, rev quetzalunit.Revision) {
+	row := w.HostByID.Get(spec.ID)
+	if row == 0 {
+		row = w.Hosts.Insert(quetzalfleet.Host{Limit: quetzalunit.SlotsPerMinion, ChangedAt: w.Now})
+		w.HostByID.Put(spec.ID, row)
+	}
+	h := w.Hosts.At(row)
+	unlinkHost(w, row)
+	if h.Generation != spec.Generation {
+		h.ChangedAt = w.Now
+		h.EjectedUntil, h.Failures, h.Ejections = 0, 0, 0
+		h.LeavingSeen, h.LeavingFirstHand = 0, false
+		w.GossipNow = w.GossipNow || spec.Zone == w.Self.Zone
+	}
+	h.HostSpec = spec
+	h.Revision = rev
+	h.PoolRow = w.PoolByID.Get(spec.Pool)
+	linkHost(w, row)
+	w.PlanDirty = true
+}
+
+func unlinkHost(w *quetzalfleet.World, row quetzalfleet.Row) {
+	p := w.Pools.At(w.Hosts.At(row).PoolRow)
+	if p == nil {
+		return
+	}
+	if i := slices.Index(p.Hosts, row); i >= 0 {
+		p.Hosts = slices.Delete(p.Hosts, i, i+1)
+	}
+}
+
+func linkHost(w *quetzalfleet.World, row quetzalfleet.Row) {
+	h := w.Hosts.At(row)
+	p := w.Pools.At(h.PoolRow)
+	if p == nil || h.Zone != w.Self.Zone {
+		return
+	}
+	p.Hosts = append(p.Hosts, row)
+	w.DirtyPools.Add(h.PoolRow)
+}
+
+func applyPool(w *quetzalfleet.World, v quetzalfleet.PoolRow, rev quetzalunit.Revision) {
+	row := w.PoolByID.Get(v.ID)
+	if row == 0 {
+		row = w.Pools.Insert(quetzalfleet.Pool{ID: v.ID, RetryTokens: maxRetryTokens})
+		w.PoolByID.Put(v.ID, row)
+		adoptHosts(w, row)
+		adoptQueues(w, row)
+	}
+	p := w.Pools.At(row)
+	p.Spare, p.Budgets, p.Revision = v.Spare, v.Budgets, rev
+	w.PlanDirty = true
+}
+
+// adoptHosts links the hosts whose rows came before their pool's.
+func adoptHosts(w *quetzalfleet.World, pool quetzalfleet.Row) {
+	id := w.Pools.At(pool).ID
+	for row, h := range w.Hosts.All() {
+		if h.Pool == id && h.PoolRow == 0 {
+			h.PoolRow = pool
+			linkHost(w, row)
+		}
+	}
+}
+
+// adoptQueues links the queues whose rows came before their pool's.
+func adoptQueues(w *quetzalfleet.World, pool quetzalfleet.Row) {
+	p := w.Pools.At(pool)
+	for row, q := range w.Queues.All() {
+		if q.PoolID == p.ID && q.Pool == 0 {
+			q.Pool = pool
+			p.Queues = append(p.Queues, row)
+		}
+	}
+	w.DirtyPools.Add(pool)
+}
+
+func applyQueue(w *quetzalfleet.World, v quetzalfleet.QueueRow, rev quetzalunit.Revision) {
+	row := w.QueueByID.Get(v.ID)
+	if row == 0 {
+		row = w.Queues.Insert(quetzalfleet.Queue{ID: v.ID})
+		w.QueueByID.Put(v.ID, row)
+	}
+	q := w.Queues.At(row)
+	if old := w.Pools.At(q.Pool); old != nil {
+		old.Queues = slices.DeleteFunc(old.Queues, func(r quetzalfleet.Row) bool { return r == row })
+		old.NextQueue = 0
+	}
+	q.PoolID, q.Revision = v.Pool, rev
+	q.Pool = w.PoolByID.Get(v.Pool)
+	if p := w.Pools.At(q.Pool); p != nil {
+		p.Queues = append(p.Queues, row)
+		w.DirtyPools.Add(q.Pool)
+	}
+}
+
+func applyTeam(w *quetzalfleet.World, v quetzalfleet.TeamRow, rev quetzalunit.Revision) {
+	row := w.TeamByID.Get(v.ID)
+	if row == 0 {
+		row = w.Teams.Insert(quetzalfleet.Team{ID: v.ID})
+		w.TeamByID.Put(v.ID, row)
+	}
+	t := w.Teams.At(row)
+	t.Weight, t.MaxQueued, t.Revision = max(1, v.Weight), v.MaxQueued, rev
+}
+
+func applySetting(w *quetzalfleet.World, v quetzalfleet.SettingRow, rev quetzalunit.Revision) {
+	row := w.SettingByPath.Get(v.Path)
+	if row == 0 {
+		row = w.Settings.Insert(quetzalfleet.SettingNode{})
+		w.SettingByPath.Put(v.Path, row)
+	}
+	*w.Settings.At(row) = quetzalfleet.SettingNode{
+		Path: v.Path, Version: v.Version, Revision: rev,
+		ChangeID: v.ChangeID, Deleted: v.Deleted, Values: v.Values,
+	}
+	clear(w.SettingsCache)
+	dirtyAllPools(w)
+}
+
+func dirtyAllPools(w *quetzalfleet.World) {
+	for row := range w.Pools.All() {
+		w.DirtyPools.Add(row)
+	}
+}
+
+func applyWave(w *quetzalfleet.World, spec quetzalfleet.WaveSpec, rev quetzalunit.Revision) {
+	row := w.WaveByID.Get(spec.ID)
+	if row == 0 {
+		row = w.Waves.Insert(quetzalfleet.Wave{})
+		w.WaveByID.Put(spec.ID, row)
+	}
+	v := w.Waves.At(row)
+	v.WaveSpec, v.Revision = spec, rev
+	w.PlanDirty = true
+}
+
+// dutyOf returns the lease on a zone's duties, and adds it when it is new.
+func dutyOf(w *quetzalfleet.World, zone quetzalunit.ZoneID) *quetzalfleet.Duty {
+	row := w.DutyByZone.Get(zone)
+	if row == 0 {
+		row = w.Duties.Insert(quetzalfleet.Duty{Zone: zone, RenewalSeenAt: w.Now})
+		w.DutyByZone.Put(zone, row)
+	}
+	return w.Duties.At(row)
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/setting.go
@@ -0,0 +1,62 @@
+package quetzalsystem
+
+import (
+	"strings"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// FleetPath is the root of the settings tree.
+const FleetPath quetzalunit.NodePath = "Fleet"
+
+// settingsOf returns the effective settings of a pool in this entry's zone.
+func settingsOf(w *quetzalfleet.World, pool quetzalfleet.Row) quetzalfleet.Settings {
+	var id quetzalunit.PoolID
+	if p := w.Pools.At(pool); p != nil {
+		id = p.ID
+	}
+	if s, ok := w.SettingsCache[id]; ok {
+		return s
+	}
+	s := effective(w, poolPath(w.Self.Zone, id))
+	if w.SettingsCache == nil {
+		w.SettingsCache = make(map[quetzalunit.PoolID]quetzalfleet.Settings)
+	}
+	w.SettingsCache[id] = s
+	return s
+}
+
+func poolPath(zone quetzalunit.ZoneID, pool quetzalunit.PoolID) quetzalunit.NodePath {
+	return FleetPath + "/" + quetzalunit.NodePath(zone) + "/" + quetzalunit.NodePath(pool)
+}
+
+// ancestors returns the nodes from the root down to a path.
+func ancestors(path quetzalunit.NodePath) []quetzalunit.NodePath {
+	parts := strings.Split(string(path), "/")
+	nodes := make([]quetzalunit.NodePath, 0, len(parts))
+	for i := range parts {
+		nodes = append(nodes, quetzalunit.NodePath(strings.Join(parts[:i+1], "/")))
+	}
+	return nodes
+}
+
+// effective returns the settings in force at a path: each node overrides the ones above.
+func effective(w *quetzalfleet.World, path quetzalunit.NodePath) quetzalfleet.Settings {
+	s := quetzalfleet.DefaultSettings()
+	for _, node := range ancestors(path) {
+		if n := nodeAt(w, node); n != nil {
+			s = s.Override(&n.Values)
+		}
+	}
+	return s
+}
+
+// nodeAt returns a node of the settings tree, or nil when nothing is set there.
+func nodeAt(w *quetzalfleet.World, path quetzalunit.NodePath) *quetzalfleet.SettingNode {
+	n := w.Settings.At(w.SettingByPath.Get(path))
+	if n == nil || n.Deleted {
+		return nil
+	}
+	return n
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/tick.go
@@ -0,0 +1,115 @@
+package quetzalsystem
+
+import (
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// systems run in this order in every tick.
+var systems = [...]func(*quetzalfleet.World){
+	takeClaims,
+	writeClaims,
+	dispatch,
+	commitChanges,
+	plan,
+	gossip,
+	finishStop,
+}
+
+// Start sets the timers of a new World. It is called once, before the first tick.
+func Start(w *quetzalfleet.World, now quetzalunit.Instant) {
+	w.Now = now
+	w.Timers.Push(now, quetzalfleet.PollDue{})
+	w.Timers.Push(now.Add(w.Self.Gossip), quetzalfleet.GossipDue{})
+	w.Timers.Push(now.Add(w.Self.Poll), quetzalfleet.DutyDue{})
+	w.Timers.Push(now.Add(planPeriod), quetzalfleet.PlanDue{})
+}
+
+// Tick applies the inputs at an instant, runs every system and returns the
+// commands to perform.
+func Tick(w *quetzalfleet.World, now quetzalunit.Instant, inputs []quetzalfleet.Input) []quetzalfleet.Command {
+	w.Now = max(w.Now, now)
+	for _, in := range inputs {
+		apply(w, in)
+	}
+	fireTimers(w)
+	for _, system := range systems {
+		system(w)
+	}
+	return w.TakeCommands()
+}
+
+// NextTick returns the instant at which a tick is needed without an input.
+func NextTick(w *quetzalfleet.World) (quetzalunit.Instant, bool) {
+	return w.Timers.Next()
+}
+
+func apply(w *quetzalfleet.World, in quetzalfleet.Input) {
+	switch in := in.(type) {
+	case quetzalfleet.RequestArrived:
+		admitRequest(w, in)
+	case quetzalfleet.CallerGone:
+		dropCaller(w, in.Caller)
+	case quetzalfleet.CancelAsked:
+		cancelRequest(w, in)
+	case quetzalfleet.ResultAsked:
+		awaitResult(w, in.Caller, in.ID)
+	case quetzalfleet.JoinArrived:
+		joinFromPeer(w, in)
+	case quetzalfleet.AttemptEnded:
+		endAttempt(w, in)
+	case quetzalfleet.StoreAnswered:
+		applyStoreAnswer(w, in)
+	case quetzalfleet.PeerSaid:
+		hearGossip(w, in)
+	case quetzalfleet.PeerAnswered:
+		hearReply(w, in)
+	case quetzalfleet.JoinAnswered:
+		endJoin(w, in)
+	case quetzalfleet.OperatorAsked:
+		answerOperator(w, in)
+	case quetzalfleet.StopAsked:
+		beginStop(w)
+	}
+}
+
+func fireTimers(w *quetzalfleet.World) {
+	for {
+		t, ok := w.Timers.PopDue(w.Now)
+		if !ok {
+			return
+		}
+		fire(w, t)
+	}
+}
+
+func fire(w *quetzalfleet.World, t quetzalfleet.Timer) {
+	switch t := t.(type) {
+	case quetzalfleet.RequestDeadline:
+		expireRequest(w, t.Request)
+	case quetzalfleet.RetryDue:
+		retryRequest(w, t.Request)
+	case quetzalfleet.ShortRunOver:
+		demoteAttempt(w, t.Attempt)
+	case quetzalfleet.EjectionOver:
+		beginProbation(w, t.Host)
+	case quetzalfleet.LimitRecovers:
+		recoverLimit(w, t.Host)
+	case quetzalfleet.PollDue:
+		poll(w)
+	case quetzalfleet.GossipDue:
+		gossipRound(w)
+	case quetzalfleet.DutyDue:
+		tendDuty(w)
+	case quetzalfleet.PlanDue:
+		w.PlanDirty = true
+		w.After(planPeriod, quetzalfleet.PlanDue{})
+	case quetzalfleet.Wake:
+	case quetzalfleet.ChangeDue:
+		w.ChangesToTry.Add(t.Change)
+	case quetzalfleet.LeavingSignOver:
+		endLeavingSign(w, t.Host)
+	case quetzalfleet.RequestForgotten:
+		forgetRequest(w, t.Request)
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/view.go
@@ -0,0 +1,197 @@
+package quetzalsystem
+
+import (
+	"cmp"
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// answerOperator answers a query at once, and begins a change.
+func answerOperator(w *quetzalfleet.World, in quetzalfleet.OperatorAsked) {
+	switch a := in.Action.(type) {
+	case quetzalfleet.ChangeSetting:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.ChangePool:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.ChangeQueue:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.ChangeTeam:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.RegisterHost:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.MoveHost:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.CreateWave:
+		beginChange(w, in.Caller, a.ID, a)
+	case quetzalfleet.SetWaveState:
+		beginChange(w, in.Caller, a.ID, a)
+	default:
+		w.Emit(quetzalfleet.AnswerOperator{Caller: in.Caller, Result: view(w, in.Action)})
+	}
+}
+
+// view returns the result of a query.
+func view(w *quetzalfleet.World, action quetzalfleet.OperatorAction) quetzalfleet.OperatorResult {
+	switch a := action.(type) {
+	case quetzalfleet.PlanWave:
+		return quetzalfleet.WavesView{Waves: []quetzalfleet.WaveView{planView(w, &a.Wave)}}
+	case quetzalfleet.GetSetting:
+		return settingView(w, a.Path)
+	case quetzalfleet.GetVersions:
+		return versionsView(w)
+	case quetzalfleet.GetPools:
+		return Pools(w)
+	case quetzalfleet.GetQueues:
+		return queuesView(w)
+	case quetzalfleet.GetHosts:
+		return hostsView(w)
+	case quetzalfleet.GetWaves:
+		return wavesView(w)
+	case quetzalfleet.GetTeams:
+		return teamsView(w)
+	case quetzalfleet.GetDecisions:
+		d := slices.Clone(w.Decisions)
+		slices.Reverse(d)
+		return quetzalfleet.DecisionsView{Decisions: d}
+	default:
+		return statusView(w)
+	}
+}
+
+func settingView(w *quetzalfleet.World, path quetzalunit.NodePath) quetzalfleet.SettingView {
+	v := quetzalfleet.SettingView{Effective: effective(w, path)}
+	v.Node.Path = path
+	if n := nodeAt(w, path); n != nil {
+		v.Node = *n
+	}
+	for _, node := range ancestors(path) {
+		if n := nodeAt(w, node); n != nil {
+			v.Origins = append(v.Origins, quetzalfleet.SettingOrigin{Node: *n})
+		}
+	}
+	return v
+}
+
+func versionsView(w *quetzalfleet.World) quetzalfleet.VersionsView {
+	v := quetzalfleet.VersionsView{Head: w.Head}
+	v.Peers = append(v.Peers, quetzalfleet.PeerView{
+		Entry: w.Self.Entry, Zone: w.Self.Zone, Version: w.InForce, HeardAt: w.Now,
+	})
+	for _, p := range w.Peers.All() {
+		v.Peers = append(v.Peers, quetzalfleet.PeerView{
+			Entry: p.ID, Zone: p.Zone, Version: p.SettingsVersion, HeardAt: p.HeardAt,
+		})
+	}
+	slices.SortFunc(v.Peers, func(a, b quetzalfleet.PeerView) int { return cmp.Compare(a.Entry, b.Entry) })
+	return v
+}
+
+// Pools returns the pools as seen in the entry's zone.
+func Pools(w *quetzalfleet.World) quetzalfleet.PoolsView {
+	v := quetzalfleet.PoolsView{Zone: w.Self.Zone}
+	for row, p := range w.Pools.All() {
+		n, _ := availableHosts(w, p, 0)
+		v.Pools = append(v.Pools, quetzalfleet.PoolView{
+			ID: p.ID, Spare: p.Spare, Hosts: quetzalunit.Hosts(len(p.Hosts)), Available: n,
+			MinHosts: minHosts(w, p), Headroom: headroom(w, row, 0),
+		})
+	}
+	slices.SortFunc(v.Pools, func(a, b quetzalfleet.PoolView) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+func queuesView(w *quetzalfleet.World) quetzalfleet.QueuesView {
+	var v quetzalfleet.QueuesView
+	for _, q := range w.Queues.All() {
+		v.Queues = append(v.Queues, quetzalfleet.QueueView{ID: q.ID, Pool: q.PoolID, Queued: q.Queued, Running: q.Running})
+	}
+	slices.SortFunc(v.Queues, func(a, b quetzalfleet.QueueView) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+func hostsView(w *quetzalfleet.World) quetzalfleet.HostsView {
+	var v quetzalfleet.HostsView
+	for _, h := range w.Hosts.All() {
+		v.Hosts = append(v.Hosts, quetzalfleet.HostView{
+			HostSpec: h.HostSpec, Running: h.Running, Listed: h.Listed, Ejected: h.EjectedUntil > w.Now,
+		})
+	}
+	slices.SortFunc(v.Hosts, func(a, b quetzalfleet.HostView) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+func teamsView(w *quetzalfleet.World) quetzalfleet.TeamsView {
+	var v quetzalfleet.TeamsView
+	for _, t := range w.Teams.All() {
+		v.Teams = append(v.Teams, *t)
+	}
+	slices.SortFunc(v.Teams, func(a, b quetzalfleet.Team) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+func wavesView(w *quetzalfleet.World) quetzalfleet.WavesView {
+	var v quetzalfleet.WavesView
+	for _, wave := range w.Waves.All() {
+		progress := progressView(w, &wave.WaveSpec)
+		progress.Blocked = slices.Clone(wave.Blocked)
+		v.Waves = append(v.Waves, progress)
+	}
+	slices.SortFunc(v.Waves, func(a, b quetzalfleet.WaveView) int { return cmp.Compare(a.ID, b.ID) })
+	return v
+}
+
+func progressView(w *quetzalfleet.World, spec *quetzalfleet.WaveSpec) quetzalfleet.WaveView {
+	v := quetzalfleet.WaveView{WaveSpec: *spec}
+	for _, h := range w.Hosts.All() {
+		if !inWave(spec, h) {
+			continue
+		}
+		v.Total++
+		switch {
+		case h.WaveDone == spec.ID:
+			v.Done++
+		case h.Wave == spec.ID:
+			v.Active++
+		}
+	}
+	return v
+}
+
+// planView tells what a wave covers and which hosts of the zone its budgets
+// forbid at present: those without headroom and without a spare host to stand in.
+func planView(w *quetzalfleet.World, spec *quetzalfleet.WaveSpec) quetzalfleet.WaveView {
+	v := progressView(w, spec)
+	for row, h := range w.Hosts.All() {
+		if h.Zone != w.Self.Zone || !inWave(spec, h) || mayTake(w, row) {
+			continue
+		}
+		if p := w.Pools.At(h.PoolRow); p != nil && !p.Spare && lendable(w, p.ID) != 0 {
+			continue
+		}
+		v.Blocked = append(v.Blocked, h.ID)
+	}
+	slices.Sort(v.Blocked)
+	return v
+}
+
+func statusView(w *quetzalfleet.World) quetzalfleet.StatusView {
+	d := dutyOf(w, w.Self.Zone)
+	v := quetzalfleet.StatusView{
+		Entry: w.Self.Entry, Zone: w.Self.Zone, Holder: d.Holder, Epoch: d.Epoch, HoldsDuty: holdsDuty(w),
+		PlatformReachable: !w.PlatformFailing, SettingsVersion: w.InForce, Ready: Ready(w),
+		Hosts: quetzalunit.Hosts(w.Hosts.Len()), Peers: w.Peers.Len(), RefusedNotRun: w.RefusedNotRun,
+	}
+	for _, q := range w.Queues.All() {
+		v.Queued += q.Queued
+		v.Running += q.Running
+	}
+	return v
+}
+
+// Ready tells whether the entry takes requests: it is in its zone's roster and
+// not stopping.
+func Ready(w *quetzalfleet.World) bool {
+	return w.Stop == quetzalfleet.StopNone && inRoster(w)
+}
--- /dev/null
+++ b/quetzalcore/quetzalsystem/wave.go
@@ -0,0 +1,148 @@
+package quetzalsystem
+
+import (
+	"cmp"
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// runWaves takes the next hosts of the running waves, spare pools first, one
+// rack after another.
+func runWaves(w *quetzalfleet.World) {
+	for row, v := range w.Waves.All() {
+		if v.State != quetzalfleet.WaveRunning || v.ChangeCall != 0 {
+			continue
+		}
+		if waveFinished(w, v) {
+			finishWave(w, row)
+			continue
+		}
+		runWave(w, v)
+	}
+}
+
+// inWave tells whether a wave covers a host.
+func inWave(v *quetzalfleet.WaveSpec, h *quetzalfleet.Host) bool {
+	if h.State == quetzalfleet.HostRetired {
+		return false
+	}
+	home := cmp.Or(h.HomePool, h.Pool)
+	return (len(v.Zones) == 0 || slices.Contains(v.Zones, h.Zone)) &&
+		(len(v.Pools) == 0 || slices.Contains(v.Pools, home))
+}
+
+func waveFinished(w *quetzalfleet.World, v *quetzalfleet.Wave) bool {
+	for _, h := range w.Hosts.All() {
+		if inWave(&v.WaveSpec, h) && h.WaveDone != v.ID {
+			return false
+		}
+	}
+	return true
+}
+
+func finishWave(w *quetzalfleet.World, row quetzalfleet.Row) {
+	v := w.Waves.At(row)
+	next := v.WaveSpec
+	next.State = quetzalfleet.WaveFinished
+	key := quetzalfleet.RowKey{Table: quetzalfleet.TableWaves, Key: string(v.ID)}
+	v.ChangeCall = write(w, quetzalfleet.ForWave{Wave: row}, quetzalfleet.Transaction{
+		Conditions: []quetzalfleet.Condition{{Key: key, Revision: v.Revision}, fence(w)},
+		Writes:     []quetzalfleet.Write{{Key: key, Row: quetzalfleet.WaveRow{WaveSpec: next}}},
+	})
+	w.Decide(quetzalfleet.DecisionWave, string(v.ID), "every host is done")
+}
+
+func endWaveChange(w *quetzalfleet.World, row quetzalfleet.Row) {
+	if v := w.Waves.At(row); v != nil {
+		v.ChangeCall = 0
+	}
+	w.PlanDirty = true
+}
+
+// runWave takes hosts for one wave until its limit or the budgets stop it.
+func runWave(w *quetzalfleet.World, v *quetzalfleet.Wave) {
+	active := activeInWave(w, v)
+	v.Blocked = v.Blocked[:0]
+	for _, row := range waveOrder(w, v) {
+		if v.MaxConcurrent > 0 && active >= v.MaxConcurrent {
+			return
+		}
+		h := w.Hosts.At(row)
+		if mayTake(w, row) {
+			startWaveStep(w, row, v.ID)
+			active++
+			continue
+		}
+		v.Blocked = append(v.Blocked, h.ID)
+		replaceForWave(w, h.Pool)
+	}
+}
+
+// replaceForWave lends a spare host to a pool whose budget has no headroom, one
+// at a time.
+func replaceForWave(w *quetzalfleet.World, pool quetzalunit.PoolID) {
+	p := w.Pools.At(w.PoolByID.Get(pool))
+	if p == nil || p.Spare || arriving(w, pool) > 0 || headroom(w, w.PoolByID.Get(pool), 0) > 0 {
+		return
+	}
+	if spare := lendable(w, pool); spare != 0 {
+		lend(w, spare, pool, "stands in during a wave")
+	}
+}
+
+func activeInWave(w *quetzalfleet.World, v *quetzalfleet.Wave) quetzalunit.Hosts {
+	var n quetzalunit.Hosts
+	for _, h := range w.Hosts.All() {
+		if h.Zone == w.Self.Zone && h.Wave == v.ID {
+			n++
+		}
+	}
+	return n
+}
+
+// waveOrder lists the zone's serving hosts that a wave still has to take: spare
+// pools first, then by rack, so that one rack's hosts leave together.
+func waveOrder(w *quetzalfleet.World, v *quetzalfleet.Wave) []quetzalfleet.Row {
+	var rows []quetzalfleet.Row
+	for row, h := range w.Hosts.All() {
+		if h.Zone != w.Self.Zone || h.State != quetzalfleet.HostServing || h.ChangeCall != 0 {
+			continue
+		}
+		if inWave(&v.WaveSpec, h) && h.WaveDone != v.ID && h.WaveRetryAt <= w.Now {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b quetzalfleet.Row) int {
+		ha, hb := w.Hosts.At(a), w.Hosts.At(b)
+		return cmp.Or(spareFirst(w, ha, hb), cmp.Compare(ha.Rack, hb.Rack), cmp.Compare(ha.ID, hb.ID))
+	})
+	return rows
+}
+
+func spareFirst(w *quetzalfleet.World, a, b *quetzalfleet.Host) int {
+	rank := func(h *quetzalfleet.Host) int {
+		if p := w.Pools.At(h.PoolRow); p != nil && p.Spare {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Compare(rank(a), rank(b))
+}
+
+// waveNeeds tells whether a running wave still has to take a host of a pool in
+// the zone, so that a lent host stays.
+func waveNeeds(w *quetzalfleet.World, pool quetzalunit.PoolID) bool {
+	for _, v := range w.Waves.All() {
+		if v.State != quetzalfleet.WaveRunning {
+			continue
+		}
+		for _, h := range w.Hosts.All() {
+			if h.Zone == w.Self.Zone && h.Pool == pool && h.HomePool == "" && inWave(&v.WaveSpec, h) && h.WaveDone != v.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/quetzalentry/engine.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/asynkron/protoactor-go/actor"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalmetric"
+	"quetzalstair/quetzalcore/quetzalpeer"
+	"quetzalstair/quetzalcore/quetzalstore"
+	"quetzalstair/quetzalcore/quetzalsystem"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalupstream"
+	"quetzalstair/quetzalcore/quetzalwaiter"
+)
+
+// gaugePeriod is the least time between two updates of the gauges.
+const gaugePeriod = time.Second
+
+// wake is the message that makes the actor tick.
+type wake struct{}
+
+// inbox collects inputs until the next tick. It is safe for concurrent use.
+type inbox struct {
+	mu     sync.Mutex
+	inputs []quetzalfleet.Input
+	// awake tells that a wake message is under way.
+	awake bool
+	send  func()
+}
+
+// post adds an input and wakes the actor.
+func (b *inbox) post(in quetzalfleet.Input) {
+	b.mu.Lock()
+	b.inputs = append(b.inputs, in)
+	send := !b.awake
+	b.awake = true
+	b.mu.Unlock()
+	if send {
+		b.send()
+	}
+}
+
+// wake wakes the actor without an input.
+func (b *inbox) wake() {
+	b.mu.Lock()
+	send := !b.awake
+	b.awake = true
+	b.mu.Unlock()
+	if send {
+		b.send()
+	}
+}
+
+// take returns the inputs in the order of their arrival.
+func (b *inbox) take(spare []quetzalfleet.Input) []quetzalfleet.Input {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	inputs := b.inputs
+	b.inputs = spare[:0]
+	b.awake = false
+	return inputs
+}
+
+// engine is the actor that owns the World.
+type engine struct {
+	// world is touched by the actor alone.
+	world quetzalfleet.World
+	inbox inbox
+	// timer wakes the actor at the World's next instant.
+	timer   *time.Timer
+	armedAt quetzalunit.Instant
+	// cancels has the cancel function of each attempt in flight.
+	cancels map[quetzalfleet.Row]context.CancelFunc
+	// spare is the buffer of the last tick's inputs.
+	spare []quetzalfleet.Input
+
+	callers   quetzalwaiter.Waiters[quetzalfleet.AnswerCaller]
+	operators quetzalwaiter.Waiters[quetzalfleet.AnswerOperator]
+	server    *quetzalpeer.Server
+	store     *quetzalstore.Client
+	peers     *quetzalpeer.Client
+	upstream  *quetzalupstream.Client
+	metrics   *quetzalmetric.Metrics
+	log       partLog
+
+	ready    atomic.Bool
+	finished chan struct{}
+	// work counts the goroutines that perform commands.
+	work     sync.WaitGroup
+	gaugesAt quetzalunit.Instant
+	// busy is the time spent in ticks.
+	busy time.Duration
+}
+
+// start spawns the actor. The function that it returns stops it and waits for
+// the commands in flight.
+func (e *engine) start(id quetzalfleet.Identity) func() {
+	e.world.Self = id
+	e.cancels = make(map[quetzalfleet.Row]context.CancelFunc)
+	e.finished = make(chan struct{})
+	system := actor.NewActorSystem()
+	pid := system.Root.Spawn(actor.PropsFromFunc(e.receive))
+	e.inbox.send = func() { system.Root.Send(pid, wake{}) }
+	e.timer = time.AfterFunc(time.Hour, e.inbox.wake)
+	quetzalsystem.Start(&e.world, quetzalunit.InstantOf(time.Now()))
+	e.inbox.wake()
+	return func() {
+		e.timer.Stop()
+		_ = system.Root.StopFuture(pid).Wait()
+		for _, cancel := range e.cancels {
+			cancel()
+		}
+		e.work.Wait()
+		system.Shutdown()
+	}
+}
+
+func (e *engine) receive(c actor.Context) {
+	if _, ok := c.Message().(wake); ok {
+		e.tick()
+	}
+}
+
+// tick takes all waiting inputs, ticks the World once and performs the commands.
+func (e *engine) tick() {
+	begin := time.Now()
+	inputs := e.inbox.take(e.spare)
+	for _, in := range inputs {
+		if end, ok := in.(quetzalfleet.AttemptEnded); ok {
+			e.cancels[end.Attempt]()
+			delete(e.cancels, end.Attempt)
+		}
+	}
+	commands := quetzalsystem.Tick(&e.world, quetzalunit.InstantOf(begin), inputs)
+	clear(inputs)
+	e.spare = inputs
+	e.ready.Store(quetzalsystem.Ready(&e.world))
+	for _, c := range commands {
+		e.perform(c)
+	}
+	e.arm()
+	e.busy += time.Since(begin)
+	e.updateGauges()
+}
+
+// arm sets the timer to the World's next instant.
+func (e *engine) arm() {
+	at, ok := quetzalsystem.NextTick(&e.world)
+	if !ok {
+		return
+	}
+	if at == e.armedAt && at > e.world.Now {
+		return
+	}
+	e.armedAt = at
+	e.timer.Reset(max(0, time.Duration(at-quetzalunit.InstantOf(time.Now()))))
+}
--- /dev/null
+++ b/quetzalentry/logger.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"os"
+
+	"github.com/phuslu/log"
+)
+
+// partLog writes the log lines of one part of the program, each with the
+// part's prefix.
+type partLog struct {
+	logger *log.Logger
+	prefix string
+}
+
+func newLogger(level string) *log.Logger {
+	return &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: os.Stderr}}
+}
+
+func (p partLog) info(text string)             { p.logger.Info().Msg(p.prefix + text) }
+func (p partLog) warn(text string, err error)  { p.logger.Warn().Err(err).Msg(p.prefix + text) }
+func (p partLog) debug(text string, err error) { p.logger.Debug().Err(err).Msg(p.prefix + text) }
--- /dev/null
+++ b/quetzalentry/main.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"quetzalstair/quetzalcore/quetzalsettings"
+)
+
+// version is set when the program is linked.
+var version = "0.1.0"
+
+// Exit statuses of the program.
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+// commandLine is the command line of quetzalentry.
+type commandLine struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run     runCommand       `cmd:"" help:"Run an entry until SIGTERM or SIGINT, which begin a planned stop."`
+	Check   checkCommand     `cmd:"" help:"Check a settings file and exit: status 0 when it can be used, 2 otherwise."`
+}
+
+type runCommand struct {
+	Settings string `required:"" help:"YAML file with the entry's settings." placeholder:"FILE"`
+}
+
+// Run serves until the planned stop has ended.
+func (c *runCommand) Run() error {
+	cfg, err := quetzalsettings.LoadEntry(c.Settings)
+	if err != nil {
+		return err //nolint:wrapcheck // the error names the file and the field
+	}
+	return serve(&cfg)
+}
+
+type checkCommand struct {
+	Settings string `arg:"" help:"YAML file with an entry's settings." placeholder:"FILE"`
+}
+
+// Run checks the settings.
+func (c *checkCommand) Run() error {
+	cfg, err := quetzalsettings.LoadEntry(c.Settings)
+	if err != nil {
+		return err //nolint:wrapcheck // the error names the file and the field
+	}
+	fmt.Printf("%s: entry %s of zone %s: the settings can be used\n", c.Settings, cfg.Entry, cfg.Zone)
+	return nil
+}
+
+func main() {
+	var c commandLine
+	ctx := kong.Parse(&c, kong.Name("quetzalentry"), kong.Vars{"version": version},
+		kong.Description("Entry of a quetzalstair fleet: serves callers and operators, and keeps its zone's fleet right."))
+	err := ctx.Run()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "quetzalentry:", err)
+	var file *quetzalsettings.FileError
+	if errors.As(err, &file) {
+		os.Exit(exitSettings)
+	}
+	os.Exit(exitFailure)
+}
--- /dev/null
+++ b/quetzalentry/perform.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalsystem"
+)
+
+// perform executes a command. What takes time runs in a goroutine of its own
+// and ends with an input.
+func (e *engine) perform(c quetzalfleet.Command) {
+	switch c := c.(type) {
+	case quetzalfleet.SendAttempt:
+		e.sendAttempt(&c)
+	case quetzalfleet.CancelAttempt:
+		if cancel := e.cancels[c.Attempt]; cancel != nil {
+			cancel()
+		}
+	case quetzalfleet.AnswerCaller:
+		e.callers.Answer(c.Caller, c)
+	case quetzalfleet.WriteStore:
+		e.callStore(c.Call, c)
+	case quetzalfleet.ReadStore:
+		e.callStore(c.Call, c)
+	case quetzalfleet.ScanStore:
+		e.callStore(c.Call, c)
+	case quetzalfleet.ListHosts:
+		e.callStore(c.Call, c)
+	case quetzalfleet.RebootHost:
+		e.callStore(c.Call, c)
+	case quetzalfleet.TellPeer:
+		e.work.Go(func() { e.tellPeer(&c) })
+	case quetzalfleet.AnswerGossip:
+		e.server.Replies.Answer(c.Caller, c)
+	case quetzalfleet.AskPeer:
+		e.work.Go(func() { e.askPeer(&c) })
+	case quetzalfleet.AnswerOperator:
+		e.operators.Answer(c.Caller, c)
+	case quetzalfleet.ObserveRequest:
+		e.metrics.Observe(&c)
+	case quetzalfleet.LogDecision:
+		e.metrics.Count(c.Decision.Kind)
+		e.log.info(string(c.Decision.Kind) + " " + c.Decision.Subject + ": " + c.Decision.Reason + ".")
+	case quetzalfleet.FinishStop:
+		close(e.finished)
+	}
+}
+
+func (e *engine) sendAttempt(c *quetzalfleet.SendAttempt) {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancels[c.Attempt] = cancel
+	e.work.Go(func() {
+		e.inbox.post(quetzalfleet.AttemptEnded{Attempt: c.Attempt, Result: e.upstream.Send(ctx, c)})
+	})
+}
+
+func (e *engine) callStore(call quetzalfleet.Row, c quetzalfleet.Command) {
+	e.work.Go(func() {
+		result, err := e.store.Perform(context.Background(), c)
+		if err != nil {
+			e.log.debug("The platform did not answer.", err)
+		}
+		e.inbox.post(quetzalfleet.StoreAnswered{Call: call, Result: result})
+	})
+}
+
+func (e *engine) tellPeer(c *quetzalfleet.TellPeer) {
+	answered, err := e.peers.Gossip(c)
+	if err != nil {
+		e.log.debug("The peer "+string(c.Peer)+" did not answer.", err)
+	}
+	e.inbox.post(answered)
+}
+
+func (e *engine) askPeer(c *quetzalfleet.AskPeer) {
+	answered, err := e.peers.Join(c)
+	if err != nil {
+		e.log.debug("The holder of request "+string(c.ID)+" did not answer.", err)
+	}
+	e.inbox.post(answered)
+}
+
+// updateGauges publishes what the World holds, at most once in a gaugePeriod.
+func (e *engine) updateGauges() {
+	w := &e.world
+	if w.Now.Sub(e.gaugesAt) < gaugePeriod {
+		return
+	}
+	e.gaugesAt = w.Now
+	e.metrics.Gauge("control_bytes", float64(e.store.Bytes()+e.peers.Bytes()))
+	e.metrics.Gauge("tick_seconds", e.busy.Seconds())
+	e.metrics.Gauge("requests_live", float64(w.Live))
+	e.metrics.Gauge("settings_version", float64(w.InForce))
+	e.metrics.Gauge("callers_waiting", float64(e.callers.Len()))
+	for _, p := range quetzalsystem.Pools(w).Pools {
+		e.metrics.PoolGauge("pool_headroom_hosts", p.ID, float64(p.Headroom))
+		e.metrics.PoolGauge("pool_available_hosts", p.ID, float64(p.Available))
+	}
+}
--- /dev/null
+++ b/quetzalentry/serve.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalfront"
+	"quetzalstair/quetzalcore/quetzalmetric"
+	"quetzalstair/quetzalcore/quetzalpeer"
+	"quetzalstair/quetzalcore/quetzalstore"
+	"quetzalstair/quetzalcore/quetzalsystem"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalupstream"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends the header of a request.
+	headerTimeout = 5 * time.Second
+	// maxHeader bounds the size of a header, in bytes.
+	maxHeader = 16 << 10
+	// shutdownTimeout bounds the wait for answers that are being written.
+	shutdownTimeout = 5 * time.Second
+)
+
+// StopTimeoutError tells that a planned stop had to end before the requests in flight.
+type StopTimeoutError struct{ After time.Duration }
+
+// Error implements error.
+func (e *StopTimeoutError) Error() string {
+	return "planned stop: requests still in flight after " + e.After.String()
+}
+
+// serve runs an entry until its planned stop has ended.
+func serve(cfg *quetzalwire.EntrySettings) error {
+	logger := newLogger(string(*cfg.LogLevel))
+	e := &engine{log: partLog{logger: logger, prefix: "engine: "}}
+	front := partLog{logger: logger, prefix: "front: "}
+	closeClients, err := e.openClients(cfg)
+	if err != nil {
+		return err
+	}
+	defer closeClients()
+
+	listeners, closeListeners, err := listen(cfg.CallerAddress, cfg.OperatorAddress, cfg.PeerAddress)
+	if err != nil {
+		return err
+	}
+	defer closeListeners()
+
+	incarnation := quetzalunit.Incarnation(time.Now().UnixNano())
+	stopEngine := e.start(identity(cfg, incarnation))
+	defer stopEngine()
+	stopPeers, err := e.server.Serve(listeners[2])
+	if err != nil {
+		return eris.Wrap(err, "serve peers")
+	}
+	defer stopPeers()
+
+	stopping := make(chan os.Signal, 1)
+	signal.Notify(stopping, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(stopping)
+	s := &servers{engine: e}
+	stopServers := s.start(cfg, incarnation, listeners)
+	front.info("Serving callers at " + cfg.CallerAddress + ".")
+
+	<-stopping
+	front.info("Planned stop begins.")
+	err = s.drain(cfg)
+	stopServers()
+	front.info("Planned stop ends.")
+	return err
+}
+
+func identity(cfg *quetzalwire.EntrySettings, incarnation quetzalunit.Incarnation) quetzalfleet.Identity {
+	return quetzalfleet.Identity{
+		Entry: quetzalunit.EntryID(cfg.Entry), Zone: quetzalunit.ZoneID(cfg.Zone), Incarnation: incarnation,
+		PeerAddress: quetzalunit.Address(cfg.PeerAddress), Lease: millis(*cfg.LeaseMs), Poll: millis(*cfg.PollMs),
+		Gossip: millis(*cfg.GossipMs), Seed: uint64(incarnation),
+	}
+}
+
+func millis(n int) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// openClients makes the clients of the platform, the peers and the minions.
+func (e *engine) openClients(cfg *quetzalwire.EntrySettings) (func(), error) {
+	metrics, closeMetrics, err := quetzalmetric.New()
+	if err != nil {
+		return nil, eris.Wrap(err, "open metrics")
+	}
+	e.metrics = metrics
+	var closeStore, closePeers, closeUpstream func()
+	e.store, closeStore = quetzalstore.New(cfg.PlatformURL)
+	e.peers, closePeers = quetzalpeer.New()
+	e.upstream, closeUpstream = quetzalupstream.New()
+	e.server = &quetzalpeer.Server{Post: e.inbox.post, Entry: quetzalunit.EntryID(cfg.Entry), Joins: &e.callers}
+	return func() {
+		closeUpstream()
+		closePeers()
+		closeStore()
+		closeMetrics()
+	}, nil
+}
+
+// listen opens listeners, all or none.
+func listen(addresses ...string) ([]net.Listener, func(), error) {
+	var open []net.Listener
+	cleanup := func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			cleanup()
+			return nil, nil, eris.Wrap(err, "listen")
+		}
+		open = append(open, l)
+	}
+	return open, cleanup, nil
+}
+
+// servers are the HTTP servers of an entry.
+type servers struct {
+	engine  *engine
+	callers *http.Server
+	// stopping tells that a planned stop has begun.
+	stopping chan struct{}
+}
+
+// start serves callers and operators. The function that it returns waits until
+// the answers in flight are written.
+func (s *servers) start(
+	cfg *quetzalwire.EntrySettings, incarnation quetzalunit.Incarnation, listeners []net.Listener,
+) func() {
+	e := s.engine
+	s.stopping = make(chan struct{})
+	callers := &quetzalfront.Callers{
+		Post: e.inbox.post, Waiting: &e.callers, Ready: s.ready, MaxBody: int64(*cfg.MaxBodyBytes),
+		DefaultTimeout: millis(*cfg.DefaultTimeoutMs),
+		MintPrefix:     quetzalsystem.MintMark + cfg.Entry + "~" + strconv.FormatInt(int64(incarnation), 36) + "~",
+	}
+	operators := &quetzalfront.Operators{
+		Post: e.inbox.post, Waiting: &e.operators, Token: cfg.OperatorToken, Version: version, Metrics: e.metrics.Handler(),
+	}
+	s.callers = newServer(callers.Handler())
+	admin := newServer(operators.Handler())
+	go serveHTTP(s.callers, listeners[0], e.log)
+	go serveHTTP(admin, listeners[1], e.log)
+	return func() {
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = s.callers.Shutdown(ctx)
+		_ = admin.Shutdown(ctx)
+	}
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+	}
+}
+
+func serveHTTP(s *http.Server, l net.Listener, log partLog) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		log.warn("A listener failed.", err)
+	}
+}
+
+// ready tells whether the balancer may send callers here.
+func (s *servers) ready() bool {
+	select {
+	case <-s.stopping:
+		return false
+	default:
+		return s.engine.ready.Load()
+	}
+}
+
+// drain performs a planned stop: it turns /readyz off, serves through the
+// balancer's notice, and waits for the requests in flight.
+func (s *servers) drain(cfg *quetzalwire.EntrySettings) error {
+	close(s.stopping)
+	notice := time.NewTimer(millis(*cfg.StopNoticeMs))
+	defer notice.Stop()
+	<-notice.C
+	s.engine.inbox.post(quetzalfleet.StopAsked{})
+	limit := time.NewTimer(millis(*cfg.StopTimeoutMs))
+	defer limit.Stop()
+	select {
+	case <-s.engine.finished:
+		return nil
+	case <-limit.C:
+		return &StopTimeoutError{After: millis(*cfg.StopTimeoutMs)}
+	}
+}
--- /dev/null
+++ b/quetzalstandin/main.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+)
+
+// version is set when the program is linked.
+var version = "0.1.0"
+
+// commandLine is the command line of quetzalstandin.
+type commandLine struct {
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Platform platformCommand  `cmd:"" help:"Run the platform: table service, list of hosts, reboots."`
+	Minions  minionsCommand   `cmd:"" help:"Run minions, each on a port of its own."`
+}
+
+func main() {
+	var c commandLine
+	ctx := kong.Parse(&c, kong.Name("quetzalstandin"), kong.Vars{"version": version},
+		kong.Description("Stand-ins of the platform and of minions, for tests."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+// serveUntilSignal serves handlers at their addresses until SIGTERM or SIGINT.
+func serveUntilSignal(handlers map[string]http.Handler) error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	var servers []*http.Server
+	failed := make(chan error, len(handlers))
+	for address, h := range handlers {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return eris.Wrap(err, "listen")
+		}
+		s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+		servers = append(servers, s)
+		go func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	var err error
+	select {
+	case <-stop:
+	case err = <-failed:
+	}
+	for _, s := range servers {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		_ = s.Shutdown(ctx)
+		cancel()
+	}
+	return eris.Wrap(err, "serve")
+}
--- /dev/null
+++ b/quetzalstandin/platform.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalplatform"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// maxRequest bounds the size of a request, in bytes.
+const maxRequest = 64 << 20
+
+type platformCommand struct {
+	Address  string        `required:"" help:"IP:port of the platform's service."`
+	Admin    string        `required:"" help:"IP:port of the admin interface."`
+	RebootIn time.Duration `default:"300ms" help:"Time that a host takes to reboot."`
+}
+
+// Run serves until a signal.
+func (c *platformCommand) Run() error {
+	p := &platform{rebootIn: c.RebootIn}
+	return serveUntilSignal(map[string]http.Handler{c.Address: p.service(), c.Admin: p.admin()})
+}
+
+// platform is the stand-in of the platform.
+type platform struct {
+	tables   quetzalplatform.Tables
+	rebootIn time.Duration
+
+	mu     sync.Mutex
+	faults quetzalwire.Faults
+	hosts  []platformHost
+	// shown is the list of hosts as callers see it, from shownAt on.
+	shown   []quetzalwire.ListedHost
+	shownAt time.Time
+}
+
+// platformHost is a host with the address that reboots it.
+type platformHost struct {
+	listed   quetzalwire.ListedHost
+	adminURL string
+}
+
+func (p *platform) service() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /transactions", p.transaction)
+	mux.HandleFunc("POST /reads", p.read)
+	mux.HandleFunc("GET /rows", p.scan)
+	mux.HandleFunc("GET /hosts", p.list)
+	mux.HandleFunc("POST /hosts/{Host}/reboot", p.reboot)
+	return p.withFaults(mux)
+}
+
+func (p *platform) admin() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /faults", p.putFaults)
+	mux.HandleFunc("PUT /hosts", p.putHost)
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		l := p.tables.Load()
+		writeJSON(w, quetzalwire.PlatformLoad{Commits: int(l.Commits), Writes: int(l.Writes), Reads: int(l.Reads)})
+	})
+	mux.HandleFunc("GET /rows", p.scan)
+	return mux
+}
+
+// withFaults simulates outages, slowness and answers lost after the write.
+func (p *platform) withFaults(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		f := p.faults
+		lose := f.LoseAnswers > 0 && r.URL.Path == "/transactions"
+		if lose {
+			p.faults.LoseAnswers--
+		}
+		p.mu.Unlock()
+		time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+		if f.Outage {
+			panic(http.ErrAbortHandler)
+		}
+		if lose {
+			next.ServeHTTP(&discard{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// discard is a response that nobody receives.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
+
+func (p *platform) transaction(w http.ResponseWriter, r *http.Request) {
+	var req quetzalwire.TransactionRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	conditions := make([]quetzalplatform.Condition, 0, len(req.Conditions))
+	for _, c := range req.Conditions {
+		conditions = append(conditions, quetzalplatform.Condition{
+			RowID: quetzalplatform.RowID{Table: c.Table, Key: c.Key}, Revision: quetzalunit.Revision(c.Revision),
+		})
+	}
+	writes := make([]quetzalplatform.Write, 0, len(req.Writes))
+	for _, v := range req.Writes {
+		writes = append(writes, quetzalplatform.Write{
+			RowID: quetzalplatform.RowID{Table: v.Table, Key: v.Key}, Value: v.Value,
+		})
+	}
+	rev, conflicts := p.tables.Commit(conditions, writes)
+	writeJSON(w, quetzalwire.TransactionReply{
+		Committed: len(conflicts) == 0, Revision: int(rev), Conflicts: rowDocs(conflicts),
+	})
+}
+
+func rowDocs(rows []quetzalplatform.Row) []quetzalwire.Row {
+	docs := make([]quetzalwire.Row, 0, len(rows))
+	for _, row := range rows {
+		docs = append(docs, quetzalwire.Row{
+			Table: row.Table, Key: row.Key, Value: row.Value, Revision: int(row.Revision),
+		})
+	}
+	return docs
+}
+
+func (p *platform) read(w http.ResponseWriter, r *http.Request) {
+	var req quetzalwire.ReadRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	ids := make([]quetzalplatform.RowID, 0, len(req.Rows))
+	for _, v := range req.Rows {
+		ids = append(ids, quetzalplatform.RowID{Table: v.Table, Key: v.Key})
+	}
+	rows, rev := p.tables.Read(ids)
+	writeJSON(w, quetzalwire.ScanReply{Revision: int(rev), Rows: rowDocs(rows)})
+}
+
+func (p *platform) scan(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("After"), 10, 64)
+	if err != nil {
+		http.Error(w, "After: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	rows, rev := p.tables.Scan(r.URL.Query()["Table"], quetzalunit.Revision(after))
+	writeJSON(w, quetzalwire.ScanReply{Revision: int(rev), Rows: rowDocs(rows)})
+}
+
+// list shows the hosts as they were before the list's lag.
+func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.shownAt) >= time.Duration(p.faults.ListLagMs)*time.Millisecond {
+		p.shown = make([]quetzalwire.ListedHost, 0, len(p.hosts))
+		for _, h := range p.hosts {
+			p.shown = append(p.shown, h.listed)
+		}
+		p.shownAt = time.Now()
+	}
+	writeJSON(w, quetzalwire.HostList{Hosts: p.shown})
+}
+
+func (p *platform) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f quetzalwire.Faults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	p.mu.Lock()
+	p.faults = f
+	p.mu.Unlock()
+	writeJSON(w, f)
+}
+
+func (p *platform) putHost(w http.ResponseWriter, r *http.Request) {
+	var req quetzalwire.HostRegistration
+	if !readJSON(w, r, &req) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(req.Host)
+	if h == nil {
+		p.hosts = append(p.hosts, platformHost{listed: quetzalwire.ListedHost{Host: req.Host, Boot: 1}})
+		h = &p.hosts[len(p.hosts)-1]
+	}
+	h.listed.State = quetzalwire.ListedHostState(req.State)
+	h.adminURL = req.AdminURL
+	writeJSON(w, h.listed)
+}
+
+// host returns a host; the caller holds the lock.
+func (p *platform) host(name string) *platformHost {
+	for i := range p.hosts {
+		if p.hosts[i].listed.Host == name {
+			return &p.hosts[i]
+		}
+	}
+	return nil
+}
+
+// reboot reboots a host once for each boot count that it must follow.
+func (p *platform) reboot(w http.ResponseWriter, r *http.Request) {
+	before, err := strconv.Atoi(r.URL.Query().Get("Before"))
+	if err != nil {
+		http.Error(w, "Before: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(r.PathValue("Host"))
+	if h == nil {
+		http.Error(w, "unknown host", http.StatusNotFound)
+		return
+	}
+	if h.listed.Boot == before && h.listed.State == quetzalwire.ListedHostStateLive {
+		h.listed.State = quetzalwire.ListedHostStateLeaving
+		go p.finishReboot(h.listed.Host, h.adminURL)
+	}
+	writeJSON(w, h.listed)
+}
+
+// finishReboot restarts the minion and lists the host as live again.
+func (p *platform) finishReboot(host, adminURL string) {
+	if adminURL != "" {
+		res, err := http.Post(adminURL+"/reboot", "text/plain", nil) //nolint:noctx,gosec // a stand-in's own address
+		if err == nil {
+			_ = res.Body.Close()
+		}
+	}
+	time.Sleep(p.rebootIn)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(host)
+	h.listed.Boot++
+	h.listed.State = quetzalwire.ListedHostStateLive
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err == nil {
+		err = json.Unmarshal(text, v)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
