Add the operators' command line and the load tool

Cause: operators drive the fleet without reading code, and every promise needs callers whose answers can be compared with the minions' own logs.

Change: quetzalctl covers the operators' API and repeats a change with its ChangeId until one entry says whether it took effect; quetzalload sends seeded open-loop plans and judges lost, doubled, false NotRun, wrong answers and overlapping pools.

--- /dev/null
+++ b/quetzalctl/quetzaltext/text.go
@@ -0,0 +1,127 @@
+// Package quetzaltext writes documents as tables for people, or as JSON or YAML
+// for scripts.
+package quetzaltext
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/goccy/go-yaml"
+	"github.com/rotisserie/eris"
+)
+
+// Format is an output format.
+type Format string
+
+// The formats.
+const (
+	Table Format = "table"
+	JSON  Format = "json"
+	YAML  Format = "yaml"
+)
+
+// Write writes a document. As a table, a document with one list is a line for
+// each element, and any other document a line for each field.
+func Write(w io.Writer, f Format, doc any) error {
+	switch f {
+	case JSON:
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return eris.Wrap(encoder.Encode(doc), "write JSON")
+	case YAML:
+		return eris.Wrap(yaml.NewEncoder(w).Encode(doc), "write YAML")
+	case Table:
+	}
+	return writeTable(w, reflect.Indirect(reflect.ValueOf(doc)))
+}
+
+func writeTable(w io.Writer, doc reflect.Value) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	rest := 0
+	for i := range doc.NumField() {
+		if !isList(doc.Field(i)) {
+			rest++
+		}
+	}
+	for i := range doc.NumField() {
+		field := doc.Field(i)
+		name := doc.Type().Field(i).Name
+		if isList(field) {
+			writeList(t, field)
+		} else if rest > 0 {
+			_, _ = fmt.Fprintf(t, "%s\t%s\n", name, cell(field))
+		}
+	}
+	return eris.Wrap(t.Flush(), "write table")
+}
+
+func isList(v reflect.Value) bool {
+	return v.Kind() == reflect.Slice && v.Type().Elem().Kind() == reflect.Struct
+}
+
+func writeList(w io.Writer, list reflect.Value) {
+	columns := columnsOf(list.Type().Elem(), nil)
+	names := make([]string, 0, len(columns))
+	for _, c := range columns {
+		names = append(names, strings.ToUpper(list.Type().Elem().FieldByIndex(c).Name))
+	}
+	_, _ = fmt.Fprintln(w, strings.Join(names, "\t"))
+	for i := range list.Len() {
+		cells := make([]string, 0, len(columns))
+		for _, c := range columns {
+			cells = append(cells, cell(list.Index(i).FieldByIndex(c)))
+		}
+		_, _ = fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+}
+
+// columnsOf lists the fields of a struct, with those of nested structs in place.
+func columnsOf(t reflect.Type, prefix []int) [][]int {
+	var columns [][]int
+	for i := range t.NumField() {
+		path := append(append([]int{}, prefix...), i)
+		if t.Field(i).Type.Kind() == reflect.Struct {
+			columns = append(columns, columnsOf(t.Field(i).Type, path)...)
+			continue
+		}
+		columns = append(columns, path)
+	}
+	return columns
+}
+
+func cell(v reflect.Value) string {
+	if v.Kind() == reflect.Pointer {
+		if v.IsNil() {
+			return "-"
+		}
+		return cell(v.Elem())
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		return structCell(v)
+	case reflect.Slice:
+		items := make([]string, 0, v.Len())
+		for i := range v.Len() {
+			items = append(items, cell(v.Index(i)))
+		}
+		return strings.Join(items, ",")
+	default:
+		return fmt.Sprint(v.Interface())
+	}
+}
+
+// structCell lists the fields that are set.
+func structCell(v reflect.Value) string {
+	var items []string
+	for i := range v.NumField() {
+		if v.Field(i).Kind() == reflect.Pointer && v.Field(i).IsNil() {
+			continue
+		}
+		items = append(items, v.Type().Field(i).Name+"="+cell(v.Field(i)))
+	}
+	return strings.Join(items, " ")
+}
--- /dev/null
+++ b/quetzalload/main.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzaltable"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalload/quetzalarrival"
+	"quetzalstair/quetzalload/quetzalreport"
+	"quetzalstair/quetzalload/quetzalsender"
+	"quetzalstair/quetzalload/quetzalverdict"
+)
+
+// version is set when the program is linked.
+var version = "0.1.0"
+
+// commandLine is the command line of quetzalload.
+type commandLine struct {
+	Version kong.VersionFlag `help:"Print the version and exit."`
+	Run     runCommand       `cmd:"" help:"Send a seeded plan of requests and judge the answers. Status 1 when a promise broke."`
+}
+
+type runCommand struct {
+	Entry       []string      `required:"" help:"Base URL of an entry; repeat for each entry."`
+	Direct      bool          `help:"The URLs are those of minions: send to them without an entry."`
+	Queue       []string      `default:"rota" help:"Queue; repeat for each queue."`
+	Team        []string      `help:"Team; repeat for each team."`
+	Rate        float64       `default:"100" help:"Mean requests a second of all queues."`
+	For         time.Duration `default:"5s" help:"Length of the plan."`
+	Burst       time.Duration `help:"Each queue in turn demands five times its mean for this long, then a twentieth."`
+	Long        int32         `help:"Share of long requests, in percent."`
+	Misdeclared int32         `help:"Share of the long requests that declare themselves short, in percent."`
+	Urgent      int32         `help:"Share of urgent requests, in percent."`
+	Idempotent  int32         `help:"Share of idempotent requests, in percent."`
+	ShortRun    time.Duration `default:"5ms" help:"Run time of short requests."`
+	LongRun     time.Duration `default:"2s" help:"Run time of long requests."`
+	Timeout     time.Duration `default:"10s" help:"Deadline of each request."`
+	OwnIds      bool          `help:"Choose the requests' ids, and send again when an entry does not answer."`
+	BodyBytes   int           `default:"64" help:"Size of each body, in bytes."`
+	Seed        uint64        `default:"1" help:"Seed of the plan."`
+	Log         []string      `help:"Admin URL of a stand-in's minions, whose log judges the answers; repeat for each."`
+	Report      string        `help:"File for a page with plots." placeholder:"FILE"`
+	Progress    bool          `help:"Print progress to standard error."`
+}
+
+// Run sends the plan, prints the report and returns an error when a promise broke.
+func (c *runCommand) Run() error {
+	plan := quetzalarrival.Plan(c.spec())
+	sender, cleanup := quetzalsender.New(c.Entry)
+	defer cleanup()
+	sender.Direct, sender.BodyBytes = c.Direct, c.BodyBytes
+	if c.Progress {
+		sender.Progress = os.Stderr
+	}
+	begin := time.Now()
+	shots := sender.Send(plan)
+	elapsed := time.Since(begin)
+	series := summarise(shots)
+	quetzalreport.WriteTable(os.Stdout, series)
+	fmt.Printf("%.0f answers a second\n", float64(shots.Len())/elapsed.Seconds())
+	runs, err := quetzalverdict.Runs(context.Background(), c.Log)
+	if err != nil {
+		return err //nolint:wrapcheck // the error names the log
+	}
+	verdict := quetzalverdict.Judge(shots, runs)
+	if len(c.Log) == 0 {
+		verdict.Lost = 0
+	}
+	fmt.Println(verdict.String())
+	if err := c.writePage(&verdict, series); err != nil {
+		return err
+	}
+	return verdict.Broken() //nolint:wrapcheck // the error names the promise
+}
+
+func (c *runCommand) spec() *quetzalarrival.Spec {
+	s := &quetzalarrival.Spec{
+		Rate: c.Rate, For: c.For, Profile: quetzalarrival.Flat{},
+		Long: quetzalunit.Percent(c.Long), Misdeclared: quetzalunit.Percent(c.Misdeclared),
+		Urgent: quetzalunit.Percent(c.Urgent), Idempotent: quetzalunit.Percent(c.Idempotent),
+		ShortRun: c.ShortRun, LongRun: c.LongRun, Timeout: c.Timeout, OwnIDs: c.OwnIds, Seed: c.Seed,
+	}
+	if c.Burst > 0 {
+		s.Profile = quetzalarrival.Burst{Turn: c.Burst}
+	}
+	for _, q := range c.Queue {
+		s.Queues = append(s.Queues, quetzalunit.QueueID(q))
+	}
+	for _, t := range c.Team {
+		s.Teams = append(s.Teams, quetzalunit.TeamID(t))
+	}
+	return s
+}
+
+// summarise returns the latencies of all answers and of each class that ran.
+func summarise(shots *quetzaltable.Table[quetzalsender.Shot]) []*quetzalreport.Series {
+	all := quetzalreport.NewSeries("all answers")
+	short := quetzalreport.NewSeries("ran, declared Short")
+	long := quetzalreport.NewSeries("ran, declared Long")
+	urgent := quetzalreport.NewSeries("ran, urgent: wait")
+	for _, s := range shots.All() {
+		all.Record(s.Latency)
+		if s.Outcome != quetzalsender.Ran {
+			continue
+		}
+		switch s.Class.String() {
+		case "Long":
+			long.Record(s.Latency)
+		default:
+			short.Record(s.Latency)
+		}
+		if s.Urgent {
+			urgent.Record(s.Latency - s.Run)
+		}
+	}
+	return []*quetzalreport.Series{all, short, long, urgent}
+}
+
+func (c *runCommand) writePage(v *quetzalverdict.Verdict, series []*quetzalreport.Series) error {
+	if c.Report == "" {
+		return nil
+	}
+	f, err := os.Create(c.Report)
+	if err != nil {
+		return eris.Wrap(err, "create report")
+	}
+	defer f.Close() //nolint:errcheck // WritePage reports failed writes
+	return quetzalreport.WritePage(f, "quetzalload", v.String(), series)
+}
+
+func main() {
+	var c commandLine
+	ctx := kong.Parse(&c, kong.Name("quetzalload"), kong.Vars{"version": version},
+		kong.Description("Drives a quetzalstair fleet with seeded open-loop load and judges the answers."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
