Add make demo; pace claim transactions and gather outcomes

Cause: the first run of the demo showed the platform at 11867 commits for 6935 requests, over several hundred a second at 240 requests a second, since every claim and every outcome was a transaction of its own.

Ruled out: claims at a home entry in memory (its death forgets them, and a second run of a milk order is worse than 25 ms); no stored outcomes (a caller that asks again after a restart would get Unknown for work that was done).

Change: claim transactions of one entry are paced at 40 a second with a burst of 10; outcomes gather for 500 ms, until then peers get them from memory.

Left: 254 move decisions in one zone point to needless moves.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the workspace. `make demo` and `make test` need Go and nothing else.
-MODULES := quetzalcore quetzalentry quetzalstandin
-PROGRAMS := quetzalentry quetzalstandin
+MODULES := quetzalcore quetzalentry quetzalctl quetzalload quetzalstandin
+PROGRAMS := quetzalentry quetzalctl quetzalload quetzalstandin
 LINT_VERSION := v2.15.0
 FUMPT_VERSION := v0.12.0
 SCHEMA_VERSION := v0.24.1
@@ -43,3 +43,7 @@
 .PHONY: generate
 generate: $(TOOLS)/go-jsonschema
 	cd quetzalcore/quetzalwire && PATH=$(TOOLS):$$PATH go generate .
+
+.PHONY: demo
+demo: build
+	demo/run.sh
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -97,6 +97,10 @@
 	OutcomeCall Row
 	// RetryOutcomesAt is the earliest next transaction after one without an answer.
 	RetryOutcomesAt quetzalunit.Instant
+	// OutcomesAt is when the outcomes that gather are stored, zero without any.
+	OutcomesAt quetzalunit.Instant
+	// ClaimPace is when the claim transactions so far are paid for at their mean pace.
+	ClaimPace quetzalunit.Instant
 	// RetryClaimsAt is the same for the transactions that take claims.
 	RetryClaimsAt quetzalunit.Instant
 
--- a/quetzalcore/quetzalfront/callers.go
+++ b/quetzalcore/quetzalfront/callers.go
@@ -31,6 +31,7 @@
 	HeaderTimeout    = "Request-Timeout"
 	HeaderTeam       = "Request-Team"
 	HeaderOutcome    = quetzalupstream.HeaderOutcome
+	HeaderReason     = quetzalupstream.HeaderReason
 )
 
 const (
@@ -280,6 +281,9 @@
 	header := w.Header()
 	header[HeaderOutcome] = []string{name}
 	header[HeaderRequestID] = []string{string(id)}
+	if reason != "" {
+		header[HeaderReason] = []string{reason}
+	}
 	doc := quetzalwire.ErrorDoc{Code: name, RequestID: string(id)}
 	switch o := o.(type) {
 	case quetzalfleet.Ran:
--- a/quetzalcore/quetzalsystem/claim.go
+++ b/quetzalcore/quetzalsystem/claim.go
@@ -1,13 +1,22 @@
 package quetzalsystem
 
 import (
+	"time"
+
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
 const (
 	// claimBatch is the number of claims in one transaction.
-	claimBatch = 64
+	claimBatch = 256
+	// claimSpacing is the mean time between two claim transactions of a busy entry:
+	// nine entries at this pace stay within several hundred writes a second.
+	claimSpacing = 25 * time.Millisecond
+	// claimBurst is how far an entry may run ahead of this pace.
+	claimBurst = 10 * claimSpacing
+	// outcomeDelay is how long outcomes gather before they are stored together.
+	outcomeDelay = 500 * time.Millisecond
 	// maxClaimCalls is the number of claim transactions in flight. While they are,
 	// new claims gather for the next one.
 	maxClaimCalls = 2
@@ -31,6 +40,11 @@
 	if w.ClaimsToTake.Len() == 0 || w.ClaimCalls >= maxClaimCalls || w.Now < w.RetryClaimsAt {
 		return
 	}
+	if ahead := w.ClaimPace.Sub(w.Now); ahead > claimBurst {
+		w.RetryClaimsAt = w.Now.Add(ahead - claimBurst)
+		w.Timers.Push(w.RetryClaimsAt, quetzalfleet.Wake{})
+		return
+	}
 	var t quetzalfleet.Transaction
 	var requests []quetzalfleet.Row
 	for _, row := range w.ClaimsToTake.Take() {
@@ -52,6 +66,7 @@
 		return
 	}
 	w.ClaimCalls++
+	w.ClaimPace = max(w.ClaimPace, w.Now).Add(claimSpacing)
 	write(w, quetzalfleet.ForClaims{Requests: requests}, t)
 }
 
@@ -236,8 +251,9 @@
 }
 
 // writeClaims stores the outcomes of claimed requests, many in one transaction.
+// Until then a peer gets them from this entry's memory.
 func writeClaims(w *quetzalfleet.World) {
-	if w.ClaimsToWrite.Len() == 0 || w.OutcomeCall != 0 || w.Now < w.RetryOutcomesAt {
+	if w.ClaimsToWrite.Len() == 0 || w.OutcomeCall != 0 || !outcomesDue(w) {
 		return
 	}
 	var t quetzalfleet.Transaction
@@ -255,12 +271,28 @@
 		t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: claimKey(r.ID), Revision: r.ClaimRevision})
 		t.Writes = append(t.Writes, quetzalfleet.Write{Key: claimKey(r.ID), Row: outcomeRow(w, r)})
 	}
+	w.OutcomesAt = 0
 	if len(requests) == 0 {
 		return
 	}
 	w.OutcomeCall = write(w, quetzalfleet.ForClaimOutcome{Requests: requests}, t)
 }
 
+// outcomesDue tells whether the outcomes have gathered long enough.
+func outcomesDue(w *quetzalfleet.World) bool {
+	if w.Now < w.RetryOutcomesAt {
+		return false
+	}
+	if w.Stop != quetzalfleet.StopNone || w.ClaimsToWrite.Len() >= claimBatch {
+		return true
+	}
+	if w.OutcomesAt == 0 {
+		w.OutcomesAt = w.Now.Add(outcomeDelay)
+		w.Timers.Push(w.OutcomesAt, quetzalfleet.Wake{})
+	}
+	return w.Now >= w.OutcomesAt
+}
+
 func outcomeRow(w *quetzalfleet.World, r *quetzalfleet.Request) quetzalfleet.ClaimRow {
 	switch o := r.Outcome.(type) {
 	case quetzalfleet.Ran:
--- a/quetzalcore/quetzalsystem/demand.go
+++ b/quetzalcore/quetzalsystem/demand.go
@@ -109,9 +109,10 @@
 	startMove(w, lent, w.Hosts.At(lent).HomePool, "", "the pool does without it")
 }
 
-// holdTime returns how long a surplus host is kept before it goes home.
+// holdTime returns how long a surplus host is kept before it goes home. During a
+// wave other pools wait for it.
 func holdTime(w *quetzalfleet.World, row quetzalfleet.Row) time.Duration {
-	if _, ok := settingsOf(w, row).Move.(quetzalfleet.SkiRentalMoves); ok {
+	if _, ok := settingsOf(w, row).Move.(quetzalfleet.SkiRentalMoves); ok && !wavesRun(w) {
 		return returnAfter
 	}
 	return 0
--- a/quetzalcore/quetzalsystem/plan.go
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -197,25 +197,26 @@
 		if h.Zone != w.Self.Zone {
 			continue
 		}
-		if call := w.StoreCalls.At(h.ChangeCall); call != nil && arrivesBy(call, id) {
-			n++
-			continue
-		}
-		if h.State == quetzalfleet.HostLeaving && h.NextPool == id {
+		next := nextSpec(w, h)
+		onTheWay := next.State == quetzalfleet.HostLeaving && next.NextPool == id
+		unconfirmed := h.ChangeCall != 0 && next.State == quetzalfleet.HostServing && next.Pool == id
+		if onTheWay || unconfirmed {
 			n++
 		}
 	}
 	return n
 }
 
-// arrivesBy tells whether a change in flight brings a host to a pool.
-func arrivesBy(call *quetzalfleet.StoreCall, id quetzalunit.PoolID) bool {
-	for _, wr := range call.Transaction.Writes {
-		if v, ok := wr.Row.(quetzalfleet.HostRow); ok && (v.NextPool == id || v.Pool == id && v.State == quetzalfleet.HostServing) {
-			return true
+// nextSpec returns a host as the change under way leaves it, or as it is.
+func nextSpec(w *quetzalfleet.World, h *quetzalfleet.Host) quetzalfleet.HostSpec {
+	if call := w.StoreCalls.At(h.ChangeCall); call != nil {
+		for _, wr := range call.Transaction.Writes {
+			if v, ok := wr.Row.(quetzalfleet.HostRow); ok {
+				return v.HostSpec
+			}
 		}
 	}
-	return false
+	return h.HostSpec
 }
 
 // lendable returns an available host of a spare pool that may be taken within
--- a/quetzalcore/quetzalsystem/wave.go
+++ b/quetzalcore/quetzalsystem/wave.go
@@ -95,7 +95,7 @@
 func activeInWave(w *quetzalfleet.World, v *quetzalfleet.Wave) quetzalunit.Hosts {
 	var n quetzalunit.Hosts
 	for _, h := range w.Hosts.All() {
-		if h.Zone == w.Self.Zone && h.Wave == v.ID {
+		if h.Zone == w.Self.Zone && nextSpec(w, h).Wave == v.ID {
 			n++
 		}
 	}
@@ -131,6 +131,16 @@
 	return cmp.Compare(rank(a), rank(b))
 }
 
+// wavesRun tells whether any wave is running.
+func wavesRun(w *quetzalfleet.World) bool {
+	for _, v := range w.Waves.All() {
+		if v.State == quetzalfleet.WaveRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // waveNeeds tells whether a running wave still has to take a host of a pool in
 // the zone, so that a lent host stays.
 func waveNeeds(w *quetzalfleet.World, pool quetzalunit.PoolID) bool {
--- a/quetzalload/main.go
+++ b/quetzalload/main.go
@@ -15,6 +15,7 @@
 	"quetzalstair/quetzalload/quetzalreport"
 	"quetzalstair/quetzalload/quetzalsender"
 	"quetzalstair/quetzalload/quetzalverdict"
+	"quetzalstair/quetzalload/quetzalwatch"
 )
 
 // version is set when the program is linked.
@@ -45,6 +46,8 @@
 	BodyBytes   int           `default:"64" help:"Size of each body, in bytes."`
 	Seed        uint64        `default:"1" help:"Seed of the plan."`
 	Log         []string      `help:"Admin URL of a stand-in's minions, whose log judges the answers; repeat for each."`
+	Operator    []string      `help:"Base URL of an operators' API, to watch the availability budgets; repeat for each zone."`
+	Token       string        `env:"QUETZAL_TOKEN" help:"The operators' token."`
 	Report      string        `help:"File for a page with plots." placeholder:"FILE"`
 	Progress    bool          `help:"Print progress to standard error."`
 }
@@ -58,8 +61,10 @@
 	if c.Progress {
 		sender.Progress = os.Stderr
 	}
+	watch, stopWatch := quetzalwatch.Start(c.Operator, c.Token)
 	begin := time.Now()
 	shots := sender.Send(plan)
+	stopWatch()
 	elapsed := time.Since(begin)
 	series := summarise(shots)
 	quetzalreport.WriteTable(os.Stdout, series)
@@ -72,6 +77,7 @@
 	if len(c.Log) == 0 {
 		verdict.Lost = 0
 	}
+	verdict.Breaches = watch.Breaches()
 	fmt.Println(verdict.String())
 	if err := c.writePage(&verdict, series); err != nil {
 		return err
@@ -101,6 +107,7 @@
 // summarise returns the latencies of all answers and of each class that ran.
 func summarise(shots *quetzaltable.Table[quetzalsender.Shot]) []*quetzalreport.Series {
 	all := quetzalreport.NewSeries("all answers")
+	sent := quetzalreport.NewSeries("ran, from the sending")
 	short := quetzalreport.NewSeries("ran, declared Short")
 	long := quetzalreport.NewSeries("ran, declared Long")
 	urgent := quetzalreport.NewSeries("ran, urgent: wait")
@@ -109,6 +116,7 @@
 		if s.Outcome != quetzalsender.Ran {
 			continue
 		}
+		sent.Record(s.Answered)
 		switch s.Class.String() {
 		case "Long":
 			long.Record(s.Latency)
@@ -119,7 +127,7 @@
 			urgent.Record(s.Latency - s.Run)
 		}
 	}
-	return []*quetzalreport.Series{all, short, long, urgent}
+	return []*quetzalreport.Series{all, sent, short, long, urgent}
 }
 
 func (c *runCommand) writePage(v *quetzalverdict.Verdict, series []*quetzalreport.Series) error {
--- a/quetzalload/quetzalsender/sender.go
+++ b/quetzalload/quetzalsender/sender.go
@@ -43,9 +43,15 @@
 	// Sent is the id under which the request was answered.
 	Sent    quetzalunit.RequestID
 	Outcome Outcome
-	Status  quetzalunit.Status
+	// Reason is the entry's reason for an outcome other than Ran.
+	Reason string
+	// Entry is the base URL of the last entry that was asked.
+	Entry  string
+	Status quetzalunit.Status
 	// Latency is the time from the planned arrival to the whole answer.
 	Latency time.Duration
+	// Answered is the time from the last sending to the whole answer.
+	Answered time.Duration
 	// Whole tells that the answer was the one to this very request.
 	Whole bool
 	// Tries counts the entries that were asked.
@@ -171,6 +177,7 @@
 
 func (s *Sender) try(ctx context.Context, shot *Shot, body []byte) bool {
 	entry := s.Entries[int(s.next.Add(1))%len(s.Entries)]
+	shot.Entry = entry
 	url := entry + "/queues/" + string(shot.Queue) + "/requests"
 	if s.Direct {
 		url = entry + quetzalupstream.RunPath
@@ -180,6 +187,7 @@
 		return false
 	}
 	setHeader(req.Header, shot)
+	begin := time.Now()
 	res, err := s.client.Do(req)
 	if err != nil {
 		return false
@@ -189,8 +197,10 @@
 	if err != nil {
 		return false
 	}
+	shot.Answered = time.Since(begin)
 	shot.Status = quetzalunit.Status(res.StatusCode)
 	shot.Sent = quetzalunit.RequestID(res.Header.Get(quetzalfront.HeaderRequestID))
+	shot.Reason = res.Header.Get(quetzalfront.HeaderReason)
 	shot.Outcome = Outcome(res.Header.Get(quetzalfront.HeaderOutcome))
 	if s.Direct && shot.Outcome == "" {
 		shot.Outcome = Ran
--- a/quetzalload/quetzalverdict/verdict.go
+++ b/quetzalload/quetzalverdict/verdict.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -21,6 +23,8 @@
 type Verdict struct {
 	Sent     int
 	Outcomes map[quetzalsender.Outcome]int
+	// Reasons counts the outcomes other than Ran by their reasons.
+	Reasons map[string]int
 	// Lost counts requests answered with Ran of which no minion completed a run.
 	Lost int
 	// Doubled counts non-idempotent requests that a minion started more than once.
@@ -33,6 +37,8 @@
 	NoAnswer int
 	// Overlaps counts pairs of runs for different pools on one host at one time.
 	Overlaps int
+	// Breaches counts the times at which a pool was seen below its budget.
+	Breaches int
 	// Reruns counts additional runs of idempotent requests, which are permitted.
 	Reruns int
 }
@@ -57,15 +63,18 @@
 			_, _ = fmt.Fprintf(&b, ", %s %d", o, n)
 		}
 	}
-	_, _ = fmt.Fprintf(&b, "; lost %d, doubled %d, false NotRun %d, wrong answer %d, no answer %d, pools overlapping %d, reruns %d",
-		v.Lost, v.Doubled, v.FalseNotRun, v.WrongAnswer, v.NoAnswer, v.Overlaps, v.Reruns)
+	for _, reason := range slices.Sorted(maps.Keys(v.Reasons)) {
+		_, _ = fmt.Fprintf(&b, " (%s: %d)", reason, v.Reasons[reason])
+	}
+	_, _ = fmt.Fprintf(&b, "; lost %d, doubled %d, false NotRun %d, wrong answer %d, no answer %d, pools overlapping %d, budget breaches %d, reruns %d",
+		v.Lost, v.Doubled, v.FalseNotRun, v.WrongAnswer, v.NoAnswer, v.Overlaps, v.Breaches, v.Reruns)
 	return b.String()
 }
 
 // Broken returns an error when a promise broke. A caller without an answer is
 // an error only when the caller could ask again.
 func (v *Verdict) Broken() error {
-	if v.Lost+v.Doubled+v.FalseNotRun+v.WrongAnswer+v.NoAnswer+v.Overlaps > 0 {
+	if v.Lost+v.Doubled+v.FalseNotRun+v.WrongAnswer+v.NoAnswer+v.Overlaps+v.Breaches > 0 {
 		return &BrokenError{Verdict: *v}
 	}
 	return nil
@@ -81,9 +90,12 @@
 			completed[quetzalunit.RequestID(r.Request)]++
 		}
 	}
-	v := Verdict{Sent: shots.Len(), Outcomes: make(map[quetzalsender.Outcome]int)}
+	v := Verdict{Sent: shots.Len(), Outcomes: make(map[quetzalsender.Outcome]int), Reasons: make(map[string]int)}
 	for _, s := range shots.All() {
 		v.Outcomes[s.Outcome]++
+		if s.Outcome != quetzalsender.Ran {
+			v.Reasons[string(s.Outcome)+" "+s.Reason]++
+		}
 		id := s.Sent
 		if s.ID != "" {
 			id = s.ID
