Prove the decisions on a virtual clock; mend four faults that it found

Cause: the demo showed 18524 writes of one zone's holder in 3 s of outage: a step of a move without an answer was repeated at once, in a loop. A search of hostile orders was needed to find more of the kind.

Change: package quetzaltrial drives the entries' systems on a virtual clock against small fakes; a rapid test draws requests, kills, freezes, cuts, outages, lost answers, moves, waves, settings and crashes, and judges the promises from the minions' runs and the committed rows. Found, each seen failing first and mended: 1. Steps that the platform did not commit are tried again after a pause (TestOutageDuringAMoveDoesNotSpin). 2. A new holder planned on rows older than its takeover and broke a budget; it now reads what earlier holders wrote first. 3. A host whose listed state lagged was taken without headroom; every take now needs headroom. 4. A settings change sent again with IfVersion got a conflict although it had been applied; the change's row is read first. Also: a host whose change had no answer counts as taken until a new revision of its row shuts that change out.

Ruled out: judging budgets from an entry's own view (mixed views of two instants gave false breaches); a check that counts answers of dead entries.

--- a/quetzalcore/quetzalfleet/entities.go
+++ b/quetzalcore/quetzalfleet/entities.go
@@ -282,6 +282,8 @@
 
 	// ChangeCall is the store call that is changing the host's row, zero without one.
 	ChangeCall Row
+	// Doubt tells that a change of the row had no answer and may still take effect.
+	Doubt bool
 	// ChangedAt is when this entry first saw the present generation.
 	ChangedAt quetzalunit.Instant
 	// WaveRetryAt is the earliest next try of a wave's step that was taken back.
--- a/quetzalcore/quetzalfleet/timers.go
+++ b/quetzalcore/quetzalfleet/timers.go
@@ -119,6 +119,6 @@
 	Tries quetzalunit.Attempts
 	// GiveUpAt is when the operator gets ChangeUnknown or a conflict.
 	GiveUpAt quetzalunit.Instant
-	// Sent tells that a transaction with an unknown outcome may exist.
-	Sent bool
+	// Looked tells that the platform was asked whether the change was committed before.
+	Looked bool
 }
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -72,6 +72,8 @@
 	ChangesToTry quetzaltable.Set
 	// PlanDirty asks the holder of the zone's duties for a new plan.
 	PlanDirty bool
+	// PlanNotBefore is the earliest next plan after a step that was not committed.
+	PlanNotBefore quetzalunit.Instant
 
 	// GossipNow asks for a message to the zone's peers in this tick.
 	GossipNow bool
--- a/quetzalcore/quetzalsystem/budget.go
+++ b/quetzalcore/quetzalsystem/budget.go
@@ -7,9 +7,9 @@
 
 // available tells whether a host counts towards its pool's availability budget.
 // A host that is being taken out no longer counts, even before the platform
-// has confirmed it.
+// has confirmed it, nor does one whose change may still take effect.
 func available(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
-	return takesWork(w, h) && h.ChangeCall == 0
+	return takesWork(w, h) && h.ChangeCall == 0 && !h.Doubt
 }
 
 // availableHosts counts the available hosts of a pool in the zone, and those in
@@ -50,14 +50,15 @@
 }
 
 // mayTake tells whether a host may be taken from its pool within the budget. A
-// host that is not available is no loss.
+// host that does not seem available is no exception: the list lags, and it may
+// serve already.
 func mayTake(w *quetzalfleet.World, row quetzalfleet.Row) bool {
 	h := w.Hosts.At(row)
-	if h.State != quetzalfleet.HostServing || h.ChangeCall != 0 {
+	if h.State != quetzalfleet.HostServing || h.ChangeCall != 0 || h.Doubt {
 		return false
 	}
 	if w.Pools.At(h.PoolRow) == nil {
 		return false
 	}
-	return !available(w, h) || headroom(w, h.PoolRow, row) >= 0
+	return headroom(w, h.PoolRow, row) >= 0
 }
--- a/quetzalcore/quetzalsystem/change.go
+++ b/quetzalcore/quetzalsystem/change.go
@@ -32,7 +32,7 @@
 		}
 		t, problem := changeTransaction(w, c)
 		if problem != nil {
-			endOperator(w, row, problem)
+			refuseChange(w, row, problem)
 			continue
 		}
 		c.Tries++
@@ -41,6 +41,18 @@
 	}
 }
 
+// refuseChange answers a change that cannot be committed, unless it is one that
+// was committed before and is sent again.
+func refuseChange(w *quetzalfleet.World, row quetzalfleet.Row, problem quetzalfleet.OperatorResult) {
+	c := w.Changes.At(row)
+	if c.Looked {
+		endOperator(w, row, problem)
+		return
+	}
+	c.Looked = true
+	read(w, quetzalfleet.ForChangeRead{Change: row}, []quetzalfleet.RowKey{changeKey(c.ID)})
+}
+
 func changeKey(id quetzalunit.ChangeID) quetzalfleet.RowKey {
 	return quetzalfleet.RowKey{Table: quetzalfleet.TableChanges, Key: string(id)}
 }
@@ -170,7 +182,6 @@
 			tryAgain(w, row)
 		}
 	default:
-		c.Sent = true
 		read(w, quetzalfleet.ForChangeRead{Change: row}, []quetzalfleet.RowKey{changeKey(c.ID)})
 	}
 }
--- a/quetzalcore/quetzalsystem/duty.go
+++ b/quetzalcore/quetzalsystem/duty.go
@@ -24,9 +24,10 @@
 }
 
 // holdsDuty tells whether this process may plan for its zone. It stops planning
-// when its lease has lapsed; its writes are fenced in any case.
+// when its lease has lapsed; its writes are fenced in any case. It begins when it
+// has read what earlier holders wrote, all of which precedes its own takeover.
 func holdsDuty(w *quetzalfleet.World) bool {
-	return w.HeldEpoch > 0 && w.Now.Sub(w.RenewedAt) < w.Self.Lease
+	return w.HeldEpoch > 0 && w.Now.Sub(w.RenewedAt) < w.Self.Lease && w.Seen >= dutyOf(w, w.Self.Zone).Revision
 }
 
 // tendDuty renews the lease on the zone's duties or takes over a lapsed one.
--- a/quetzalcore/quetzalsystem/plan.go
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -11,6 +11,8 @@
 const (
 	// planPeriod is the longest time between two plans.
 	planPeriod = 500 * time.Millisecond
+	// planRetry is the mean wait after a step that the platform did not commit.
+	planRetry = 250 * time.Millisecond
 	// rebootRepeat is the time after which an unanswered reboot is asked for again.
 	rebootRepeat = 5 * time.Second
 	// waveRetry is the wait before a wave takes a host again that did not drain.
@@ -20,7 +22,7 @@
 // plan lets the holder of the zone's duties take the next step of every move,
 // reboot and wave.
 func plan(w *quetzalfleet.World) {
-	if !w.PlanDirty {
+	if !w.PlanDirty || w.Now < w.PlanNotBefore {
 		return
 	}
 	w.PlanDirty = false
@@ -42,6 +44,11 @@
 // advanceHost takes the next step of a host that is out of service.
 func advanceHost(w *quetzalfleet.World, row quetzalfleet.Row) {
 	h := w.Hosts.At(row)
+	if h.Doubt {
+		// A new revision of the row shuts out the change that may still take effect.
+		changeHost(w, row, h.HostSpec)
+		return
+	}
 	switch h.State {
 	case quetzalfleet.HostLeaving:
 		advanceLeaving(w, row)
@@ -141,11 +148,23 @@
 	})
 }
 
-func endHostChange(w *quetzalfleet.World, row quetzalfleet.Row) {
+func endHostChange(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
 	if h := w.Hosts.At(row); h != nil {
 		h.ChangeCall = 0
+		_, h.Doubt = result.(quetzalfleet.NoAnswer)
 	}
+	planAgain(w, result)
+}
+
+// planAgain asks for a new plan: at once after a step that was committed, and
+// after a pause otherwise, so that a platform that fails is not asked in a loop.
+func planAgain(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
 	w.PlanDirty = true
+	if _, ok := result.(quetzalfleet.Committed); ok {
+		return
+	}
+	w.PlanNotBefore = w.Now.Add(w.Jitter(planRetry))
+	w.Timers.Push(w.PlanNotBefore, quetzalfleet.Wake{})
 }
 
 // startMove takes a host out of its pool for another one.
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -84,7 +84,7 @@
 	case quetzalfleet.ForRoster:
 		endRoster(w, p, result)
 	case quetzalfleet.ForRosterRemoval:
-		w.PlanDirty = true
+		planAgain(w, result)
 	case quetzalfleet.ForTakeover:
 		endTakeover(w, call, result)
 	case quetzalfleet.ForRenewal:
@@ -98,11 +98,11 @@
 	case quetzalfleet.ForClaimOutcome:
 		endClaimOutcome(w, p.Requests, result)
 	case quetzalfleet.ForHost:
-		endHostChange(w, p.Host)
+		endHostChange(w, p.Host, result)
 	case quetzalfleet.ForReboot:
 		w.PlanDirty = true
 	case quetzalfleet.ForWave:
-		endWaveChange(w, p.Wave)
+		endWaveChange(w, p.Wave, result)
 	case quetzalfleet.ForChange:
 		endChange(w, p.Change, result)
 	case quetzalfleet.ForChangeRead:
--- /dev/null
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -0,0 +1,331 @@
+package quetzalsystem_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzaltrial"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+func smallFleet() *quetzaltrial.FleetSpec {
+	drain := 3 * time.Second
+	return &quetzaltrial.FleetSpec{
+		Zones:          []quetzalunit.ZoneID{"a", "b"},
+		EntriesPerZone: 3,
+		HostsPerRack:   2,
+		Pools: []quetzaltrial.PoolSpec{
+			{ID: "proofs", HostsPerZone: 2, MinHosts: 1},
+			{ID: "editions", HostsPerZone: 1, MinHosts: 1},
+			{ID: "leaflets", Spare: true, HostsPerZone: 3, MinHosts: 1},
+		},
+		Settings: quetzalfleet.SettingValues{DrainTimeout: &drain},
+	}
+}
+
+func newTrial(t require.TestingT, seed uint64, spec *quetzaltrial.FleetSpec) *quetzaltrial.Trial {
+	trial := quetzaltrial.New(seed)
+	require.NoError(t, trial.Build(spec))
+	return trial
+}
+
+func request(id string, idempotent bool) quetzalfleet.RequestArrived {
+	return quetzalfleet.RequestArrived{
+		ID: quetzalunit.RequestID(id), Queue: "proofs", Timeout: 4 * time.Second, Idempotent: idempotent, Sum: "same",
+	}
+}
+
+func outcomesOf(trial *quetzaltrial.Trial, id string) []quetzalfleet.Outcome {
+	var list []quetzalfleet.Outcome
+	for _, a := range trial.Answers {
+		if a.Request == quetzalunit.RequestID(id) {
+			list = append(list, a.Outcome)
+		}
+	}
+	return list
+}
+
+func TestSameIDRunsOnceAtAnyEntry(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	for _, entry := range []quetzalunit.EntryID{"a-entry0", "a-entry1", "b-entry0", "a-entry0"} {
+		trial.Submit(entry, request("order", false))
+	}
+	trial.Run(5 * time.Second)
+	outcomes := outcomesOf(trial, "order")
+	require.Len(t, outcomes, 4)
+	for _, o := range outcomes {
+		require.IsType(t, quetzalfleet.Ran{}, o)
+	}
+	require.Equal(t, 1, trial.Runs.Len())
+}
+
+func TestSameIDWithAnotherBodyIsAConflict(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.Submit("a-entry0", request("order", false))
+	trial.Run(time.Second)
+	other := request("order", false)
+	other.Sum = "other"
+	trial.Submit("a-entry1", other)
+	trial.Run(time.Second)
+	require.IsType(t, quetzalfleet.Conflict{}, outcomesOf(trial, "order")[1])
+}
+
+func TestLostAnswerOfAClaimRunsOnce(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.Platform.Lose = 1
+	trial.Submit("a-entry0", request("order", false))
+	trial.Run(time.Second)
+	require.Equal(t, 1, trial.Runs.Len())
+	require.IsType(t, quetzalfleet.Ran{}, outcomesOf(trial, "order")[0])
+}
+
+func TestOutageRefusesOnlyWhatNeedsAClaim(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.Platform.Outage = true
+	trial.Run(5 * time.Second)
+	trial.Submit("a-entry0", request("order", false))
+	trial.Submit("a-entry0", request("proof", true))
+	minted := request("q~a-entry0~1~1", false)
+	minted.Minted = true
+	trial.Submit("a-entry0", minted)
+	trial.Run(5 * time.Second)
+	require.Equal(t, quetzalfleet.ClaimUnavailable, outcomesOf(trial, "order")[0].(quetzalfleet.NotRun).Reason)
+	require.IsType(t, quetzalfleet.Ran{}, outcomesOf(trial, "proof")[0])
+	require.IsType(t, quetzalfleet.Ran{}, outcomesOf(trial, "q~a-entry0~1~1")[0])
+	require.Empty(t, trial.Judge())
+}
+
+// A platform that fails is asked at a bounded rate, whatever waits for it.
+func TestOutageDuringAMoveDoesNotSpin(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.Ask("a-entry0", quetzalfleet.MoveHost{ID: "move", Host: "a-host5", Pool: "proofs"})
+	trial.After(12*time.Millisecond, func() { trial.Platform.Outage = true })
+	trial.Run(20 * time.Millisecond)
+	before := trial.Platform.Calls
+	trial.Run(20 * time.Second)
+	const callsPerEntrySecond = 10
+	require.Less(t, trial.Platform.Calls-before, int64(6*20*callsPerEntrySecond))
+	trial.Platform.Outage = false
+	trial.Run(20 * time.Second)
+	require.Equal(t, quetzalunit.PoolID("proofs"), hostSpec(trial, "a-host5").Pool)
+}
+
+func hostSpec(trial *quetzaltrial.Trial, id quetzalunit.HostID) quetzalfleet.HostSpec {
+	w := trial.Entry("a-entry0").World
+	return w.Hosts.At(w.HostByID.Get(id)).HostSpec
+}
+
+func holderOf(trial *quetzaltrial.Trial, zone quetzalunit.ZoneID) quetzalunit.EntryID {
+	w := trial.Entry(quetzaltrial.EntryName(zone, 0)).World
+	return w.Duties.At(w.DutyByZone.Get(zone)).Holder
+}
+
+// An entry that is frozen between its decision and the sending of a request
+// holds up the move of the host until it has confirmed.
+func TestFrozenEntryHoldsUpAMove(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 50 * time.Millisecond }
+	victim := quetzalunit.EntryID("a-entry1")
+	if holderOf(trial, "a") == victim {
+		victim = "a-entry2"
+	}
+	frozen := trial.Entry(victim)
+	for n := range 12 {
+		in := request(fmt.Sprint("late", n), true)
+		in.Minted = true
+		trial.Submit(victim, in)
+	}
+	frozen.FrozenUntil = trial.Now.Add(2 * time.Second)
+	trial.Ask("a-entry0", quetzalfleet.MoveHost{ID: "m0", Host: "a-host0", Pool: "editions"})
+	trial.Run(1500 * time.Millisecond)
+	require.Equal(t, quetzalunit.PoolID("proofs"), hostSpec(trial, "a-host0").Pool)
+	require.Equal(t, quetzalfleet.HostLeaving, hostSpec(trial, "a-host0").State)
+	trial.Run(10 * time.Second)
+	require.Equal(t, quetzalunit.PoolID("editions"), hostSpec(trial, "a-host0").Pool)
+	require.Empty(t, trial.Judge())
+}
+
+func TestWaveFinishesWhenItsHolderDies(t *testing.T) {
+	for kill := range 12 {
+		t.Run(fmt.Sprint("after ", kill*400, " ms"), func(t *testing.T) {
+			trial := newTrial(t, uint64(kill)+1, smallFleet())
+			trial.OnCommit = func() { require.Empty(t, trial.BelowBudget()) }
+			trial.Ask("a-entry0", quetzalfleet.CreateWave{ID: "w", Wave: quetzalfleet.WaveSpec{ID: "spring", MaxConcurrent: 2}})
+			trial.Run(time.Duration(kill) * 400 * time.Millisecond)
+			holder := holderOf(trial, "a")
+			trial.Kill(holder)
+			trial.After(3*time.Second, func() { trial.AddEntry(holder, "a") })
+			trial.Run(3 * time.Minute)
+			w := trial.Entry("b-entry0").World
+			require.Equal(t, quetzalfleet.WaveFinished, w.Waves.At(w.WaveByID.Get("spring")).State)
+			for _, h := range w.Hosts.All() {
+				require.Equal(t, quetzalunit.WaveID("spring"), h.WaveDone)
+				require.Equal(t, quetzalunit.Boot(2), trial.Minion(h.ID).Boot, "one reboot each")
+			}
+		})
+	}
+}
+
+func TestLeavingMinionGetsNoNewWork(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.Minion("a-host0").Leaving = true
+	for n := range 400 {
+		trial.After(time.Duration(n)*10*time.Millisecond, func() {
+			in := request(fmt.Sprint("r", n), true)
+			in.Minted = true
+			trial.Submit(quetzalunit.EntryID(fmt.Sprint("a-entry", n%3)), in)
+		})
+	}
+	const limit = 3 * time.Second
+	trial.Run(limit)
+	trial.Minion("a-host0").Leaving = false
+	trial.Minion("a-host0").Listed = quetzalfleet.ListedLeaving
+	runs := trial.Runs.Len()
+	trial.Run(3 * time.Second)
+	for _, run := range trial.Runs.All() {
+		require.NotEqual(t, quetzalunit.HostID("a-host0"), run.Host)
+	}
+	require.Greater(t, trial.Runs.Len(), runs)
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 700 * time.Millisecond }
+	for n := range 20 {
+		trial.Submit("a-entry0", request(fmt.Sprint("r", n), false))
+	}
+	trial.Run(50 * time.Millisecond)
+	trial.Stop("a-entry0")
+	trial.Run(10 * time.Second)
+	require.True(t, trial.Entry("a-entry0").Finished)
+	require.Len(t, trial.Answers, 20)
+	for _, a := range trial.Answers {
+		require.IsType(t, quetzalfleet.Ran{}, a.Outcome)
+	}
+	w := trial.Entry("a-entry1").World
+	require.Len(t, w.Rosters.At(w.RosterByZone.Get("a")).Entries, 2)
+}
+
+func TestRacingOperatorsLoseNoChange(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	first := quetzalunit.Version(0)
+	three, four := quetzalunit.Attempts(3), quetzalunit.Attempts(4)
+	a := trial.Ask("a-entry0", quetzalfleet.ChangeSetting{
+		ID: "c1", Path: "Fleet/a", IfVersion: &first, Values: quetzalfleet.SettingValues{RetryMaxAttempts: &three},
+	})
+	b := trial.Ask("b-entry0", quetzalfleet.ChangeSetting{
+		ID: "c2", Path: "Fleet/a", IfVersion: &first, Values: quetzalfleet.SettingValues{RetryMaxAttempts: &four},
+	})
+	trial.Run(5 * time.Second)
+	results := []quetzalfleet.OperatorResult{trial.Result(a), trial.Result(b)}
+	conflicts := 0
+	for _, r := range results {
+		if c, ok := r.(quetzalfleet.ChangeConflict); ok {
+			conflicts++
+			require.Positive(t, c.Found)
+		}
+	}
+	require.Equal(t, 1, conflicts, "%v", results)
+	again := trial.Ask("b-entry1", quetzalfleet.ChangeSetting{
+		ID: "c1", Path: "Fleet/a", IfVersion: &first, Values: quetzalfleet.SettingValues{RetryMaxAttempts: &three},
+	})
+	trial.Run(time.Second)
+	if _, ok := results[0].(quetzalfleet.Changed); ok {
+		require.Equal(t, results[0], trial.Result(again), "the same change is applied once")
+	}
+}
+
+// TestPromisesUnderRandomFaults searches hostile orders of requests and faults
+// for a broken promise.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		trial := newTrial(rt, rapid.Uint64Range(1, 1<<20).Draw(rt, "seed"), smallFleet())
+		hostsFailed := false
+		inForce := make(map[quetzalunit.Incarnation]quetzalunit.Version)
+		trial.OnTick = func(e *quetzaltrial.Entry) {
+			self := e.World.Self.Incarnation
+			require.GreaterOrEqual(rt, e.World.InForce, inForce[self], "settings never revert")
+			inForce[self] = e.World.InForce
+		}
+		trial.OnCommit = func() {
+			if !hostsFailed {
+				require.Empty(rt, trial.BelowBudget(), "%v", trial.Decisions)
+			}
+		}
+		n := 0
+		for range rapid.IntRange(5, 25).Draw(rt, "steps") {
+			randomStep(rt, trial, &n, &hostsFailed)
+			trial.Run(time.Duration(rapid.IntRange(1, 900).Draw(rt, "ms")) * time.Millisecond)
+		}
+		trial.Platform.Outage = false
+		for _, e := range trial.Entries.All() {
+			e.CutPeers, e.CutPlatform = false, false
+		}
+		trial.Run(30 * time.Second)
+		require.Empty(rt, trial.Judge())
+		require.Empty(rt, trial.Unanswered())
+	})
+}
+
+func randomStep(rt *rapid.T, trial *quetzaltrial.Trial, n *int, hostsFailed *bool) {
+	*n++
+	zone := rapid.SampledFrom([]quetzalunit.ZoneID{"a", "b"}).Draw(rt, "zone")
+	entry := quetzaltrial.EntryName(zone, rapid.IntRange(0, 2).Draw(rt, "entry"))
+	host := quetzalunit.HostID(fmt.Sprintf("%s-host%d", zone, rapid.IntRange(0, 5).Draw(rt, "host")))
+	e := trial.Entry(entry)
+	switch rapid.IntRange(0, 14).Draw(rt, "step") {
+	case 0, 1, 2, 3:
+		for i := range rapid.IntRange(1, 30).Draw(rt, "burst") {
+			in := request(fmt.Sprintf("r%d-%d", *n, i), rapid.Bool().Draw(rt, "idempotent"))
+			trial.Submit(entry, in)
+		}
+	case 4:
+		in := request(fmt.Sprintf("r%d-0", rapid.IntRange(1, *n).Draw(rt, "again")), false)
+		for _, s := range trial.Submitted {
+			if s.ID == in.ID {
+				in.Idempotent = s.Idempotent
+			}
+		}
+		trial.Submit(entry, in)
+	case 5:
+		trial.Kill(entry)
+		id := entry
+		trial.After(time.Duration(rapid.IntRange(1, 5000).Draw(rt, "down"))*time.Millisecond, func() {
+			if trial.Entry(id).Dead {
+				trial.AddEntry(id, zone)
+			}
+		})
+	case 6:
+		e.FrozenUntil = trial.Now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(rt, "frozen")) * time.Millisecond)
+	case 7:
+		trial.Platform.Outage = !trial.Platform.Outage
+	case 8:
+		trial.Platform.Lose = rapid.IntRange(1, 5).Draw(rt, "lose")
+	case 9:
+		e.CutPeers = !e.CutPeers
+	case 10:
+		e.CutPlatform = !e.CutPlatform
+	case 11:
+		pool := rapid.SampledFrom([]quetzalunit.PoolID{"proofs", "editions", "leaflets"}).Draw(rt, "pool")
+		trial.Ask(entry, quetzalfleet.MoveHost{ID: quetzalunit.ChangeID(fmt.Sprint("m", *n)), Host: host, Pool: pool})
+	case 12:
+		trial.Ask(entry, quetzalfleet.CreateWave{
+			ID:   quetzalunit.ChangeID(fmt.Sprint("w", *n)),
+			Wave: quetzalfleet.WaveSpec{ID: quetzalunit.WaveID(fmt.Sprint("wave", *n)), MaxConcurrent: 2},
+		})
+	case 13:
+		limit := quetzalunit.Requests(1000 + *n)
+		trial.Ask(entry, quetzalfleet.ChangeSetting{
+			ID: quetzalunit.ChangeID(fmt.Sprint("s", *n)), Path: "Fleet/a", Values: quetzalfleet.SettingValues{QueueLimit: &limit},
+		})
+	case 14:
+		*hostsFailed = true
+		trial.Crash(host)
+		trial.After(4*time.Second, func() { trial.Minion(host).Down = false })
+	}
+}
--- a/quetzalcore/quetzalsystem/wave.go
+++ b/quetzalcore/quetzalsystem/wave.go
@@ -54,11 +54,11 @@
 	w.Decide(quetzalfleet.DecisionWave, string(v.ID), "every host is done")
 }
 
-func endWaveChange(w *quetzalfleet.World, row quetzalfleet.Row) {
+func endWaveChange(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
 	if v := w.Waves.At(row); v != nil {
 		v.ChangeCall = 0
 	}
-	w.PlanDirty = true
+	planAgain(w, result)
 }
 
 // runWave takes hosts for one wave until its limit or the budgets stop it.
--- /dev/null
+++ b/quetzalcore/quetzaltrial/fleet.go
@@ -0,0 +1,96 @@
+package quetzaltrial
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// PoolSpec describes a pool and its queue of the same name in every zone.
+type PoolSpec struct {
+	ID    quetzalunit.PoolID
+	Spare bool
+	// HostsPerZone and MinHosts are the pool's hosts and budget in each zone.
+	HostsPerZone int
+	MinHosts     quetzalunit.Hosts
+}
+
+// FleetSpec describes a fleet.
+type FleetSpec struct {
+	Zones          []quetzalunit.ZoneID
+	EntriesPerZone int
+	Pools          []PoolSpec
+	Teams          []quetzalunit.TeamID
+	// HostsPerRack groups the hosts of a zone.
+	HostsPerRack int
+	// Settings are set on the root of the tree.
+	Settings quetzalfleet.SettingValues
+}
+
+// buildTime is the time in which a fleet is declared and known everywhere.
+const buildTime = 6 * time.Second
+
+// EntryName returns the name of the nth entry of a zone.
+func EntryName(zone quetzalunit.ZoneID, n int) quetzalunit.EntryID {
+	return quetzalunit.EntryID(fmt.Sprintf("%s-entry%d", zone, n))
+}
+
+// Build starts the entries and declares pools, queues, teams and hosts through
+// the first entry. It returns an error when a change is not accepted.
+func (t *Trial) Build(s *FleetSpec) error {
+	for _, z := range s.Zones {
+		for n := range s.EntriesPerZone {
+			t.AddEntry(EntryName(z, n), z)
+		}
+	}
+	t.Run(buildTime)
+	first := EntryName(s.Zones[0], 0)
+	var asked []quetzalunit.Caller
+	for _, a := range t.declarations(s) {
+		asked = append(asked, t.Ask(first, a))
+		t.Run(2 * PlatformTime)
+	}
+	t.Run(buildTime)
+	for _, c := range asked {
+		if _, ok := t.Result(c).(quetzalfleet.Changed); !ok {
+			return eris.Errorf("a change was not accepted: %#v", t.Result(c))
+		}
+	}
+	return nil
+}
+
+func (t *Trial) declarations(s *FleetSpec) []quetzalfleet.OperatorAction {
+	var list []quetzalfleet.OperatorAction
+	id := func() quetzalunit.ChangeID { return quetzalunit.ChangeID(fmt.Sprintf("build-%d", len(list))) }
+	list = append(list, quetzalfleet.ChangeSetting{ID: id(), Path: "Fleet", Values: s.Settings})
+	for _, p := range s.Pools {
+		row := quetzalfleet.PoolRow{ID: p.ID, Spare: p.Spare}
+		for _, z := range s.Zones {
+			row.Budgets = append(row.Budgets, quetzalfleet.ZoneBudget{Zone: z, MinHosts: p.MinHosts})
+		}
+		list = append(list, quetzalfleet.ChangePool{ID: id(), Pool: row})
+		list = append(list, quetzalfleet.ChangeQueue{ID: id(), Queue: quetzalfleet.QueueRow{ID: quetzalunit.QueueID(p.ID), Pool: p.ID}})
+	}
+	for _, team := range s.Teams {
+		list = append(list, quetzalfleet.ChangeTeam{ID: id(), Team: quetzalfleet.TeamRow{ID: team, Weight: 1}})
+	}
+	for _, z := range s.Zones {
+		n := 0
+		for _, p := range s.Pools {
+			for range p.HostsPerZone {
+				host := quetzalunit.HostID(fmt.Sprintf("%s-host%d", z, n))
+				rack := quetzalunit.RackID(fmt.Sprintf("%s-rack%d", z, n/max(1, s.HostsPerRack)))
+				t.AddMinion(host)
+				list = append(list, quetzalfleet.RegisterHost{ID: id(), Host: quetzalfleet.HostSpec{
+					ID: host, Address: quetzalunit.Address(host), Zone: z, Rack: rack, Pool: p.ID,
+				}})
+				n++
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/quetzalcore/quetzaltrial/perform.go
@@ -0,0 +1,218 @@
+package quetzaltrial
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzaltable"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// perform executes a command of an entry. The commands of a frozen entry wait.
+func (t *Trial) perform(row quetzaltable.Row, c quetzalfleet.Command) {
+	e := t.Entries.At(row)
+	if e.Dead {
+		return
+	}
+	if t.Now < e.FrozenUntil {
+		t.events.Push(e.FrozenUntil, commandLeaves{entry: row, command: c})
+		return
+	}
+	switch c := c.(type) {
+	case quetzalfleet.SendAttempt:
+		t.send(row, &c)
+	case quetzalfleet.CancelAttempt:
+		t.cancel(row, c.Attempt)
+	case quetzalfleet.AnswerCaller:
+		t.answer(e.World.Self.Incarnation, &c)
+	case quetzalfleet.WriteStore:
+		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.ReadStore:
+		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.ScanStore:
+		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.ListHosts:
+		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.RebootHost:
+		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.TellPeer:
+		t.tellPeer(row, &c)
+	case quetzalfleet.AnswerGossip:
+		t.answerGossip(&c)
+	case quetzalfleet.AskPeer:
+		t.askPeer(row, &c)
+	case quetzalfleet.AnswerOperator:
+		t.operator[c.Caller] = c.Result
+	case quetzalfleet.FinishStop:
+		e.Finished = true
+	case quetzalfleet.ObserveRequest:
+	case quetzalfleet.LogDecision:
+		t.Decisions = append(t.Decisions, EntryDecision{Entry: e.ID, Decision: c.Decision})
+	}
+}
+
+func (t *Trial) answer(process quetzalunit.Incarnation, c *quetzalfleet.AnswerCaller) {
+	row := quetzaltable.Row(c.Caller)
+	who := t.callers.At(row)
+	if who == nil {
+		return
+	}
+	switch who := (*who).(type) {
+	case userCaller:
+		t.Answers = append(t.Answers, Answer{Request: c.ID, Process: process, Outcome: c.Outcome, At: t.Now})
+	case peerJoin:
+		t.events.Push(t.Now.Add(Hop), inputArrives{
+			entry: who.entry, in: quetzalfleet.JoinAnswered{Request: who.request, Outcome: c.Outcome},
+		})
+	case peerGossip:
+	}
+	t.callers.Delete(row)
+}
+
+// reach returns the entry at an address, or zero when it cannot be reached.
+func (t *Trial) reach(from quetzaltable.Row, to quetzalunit.Address) quetzaltable.Row {
+	row := t.entryByAddr.Get(to)
+	e := t.Entries.At(row)
+	if e == nil || e.Dead || e.Finished || e.CutPeers || t.Entries.At(from).CutPeers {
+		return 0
+	}
+	return row
+}
+
+func (t *Trial) tellPeer(row quetzaltable.Row, c *quetzalfleet.TellPeer) {
+	to := t.reach(row, c.Address)
+	if to == 0 {
+		t.events.Push(t.Now.Add(failTime), inputArrives{
+			entry: row, in: quetzalfleet.PeerAnswered{Peer: c.Peer, Failed: true},
+		})
+		return
+	}
+	who := t.callers.Insert(peerGossip{entry: row, peer: c.Peer})
+	t.events.Push(t.Now.Add(Hop), inputArrives{
+		entry: to, in: quetzalfleet.PeerSaid{Caller: quetzalunit.Caller(who), Message: c.Message},
+	})
+	t.After(failTime, func() {
+		if t.callers.At(who) != nil {
+			t.callers.Delete(who)
+			t.deliver(row, quetzalfleet.PeerAnswered{Peer: c.Peer, Failed: true})
+		}
+	})
+}
+
+func (t *Trial) answerGossip(c *quetzalfleet.AnswerGossip) {
+	row := quetzaltable.Row(c.Caller)
+	who := t.callers.At(row)
+	if who == nil {
+		return
+	}
+	g, ok := (*who).(peerGossip)
+	t.callers.Delete(row)
+	if ok {
+		t.events.Push(t.Now.Add(Hop), inputArrives{entry: g.entry, in: quetzalfleet.PeerAnswered{
+			Peer: g.peer, Seen: c.Seen, SettingsVersion: c.SettingsVersion,
+		}})
+	}
+}
+
+func (t *Trial) askPeer(row quetzaltable.Row, c *quetzalfleet.AskPeer) {
+	to := t.reach(row, c.Address)
+	if to == 0 {
+		t.events.Push(t.Now.Add(failTime), inputArrives{entry: row, in: quetzalfleet.JoinAnswered{Request: c.Request}})
+		return
+	}
+	who := t.callers.Insert(peerJoin{entry: row, request: c.Request})
+	t.events.Push(t.Now.Add(Hop), inputArrives{entry: to, in: quetzalfleet.JoinArrived{
+		Caller: quetzalunit.Caller(who), ID: c.ID, Incarnation: c.Incarnation,
+	}})
+	t.After(max(c.Timeout, time.Millisecond), func() {
+		if t.callers.At(who) != nil {
+			t.callers.Delete(who)
+			t.deliver(row, quetzalfleet.JoinAnswered{Request: c.Request})
+		}
+	})
+}
+
+// send lets a minion run or refuse a request.
+func (t *Trial) send(row quetzaltable.Row, c *quetzalfleet.SendAttempt) {
+	m := t.Minion(c.Host)
+	end := func(after time.Duration, result quetzalfleet.AttemptResult) {
+		t.events.Push(t.Now.Add(after), inputArrives{
+			entry: row, in: quetzalfleet.AttemptEnded{Attempt: c.Attempt, Result: result},
+		})
+	}
+	switch {
+	case m == nil || m.Down || m.rebooting:
+		end(2*Hop, quetzalfleet.NotSent{})
+		return
+	case m.Leaving:
+		end(2*Hop, quetzalfleet.Refused{Leaving: true})
+		return
+	case m.Running >= quetzalunit.SlotsPerMinion:
+		end(2*Hop, quetzalfleet.Refused{})
+		return
+	}
+	m.Running++
+	run := t.Runs.Insert(Run{
+		Request: c.ID, Host: c.Host, Pool: c.Pool, Generation: c.Generation,
+		Entry: row, Attempt: c.Attempt, Start: t.Now.Add(Hop),
+	})
+	d := t.RunTime(c.ID)
+	if m.BlackHole {
+		d = 0
+	}
+	t.events.Push(t.Now.Add(2*Hop+min(d, c.Timeout)), runEnds{run: run})
+}
+
+// finishRun ends a run by itself: with an answer, or at the attempt's time-out.
+func (t *Trial) finishRun(row quetzaltable.Row) {
+	run := t.Runs.At(row)
+	if run.End > 0 {
+		return
+	}
+	m := t.Minion(run.Host)
+	status := quetzalunit.Status(200)
+	if m.BlackHole {
+		status = 500
+	}
+	if t.Now.Sub(run.Start) < t.RunTime(run.Request) && !m.BlackHole {
+		t.endRun(row, false)
+		t.deliver(run.Entry, quetzalfleet.AttemptEnded{Attempt: run.Attempt, Result: quetzalfleet.TimedOut{}})
+		return
+	}
+	t.endRun(row, status == 200)
+	t.deliver(run.Entry, quetzalfleet.AttemptEnded{
+		Attempt: run.Attempt, Result: quetzalfleet.Answered{Answer: &quetzalfleet.Payload{Status: status}},
+	})
+}
+
+func (t *Trial) endRun(row quetzaltable.Row, completed bool) {
+	run := t.Runs.At(row)
+	run.End = t.Now
+	run.Completed = completed
+	t.Minion(run.Host).Running--
+}
+
+func (t *Trial) cancel(entry quetzaltable.Row, attempt quetzalfleet.Row) {
+	for row, run := range t.Runs.All() {
+		if run.Entry == entry && run.Attempt == attempt && run.End == 0 {
+			t.endRun(row, false)
+			t.deliver(entry, quetzalfleet.AttemptEnded{Attempt: attempt, Result: quetzalfleet.Broken{}})
+			return
+		}
+	}
+}
+
+// Crash takes a host down: its runs break.
+func (t *Trial) Crash(id quetzalunit.HostID) {
+	t.Minion(id).Down = true
+	t.breakRuns(id)
+}
+
+func (t *Trial) breakRuns(id quetzalunit.HostID) {
+	for row, run := range t.Runs.All() {
+		if run.Host == id && run.End == 0 {
+			t.endRun(row, false)
+			t.deliver(run.Entry, quetzalfleet.AttemptEnded{Attempt: run.Attempt, Result: quetzalfleet.Broken{}})
+		}
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzaltrial/platform.go
@@ -0,0 +1,146 @@
+package quetzaltrial
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalcodec"
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalplatform"
+	"quetzalstair/quetzalcore/quetzaltable"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// rebootTime is the time that a host takes to reboot.
+const rebootTime = 2 * time.Second
+
+func (t *Trial) callPlatform(row quetzaltable.Row, call quetzalfleet.Row, c quetzalfleet.Command) {
+	t.Platform.Calls++
+	if t.Platform.Outage || t.Entries.At(row).CutPlatform {
+		t.reply(row, call, quetzalfleet.NoAnswer{}, Hop)
+		return
+	}
+	t.events.Push(t.Now.Add(PlatformTime/2), platformHears{entry: row, call: call, command: c})
+}
+
+func (t *Trial) reply(row quetzaltable.Row, call quetzalfleet.Row, result quetzalfleet.StoreResult, after time.Duration) {
+	t.events.Push(t.Now.Add(after), inputArrives{
+		entry: row, in: quetzalfleet.StoreAnswered{Call: call, Result: result},
+	})
+}
+
+func (t *Trial) platformHears(e platformHears) {
+	result := t.apply(e.command)
+	if _, ok := e.command.(quetzalfleet.WriteStore); ok && t.Platform.Lose > 0 {
+		t.Platform.Lose--
+		result = quetzalfleet.NoAnswer{}
+	}
+	t.reply(e.entry, e.call, result, PlatformTime/2)
+}
+
+func (t *Trial) apply(c quetzalfleet.Command) quetzalfleet.StoreResult {
+	switch c := c.(type) {
+	case quetzalfleet.WriteStore:
+		return t.commit(&c.Transaction)
+	case quetzalfleet.ReadStore:
+		ids := make([]quetzalplatform.RowID, 0, len(c.Keys))
+		for _, key := range c.Keys {
+			ids = append(ids, rowID(key))
+		}
+		rows, rev := t.Platform.Tables.Read(ids)
+		return quetzalfleet.RowsRead{Revision: rev, Rows: decodeRows(rows)}
+	case quetzalfleet.ScanStore:
+		names := make([]string, 0, len(quetzalfleet.FleetTables()))
+		for _, name := range quetzalfleet.FleetTables() {
+			names = append(names, string(name))
+		}
+		rows, rev := t.Platform.Tables.Scan(names, c.After)
+		return quetzalfleet.RowsRead{Revision: rev, Rows: decodeRows(rows)}
+	case quetzalfleet.ListHosts:
+		return t.list()
+	case quetzalfleet.RebootHost:
+		t.reboot(c.Host, c.Before)
+		return quetzalfleet.RebootAccepted{}
+	default:
+		return quetzalfleet.NoAnswer{}
+	}
+}
+
+func rowID(key quetzalfleet.RowKey) quetzalplatform.RowID {
+	return quetzalplatform.RowID{Table: string(key.Table), Key: key.Key}
+}
+
+func (t *Trial) commit(tx *quetzalfleet.Transaction) quetzalfleet.StoreResult {
+	conditions := make([]quetzalplatform.Condition, 0, len(tx.Conditions))
+	for _, c := range tx.Conditions {
+		conditions = append(conditions, quetzalplatform.Condition{RowID: rowID(c.Key), Revision: c.Revision})
+	}
+	writes := make([]quetzalplatform.Write, 0, len(tx.Writes))
+	for _, w := range tx.Writes {
+		text, err := quetzalcodec.EncodeRow(w.Row)
+		if err != nil {
+			panic(err) // every row that a system writes can be encoded
+		}
+		writes = append(writes, quetzalplatform.Write{RowID: rowID(w.Key), Value: text})
+	}
+	rev, conflicts := t.Platform.Tables.Commit(conditions, writes)
+	if len(conflicts) > 0 {
+		return quetzalfleet.Conflicted{Rows: decodeRows(conflicts)}
+	}
+	if t.OnCommit != nil {
+		t.OnCommit()
+	}
+	return quetzalfleet.Committed{Revision: rev}
+}
+
+func decodeRows(rows []quetzalplatform.Row) []quetzalfleet.RevisedRow {
+	decoded := make([]quetzalfleet.RevisedRow, 0, len(rows))
+	for _, row := range rows {
+		if row.Revision == 0 {
+			continue
+		}
+		key := quetzalfleet.RowKey{Table: quetzalfleet.TableName(row.Table), Key: row.Key}
+		v, err := quetzalcodec.DecodeRow(key, row.Value)
+		if err != nil {
+			panic(err) // every row of the table was encoded by commit
+		}
+		decoded = append(decoded, quetzalfleet.RevisedRow{Key: key, Revision: row.Revision, Row: v})
+	}
+	return decoded
+}
+
+// list returns the hosts as they are.
+func (t *Trial) list() quetzalfleet.HostsListed {
+	var l quetzalfleet.HostsListed
+	for _, m := range t.Minions.All() {
+		l.Hosts = append(l.Hosts, quetzalfleet.ListedHost{ID: m.ID, State: m.Listed, Boot: m.Boot})
+	}
+	for _, e := range t.Entries.All() {
+		h := quetzalfleet.ListedHost{ID: quetzalunit.HostID(e.ID)}
+		if t.Entry(e.ID) != e {
+			continue
+		}
+		if e.Dead {
+			h.State = quetzalfleet.ListedGone
+		}
+		l.Hosts = append(l.Hosts, h)
+	}
+	return l
+}
+
+func (t *Trial) reboot(id quetzalunit.HostID, before quetzalunit.Boot) {
+	m := t.Minion(id)
+	if m == nil || m.Boot != before || m.rebooting {
+		return
+	}
+	m.rebooting = true
+	m.Listed = quetzalfleet.ListedLeaving
+	t.breakRuns(id)
+	t.events.Push(t.Now.Add(rebootTime), rebootEnds{minion: t.minionByID.Get(id)})
+}
+
+func (t *Trial) finishReboot(row quetzaltable.Row) {
+	m := t.Minions.At(row)
+	m.Boot++
+	m.rebooting = false
+	m.Listed = quetzalfleet.ListedLive
+}
