--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,11 @@
 .PHONY: demo
 demo: build
 	demo/run.sh
+
+.PHONY: test
+test: build vet lint
+	ci/test.sh $(MODULES)
+
+.PHONY: soak
+soak:
+	cd quetzalcore && go test ./quetzalsystem -run TestPromisesUnderRandomFaults -rapid.checks=5000 -rapid.seed=$$(date +%s) -count=1 -timeout 30m
--- a/quetzalcore/quetzalfront/callers.go
+++ b/quetzalcore/quetzalfront/callers.go
@@ -35,6 +35,8 @@
 )
 
 const (
+	// flagTrue is the value of a header field or parameter that is switched on.
+	flagTrue   = "true"
 	maxTimeout = 24 * time.Hour
 	// bodyTimeout bounds the time in which a caller sends a body.
 	bodyTimeout = 30 * time.Second
@@ -218,7 +220,7 @@
 	switch text {
 	case "", "false":
 		return false, nil
-	case "true":
+	case flagTrue:
 		return true, nil
 	}
 	return false, &HeaderError{Field: field, Value: text, Problem: "is not true or false"}
--- a/quetzalcore/quetzalfront/operators.go
+++ b/quetzalcore/quetzalfront/operators.go
@@ -189,7 +189,7 @@
 		}
 		values, err := quetzalsettings.ParseValues(&d.Values)
 		if err != nil {
-			return nil, err //nolint:wrapcheck // the error names the field
+			return nil, err
 		}
 		a := quetzalfleet.ChangeSetting{ID: id, Path: path, Delete: deleted, Values: values}
 		if d.IfVersion != nil {
@@ -263,7 +263,7 @@
 	if d.MaxConcurrent != nil {
 		wave.MaxConcurrent = quetzalunit.Hosts(*d.MaxConcurrent)
 	}
-	if r.URL.Query().Get("DryRun") == "true" {
+	if r.URL.Query().Get("DryRun") == flagTrue {
 		return quetzalfleet.PlanWave{Wave: wave}, nil
 	}
 	return quetzalfleet.CreateWave{ID: id, Wave: wave}, nil
--- a/quetzalcore/quetzalfront/results.go
+++ b/quetzalcore/quetzalfront/results.go
@@ -19,7 +19,8 @@
 		writeJSON(w, http.StatusOK, quetzalwire.ChangeResult{ChangeID: string(v.ID), Version: int(v.Version)})
 	case quetzalfleet.ChangeConflict:
 		writeError(w, http.StatusConflict, quetzalwire.ErrorDoc{Code: "Conflict", Message: fmt.Sprintf(
-			"the node has version %d, not %d: read it again and repeat the change", v.Found, v.Asked)})
+			"the node has version %d, not %d: read it again and repeat the change", v.Found, v.Asked,
+		)})
 	case quetzalfleet.ChangeRefused:
 		writeError(w, http.StatusUnprocessableEntity, quetzalwire.ErrorDoc{Code: "Refused", Message: string(v.Problem)})
 	case quetzalfleet.ChangeUnknown:
@@ -35,7 +36,7 @@
 func (o *Operators) viewDoc(r *http.Request, result quetzalfleet.OperatorResult) any {
 	switch v := result.(type) {
 	case quetzalfleet.SettingView:
-		return settingDoc(&v, r.URL.Query().Get("Explain") == "true")
+		return settingDoc(&v, r.URL.Query().Get("Explain") == flagTrue)
 	case quetzalfleet.VersionsView:
 		return versionsDoc(&v)
 	case quetzalfleet.PoolsView:
--- a/quetzalcore/quetzalsettings/values.go
+++ b/quetzalcore/quetzalsettings/values.go
@@ -104,68 +104,68 @@
 
 var (
 	dispatchPolicies = map[quetzalwire.SettingValuesDispatchPolicy]quetzalfleet.DispatchPolicy{
-		"Shared": quetzalfleet.SharedDispatch{},
-		"Fixed":  quetzalfleet.FixedDispatch{},
-		"Borrow": quetzalfleet.BorrowDispatch{},
+		quetzalwire.SettingValuesDispatchPolicyShared: quetzalfleet.SharedDispatch{},
+		quetzalwire.SettingValuesDispatchPolicyFixed:  quetzalfleet.FixedDispatch{},
+		quetzalwire.SettingValuesDispatchPolicyBorrow: quetzalfleet.BorrowDispatch{},
 	}
 	retryPolicies = map[quetzalwire.SettingValuesRetryPolicy]quetzalfleet.RetryPolicy{
-		"None":        quetzalfleet.NoRetry{},
-		"Exponential": quetzalfleet.ExponentialRetry{},
-		"FourPhase":   quetzalfleet.FourPhaseRetry{},
+		quetzalwire.SettingValuesRetryPolicyNone:        quetzalfleet.NoRetry{},
+		quetzalwire.SettingValuesRetryPolicyExponential: quetzalfleet.ExponentialRetry{},
+		quetzalwire.SettingValuesRetryPolicyFourPhase:   quetzalfleet.FourPhaseRetry{},
 	}
 	movePolicies = map[quetzalwire.SettingValuesMovePolicy]quetzalfleet.MovePolicy{
-		"Fixed":     quetzalfleet.FixedBuffer{},
-		"Reactive":  quetzalfleet.ReactiveMoves{},
-		"SkiRental": quetzalfleet.SkiRentalMoves{},
+		quetzalwire.SettingValuesMovePolicyFixed:     quetzalfleet.FixedBuffer{},
+		quetzalwire.SettingValuesMovePolicyReactive:  quetzalfleet.ReactiveMoves{},
+		quetzalwire.SettingValuesMovePolicySkiRental: quetzalfleet.SkiRentalMoves{},
 	}
 	lanePolicies = map[quetzalwire.SettingValuesLanePolicy]quetzalfleet.LanePolicy{
-		"Open":    quetzalfleet.OpenLanes{},
-		"Reserve": quetzalfleet.ReserveLanes{},
-		"Demote":  quetzalfleet.DemoteLanes{},
+		quetzalwire.SettingValuesLanePolicyOpen:    quetzalfleet.OpenLanes{},
+		quetzalwire.SettingValuesLanePolicyReserve: quetzalfleet.ReserveLanes{},
+		quetzalwire.SettingValuesLanePolicyDemote:  quetzalfleet.DemoteLanes{},
 	}
 )
 
 func dispatchName(p quetzalfleet.DispatchPolicy) quetzalwire.SettingValuesDispatchPolicy {
 	switch p.(type) {
 	case quetzalfleet.FixedDispatch:
-		return "Fixed"
+		return quetzalwire.SettingValuesDispatchPolicyFixed
 	case quetzalfleet.BorrowDispatch:
-		return "Borrow"
+		return quetzalwire.SettingValuesDispatchPolicyBorrow
 	default:
-		return "Shared"
+		return quetzalwire.SettingValuesDispatchPolicyShared
 	}
 }
 
 func retryName(p quetzalfleet.RetryPolicy) quetzalwire.SettingValuesRetryPolicy {
 	switch p.(type) {
 	case quetzalfleet.NoRetry:
-		return "None"
+		return quetzalwire.SettingValuesRetryPolicyNone
 	case quetzalfleet.FourPhaseRetry:
-		return "FourPhase"
+		return quetzalwire.SettingValuesRetryPolicyFourPhase
 	default:
-		return "Exponential"
+		return quetzalwire.SettingValuesRetryPolicyExponential
 	}
 }
 
 func moveName(p quetzalfleet.MovePolicy) quetzalwire.SettingValuesMovePolicy {
 	switch p.(type) {
 	case quetzalfleet.FixedBuffer:
-		return "Fixed"
+		return quetzalwire.SettingValuesMovePolicyFixed
 	case quetzalfleet.ReactiveMoves:
-		return "Reactive"
+		return quetzalwire.SettingValuesMovePolicyReactive
 	default:
-		return "SkiRental"
+		return quetzalwire.SettingValuesMovePolicySkiRental
 	}
 }
 
 func laneName(p quetzalfleet.LanePolicy) quetzalwire.SettingValuesLanePolicy {
 	switch p.(type) {
 	case quetzalfleet.OpenLanes:
-		return "Open"
+		return quetzalwire.SettingValuesLanePolicyOpen
 	case quetzalfleet.ReserveLanes:
-		return "Reserve"
+		return quetzalwire.SettingValuesLanePolicyReserve
 	default:
-		return "Demote"
+		return quetzalwire.SettingValuesLanePolicyDemote
 	}
 }
 
--- a/quetzalcore/quetzalsystem/attempt.go
+++ b/quetzalcore/quetzalsystem/attempt.go
@@ -70,7 +70,7 @@
 		if result.Answer.Status >= statusServerError && r.Idempotent && retryLater(w, a.Request, a.Host) {
 			return
 		}
-		finish(w, a.Request, quetzalfleet.Ran{Answer: result.Answer})
+		finish(w, a.Request, quetzalfleet.Ran(result))
 	case quetzalfleet.Refused:
 		sendBack(w, a.Request)
 	case quetzalfleet.NotSent:
--- a/quetzalcore/quetzalsystem/plan.go
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -168,7 +168,7 @@
 }
 
 // startMove takes a host out of its pool for another one.
-func startMove(w *quetzalfleet.World, row quetzalfleet.Row, to quetzalunit.PoolID, home quetzalunit.PoolID, reason string) {
+func startMove(w *quetzalfleet.World, row quetzalfleet.Row, to, home quetzalunit.PoolID, reason string) {
 	h := w.Hosts.At(row)
 	next := h.HostSpec
 	next.Generation++
--- a/quetzalctl/commands.go
+++ b/quetzalctl/commands.go
@@ -33,7 +33,7 @@
 func show[D any](g *globals, path string) error {
 	var doc D
 	if err := g.client().Get(context.Background(), path, &doc); err != nil {
-		return err //nolint:wrapcheck // the error names the entry or its answer
+		return err
 	}
 	return g.write(doc)
 }
@@ -42,7 +42,7 @@
 func send(g *globals, method, path string, change any) error {
 	var result quetzalwire.ChangeResult
 	if err := g.client().Do(context.Background(), method, path, change, &result); err != nil {
-		return err //nolint:wrapcheck // the error names the entry or its answer
+		return err
 	}
 	return g.write(result)
 }
--- a/quetzalctl/main.go
+++ b/quetzalctl/main.go
@@ -34,7 +34,7 @@
 }
 
 func (g *globals) write(doc any) error {
-	return quetzaltext.Write(os.Stdout, g.Output, doc) //nolint:wrapcheck // the error says what failed
+	return quetzaltext.Write(os.Stdout, g.Output, doc)
 }
 
 // commandLine is the command line of quetzalctl.
--- a/quetzalctl/waves.go
+++ b/quetzalctl/waves.go
@@ -46,7 +46,7 @@
 	if c.DryRun {
 		var plan quetzalwire.WaveList
 		if err := g.client().Do(context.Background(), http.MethodPut, "/waves/"+c.Wave+"?DryRun=true", change, &plan); err != nil {
-			return err //nolint:wrapcheck // the error names the entry or its answer
+			return err
 		}
 		return g.write(plan)
 	}
@@ -101,7 +101,7 @@
 	return waitUntil(func() (bool, error) {
 		var list quetzalwire.WaveList
 		if err := g.client().Get(context.Background(), "/waves", &list); err != nil {
-			return false, err //nolint:wrapcheck // the error names the entry or its answer
+			return false, err
 		}
 		for _, v := range list.Waves {
 			if v.Wave.Wave != name {
@@ -113,6 +113,7 @@
 				return true, nil
 			case quetzalwire.WaveDocStateCancelled:
 				return false, eris.Errorf("wave %s was cancelled", name)
+			case quetzalwire.WaveDocStateRunning, quetzalwire.WaveDocStatePaused:
 			}
 		}
 		return false, nil
@@ -123,7 +124,7 @@
 	return waitUntil(func() (bool, error) {
 		var list quetzalwire.HostStatusList
 		if err := g.client().Get(context.Background(), "/hosts", &list); err != nil {
-			return false, err //nolint:wrapcheck // the error names the entry or its answer
+			return false, err
 		}
 		for _, h := range list.Hosts {
 			if h.Host.Host != host {
@@ -144,7 +145,7 @@
 func (c *applyCommand) Run(g *globals) error {
 	var f quetzalwire.FleetFile
 	if _, err := quetzalsettings.Load(c.File, &f); err != nil {
-		return err //nolint:wrapcheck // the error names the file and the line
+		return err
 	}
 	quiet := *g
 	quiet.Output = "json"
--- a/quetzalentry/main.go
+++ b/quetzalentry/main.go
@@ -34,7 +34,7 @@
 func (c *runCommand) Run() error {
 	cfg, err := quetzalsettings.LoadEntry(c.Settings)
 	if err != nil {
-		return err //nolint:wrapcheck // the error names the file and the field
+		return err
 	}
 	return serve(&cfg)
 }
@@ -47,7 +47,7 @@
 func (c *checkCommand) Run() error {
 	cfg, err := quetzalsettings.LoadEntry(c.Settings)
 	if err != nil {
-		return err //nolint:wrapcheck // the error names the file and the field
+		return err
 	}
 	fmt.Printf("%s: entry %s of zone %s: the settings can be used\n", c.Settings, cfg.Entry, cfg.Zone)
 	return nil
--- a/quetzalload/main.go
+++ b/quetzalload/main.go
@@ -42,7 +42,7 @@
 	ShortRun    time.Duration `default:"5ms" help:"Run time of short requests."`
 	LongRun     time.Duration `default:"2s" help:"Run time of long requests."`
 	Timeout     time.Duration `default:"10s" help:"Deadline of each request."`
-	OwnIds      bool          `help:"Choose the requests' ids, and send again when an entry does not answer."`
+	OwnIDs      bool          `name:"own-ids" help:"Choose the requests' ids, and send again when an entry does not answer."`
 	BodyBytes   int           `default:"64" help:"Size of each body, in bytes."`
 	Seed        uint64        `default:"1" help:"Seed of the plan."`
 	Log         []string      `help:"Admin URL of a stand-in's minions, whose log judges the answers; repeat for each."`
@@ -71,7 +71,7 @@
 	fmt.Printf("%.0f answers a second\n", float64(shots.Len())/elapsed.Seconds())
 	runs, err := quetzalverdict.Runs(context.Background(), c.Log)
 	if err != nil {
-		return err //nolint:wrapcheck // the error names the log
+		return err
 	}
 	verdict := quetzalverdict.Judge(shots, runs)
 	if len(c.Log) == 0 {
@@ -82,7 +82,7 @@
 	if err := c.writePage(&verdict, series); err != nil {
 		return err
 	}
-	return verdict.Broken() //nolint:wrapcheck // the error names the promise
+	return verdict.Broken()
 }
 
 func (c *runCommand) spec() *quetzalarrival.Spec {
@@ -90,7 +90,7 @@
 		Rate: c.Rate, For: c.For, Profile: quetzalarrival.Flat{},
 		Long: quetzalunit.Percent(c.Long), Misdeclared: quetzalunit.Percent(c.Misdeclared),
 		Urgent: quetzalunit.Percent(c.Urgent), Idempotent: quetzalunit.Percent(c.Idempotent),
-		ShortRun: c.ShortRun, LongRun: c.LongRun, Timeout: c.Timeout, OwnIDs: c.OwnIds, Seed: c.Seed,
+		ShortRun: c.ShortRun, LongRun: c.LongRun, Timeout: c.Timeout, OwnIDs: c.OwnIDs, Seed: c.Seed,
 	}
 	if c.Burst > 0 {
 		s.Profile = quetzalarrival.Burst{Turn: c.Burst}
--- a/quetzalload/quetzalarrival/arrival.go
+++ b/quetzalload/quetzalarrival/arrival.go
@@ -49,11 +49,10 @@
 func factor(p Profile, queue, queues int, at time.Duration) float64 {
 	switch p := p.(type) {
 	case Burst:
-		turn := int(at/p.Turn) % queues
-		switch {
-		case turn == queue:
+		switch turn := int(at/p.Turn) % queues; turn {
+		case queue:
 			return burstFactor
-		case turn == (queue+1)%queues:
+		case (queue + 1) % queues:
 			return quietFactor
 		}
 	case Flat:
