--- a/quetzalcore/quetzalmetric/metric.go
+++ b/quetzalcore/quetzalmetric/metric.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
@@ -46,7 +47,8 @@
 
 // New returns metrics and a function that stops their reports.
 func New() (*Metrics, func(), error) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "quetzalstair", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, CardinalityMetricsTags: nil, OmitCardinalityMetrics: true,
--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/asynkron/protoactor-go/actor"
+	"github.com/rotisserie/eris"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalmetric"
@@ -103,7 +106,7 @@
 	e.world.Self = id
 	e.cancels = make(map[quetzalfleet.Row]context.CancelFunc)
 	e.finished = make(chan struct{})
-	system := actor.NewActorSystem()
+	system := actor.NewActorSystem(actor.WithLoggerFactory(libraryLogger))
 	pid := system.Root.Spawn(actor.PropsFromFunc(e.receive))
 	e.inbox.send = func() { system.Root.Send(pid, wake{}) }
 	e.timer = time.AfterFunc(time.Hour, e.inbox.wake)
@@ -121,9 +124,17 @@
 }
 
 func (e *engine) receive(c actor.Context) {
-	if _, ok := c.Message().(wake); ok {
-		e.tick()
+	if _, ok := c.Message().(wake); !ok {
+		return
 	}
+	// The library would go on after a panic with a World that a half-done tick left.
+	defer func() {
+		if p := recover(); p != nil {
+			e.log.warn("A tick failed; the process ends.", eris.Errorf("%v\n%s", p, debug.Stack()))
+			os.Exit(exitFailure)
+		}
+	}()
+	e.tick()
 }
 
 // tick takes all waiting inputs, ticks the World once and performs the commands.
