--- a/quetzalcore/quetzalsettings/file.go
+++ b/quetzalcore/quetzalsettings/file.go
@@ -87,6 +87,7 @@
 )
 
 func withDefaults(s *quetzalwire.EntrySettings) {
+	setDefault(&s.PeerListen, s.PeerAddress)
 	setDefault(&s.MaxBodyBytes, defaultMaxBodyBytes)
 	setDefault(&s.DefaultTimeoutMs, defaultTimeoutMs)
 	setDefault(&s.StopNoticeMs, defaultStopNoticeMs)
@@ -135,6 +136,7 @@
 		CheckAddress("CallerAddress", s.CallerAddress),
 		CheckAddress("OperatorAddress", s.OperatorAddress),
 		CheckAddress("PeerAddress", s.PeerAddress),
+		CheckAddress("PeerListen", *s.PeerListen),
 		checkURL("PlatformURL", s.PlatformURL),
 		checkToken("OperatorToken", s.OperatorToken),
 		checkRange("MaxBodyBytes", *s.MaxBodyBytes, 1, 64<<20),
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -109,9 +109,12 @@
 	// Bearer token of the operators' API.
 	OperatorToken string `json:"OperatorToken" yaml:"OperatorToken"`
 
-	// IP:port for calls between entries.
+	// IP:port at which the other entries reach this one.
 	PeerAddress string `json:"PeerAddress" yaml:"PeerAddress"`
 
+	// IP:port to listen on for calls between entries (default PeerAddress).
+	PeerListen *string `json:"PeerListen,omitempty,omitzero" yaml:"PeerListen,omitempty"`
+
 	// Base URL of the platform's service.
 	PlatformURL string `json:"PlatformURL" yaml:"PlatformURL"`
 
--- a/quetzalentry/serve.go
+++ b/quetzalentry/serve.go
@@ -52,7 +52,7 @@
 	}
 	defer closeClients()
 
-	listeners, closeListeners, err := listen(cfg.CallerAddress, cfg.OperatorAddress, cfg.PeerAddress)
+	listeners, closeListeners, err := listen(cfg.CallerAddress, cfg.OperatorAddress, *cfg.PeerListen)
 	if err != nil {
 		return err
 	}
