Hand requests to a zone that has hosts of their pool

Cause: at 142 pools and 570 hosts a pool has about 4 hosts, so that most zones have none; an entry there could only wait and answer NotRun NoHost.

Alternatives: a fleet-wide roster, so that every entry may send to every minion (each move would wait for the entries of all zones, and stop when regions lose each other); redirecting the caller (it sees one balancer). Chosen: the entry keeps the claim and hands the request to an entry of a zone with hosts, once; it is never handed on. A zone whose own hosts are all ejected or leaving uses the same path.

Also: answers keep all their header fields when stored or joined; before, only Content-Type.

--- a/quetzalcore/quetzalcodec/claim.go
+++ b/quetzalcore/quetzalcodec/claim.go
@@ -10,16 +10,13 @@
 	"quetzalstair/quetzalcore/quetzalwire"
 )
 
-// contentType is the one header field that is stored with an answer.
-const contentType = "Content-Type"
-
 func claimDoc(v *quetzalfleet.ClaimRow) quetzalwire.ClaimDoc {
 	d := quetzalwire.ClaimDoc{
 		Request: string(v.Request), Entry: string(v.Entry), Incarnation: int(v.Incarnation),
 		State: quetzalwire.ClaimDocState(v.State.String()), BodySum: string(v.Sum),
 	}
 	if v.Answer != nil {
-		d.Status, d.ContentType, d.Answer = encodeAnswer(v.Answer)
+		d.Status, d.Fields, d.Answer = encodeAnswer(v.Answer)
 	}
 	return d
 }
@@ -34,28 +31,39 @@
 		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, Sum: quetzalunit.BodySum(d.BodySum),
 	}
 	if state == quetzalfleet.ClaimDone {
-		v.Answer, err = decodeAnswer(d.Status, d.ContentType, d.Answer)
+		v.Answer, err = decodeAnswer(d.Status, d.Fields, d.Answer)
 	}
 	return v, err
 }
 
-func encodeAnswer(a *quetzalfleet.Payload) (status int, kind, body string) {
-	for _, f := range a.Fields {
-		if f.Name == contentType {
-			kind = f.Value
-		}
+func encodeAnswer(a *quetzalfleet.Payload) (status int, fields []quetzalwire.HeaderField, body string) {
+	return int(a.Status), fieldDocs(a.Fields), base64.StdEncoding.EncodeToString(a.Body)
+}
+
+func fieldDocs(fields []quetzalfleet.Field) []quetzalwire.HeaderField {
+	docs := make([]quetzalwire.HeaderField, 0, len(fields))
+	for _, f := range fields {
+		docs = append(docs, quetzalwire.HeaderField(f))
+	}
+	return docs
+}
+
+func payloadFields(docs []quetzalwire.HeaderField) []quetzalfleet.Field {
+	fields := make([]quetzalfleet.Field, 0, len(docs))
+	for _, d := range docs {
+		fields = append(fields, quetzalfleet.Field(d))
 	}
-	return int(a.Status), kind, base64.StdEncoding.EncodeToString(a.Body)
+	return fields
 }
 
-func decodeAnswer(status int, kind, body string) (*quetzalfleet.Payload, error) {
+func decodeAnswer(status int, fields []quetzalwire.HeaderField, body string) (*quetzalfleet.Payload, error) {
 	text, err := base64.StdEncoding.DecodeString(body)
 	if err != nil {
 		return nil, eris.Wrap(err, "decode answer")
 	}
 	return &quetzalfleet.Payload{
 		Status: quetzalunit.Status(status),
-		Fields: []quetzalfleet.Field{{Name: contentType, Value: kind}},
+		Fields: payloadFields(fields),
 		Body:   text,
 	}, nil
 }
@@ -94,7 +102,7 @@
 	name, reason := OutcomeName(o)
 	reply := quetzalwire.JoinReply{Known: name != OutcomeInvalid, Outcome: name, Reason: reason}
 	if ran, ok := o.(quetzalfleet.Ran); ok {
-		reply.Status, reply.ContentType, reply.Answer = encodeAnswer(ran.Answer)
+		reply.Status, reply.Fields, reply.Answer = encodeAnswer(ran.Answer)
 	}
 	return reply
 }
@@ -106,7 +114,7 @@
 	}
 	switch reply.Outcome {
 	case OutcomeRan:
-		a, err := decodeAnswer(reply.Status, reply.ContentType, reply.Answer)
+		a, err := decodeAnswer(reply.Status, reply.Fields, reply.Answer)
 		return quetzalfleet.Ran{Answer: a}, err
 	case OutcomeNotRun:
 		return quetzalfleet.NotRun{Reason: quetzalfleet.NotRunReason(reply.Reason)}, nil
--- /dev/null
+++ b/quetzalcore/quetzalcodec/forward.go
@@ -0,0 +1,56 @@
+package quetzalcodec
+
+import (
+	"encoding/base64"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+// EncodeForward returns the message that hands a request to a peer.
+func EncodeForward(f *quetzalfleet.ForwardAttempt) *quetzalwire.ForwardMessage {
+	return &quetzalwire.ForwardMessage{
+		Request: string(f.ID), Queue: string(f.Queue), Team: string(f.Team), Long: f.Class == quetzalfleet.Long,
+		Urgent: f.Urgent, Idempotent: f.Idempotent, TimeoutMs: int(f.Timeout.Milliseconds()),
+		Fields: fieldDocs(f.Work.Fields), Body: base64.StdEncoding.EncodeToString(f.Work.Body),
+	}
+}
+
+// DecodeForward returns the arrival of a request that a peer handed over. Its
+// sender holds the claim, so that it needs none here.
+func DecodeForward(m *quetzalwire.ForwardMessage) (quetzalfleet.RequestArrived, error) {
+	body, err := base64.StdEncoding.DecodeString(m.Body)
+	if err != nil {
+		return quetzalfleet.RequestArrived{}, eris.Wrap(err, "decode body")
+	}
+	in := quetzalfleet.RequestArrived{
+		ID: quetzalunit.RequestID(m.Request), Minted: true, Forwarded: true, Queue: quetzalunit.QueueID(m.Queue),
+		Team: quetzalunit.TeamID(m.Team), Urgent: m.Urgent, Idempotent: m.Idempotent,
+		Timeout: time.Duration(m.TimeoutMs) * time.Millisecond,
+		Work:    &quetzalfleet.Payload{Fields: payloadFields(m.Fields), Body: body},
+	}
+	if m.Long {
+		in.Class = quetzalfleet.Long
+	}
+	return in, nil
+}
+
+// ForwardResult returns how an attempt ended that was handed to a peer.
+func ForwardResult(reply *quetzalwire.JoinReply) quetzalfleet.AttemptResult {
+	outcome, err := JoinOutcome(reply)
+	if err != nil {
+		return quetzalfleet.Broken{}
+	}
+	switch o := outcome.(type) {
+	case quetzalfleet.Ran:
+		return quetzalfleet.Answered(o)
+	case quetzalfleet.NotRun, quetzalfleet.Cancelled:
+		return quetzalfleet.NotSent{}
+	default:
+		return quetzalfleet.Broken{}
+	}
+}
--- a/quetzalcore/quetzalfleet/commands.go
+++ b/quetzalcore/quetzalfleet/commands.go
@@ -23,6 +23,19 @@
 	}
 	// CancelAttempt ends an attempt early; AttemptEnded still follows.
 	CancelAttempt struct{ Attempt Row }
+	// ForwardAttempt hands a request to an entry of another zone; it ends with AttemptEnded.
+	ForwardAttempt struct {
+		Attempt    Row
+		Address    quetzalunit.Address
+		ID         quetzalunit.RequestID
+		Queue      quetzalunit.QueueID
+		Team       quetzalunit.TeamID
+		Class      Class
+		Urgent     bool
+		Idempotent bool
+		Work       *Payload
+		Timeout    time.Duration
+	}
 	// AnswerCaller gives a caller the outcome of its request.
 	AnswerCaller struct {
 		Caller  quetzalunit.Caller
@@ -96,6 +109,7 @@
 
 func (SendAttempt) implementsCommand()    {}
 func (CancelAttempt) implementsCommand()  {}
+func (ForwardAttempt) implementsCommand() {}
 func (AnswerCaller) implementsCommand()   {}
 func (WriteStore) implementsCommand()     {}
 func (ReadStore) implementsCommand()      {}
--- a/quetzalcore/quetzalfleet/entities.go
+++ b/quetzalcore/quetzalfleet/entities.go
@@ -73,6 +73,8 @@
 	Urgent  bool
 	// Idempotent permits more than one attempt after the first byte was sent.
 	Idempotent bool
+	// Forwarded tells that an entry of another zone handed the request over.
+	Forwarded bool
 	// Minted tells that this entry chose ID, so that no other entry can run it.
 	Minted bool
 	State  RequestState
@@ -166,6 +168,8 @@
 	NextQueue int
 	// RetryTokens is the retry budget in hundredths of an attempt.
 	RetryTokens quetzalunit.Percent
+	// LookAgain tells that a PoolDue timer is set.
+	LookAgain bool
 	// Backlog smooths the demand for the move policy.
 	Backlog PoolBacklog
 }
@@ -297,10 +301,11 @@
 // Attempt is one try of a request on a host.
 type Attempt struct {
 	Request Row
-	Host    Row
-	Queue   Row
-	Team    Row
-	// Request may be deleted first when its callers have gone; the slot stays taken.
+	// Host is zero when Peer, an entry of another zone, was handed the request.
+	Host      Row
+	Peer      Row
+	Queue     Row
+	Team      Row
 	StartedAt quetzalunit.Instant
 	// Long tells that the attempt counts towards RunningLong.
 	Long bool
@@ -339,6 +344,8 @@
 	// InFlight tells that a gossip message waits for its reply.
 	InFlight bool
 	Stopping bool
+	// Forwarded counts the attempts in flight at the peer.
+	Forwarded quetzalunit.Requests
 	// Listed is the state of the peer's own host in the platform's list.
 	Listed Listed
 	Loads  []PoolLoad
--- a/quetzalcore/quetzalfleet/inputs.go
+++ b/quetzalcore/quetzalfleet/inputs.go
@@ -12,9 +12,11 @@
 type (
 	// RequestArrived is a caller's new request.
 	RequestArrived struct {
-		Caller     quetzalunit.Caller
-		ID         quetzalunit.RequestID
-		Minted     bool
+		Caller quetzalunit.Caller
+		ID     quetzalunit.RequestID
+		Minted bool
+		// Forwarded requests come from an entry of another zone, and go no further.
+		Forwarded  bool
 		Queue      quetzalunit.QueueID
 		Team       quetzalunit.TeamID
 		Class      Class
--- a/quetzalcore/quetzalfleet/timers.go
+++ b/quetzalcore/quetzalfleet/timers.go
@@ -29,6 +29,8 @@
 	Wake struct{}
 	// ChangeDue tries an operator's change again.
 	ChangeDue struct{ Change Row }
+	// PoolDue dispatches a pool's requests again.
+	PoolDue struct{ Pool Row }
 	// LeavingSignOver ends the effect of a sign of leaving.
 	LeavingSignOver struct{ Host Row }
 	// RequestForgotten deletes a finished request that could still be joined.
@@ -46,6 +48,7 @@
 func (PlanDue) implementsTimer()          {}
 func (Wake) implementsTimer()             {}
 func (ChangeDue) implementsTimer()        {}
+func (PoolDue) implementsTimer()          {}
 func (LeavingSignOver) implementsTimer()  {}
 func (RequestForgotten) implementsTimer() {}
 
--- a/quetzalcore/quetzalpeer/client.go
+++ b/quetzalcore/quetzalpeer/client.go
@@ -75,6 +75,21 @@
 	return answered, nil
 }
 
+// Forward hands a request to a peer and returns how the attempt ended.
+func (c *Client) Forward(f *quetzalfleet.ForwardAttempt) (quetzalfleet.AttemptEnded, error) {
+	ended := quetzalfleet.AttemptEnded{Attempt: f.Attempt, Result: quetzalfleet.NotSent{}}
+	if _, err := c.client(f.Address); err != nil {
+		return ended, err
+	}
+	ended.Result = quetzalfleet.Broken{}
+	var reply quetzalwire.JoinReply
+	if err := c.call(f.Address, "Forward", quetzalcodec.EncodeForward(f), &reply, f.Timeout+2*joinSlack); err != nil {
+		return ended, err
+	}
+	ended.Result = quetzalcodec.ForwardResult(&reply)
+	return ended, nil
+}
+
 func (c *Client) call(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
 	client, err := c.client(address)
 	if err != nil {
--- a/quetzalcore/quetzalpeer/server.go
+++ b/quetzalcore/quetzalpeer/server.go
@@ -66,13 +66,35 @@
 	}
 }
 
+// Forward runs a request for an entry of another zone.
+func (c calls) Forward(m *quetzalwire.ForwardMessage, reply *quetzalwire.JoinReply) error {
+	in, err := quetzalcodec.DecodeForward(m)
+	if err != nil {
+		return err
+	}
+	return c.await(reply, "forward", in.Timeout+joinSlack, func(caller quetzalunit.Caller) quetzalfleet.Input {
+		in.Caller = caller
+		return in
+	})
+}
+
 // Join waits for the outcome of a request that was claimed here.
 func (c calls) Join(m *quetzalwire.JoinMessage, reply *quetzalwire.JoinReply) error {
-	caller, answered, forget := c.s.Joins.Add()
-	c.s.Post(quetzalfleet.JoinArrived{
-		Caller: caller, ID: quetzalunit.RequestID(m.Request), Incarnation: quetzalunit.Incarnation(m.Incarnation),
+	wait := time.Duration(m.WaitMs) * time.Millisecond
+	return c.await(reply, "join", wait, func(caller quetzalunit.Caller) quetzalfleet.Input {
+		return quetzalfleet.JoinArrived{
+			Caller: caller, ID: quetzalunit.RequestID(m.Request), Incarnation: quetzalunit.Incarnation(m.Incarnation),
+		}
 	})
-	timeout := time.NewTimer(time.Duration(m.WaitMs) * time.Millisecond)
+}
+
+// await posts the input of a new caller and waits for the outcome.
+func (c calls) await(
+	reply *quetzalwire.JoinReply, call string, wait time.Duration, input func(quetzalunit.Caller) quetzalfleet.Input,
+) error {
+	caller, answered, forget := c.s.Joins.Add()
+	c.s.Post(input(caller))
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
 	case a := <-answered:
@@ -82,7 +104,7 @@
 		if forget() {
 			c.s.Post(quetzalfleet.CallerGone{Caller: caller})
 		}
-		return &TimeoutError{Call: "join"}
+		return &TimeoutError{Call: call}
 	}
 }
 
--- a/quetzalcore/quetzalsystem/attempt.go
+++ b/quetzalcore/quetzalsystem/attempt.go
@@ -47,6 +47,9 @@
 	q := w.Queues.At(a.Queue)
 	q.Running--
 	w.Teams.At(a.Team).Running--
+	if p := w.Peers.At(a.Peer); p != nil {
+		p.Forwarded--
+	}
 	if h := w.Hosts.At(a.Host); h != nil {
 		h.Running--
 		if a.Long {
@@ -158,6 +161,13 @@
 	return 0, false
 }
 
+// earnRetries adds a first attempt's share to the pool's retry tokens.
+func earnRetries(w *quetzalfleet.World, pool quetzalfleet.Row) {
+	if p := w.Pools.At(pool); p != nil {
+		p.RetryTokens = min(maxRetryTokens, p.RetryTokens+settingsOf(w, pool).RetryBudget)
+	}
+}
+
 // The attempts in the phases of FourPhaseRetry.
 const (
 	immediateRetries = 3
--- a/quetzalcore/quetzalsystem/dispatch.go
+++ b/quetzalcore/quetzalsystem/dispatch.go
@@ -22,7 +22,11 @@
 	}
 	for _, row := range w.DirtyPools.Take() {
 		p := w.Pools.At(row)
-		if p == nil || len(p.Hosts) == 0 {
+		if p == nil {
+			continue
+		}
+		if !anyTakesWork(w, p) {
+			forwardPool(w, row)
 			continue
 		}
 		d := newDispatcher(w, row)
@@ -204,7 +208,7 @@
 	r.Attempts++
 	if r.StartedAt == 0 {
 		r.StartedAt = w.Now
-		d.pool.RetryTokens = min(maxRetryTokens, d.pool.RetryTokens+d.settings.RetryBudget)
+		earnRetries(w, h.PoolRow)
 	}
 	w.Queues.At(r.Queue).Running++
 	w.Teams.At(r.Team).Running++
--- a/quetzalcore/quetzalsystem/doc.go
+++ b/quetzalcore/quetzalsystem/doc.go
@@ -9,6 +9,7 @@
 //	line.go      lanes of a queue and fair sharing between teams
 //	claim.go     claims of requests whose id the caller chose
 //	dispatch.go  choice of a host and start of attempts
+//	forward.go   requests handed to a zone with hosts of their pool
 //	attempt.go   end of attempts, retry
 //	eject.go     ejection of hosts that fail
 //	row.go       stored rows applied to the tables
--- /dev/null
+++ b/quetzalcore/quetzalsystem/forward.go
@@ -0,0 +1,125 @@
+package quetzalsystem
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+const (
+	// maxForwarded bounds the attempts in flight at one entry of another zone.
+	maxForwarded quetzalunit.Requests = 256
+	// forwardRetry is the mean wait before peers are looked for again.
+	forwardRetry = 200 * time.Millisecond
+)
+
+// anyTakesWork tells whether a pool has a host in the zone that takes new work.
+func anyTakesWork(w *quetzalfleet.World, p *quetzalfleet.Pool) bool {
+	for _, row := range p.Hosts {
+		if takesWork(w, w.Hosts.At(row)) {
+			return true
+		}
+	}
+	return false
+}
+
+// poolHostless tells whether a queue's pool has no host in the zone.
+func poolHostless(w *quetzalfleet.World, q *quetzalfleet.Queue) bool {
+	if q == nil {
+		return false
+	}
+	p := w.Pools.At(q.Pool)
+	return p == nil || len(p.Hosts) == 0
+}
+
+// forwardPool hands the queued requests of a pool that has no host in the zone
+// to entries of zones that have one.
+func forwardPool(w *quetzalfleet.World, pool quetzalfleet.Row) {
+	p := w.Pools.At(pool)
+	var peers []quetzalfleet.Row
+	for _, row := range p.Queues {
+		for lane := range quetzalfleet.LaneCount {
+			if len(w.Queues.At(row).Lanes[lane]) == 0 {
+				continue
+			}
+			if peers == nil {
+				peers = peersWithHosts(w, p.ID)
+			}
+			forwardLane(w, row, lane, peers)
+		}
+	}
+}
+
+// peersWithHosts lists the entries of other zones in which a pool has hosts that
+// take work.
+func peersWithHosts(w *quetzalfleet.World, pool quetzalunit.PoolID) []quetzalfleet.Row {
+	zones := make(map[quetzalunit.ZoneID]bool)
+	for _, h := range w.Hosts.All() {
+		if h.Pool == pool && h.Zone != w.Self.Zone && takesWork(w, h) {
+			zones[h.Zone] = true
+		}
+	}
+	var peers []quetzalfleet.Row
+	for row, p := range w.Peers.All() {
+		if zones[p.Zone] && !p.Stopping && p.Listed == quetzalfleet.ListedLive && w.Now.Sub(p.HeardAt) < reachable(w) {
+			peers = append(peers, row)
+		}
+	}
+	return peers
+}
+
+// forwardLane hands over the requests of one lane, team by team in turn.
+func forwardLane(w *quetzalfleet.World, queue quetzalfleet.Row, lane quetzalfleet.Lane, peers []quetzalfleet.Row) {
+	if len(peers) == 0 {
+		lookAgain(w, w.Queues.At(queue).Pool)
+		return
+	}
+	q := w.Queues.At(queue)
+	for n := len(q.Lanes[lane]); n > 0; n = len(q.Lanes[lane]) {
+		line := q.Lanes[lane][0]
+		row := w.Lines.At(line).Head
+		if w.Requests.At(row).Forwarded {
+			return
+		}
+		peer := peers[w.Rand().IntN(len(peers))]
+		if w.Peers.At(peer).Forwarded >= maxForwarded {
+			lookAgain(w, q.Pool)
+			return
+		}
+		unlink(w, row)
+		passTurn(w, queue, line)
+		forward(w, row, peer)
+	}
+}
+
+// lookAgain looks for peers again after a while.
+func lookAgain(w *quetzalfleet.World, pool quetzalfleet.Row) {
+	p := w.Pools.At(pool)
+	if p.LookAgain {
+		return
+	}
+	p.LookAgain = true
+	w.After(w.Jitter(forwardRetry), quetzalfleet.PoolDue{Pool: pool})
+}
+
+func forward(w *quetzalfleet.World, row, peer quetzalfleet.Row) {
+	r, p := w.Requests.At(row), w.Peers.At(peer)
+	attempt := w.Attempts.Insert(quetzalfleet.Attempt{
+		Request: row, Peer: peer, Queue: r.Queue, Team: r.Team, StartedAt: w.Now,
+	})
+	p.Forwarded++
+	r.State = quetzalfleet.RequestRunning
+	r.Attempt = attempt
+	r.Attempts++
+	if r.StartedAt == 0 {
+		r.StartedAt = w.Now
+		earnRetries(w, w.Queues.At(r.Queue).Pool)
+	}
+	w.Queues.At(r.Queue).Running++
+	w.Teams.At(r.Team).Running++
+	w.Emit(quetzalfleet.ForwardAttempt{
+		Attempt: attempt, Address: p.Address, ID: r.ID, Queue: w.Queues.At(r.Queue).ID, Team: w.Teams.At(r.Team).ID,
+		Class: r.Class, Urgent: r.Urgent, Idempotent: r.Idempotent, Work: r.Work, Timeout: r.Deadline.Sub(w.Now),
+	})
+}
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -10,12 +10,20 @@
 )
 
 const (
+	// reachableRounds is the number of rounds without a word after which a peer of
+	// another zone counts as unreachable.
+	reachableRounds = 30
 	// gossipSpacing is the least time between two messages to the zone's peers.
 	gossipSpacing = 50 * time.Millisecond
 	// gossipRowLimit bounds the rows of one message.
 	gossipRowLimit = 200
 )
 
+// reachable returns the silence after which a peer is not handed requests.
+func reachable(w *quetzalfleet.World) time.Duration {
+	return reachableRounds * w.Self.Gossip
+}
+
 // gossip tells the zone's peers what has changed, soon after it did.
 func gossip(w *quetzalfleet.World) {
 	if !w.GossipNow {
--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -23,6 +23,7 @@
 			{ID: "proofs", HostsPerZone: 2, MinHosts: 1},
 			{ID: "editions", HostsPerZone: 1, MinHosts: 1},
 			{ID: "leaflets", Spare: true, HostsPerZone: 3, MinHosts: 1},
+			{ID: "posters", HostsPerZone: 1, MinHosts: 1, Zones: []quetzalunit.ZoneID{"b"}},
 		},
 		Settings: quetzalfleet.SettingValues{DrainTimeout: &drain},
 	}
@@ -100,6 +101,23 @@
 	require.Empty(t, trial.Judge())
 }
 
+// A request whose pool has no host in the zone runs in another zone.
+func TestRequestIsForwardedToAZoneWithHosts(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	for n := range 20 {
+		in := request(fmt.Sprint("poster", n), false)
+		in.Queue = "posters"
+		trial.Submit("a-entry0", in)
+		trial.Submit("a-entry1", in)
+	}
+	trial.Run(500 * time.Millisecond) // less than a move to the pool takes
+	require.Len(t, trial.Answers, 40)
+	for _, a := range trial.Answers {
+		require.IsType(t, quetzalfleet.Ran{}, a.Outcome)
+	}
+	require.Equal(t, 20, trial.Runs.Len())
+}
+
 // A holder that cannot be asked may have run the request, whatever the platform
 // answers later.
 func TestUnreachableHolderIsNotReplaced(t *testing.T) {
@@ -300,12 +318,16 @@
 	case 0, 1, 2, 3:
 		for i := range rapid.IntRange(1, 30).Draw(rt, "burst") {
 			in := request(fmt.Sprintf("r%d-%d", *n, i), rapid.Bool().Draw(rt, "idempotent"))
+			if i%3 == 0 {
+				in.Queue = "posters"
+			}
 			trial.Submit(entry, in)
 		}
 	case 4:
 		in := request(fmt.Sprintf("r%d-0", rapid.IntRange(1, *n).Draw(rt, "again")), false)
 		for _, s := range trial.Submitted {
 			if s.ID == in.ID {
+				in.Queue = s.Queue
 				in.Idempotent = s.Idempotent
 			}
 		}
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -15,6 +15,9 @@
 	// MintMark begins every id that an entry minted. Only that process may run such
 	// a request, so that the id is refused once it is forgotten.
 	MintMark = "q~"
+	// forwardedMark begins the keys of requests that were handed over; no id of a
+	// caller begins with it.
+	forwardedMark quetzalunit.RequestID = "~"
 	// OtherTeam is the team of callers that name no registered team.
 	OtherTeam quetzalunit.TeamID = "Other"
 	// refusedRetryAfter is the least wait that a NotRun outcome suggests.
@@ -22,10 +25,14 @@
 )
 
 func admitRequest(w *quetzalfleet.World, in quetzalfleet.RequestArrived) {
-	if row := w.RequestByID.Get(in.ID); row != 0 {
+	if row := w.RequestByID.Get(indexID(in.ID, in.Forwarded)); row != 0 {
 		joinRequest(w, row, in)
 		return
 	}
+	if in.Forwarded && poolHostless(w, w.Queues.At(w.QueueByID.Get(in.Queue))) {
+		answer(w, in.Caller, in.ID, quetzalfleet.NotRun{Reason: quetzalfleet.NoHost, RetryAfter: refusedRetryAfter})
+		return
+	}
 	if !in.Minted && !in.Idempotent && strings.HasPrefix(string(in.ID), MintMark) {
 		answer(w, in.Caller, in.ID, quetzalfleet.Unknown{Reason: quetzalfleet.HolderGone})
 		return
@@ -43,13 +50,14 @@
 		Urgent:     in.Urgent,
 		Idempotent: in.Idempotent,
 		Minted:     in.Minted,
+		Forwarded:  in.Forwarded,
 		Work:       in.Work,
 		Sum:        in.Sum,
 		Callers:    []quetzalunit.Caller{in.Caller},
 		ArrivedAt:  w.Now,
 		Deadline:   w.Now.Add(in.Timeout),
 	})
-	w.RequestByID.Put(in.ID, row)
+	w.RequestByID.Put(indexID(in.ID, in.Forwarded), row)
 	w.RequestOf.Put(in.Caller, row)
 	w.Live++
 	r := w.Requests.At(row)
@@ -62,6 +70,15 @@
 	enqueue(w, row, false)
 }
 
+// indexID returns the key of a request in the index. A request that was handed
+// over has another key than the same request of a caller, which waits for it.
+func indexID(id quetzalunit.RequestID, forwarded bool) quetzalunit.RequestID {
+	if forwarded {
+		return forwardedMark + id
+	}
+	return id
+}
+
 // refusal returns why a request is not accepted, or nil.
 func refusal(w *quetzalfleet.World, queueRow quetzalfleet.Row, in quetzalfleet.RequestArrived) quetzalfleet.Outcome {
 	if w.Stop != quetzalfleet.StopNone {
@@ -323,7 +340,7 @@
 	if r == nil {
 		return
 	}
-	w.RequestByID.Delete(r.ID)
+	w.RequestByID.Delete(indexID(r.ID, r.Forwarded))
 	w.Requests.Delete(row)
 }
 
--- a/quetzalcore/quetzalsystem/tick.go
+++ b/quetzalcore/quetzalsystem/tick.go
@@ -107,6 +107,9 @@
 	case quetzalfleet.Wake:
 	case quetzalfleet.ChangeDue:
 		w.ChangesToTry.Add(t.Change)
+	case quetzalfleet.PoolDue:
+		w.Pools.At(t.Pool).LookAgain = false
+		w.DirtyPools.Add(t.Pool)
 	case quetzalfleet.LeavingSignOver:
 		endLeavingSign(w, t.Host)
 	case quetzalfleet.RequestForgotten:
--- a/quetzalcore/quetzaltrial/fleet.go
+++ b/quetzalcore/quetzaltrial/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,7 +17,9 @@
 	Spare bool
 	// HostsPerZone and MinHosts are the pool's hosts and budget in each zone.
 	HostsPerZone int
-	MinHosts     quetzalunit.Hosts
+	// Zones restricts the pool's hosts; empty means every zone.
+	Zones    []quetzalunit.ZoneID
+	MinHosts quetzalunit.Hosts
 }
 
 // FleetSpec describes a fleet.
@@ -70,6 +73,9 @@
 	for _, p := range s.Pools {
 		row := quetzalfleet.PoolRow{ID: p.ID, Spare: p.Spare}
 		for _, z := range s.Zones {
+			if len(p.Zones) > 0 && !slices.Contains(p.Zones, z) {
+				continue
+			}
 			row.Budgets = append(row.Budgets, quetzalfleet.ZoneBudget{Zone: z, MinHosts: p.MinHosts})
 		}
 		list = append(list, quetzalfleet.ChangePool{ID: id(), Pool: row})
@@ -81,6 +87,9 @@
 	for _, z := range s.Zones {
 		n := 0
 		for _, p := range s.Pools {
+			if len(p.Zones) > 0 && !slices.Contains(p.Zones, z) {
+				continue
+			}
 			for range p.HostsPerZone {
 				host := quetzalunit.HostID(fmt.Sprintf("%s-host%d", z, n))
 				rack := quetzalunit.RackID(fmt.Sprintf("%s-rack%d", z, n/max(1, s.HostsPerRack)))
--- a/quetzalcore/quetzaltrial/judge.go
+++ b/quetzalcore/quetzaltrial/judge.go
@@ -16,6 +16,7 @@
 	// Process is the incarnation of the entry that took the request, zero when it was dead.
 	Process    quetzalunit.Incarnation
 	Idempotent bool
+	Queue      quetzalunit.QueueID
 	At         quetzalunit.Instant
 	Deadline   quetzalunit.Instant
 }
--- a/quetzalcore/quetzaltrial/perform.go
+++ b/quetzalcore/quetzaltrial/perform.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzaltable"
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -23,6 +24,8 @@
 		t.send(row, &c)
 	case quetzalfleet.CancelAttempt:
 		t.cancel(row, c.Attempt)
+	case quetzalfleet.ForwardAttempt:
+		t.forward(row, &c)
 	case quetzalfleet.AnswerCaller:
 		t.answer(e.World.Self.Incarnation, &c)
 	case quetzalfleet.WriteStore:
@@ -64,11 +67,45 @@
 		t.events.Push(t.Now.Add(Hop), inputArrives{
 			entry: who.entry, in: quetzalfleet.JoinAnswered{Request: who.request, Outcome: c.Outcome},
 		})
+	case peerForward:
+		t.events.Push(t.Now.Add(Hop), inputArrives{
+			entry: who.entry, in: quetzalfleet.AttemptEnded{Attempt: who.attempt, Result: forwardResult(c.Outcome)},
+		})
 	case peerGossip:
 	}
 	t.callers.Delete(row)
 }
 
+// forwardResult passes an outcome through its message, as the peers do.
+func forwardResult(o quetzalfleet.Outcome) quetzalfleet.AttemptResult {
+	reply := quetzalcodec.JoinReply(o)
+	return quetzalcodec.ForwardResult(&reply)
+}
+
+// forward hands a request to an entry of another zone.
+func (t *Trial) forward(row quetzaltable.Row, c *quetzalfleet.ForwardAttempt) {
+	to := t.reach(row, c.Address)
+	if to == 0 {
+		t.events.Push(t.Now.Add(Hop), inputArrives{
+			entry: row, in: quetzalfleet.AttemptEnded{Attempt: c.Attempt, Result: quetzalfleet.NotSent{}},
+		})
+		return
+	}
+	in, err := quetzalcodec.DecodeForward(quetzalcodec.EncodeForward(c))
+	if err != nil {
+		panic(err) // EncodeForward wrote it
+	}
+	who := t.callers.Insert(peerForward{entry: row, attempt: c.Attempt})
+	in.Caller = quetzalunit.Caller(who)
+	t.events.Push(t.Now.Add(Hop), inputArrives{entry: to, in: in})
+	t.After(c.Timeout+failTime, func() {
+		if t.callers.At(who) != nil {
+			t.callers.Delete(who)
+			t.deliver(row, quetzalfleet.AttemptEnded{Attempt: c.Attempt, Result: quetzalfleet.Broken{}})
+		}
+	})
+}
+
 // reach returns the entry at an address, or zero when it cannot be reached.
 func (t *Trial) reach(from quetzaltable.Row, to quetzalunit.Address) quetzaltable.Row {
 	row := t.entryByAddr.Get(to)
--- a/quetzalcore/quetzaltrial/trial.go
+++ b/quetzalcore/quetzaltrial/trial.go
@@ -160,6 +160,11 @@
 	userCaller struct{ id quetzalunit.RequestID }
 	// peerJoin is an entry that joined a request.
 	peerJoin struct{ entry, request quetzaltable.Row }
+	// peerForward is an entry that handed over a request.
+	peerForward struct {
+		entry   quetzaltable.Row
+		attempt quetzalfleet.Row
+	}
 	// peerGossip is an entry that waits for a reply to gossip.
 	peerGossip struct {
 		entry quetzaltable.Row
@@ -167,9 +172,10 @@
 	}
 )
 
-func (userCaller) implementsCaller() {}
-func (peerJoin) implementsCaller()   {}
-func (peerGossip) implementsCaller() {}
+func (userCaller) implementsCaller()  {}
+func (peerJoin) implementsCaller()    {}
+func (peerForward) implementsCaller() {}
+func (peerGossip) implementsCaller()  {}
 
 // New returns an empty trial.
 func New(seed uint64) *Trial {
@@ -224,7 +230,7 @@
 	if in.Work == nil {
 		in.Work = &quetzalfleet.Payload{}
 	}
-	s := Submitted{ID: in.ID, Entry: id, Idempotent: in.Idempotent, At: t.Now, Deadline: t.Now.Add(in.Timeout)}
+	s := Submitted{ID: in.ID, Entry: id, Idempotent: in.Idempotent, Queue: in.Queue, At: t.Now, Deadline: t.Now.Add(in.Timeout)}
 	if e := t.Entry(id); e != nil && !e.Dead && !e.Finished {
 		s.Process = e.World.Self.Incarnation
 	}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -32,12 +32,12 @@
 	// BodySum corresponds to the JSON schema field "BodySum".
 	BodySum string `json:"BodySum" yaml:"BodySum"`
 
-	// ContentType corresponds to the JSON schema field "ContentType".
-	ContentType string `json:"ContentType" yaml:"ContentType"`
-
 	// Entry corresponds to the JSON schema field "Entry".
 	Entry string `json:"Entry" yaml:"Entry"`
 
+	// Fields corresponds to the JSON schema field "Fields".
+	Fields []HeaderField `json:"Fields" yaml:"Fields"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
 
@@ -283,6 +283,37 @@
 	Zone string `json:"Zone" yaml:"Zone"`
 }
 
+// ForwardMessage hands a request to an entry of a zone that has hosts of the
+// request's pool; Body is base64.
+type ForwardMessage struct {
+	// Body corresponds to the JSON schema field "Body".
+	Body string `json:"Body" yaml:"Body"`
+
+	// Fields corresponds to the JSON schema field "Fields".
+	Fields []HeaderField `json:"Fields" yaml:"Fields"`
+
+	// Idempotent corresponds to the JSON schema field "Idempotent".
+	Idempotent bool `json:"Idempotent" yaml:"Idempotent"`
+
+	// Long corresponds to the JSON schema field "Long".
+	Long bool `json:"Long" yaml:"Long"`
+
+	// Queue corresponds to the JSON schema field "Queue".
+	Queue string `json:"Queue" yaml:"Queue"`
+
+	// Request corresponds to the JSON schema field "Request".
+	Request string `json:"Request" yaml:"Request"`
+
+	// Team corresponds to the JSON schema field "Team".
+	Team string `json:"Team" yaml:"Team"`
+
+	// TimeoutMs corresponds to the JSON schema field "TimeoutMs".
+	TimeoutMs int `json:"TimeoutMs" yaml:"TimeoutMs"`
+
+	// Urgent corresponds to the JSON schema field "Urgent".
+	Urgent bool `json:"Urgent" yaml:"Urgent"`
+}
+
 // GossipMessage carries what an entry has learnt to a peer; Seen is the revision
 // up to which it holds every row.
 type GossipMessage struct {
@@ -338,6 +369,15 @@
 	Version int `json:"Version" yaml:"Version"`
 }
 
+// HeaderField is one header field of a request or an answer.
+type HeaderField struct {
+	// Name corresponds to the JSON schema field "Name".
+	Name string `json:"Name" yaml:"Name"`
+
+	// Value corresponds to the JSON schema field "Value".
+	Value string `json:"Value" yaml:"Value"`
+}
+
 // HostChange is the body that registers a host.
 type HostChange struct {
 	// Address corresponds to the JSON schema field "Address".
@@ -478,8 +518,8 @@
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer string `json:"Answer" yaml:"Answer"`
 
-	// ContentType corresponds to the JSON schema field "ContentType".
-	ContentType string `json:"ContentType" yaml:"ContentType"`
+	// Fields corresponds to the JSON schema field "Fields".
+	Fields []HeaderField `json:"Fields" yaml:"Fields"`
 
 	// Known corresponds to the JSON schema field "Known".
 	Known bool `json:"Known" yaml:"Known"`
--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -143,8 +143,7 @@
 	inputs := e.inbox.take(e.spare)
 	for _, in := range inputs {
 		if end, ok := in.(quetzalfleet.AttemptEnded); ok {
-			e.cancels[end.Attempt]()
-			delete(e.cancels, end.Attempt)
+			e.endAttempt(end.Attempt)
 		}
 	}
 	commands := quetzalsystem.Tick(&e.world, quetzalunit.InstantOf(begin), inputs)
@@ -159,6 +158,14 @@
 	e.updateGauges()
 }
 
+// endAttempt releases the context of an attempt, if it has one.
+func (e *engine) endAttempt(attempt quetzalfleet.Row) {
+	if cancel := e.cancels[attempt]; cancel != nil {
+		cancel()
+		delete(e.cancels, attempt)
+	}
+}
+
 // arm sets the timer to the World's next instant.
 func (e *engine) arm() {
 	at, ok := quetzalsystem.NextTick(&e.world)
--- a/quetzalentry/perform.go
+++ b/quetzalentry/perform.go
@@ -17,6 +17,8 @@
 		if cancel := e.cancels[c.Attempt]; cancel != nil {
 			cancel()
 		}
+	case quetzalfleet.ForwardAttempt:
+		e.work.Go(func() { e.forward(&c) })
 	case quetzalfleet.AnswerCaller:
 		e.callers.Answer(c.Caller, c)
 	case quetzalfleet.WriteStore:
@@ -73,6 +75,14 @@
 	e.inbox.post(answered)
 }
 
+func (e *engine) forward(c *quetzalfleet.ForwardAttempt) {
+	ended, err := e.peers.Forward(c)
+	if err != nil {
+		e.log.debug("The entry at "+string(c.Address)+" did not answer for request "+string(c.ID)+".", err)
+	}
+	e.inbox.post(ended)
+}
+
 func (e *engine) askPeer(c *quetzalfleet.AskPeer) {
 	answered, err := e.peers.Join(c)
 	if err != nil {
