Compare policies with the real systems on a virtual clock

Change: quetzalload compare runs the experiments lanes, dispatch, retries, quotas, moves and waves; each variant gets the same arrivals and faults.

--- a/quetzalcore/quetzaltrial/perform.go
+++ b/quetzalcore/quetzaltrial/perform.go
@@ -182,9 +182,11 @@
 		end(2*Hop, quetzalfleet.NotSent{})
 		return
 	case m.Leaving:
+		t.Refusals++
 		end(2*Hop, quetzalfleet.Refused{Leaving: true})
 		return
 	case m.Running >= quetzalunit.SlotsPerMinion:
+		t.Refusals++
 		end(2*Hop, quetzalfleet.Refused{})
 		return
 	}
--- a/quetzalcore/quetzaltrial/trial.go
+++ b/quetzalcore/quetzaltrial/trial.go
@@ -95,6 +95,8 @@
 	Minions  quetzaltable.Table[Minion]
 	Runs     quetzaltable.Table[Run]
 	Answers  []Answer
+	// Refusals counts the explicit not-run answers of minions.
+	Refusals int
 	// Decisions lists what the entries decided, in order.
 	Decisions []EntryDecision
 	// Submitted lists the requests in the order in which they were sent.
--- /dev/null
+++ b/quetzalload/compare.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"os"
+
+	"quetzalstair/quetzalload/quetzalexperiment"
+)
+
+// compareCommand runs an experiment on a virtual clock.
+type compareCommand struct {
+	Experiment []string `arg:"" optional:"" enum:"lanes,dispatch,retries,quotas,moves,waves" help:"Experiments: ${enum}; all when absent."`
+	Seed       uint64   `default:"1" help:"Seed of arrivals and policies."`
+}
+
+// Run prints a table for each experiment.
+func (c *compareCommand) Run() error {
+	names := c.Experiment
+	if len(names) == 0 {
+		names = []string{"lanes", "dispatch", "retries", "quotas", "moves", "waves"}
+	}
+	for _, name := range names {
+		for _, e := range experiments(name) {
+			table, err := quetzalexperiment.Run(e, c.Seed)
+			if err != nil {
+				return err
+			}
+			if err := table.Write(os.Stdout); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func experiments(name string) []quetzalexperiment.Experiment {
+	switch name {
+	case "lanes":
+		return []quetzalexperiment.Experiment{quetzalexperiment.Lanes{}}
+	case "dispatch":
+		return []quetzalexperiment.Experiment{quetzalexperiment.Dispatch{}}
+	case "retries":
+		return []quetzalexperiment.Experiment{quetzalexperiment.Retries{}}
+	case "quotas":
+		return []quetzalexperiment.Experiment{quetzalexperiment.Quotas{}}
+	case "moves":
+		return []quetzalexperiment.Experiment{
+			quetzalexperiment.Moves{Size: quetzalexperiment.Small}, quetzalexperiment.Moves{Size: quetzalexperiment.Large},
+		}
+	default:
+		return []quetzalexperiment.Experiment{
+			quetzalexperiment.Waves{Size: quetzalexperiment.Small}, quetzalexperiment.Waves{Size: quetzalexperiment.Large},
+		}
+	}
+}
--- a/quetzalload/main.go
+++ b/quetzalload/main.go
@@ -24,6 +24,7 @@
 // commandLine is the command line of quetzalload.
 type commandLine struct {
 	Version kong.VersionFlag `help:"Print the version and exit."`
+	Compare compareCommand   `cmd:"" help:"Compare policies with the real systems on a virtual clock."`
 	Run     runCommand       `cmd:"" help:"Send a seeded plan of requests and judge the answers. Status 1 when a promise broke."`
 }
 
