Recover after an outage of all minions; protect short work and other teams

Retries cannot bridge a failure that all hosts share: they fail too. 2. A long run that was declared short was learnt from only at its end. 3. A team far over its share filled every slot between two requests of others. 4. With limits that recover in 10 ms, half of the attempts were refused.

Hosts that fail together are paused and tried one attempt at a time every 200 ms, while work waits in the queue. The first form never recovered: the queue's head was always about to expire, timed out on its trial and was blamed on the host. A request without the time that runs take is now refused as NotRun, and a time-out counts against a host only if it had that time (TestPoolRecoversAfterEveryMinionFailed fails without the two, passes with). 2. A team's share of long runs is learnt when a run outlasts the short run time. 3. A team over twice its share leaves the last slot of each host. 4. Limits recover in 80 ms.

--- a/quetzalcore/quetzalfleet/entities.go
+++ b/quetzalcore/quetzalfleet/entities.go
@@ -134,6 +134,8 @@
 	// Head and Tail are zero exactly when Length is zero.
 	Head, Tail Row
 	Length     quetzalunit.Requests
+	// Running counts the attempts in flight that were started from the line.
+	Running quetzalunit.Requests
 	// Turns is how many more requests the team may start before the next team's turn.
 	Turns quetzalunit.Weight
 }
@@ -285,6 +287,9 @@
 	// EjectedUntil is zero unless the host is ejected or on probation.
 	EjectedUntil quetzalunit.Instant
 	Ejections    quetzalunit.Attempts
+	// HeldUntil ends the pause after a failure that is shared by many hosts; from then
+	// until the next success one attempt at a time tries the host. Zero otherwise.
+	HeldUntil quetzalunit.Instant
 
 	// ChangeCall is the store call that is changing the host's row, zero without one.
 	ChangeCall Row
@@ -302,8 +307,10 @@
 type Attempt struct {
 	Request Row
 	// Host is zero when Peer, an entry of another zone, was handed the request.
-	Host      Row
-	Peer      Row
+	Host Row
+	Peer Row
+	// Line is the line that the request was started from, zero when it was handed over.
+	Line      Row
 	Queue     Row
 	Team      Row
 	StartedAt quetzalunit.Instant
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -63,6 +63,8 @@
 
 	// Timers wakes the systems.
 	Timers quetzaltable.Timers[Timer]
+	// TeamWeight is the sum of the weights of all teams.
+	TeamWeight quetzalunit.Weight
 	// DirtyPools have requests that a changed slot or queue may start.
 	DirtyPools quetzaltable.Set
 	// ClaimsToTake and ClaimsToWrite wait for the next group commit.
--- a/quetzalcore/quetzalsystem/attempt.go
+++ b/quetzalcore/quetzalsystem/attempt.go
@@ -21,6 +21,8 @@
 	parkAfterHosts = 3
 	// averageWeight is the weight of the newest value in moving averages, as a divisor.
 	averageWeight = 8
+	// wholeShare is a share of everything.
+	wholeShare quetzalunit.Percent = 100
 	// statusServerError is the least status that blames the minion.
 	statusServerError quetzalunit.Status = 500
 )
@@ -47,6 +49,9 @@
 	q := w.Queues.At(a.Queue)
 	q.Running--
 	w.Teams.At(a.Team).Running--
+	if l := w.Lines.At(a.Line); l != nil {
+		l.Running--
+	}
 	if p := w.Peers.At(a.Peer); p != nil {
 		p.Forwarded--
 	}
@@ -69,7 +74,9 @@
 	r := w.Requests.At(a.Request)
 	switch result := result.(type) {
 	case quetzalfleet.Answered:
-		learnRunTime(w, &a)
+		if result.Answer.Status < statusServerError {
+			learnRunTime(w, &a)
+		}
 		if result.Answer.Status >= statusServerError && r.Idempotent && retryLater(w, a.Request, a.Host) {
 			return
 		}
@@ -215,10 +222,19 @@
 	if r.Class != quetzalfleet.Short {
 		return
 	}
-	t := w.Teams.At(a.Team)
-	var sample quetzalunit.Percent
-	if run > settingsOf(w, q.Pool).ShortRun {
-		sample = 100
+	if run <= settingsOf(w, q.Pool).ShortRun {
+		learnLongShare(w, a.Team, 0)
+	}
+}
+
+// learnLongShare updates a team's share of short-declared runs that ran long. A
+// long run counts when it outlasts the short run time, not at its end.
+func learnLongShare(w *quetzalfleet.World, team quetzalfleet.Row, sample quetzalunit.Percent) {
+	t := w.Teams.At(team)
+	if sample > t.LongShare {
+		// Each wrong declaration costs a slot for a whole long run: learn at once.
+		t.LongShare = (sample + t.LongShare + 1) / 2
+		return
 	}
 	t.LongShare += (sample - t.LongShare) / averageWeight
 }
--- a/quetzalcore/quetzalsystem/dispatch.go
+++ b/quetzalcore/quetzalsystem/dispatch.go
@@ -10,7 +10,10 @@
 
 const (
 	// limitRecovery is the mean time after which a host's limit rises by one slot.
-	limitRecovery = 10 * time.Millisecond
+	limitRecovery = 80 * time.Millisecond
+	// shareFactor is how many times its share a team may run before it leaves the
+	// last slot of each host to others.
+	shareFactor = 2
 	// probationSlots is the number of attempts in flight on a host on probation.
 	probationSlots quetzalunit.Slots = 1
 )
@@ -66,15 +69,18 @@
 		if queueRow == 0 {
 			return
 		}
-		lineRow := d.w.Queues.At(queueRow).Lanes[lane][0]
-		row := d.w.Lines.At(lineRow).Head
-		host := d.pickHost(d.w.Requests.At(row))
+		lineRow, host := d.pickLine(queueRow, lane)
 		if host == 0 {
 			return
 		}
+		row := d.w.Lines.At(lineRow).Head
+		if d.tooLate(row) {
+			finish(d.w, row, tooLate(d.w, d.w.Requests.At(row)))
+			continue
+		}
 		unlink(d.w, row)
 		passTurn(d.w, queueRow, lineRow)
-		d.start(row, host)
+		d.start(row, host, lineRow)
 	}
 }
 
@@ -90,12 +96,47 @@
 	return 0
 }
 
-// pickHost returns the less loaded of two random hosts with a free slot. It
-// avoids the host of the last attempt when it can.
-func (d *dispatcher) pickHost(r *quetzalfleet.Request) quetzalfleet.Row {
+// tooLate tells whether a request's deadline leaves less time than its run takes.
+// Sent all the same, it would hold a slot and time out: after an outage a queue of
+// such requests could keep every slot busy and never recover.
+func (d *dispatcher) tooLate(row quetzalfleet.Row) bool {
+	r := d.w.Requests.At(row)
+	return r.Deadline.Sub(d.w.Now) < d.w.Queues.At(r.Queue).RunTime[r.Class]
+}
+
+// pickLine returns the first line whose head can start, and the host for it. A
+// team over its share leaves the last slot of each host to the others.
+func (d *dispatcher) pickLine(queueRow quetzalfleet.Row, lane quetzalfleet.Lane) (line, host quetzalfleet.Row) {
+	for _, row := range d.w.Queues.At(queueRow).Lanes[lane] {
+		l := d.w.Lines.At(row)
+		var reserve quetzalunit.Slots
+		if d.overShare(l) {
+			reserve = 1
+		}
+		if host := d.pickHost(d.w.Requests.At(l.Head), reserve); host != 0 {
+			return row, host
+		}
+		if reserve == 0 {
+			return 0, 0
+		}
+	}
+	return 0, 0
+}
+
+// overShare tells whether a team runs more of a line's requests than shareFactor
+// times its share of the pool's slots.
+func (d *dispatcher) overShare(l *quetzalfleet.Line) bool {
+	slots := int64(len(d.pool.Hosts)) * int64(quetzalunit.SlotsPerMinion)
+	share := shareFactor * slots * int64(d.w.Teams.At(l.Team).Weight) / max(1, int64(d.w.TeamWeight))
+	return int64(l.Running) >= max(shareFactor, share)
+}
+
+// pickHost returns the less loaded of two random hosts with more free slots than
+// the reserve. It avoids the host of the last attempt when it can.
+func (d *dispatcher) pickHost(r *quetzalfleet.Request, reserve quetzalunit.Slots) quetzalfleet.Row {
 	d.eligible = d.eligible[:0]
 	for _, row := range d.pool.Hosts {
-		if d.free(d.w.Hosts.At(row), r) > 0 {
+		if d.free(d.w.Hosts.At(row), r) > reserve {
 			d.eligible = append(d.eligible, row)
 		}
 	}
@@ -120,7 +161,7 @@
 
 // free returns the number of slots that this entry may still use on a host for a request.
 func (d *dispatcher) free(h *quetzalfleet.Host, r *quetzalfleet.Request) quetzalunit.Slots {
-	if !takesWork(d.w, h) {
+	if !takesWork(d.w, h) || h.HeldUntil > d.w.Now {
 		return 0
 	}
 	n := d.limit(h) - h.Running
@@ -145,7 +186,7 @@
 
 // limit returns the most attempts that this entry has in flight on a host.
 func (d *dispatcher) limit(h *quetzalfleet.Host) quetzalunit.Slots {
-	if h.EjectedUntil > 0 {
+	if h.EjectedUntil > 0 || h.HeldUntil > 0 {
 		return probationSlots
 	}
 	switch d.settings.Dispatch.(type) {
@@ -191,14 +232,15 @@
 	return int(n >> 8)
 }
 
-func (d *dispatcher) start(row, hostRow quetzalfleet.Row) {
+func (d *dispatcher) start(row, hostRow, lineRow quetzalfleet.Row) {
 	w := d.w
 	r, h := w.Requests.At(row), w.Hosts.At(hostRow)
 	long := r.Treated == quetzalfleet.Long
 	attempt := w.Attempts.Insert(quetzalfleet.Attempt{
-		Request: row, Host: hostRow, Queue: r.Queue, Team: r.Team,
+		Request: row, Host: hostRow, Line: lineRow, Queue: r.Queue, Team: r.Team,
 		StartedAt: w.Now, Long: long, Generation: h.Generation,
 	})
+	w.Lines.At(lineRow).Running++
 	h.Running++
 	if long {
 		h.RunningLong++
@@ -229,6 +271,9 @@
 	}
 	a.Long = true
 	w.Hosts.At(a.Host).RunningLong++
+	if r := w.Requests.At(a.Request); r != nil && r.Class == quetzalfleet.Short {
+		learnLongShare(w, a.Team, wholeShare)
+	}
 }
 
 func recoverLimit(w *quetzalfleet.World, row quetzalfleet.Row) {
--- a/quetzalcore/quetzalsystem/eject.go
+++ b/quetzalcore/quetzalsystem/eject.go
@@ -14,6 +14,12 @@
 	correlatedShare quetzalunit.Percent = 30
 	// correlatedMinimum is the number of failing hosts below which nothing is correlated.
 	correlatedMinimum = 3
+	// blameFactor is how many mean run times an attempt must have had before its
+	// time-out counts against the host.
+	blameFactor = 2
+	// holdPause is the mean time between two attempts on a host during a failure that
+	// is shared by many hosts.
+	holdPause = 200 * time.Millisecond
 	// maxEjectionDoublings bounds the growth of the time of ejection.
 	maxEjectionDoublings = 5
 )
@@ -31,7 +37,7 @@
 			return
 		}
 		h.Failures = 0
-		h.EjectedUntil = 0
+		h.EjectedUntil, h.HeldUntil = 0, 0
 		h.Ejections = max(0, h.Ejections-1)
 	case quetzalfleet.Refused:
 		if result.Leaving {
@@ -44,14 +50,26 @@
 		if !a.Cancelled {
 			countFailure(w, a.Host)
 		}
-	case quetzalfleet.Broken, quetzalfleet.TimedOut:
+	case quetzalfleet.Broken:
 		h.LingerUntil = w.Now.Add(cancelGrace)
 		if !a.Cancelled {
 			countFailure(w, a.Host)
 		}
+	case quetzalfleet.TimedOut:
+		h.LingerUntil = w.Now.Add(cancelGrace)
+		if hadTime(w, a) {
+			countFailure(w, a.Host)
+		}
 	}
 }
 
+// hadTime tells whether an attempt that timed out had the time that runs take.
+// A request that was sent late says nothing about its host.
+func hadTime(w *quetzalfleet.World, a *quetzalfleet.Attempt) bool {
+	mean := w.Queues.At(a.Queue).RunTime
+	return w.Now.Sub(a.StartedAt) > blameFactor*max(mean[quetzalfleet.Short], mean[quetzalfleet.Long])
+}
+
 // lowerLimit learns that other entries hold the host's remaining slots.
 func lowerLimit(w *quetzalfleet.World, row quetzalfleet.Row) {
 	h := w.Hosts.At(row)
@@ -91,11 +109,15 @@
 	h.Failures++
 	h.LastFailure = w.Now
 	s := settingsOf(w, h.PoolRow)
-	failedProbation := h.EjectedUntil > 0
+	failedProbation := h.EjectedUntil > 0 || h.HeldUntil > 0
 	if h.EjectedUntil > w.Now || (h.Failures < s.EjectAfterFailures && !failedProbation) {
 		return
 	}
-	if correlatedFailure(w) || !ejectionPermitted(w, h, s) {
+	if correlatedFailure(w) {
+		hold(w, row)
+		return
+	}
+	if !ejectionPermitted(w, h, s) {
 		h.EjectedUntil = 0
 		return
 	}
@@ -106,6 +128,16 @@
 	w.Decide(quetzalfleet.DecisionEject, string(h.ID), "ejected after consecutive failures")
 }
 
+// hold pauses a host that fails together with many others. It stays in its pool
+// and counts as available: work waits in the queue instead of failing everywhere.
+func hold(w *quetzalfleet.World, row quetzalfleet.Row) {
+	h := w.Hosts.At(row)
+	d := w.Jitter(holdPause)
+	h.EjectedUntil = 0
+	h.HeldUntil = w.Now.Add(d)
+	w.After(d, quetzalfleet.EjectionOver{Host: row})
+}
+
 // ejectionPermitted tells whether the pool's other hosts can carry its work.
 func ejectionPermitted(w *quetzalfleet.World, h *quetzalfleet.Host, s quetzalfleet.Settings) bool {
 	p := w.Pools.At(h.PoolRow)
@@ -143,7 +175,7 @@
 // beginProbation lets one attempt at a time prove an ejected host.
 func beginProbation(w *quetzalfleet.World, row quetzalfleet.Row) {
 	h := w.Hosts.At(row)
-	if h == nil || h.EjectedUntil > w.Now {
+	if h == nil || h.EjectedUntil > w.Now || h.HeldUntil > w.Now {
 		return
 	}
 	w.DirtyPools.Add(h.PoolRow)
--- a/quetzalcore/quetzalsystem/line.go
+++ b/quetzalcore/quetzalsystem/line.go
@@ -26,7 +26,7 @@
 	if _, ok := settingsOf(w, w.Queues.At(r.Queue).Pool).Lanes.(quetzalfleet.DemoteLanes); !ok {
 		return r.Class
 	}
-	if w.Teams.At(r.Team).LongShare > longShareLimit {
+	if w.Teams.At(r.Team).LongShare >= longShareLimit {
 		return quetzalfleet.Long
 	}
 	return r.Class
--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -101,6 +101,41 @@
 	require.Empty(t, trial.Judge())
 }
 
+// A queue of requests that are about to expire must not keep a pool from
+// recovering once its minions work again.
+func TestPoolRecoversAfterEveryMinionFailed(t *testing.T) {
+	spec := smallFleet()
+	spec.Pools[0].HostsPerZone = 6
+	trial := newTrial(t, 1, spec)
+	trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 40 * time.Millisecond }
+	const length = 20 * time.Second
+	n := 0
+	for at := time.Duration(0); at < length; at += 1400 * time.Microsecond {
+		in := request(fmt.Sprint("q~r", n), true)
+		in.Minted = true
+		entry := quetzaltrial.EntryName("a", n%3)
+		trial.After(at, func() { trial.Submit(entry, in) })
+		n++
+	}
+	fail := func(black bool) func() {
+		return func() {
+			for _, m := range trial.Minions.All() {
+				m.BlackHole = black
+			}
+		}
+	}
+	trial.After(2*time.Second, fail(true))
+	trial.After(8*time.Second, fail(false))
+	trial.Run(16 * time.Second)
+	before := len(trial.Answers)
+	trial.Run(3 * time.Second)
+	require.Greater(t, len(trial.Answers), before)
+	for _, a := range trial.Answers[before:] {
+		require.IsType(t, quetzalfleet.Ran{}, a.Outcome)
+		require.Less(t, a.Outcome.(quetzalfleet.Ran).Answer.Status, quetzalunit.Status(500))
+	}
+}
+
 // A request whose pool has no host in the zone runs in another zone.
 func TestRequestIsForwardedToAZoneWithHosts(t *testing.T) {
 	trial := newTrial(t, 1, smallFleet())
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -161,6 +161,7 @@
 	}
 	row := w.Teams.Insert(quetzalfleet.Team{ID: OtherTeam, Weight: 1})
 	w.TeamByID.Put(OtherTeam, row)
+	w.TeamWeight++
 	return row
 }
 
@@ -298,6 +299,14 @@
 	return quetzalfleet.NotRun{Reason: reason, RetryAfter: time.Second}
 }
 
+// tooLate returns the outcome of a request that has no time left to run.
+func tooLate(w *quetzalfleet.World, r *quetzalfleet.Request) quetzalfleet.Outcome {
+	if r.MayHaveRun {
+		return expired(w, r)
+	}
+	return quetzalfleet.NotRun{Reason: quetzalfleet.DeadlineTooClose, RetryAfter: refusedRetryAfter}
+}
+
 // finish gives a request its outcome and answers everyone who waits for it.
 func finish(w *quetzalfleet.World, row quetzalfleet.Row, outcome quetzalfleet.Outcome) {
 	r := w.Requests.At(row)
--- a/quetzalcore/quetzalsystem/row.go
+++ b/quetzalcore/quetzalsystem/row.go
@@ -75,7 +75,7 @@
 	unlinkHost(w, row)
 	if h.Generation != spec.Generation {
 		h.ChangedAt = w.Now
-		h.EjectedUntil, h.Failures, h.Ejections = 0, 0, 0
+		h.EjectedUntil, h.HeldUntil, h.Failures, h.Ejections = 0, 0, 0, 0
 		h.LeavingSeen, h.LeavingFirstHand = 0, false
 		w.GossipNow = w.GossipNow || spec.Zone == w.Self.Zone
 	}
@@ -168,6 +168,7 @@
 		w.TeamByID.Put(v.ID, row)
 	}
 	t := w.Teams.At(row)
+	w.TeamWeight += max(1, v.Weight) - t.Weight
 	t.Weight, t.MaxQueued, t.Revision = max(1, v.Weight), v.MaxQueued, rev
 }
 
