--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,30 @@
 	demo/run.sh
 
 .PHONY: test
-test: build vet lint
+test: build vet lint check-reference
 	ci/test.sh $(MODULES)
 
 .PHONY: soak
 soak:
 	cd quetzalcore && go test ./quetzalsystem -run TestPromisesUnderRandomFaults -rapid.checks=5000 -rapid.seed=$$(date +%s) -count=1 -timeout 30m
+
+.PHONY: bench
+bench:
+	cd quetzalcore && go test ./quetzalsystem -run XXX -bench . -benchtime 300ms
+	cd quetzalentry && go test . -run XXX -bench . -benchtime 2s
+
+.PHONY: compare
+compare: build
+	bin/quetzalload compare
+
+.PHONY: capacity
+capacity: build
+	ci/capacity.sh
+
+.PHONY: reference
+reference:
+	ci/settings.sh > docs/SETTINGS.md
+
+.PHONY: check-reference
+check-reference:
+	ci/settings.sh | diff - docs/SETTINGS.md
--- /dev/null
+++ b/quetzalcore/quetzalsettings/settings_test.go
@@ -0,0 +1,81 @@
+package quetzalsettings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+const goodEntry = `Entry: e1
+Zone: a
+CallerAddress: 127.0.0.1:1
+OperatorAddress: 127.0.0.1:2
+PeerAddress: 127.0.0.1:3
+PlatformURL: http://127.0.0.1:4
+OperatorToken: long-enough
+`
+
+func load(t testing.TB, text string) (quetzalwire.EntrySettings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "entry.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return LoadEntry(file)
+}
+
+func TestEntrySettings(t *testing.T) {
+	cfg, err := load(t, goodEntry)
+	require.NoError(t, err)
+	require.Equal(t, defaultPollMs, *cfg.PollMs)
+	require.Equal(t, "127.0.0.1:3", *cfg.PeerListen)
+	tests := []struct {
+		name, text string
+		line       int
+		problem    string
+	}{
+		{"unknown key", goodEntry + "Bogus: 1\n", 8, "Bogus"},
+		{"out of bounds", goodEntry + "PollMs: 1\n", 8, "PollMs: 1 is not between"},
+		{"bad address", "Entry: e1\nZone: a\nCallerAddress: host:1\n", 3, "CallerAddress"},
+		{"lease shorter than polls", goodEntry + "PollMs: 3000\nLeaseMs: 5000\n", 9, "LeaseMs"},
+		{"missing key", "Entry: e1\n", 0, "Zone"},
+		{"bad syntax", "Entry: [\n", 1, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := load(t, test.text)
+			var fileError *FileError
+			require.ErrorAs(t, err, &fileError)
+			require.Equal(t, test.line, fileError.Line, err)
+			require.Contains(t, err.Error(), test.problem)
+		})
+	}
+}
+
+func TestValuesRoundTrip(t *testing.T) {
+	policy, n, on := quetzalwire.SettingValuesMovePolicy("Reactive"), 7, true
+	values := quetzalwire.SettingValues{MovePolicy: &policy, RetryMaxAttempts: &n, EjectMs: &[]int{900}[0], SurviveRackLoss: &on}
+	parsed, err := ParseValues(&values)
+	require.NoError(t, err)
+	require.Equal(t, values, FormatValues(&parsed))
+	bad := quetzalwire.SettingValuesMovePolicy("Sometimes")
+	_, err = ParseValues(&quetzalwire.SettingValues{MovePolicy: &bad})
+	var field *FieldError
+	require.ErrorAs(t, err, &field)
+	require.Equal(t, "MovePolicy", field.Field)
+}
+
+func FuzzLoadEntry(f *testing.F) {
+	f.Add(goodEntry)
+	f.Add("Entry: &a [*a]\n")
+	f.Add("{")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := load(t, text)
+		if err != nil {
+			var fileError *FileError
+			require.ErrorAs(t, err, &fileError)
+		}
+	})
+}
--- a/quetzalcore/quetzalstore/client.go
+++ b/quetzalcore/quetzalstore/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,11 @@
 	base  string
 	http  http.Client
 	bytes atomic.Int64
+
+	mu sync.Mutex
+	// lastList is the list of hosts with the entity tag listTag.
+	lastList quetzalfleet.HostsListed
+	listTag  string
 }
 
 // New returns a client of the platform at a base URL, and a function that
@@ -149,11 +155,38 @@
 	return quetzalfleet.RowsRead{Revision: quetzalunit.Revision(reply.Revision), Rows: rows}, err
 }
 
+// list reads the list of hosts. A list that has not changed is not sent again.
 func (c *Client) list(ctx context.Context) (quetzalfleet.StoreResult, error) {
-	var reply quetzalwire.HostList
-	if err := c.call(ctx, http.MethodGet, "/hosts", nil, &reply); err != nil {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/hosts", nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	c.mu.Lock()
+	req.Header.Set("If-None-Match", c.listTag)
+	last := c.lastList
+	c.mu.Unlock()
+	answer, res, err := c.roundTrip(req)
+	if err != nil {
 		return nil, err
 	}
+	if res.StatusCode == http.StatusNotModified {
+		return last, nil
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, &StatusError{Path: "/hosts", Status: res.StatusCode}
+	}
+	var reply quetzalwire.HostList
+	if err := json.Unmarshal(answer, &reply); err != nil {
+		return nil, eris.Wrap(err, "decode list")
+	}
+	listed := listedHosts(&reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastList, c.listTag = listed, res.Header.Get("ETag")
+	return listed, nil
+}
+
+func listedHosts(reply *quetzalwire.HostList) quetzalfleet.HostsListed {
 	result := quetzalfleet.HostsListed{Hosts: make([]quetzalfleet.ListedHost, 0, len(reply.Hosts))}
 	for _, d := range reply.Hosts {
 		h := quetzalfleet.ListedHost{ID: quetzalunit.HostID(d.Host), Boot: quetzalunit.Boot(d.Boot)}
@@ -166,7 +199,7 @@
 		}
 		result.Hosts = append(result.Hosts, h)
 	}
-	return result, nil
+	return result
 }
 
 func (c *Client) reboot(
@@ -179,6 +212,18 @@
 	return quetzalfleet.RebootAccepted{}, nil
 }
 
+// roundTrip sends a request and reads the whole reply.
+func (c *Client) roundTrip(req *http.Request) ([]byte, *http.Response, error) {
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "call platform")
+	}
+	defer res.Body.Close() //nolint:errcheck // the body was read
+	answer, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	c.bytes.Add(int64(len(req.URL.Path) + len(req.URL.RawQuery) + len(answer)))
+	return answer, res, eris.Wrap(err, "read reply")
+}
+
 // call sends one request with a JSON body and decodes the JSON reply.
 func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
 	var text []byte
@@ -192,15 +237,10 @@
 	if err != nil {
 		return eris.Wrap(err, "build request")
 	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		return eris.Wrap(err, "call platform")
-	}
-	defer res.Body.Close() //nolint:errcheck // the body was read
-	answer, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
-	c.bytes.Add(int64(len(path) + len(text) + len(answer)))
+	c.bytes.Add(int64(len(text)))
+	answer, res, err := c.roundTrip(req)
 	if err != nil {
-		return eris.Wrap(err, "read reply")
+		return err
 	}
 	if res.StatusCode != http.StatusOK {
 		return &StatusError{Path: path, Status: res.StatusCode}
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -13,6 +13,8 @@
 	// reachableRounds is the number of rounds without a word after which a peer of
 	// another zone counts as unreachable.
 	reachableRounds = 30
+	// freshRounds is the number of rounds for which a peer's word on what it holds counts.
+	freshRounds = 3
 	// gossipSpacing is the least time between two messages to the zone's peers.
 	gossipSpacing = 50 * time.Millisecond
 	// gossipRowLimit bounds the rows of one message.
@@ -37,13 +39,13 @@
 		return
 	}
 	w.GossipNow, w.GossipWaiting = false, false
-	tellZone(w)
+	tellZone(w, untold)
 }
 
 // gossipRound tells the zone's peers, and one random peer of another zone.
 func gossipRound(w *quetzalfleet.World) {
 	w.After(w.Jitter(w.Self.Gossip), quetzalfleet.GossipDue{})
-	tellZone(w)
+	tellZone(w, unseen)
 	var others []quetzalfleet.Row
 	for row, p := range w.Peers.All() {
 		if p.Zone != w.Self.Zone {
@@ -51,33 +53,54 @@
 		}
 	}
 	if len(others) > 0 {
-		tell(w, others[w.Rand().IntN(len(others))])
+		tell(w, others[w.Rand().IntN(len(others))], unseen)
 	}
 }
 
-func tellZone(w *quetzalfleet.World) {
+// unseen returns the revision up to which a peer is known to hold every row. A
+// peer that was not heard of lately is sent no rows: its reply tells what it lacks.
+func unseen(w *quetzalfleet.World, p *quetzalfleet.Peer) quetzalunit.Revision {
+	if w.Now.Sub(p.HeardAt) > freshRounds*w.Self.Gossip {
+		return w.NewestRow
+	}
+	return p.Seen
+}
+
+// untold returns the revision up to which a peer was sent every row.
+func untold(_ *quetzalfleet.World, p *quetzalfleet.Peer) quetzalunit.Revision {
+	return max(p.Seen, p.Told)
+}
+
+// since chooses the revision above which a peer is sent rows.
+type since func(*quetzalfleet.World, *quetzalfleet.Peer) quetzalunit.Revision
+
+func tellZone(w *quetzalfleet.World, from since) {
 	w.GossipedAt = w.Now
 	for row, p := range w.Peers.All() {
 		if p.Zone == w.Self.Zone {
-			tell(w, row)
+			tell(w, row, from)
 		}
 	}
 }
 
-func tell(w *quetzalfleet.World, row quetzalfleet.Row) {
+func tell(w *quetzalfleet.World, row quetzalfleet.Row, from since) {
 	p := w.Peers.At(row)
 	if p.InFlight {
 		return
 	}
 	p.InFlight = true
-	p.Told = w.NewestRow
-	rows, seen := rowsSince(w, p.Seen)
+	base := from(w, p)
+	rows, seen := rowsSince(w, base)
+	p.Told = max(p.Told, seen)
+	if len(rows) < gossipRowLimit {
+		p.Told = w.NewestRow
+	}
 	w.Emit(quetzalfleet.TellPeer{Peer: p.ID, Address: p.Address, Message: quetzalfleet.Gossip{
 		From:            w.Self.Entry,
 		Incarnation:     w.Self.Incarnation,
 		Zone:            w.Self.Zone,
 		Stopping:        w.Stop != quetzalfleet.StopNone,
-		Since:           p.Seen,
+		Since:           base,
 		Seen:            seen,
 		SettingsVersion: w.InForce,
 		Rows:            rows,
@@ -214,6 +237,7 @@
 	}
 	p.InFlight = false
 	if in.Failed {
+		p.Told = 0
 		return
 	}
 	p.HeardAt = w.Now
--- /dev/null
+++ b/quetzalcore/quetzalsystem/trace_test.go
@@ -0,0 +1,135 @@
+package quetzalsystem_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalcodec"
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzaltrial"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// trace is a recorded course of events with its stated outcomes.
+type trace struct {
+	Seed  uint64
+	RunMs int64
+	Steps []traceStep
+	// ForMs is the time from the first step to the judgement.
+	ForMs int64
+	// Outcomes has the outcomes of each request in the order of the answers.
+	Outcomes map[quetzalunit.RequestID][]string
+	// Runs has the number of runs of each request on minions.
+	Runs map[quetzalunit.RequestID]int
+	// Pools has the pool of hosts at the end.
+	Pools map[quetzalunit.HostID]quetzalunit.PoolID
+}
+
+// traceStep is one event; Do names it.
+type traceStep struct {
+	AtMs       int64
+	Do         string
+	Entry      quetzalunit.EntryID
+	Zone       quetzalunit.ZoneID
+	Host       quetzalunit.HostID
+	Pool       quetzalunit.PoolID
+	Request    quetzalunit.RequestID
+	Queue      quetzalunit.QueueID
+	Idempotent bool
+	On         bool
+	ForMs      int64
+	Count      int
+}
+
+func (s *traceStep) perform(t *testing.T, trial *quetzaltrial.Trial) {
+	t.Helper()
+	switch s.Do {
+	case "Submit":
+		in := request(string(s.Request), s.Idempotent)
+		if s.Queue != "" {
+			in.Queue = s.Queue
+		}
+		trial.Submit(s.Entry, in)
+	case "Kill":
+		trial.Kill(s.Entry)
+	case "Start":
+		trial.AddEntry(s.Entry, s.Zone)
+	case "Stop":
+		trial.Stop(s.Entry)
+	case "Freeze":
+		trial.Entry(s.Entry).FrozenUntil = trial.Now.Add(time.Duration(s.ForMs) * time.Millisecond)
+	case "CutPeers":
+		trial.Entry(s.Entry).CutPeers = s.On
+	case "CutPlatform":
+		trial.Entry(s.Entry).CutPlatform = s.On
+	case "Outage":
+		trial.Platform.Outage = s.On
+	case "LoseAnswers":
+		trial.Platform.Lose = s.Count
+	case "Crash":
+		trial.Crash(s.Host)
+	case "BlackHole":
+		trial.Minion(s.Host).BlackHole = s.On
+	case "Move":
+		trial.Ask(s.Entry, quetzalfleet.MoveHost{ID: quetzalunit.ChangeID("move-" + s.Host), Host: s.Host, Pool: s.Pool})
+	case "Wave":
+		trial.Ask(s.Entry, quetzalfleet.CreateWave{ID: "wave", Wave: quetzalfleet.WaveSpec{ID: "wave", MaxConcurrent: 2}})
+	default:
+		require.Fail(t, "unknown step "+s.Do)
+	}
+}
+
+// TestTraces replays every recorded trace against its stated outcomes.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/traces/*.json")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			require.NoError(t, err)
+			var tr trace
+			require.NoError(t, json.Unmarshal(text, &tr))
+			replay(t, &tr)
+		})
+	}
+}
+
+func replay(t *testing.T, tr *trace) {
+	t.Helper()
+	trial := newTrial(t, tr.Seed, smallFleet())
+	if tr.RunMs > 0 {
+		trial.RunTime = func(quetzalunit.RequestID) time.Duration { return time.Duration(tr.RunMs) * time.Millisecond }
+	}
+	trial.OnCommit = func() { require.Empty(t, trial.BelowBudget()) }
+	for i := range tr.Steps {
+		s := &tr.Steps[i]
+		trial.After(time.Duration(s.AtMs)*time.Millisecond, func() { s.perform(t, trial) })
+	}
+	trial.Run(time.Duration(tr.ForMs) * time.Millisecond)
+	require.Empty(t, trial.Judge())
+	require.Empty(t, trial.Unanswered())
+	runs := make(map[quetzalunit.RequestID]int)
+	for _, run := range trial.Runs.All() {
+		runs[run.Request]++
+	}
+	for id, want := range tr.Outcomes {
+		var got []string
+		for _, o := range outcomesOf(trial, string(id)) {
+			name, _ := quetzalcodec.OutcomeName(o)
+			got = append(got, name)
+		}
+		require.Equal(t, want, got, "outcomes of %s", id)
+	}
+	for id, want := range tr.Runs {
+		require.Equal(t, want, runs[id], "runs of %s", id)
+	}
+	for host, want := range tr.Pools {
+		require.Equal(t, want, hostSpec(trial, host).Pool, "pool of %s", host)
+	}
+}
--- a/quetzalstandin/platform.go
+++ b/quetzalstandin/platform.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -19,12 +21,18 @@
 type platformCommand struct {
 	Address  string        `required:"" help:"IP:port of the platform's service."`
 	Admin    string        `required:"" help:"IP:port of the admin interface."`
+	Hosts    int           `help:"Number of hosts to list as live from the start: host0, host1 and so on."`
 	RebootIn time.Duration `default:"300ms" help:"Time that a host takes to reboot."`
 }
 
 // Run serves until a signal.
 func (c *platformCommand) Run() error {
 	p := &platform{rebootIn: c.RebootIn}
+	for n := range c.Hosts {
+		p.hosts = append(p.hosts, platformHost{listed: quetzalwire.ListedHost{
+			Host: fmt.Sprint("host", n), State: quetzalwire.ListedHostStateLive, Boot: 1,
+		}})
+	}
 	return serveUntilSignal(map[string]http.Handler{c.Address: p.service(), c.Admin: p.admin()})
 }
 
@@ -155,7 +163,7 @@
 }
 
 // list shows the hosts as they were before the list's lag.
-func (p *platform) list(w http.ResponseWriter, _ *http.Request) {
+func (p *platform) list(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if time.Since(p.shownAt) >= time.Duration(p.faults.ListLagMs)*time.Millisecond {
@@ -165,7 +173,18 @@
 		}
 		p.shownAt = time.Now()
 	}
-	writeJSON(w, quetzalwire.HostList{Hosts: p.shown})
+	text, err := json.Marshal(quetzalwire.HostList{Hosts: p.shown})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%x"`, sha256.Sum256(text))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(text)
 }
 
 func (p *platform) putFaults(w http.ResponseWriter, r *http.Request) {
