--- a/quetzalcore/quetzalcodec/claim.go
+++ b/quetzalcore/quetzalcodec/claim.go
@@ -76,6 +76,7 @@
 	OutcomeCancelled = "Cancelled"
 	OutcomeInvalid   = "Invalid"
 	OutcomeConflict  = "Conflict"
+	OutcomeAccepted  = "Accepted"
 )
 
 // OutcomeName returns the name of an outcome and its reason.
@@ -87,6 +88,8 @@
 		return OutcomeNotRun, string(o.Reason)
 	case quetzalfleet.Unknown:
 		return OutcomeUnknown, string(o.Reason)
+	case quetzalfleet.Accepted:
+		return OutcomeAccepted, ""
 	case quetzalfleet.Cancelled:
 		return OutcomeCancelled, ""
 	case quetzalfleet.Conflict:
@@ -118,6 +121,8 @@
 		return quetzalfleet.Ran{Answer: a}, err
 	case OutcomeNotRun:
 		return quetzalfleet.NotRun{Reason: quetzalfleet.NotRunReason(reply.Reason)}, nil
+	case OutcomeAccepted:
+		return quetzalfleet.Accepted{}, nil
 	case OutcomeCancelled:
 		return quetzalfleet.Cancelled{}, nil
 	case OutcomeConflict:
--- /dev/null
+++ b/quetzalcore/quetzalcodec/job.go
@@ -0,0 +1,51 @@
+package quetzalcodec
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+)
+
+func jobDoc(j *quetzalfleet.JobSpec) quetzalwire.JobDoc {
+	return quetzalwire.JobDoc{
+		Request: string(j.Request), Entry: string(j.Entry), Incarnation: int(j.Incarnation),
+		State: quetzalwire.JobDocState(j.State.String()), Queue: string(j.Queue), Team: string(j.Team),
+		Long: j.Class == quetzalfleet.Long, Urgent: j.Urgent, Idempotent: j.Idempotent,
+		DeadlineMs: int(j.Deadline.Milliseconds()), BodySum: string(j.Sum),
+	}
+}
+
+func jobRow(d *quetzalwire.JobDoc) (quetzalfleet.StoredRow, error) {
+	state, err := parseState(string(d.State), quetzalfleet.JobAccepted, quetzalfleet.JobEnded)
+	j := quetzalfleet.JobSpec{
+		Request: quetzalunit.RequestID(d.Request), Entry: quetzalunit.EntryID(d.Entry),
+		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, Queue: quetzalunit.QueueID(d.Queue),
+		Team: quetzalunit.TeamID(d.Team), Urgent: d.Urgent, Idempotent: d.Idempotent,
+		Deadline: quetzalunit.Instant(d.DeadlineMs) * quetzalunit.Instant(time.Millisecond), Sum: quetzalunit.BodySum(d.BodySum),
+	}
+	if d.Long {
+		j.Class = quetzalfleet.Long
+	}
+	return quetzalfleet.JobRow{JobSpec: j}, err
+}
+
+// EncodeObject returns the JSON of an object.
+func EncodeObject(p *quetzalfleet.Payload) ([]byte, error) {
+	status, fields, body := encodeAnswer(p)
+	text, err := json.Marshal(quetzalwire.ObjectDoc{Status: status, Fields: fields, Body: body})
+	return text, eris.Wrap(err, "encode object")
+}
+
+// DecodeObject is the inverse of EncodeObject.
+func DecodeObject(text []byte) (*quetzalfleet.Payload, error) {
+	var d quetzalwire.ObjectDoc
+	if err := json.Unmarshal(text, &d); err != nil {
+		return nil, eris.Wrap(err, "decode object")
+	}
+	return decodeAnswer(d.Status, d.Fields, d.Body)
+}
--- a/quetzalcore/quetzalcodec/row.go
+++ b/quetzalcore/quetzalcodec/row.go
@@ -60,6 +60,8 @@
 		return WaveDoc(&v.WaveSpec)
 	case quetzalfleet.ClaimRow:
 		return claimDoc(&v)
+	case quetzalfleet.JobRow:
+		return jobDoc(&v.JobSpec)
 	case quetzalfleet.ChangeRow:
 		return quetzalwire.ChangeDoc{ChangeID: string(v.ID), Subject: v.Subject, Version: int(v.Version)}
 	}
@@ -103,6 +105,8 @@
 		return decode(text, waveRow)
 	case quetzalfleet.TableClaims:
 		return decode(text, claimRow)
+	case quetzalfleet.TableJobs:
+		return decode(text, jobRow)
 	case quetzalfleet.TableChanges:
 		return decode(text, func(d *quetzalwire.ChangeDoc) (quetzalfleet.StoredRow, error) {
 			return quetzalfleet.ChangeRow{
--- a/quetzalcore/quetzalfleet/commands.go
+++ b/quetzalcore/quetzalfleet/commands.go
@@ -52,10 +52,22 @@
 		Call Row
 		Keys []RowKey
 	}
-	// ScanStore reads the rows of FleetTables above a revision; it ends with StoreAnswered.
+	// ScanStore reads the rows of tables above a revision; it ends with StoreAnswered.
 	ScanStore struct {
-		Call  Row
-		After quetzalunit.Revision
+		Call   Row
+		Tables []TableName
+		After  quetzalunit.Revision
+	}
+	// PutObject stores an object; it ends with StoreAnswered.
+	PutObject struct {
+		Call   Row
+		Key    ObjectKey
+		Object *Payload
+	}
+	// GetObject reads an object; it ends with StoreAnswered.
+	GetObject struct {
+		Call Row
+		Key  ObjectKey
 	}
 	// ListHosts reads the platform's list of hosts; it ends with StoreAnswered.
 	ListHosts struct{ Call Row }
@@ -114,6 +126,8 @@
 func (WriteStore) implementsCommand()     {}
 func (ReadStore) implementsCommand()      {}
 func (ScanStore) implementsCommand()      {}
+func (PutObject) implementsCommand()      {}
+func (GetObject) implementsCommand()      {}
 func (ListHosts) implementsCommand()      {}
 func (RebootHost) implementsCommand()     {}
 func (TellPeer) implementsCommand()       {}
@@ -124,12 +138,22 @@
 func (LogDecision) implementsCommand()    {}
 func (FinishStop) implementsCommand()     {}
 
+// ObjectKey names an object of the object store.
+type ObjectKey string
+
+// WorkKey names the object with the work of a job.
+func WorkKey(id quetzalunit.RequestID) ObjectKey {
+	return ObjectKey("work/" + id)
+}
+
 // Outcome is the final outcome of a request.
 type Outcome interface{ implementsOutcome() }
 
 type (
 	// Ran has the minion's whole answer.
 	Ran struct{ Answer *Payload }
+	// Accepted tells that the request is stored and will be run.
+	Accepted struct{}
 	// NotRun tells that the request did not run and will not.
 	NotRun struct {
 		Reason     NotRunReason
@@ -146,6 +170,7 @@
 )
 
 func (Ran) implementsOutcome()       {}
+func (Accepted) implementsOutcome()  {}
 func (NotRun) implementsOutcome()    {}
 func (Unknown) implementsOutcome()   {}
 func (Cancelled) implementsOutcome() {}
@@ -176,6 +201,7 @@
 	ConnectionBroken UnknownReason = "ConnectionBroken"
 	AttemptTimedOut  UnknownReason = "AttemptTimedOut"
 	HolderGone       UnknownReason = "HolderGone"
+	NotStored        UnknownReason = "NotStored"
 )
 
 // InvalidReason says what is wrong with a request.
--- a/quetzalcore/quetzalfleet/entities.go
+++ b/quetzalcore/quetzalfleet/entities.go
@@ -50,6 +50,8 @@
 const (
 	// RequestClaiming waits for the table service to confirm the claim.
 	RequestClaiming RequestState = iota
+	// RequestStoring waits until its work and its job's row are stored.
+	RequestStoring
 	// RequestJoining waits for another entry that holds the claim.
 	RequestJoining
 	// RequestQueued is linked into a lane.
@@ -110,6 +112,14 @@
 	HolderRevision quetzalunit.Revision
 	// Rejoined tells that the claim was read again after its holder did not answer.
 	Rejoined bool
+	// Job tells that the request is accepted with status 202 and outlives its caller.
+	Job bool
+	// JobRevision is the revision of the job's row, zero before it is committed.
+	JobRevision quetzalunit.Revision
+	// Marking tells that the request counts in its pool's Marking.
+	Marking bool
+	// JobSent tells that the job's row says that the request may have run.
+	JobSent bool
 	// Outcome is set in RequestDone.
 	Outcome Outcome
 }
@@ -170,6 +180,9 @@
 	NextQueue int
 	// RetryTokens is the retry budget in hundredths of an attempt.
 	RetryTokens quetzalunit.Percent
+	// Marking counts the jobs that were taken out of their lines to be marked as sent
+	// and are not sent yet.
+	Marking int
 	// LookAgain tells that a PoolDue timer is set.
 	LookAgain bool
 	// Backlog smooths the demand for the move policy.
@@ -303,6 +316,14 @@
 	RebootAskedAt quetzalunit.Instant
 }
 
+// PendingJob is a job without an outcome, as the holder of a zone's duties knows it.
+type PendingJob struct {
+	JobSpec
+	Revision quetzalunit.Revision
+	// Call is the takeover under way, zero without one.
+	Call Row
+}
+
 // Attempt is one try of a request on a host.
 type Attempt struct {
 	Request Row
@@ -474,4 +495,5 @@
 	DecisionDuty   DecisionKind = "Duty"
 	DecisionPark   DecisionKind = "Park"
 	DecisionRoster DecisionKind = "Roster"
+	DecisionJob    DecisionKind = "Job"
 )
--- a/quetzalcore/quetzalfleet/inputs.go
+++ b/quetzalcore/quetzalfleet/inputs.go
@@ -16,7 +16,9 @@
 		ID     quetzalunit.RequestID
 		Minted bool
 		// Forwarded requests come from an entry of another zone, and go no further.
-		Forwarded  bool
+		Forwarded bool
+		// Async asks for status 202 once the request is stored.
+		Async      bool
 		Queue      quetzalunit.QueueID
 		Team       quetzalunit.TeamID
 		Class      Class
@@ -135,6 +137,10 @@
 	HostsListed struct{ Hosts []ListedHost }
 	// RebootAccepted tells that the platform will reboot the host.
 	RebootAccepted struct{}
+	// ObjectStored tells that an object is stored.
+	ObjectStored struct{}
+	// ObjectRead has an object; nil when there is none.
+	ObjectRead struct{ Object *Payload }
 	// NoAnswer tells that the call may or may not have taken effect.
 	NoAnswer struct{}
 )
@@ -144,6 +150,8 @@
 func (RowsRead) implementsStoreResult()       {}
 func (HostsListed) implementsStoreResult()    {}
 func (RebootAccepted) implementsStoreResult() {}
+func (ObjectStored) implementsStoreResult()   {}
+func (ObjectRead) implementsStoreResult()     {}
 func (NoAnswer) implementsStoreResult()       {}
 
 // ListedHost is a host in the platform's list.
--- a/quetzalcore/quetzalfleet/rows.go
+++ b/quetzalcore/quetzalfleet/rows.go
@@ -22,6 +22,7 @@
 	TableWaves    TableName = "Waves"
 	TableClaims   TableName = "Claims"
 	TableChanges  TableName = "Changes"
+	TableJobs     TableName = "Jobs"
 )
 
 // FleetTables are the tables that entries read in full and pass on to peers.
@@ -101,6 +102,8 @@
 		// Answer is set in ClaimDone.
 		Answer *Payload
 	}
+	// JobRow stores a job in TableJobs.
+	JobRow struct{ JobSpec }
 	// ChangeRow stores an accepted change in TableChanges.
 	ChangeRow struct {
 		ID      quetzalunit.ChangeID
@@ -120,6 +123,7 @@
 func (RenewalRow) implementsStoredRow() {}
 func (WaveRow) implementsStoredRow()    {}
 func (ClaimRow) implementsStoredRow()   {}
+func (JobRow) implementsStoredRow()     {}
 func (ChangeRow) implementsStoredRow()  {}
 
 // ClaimState is the state of a claim.
@@ -142,6 +146,40 @@
 	return [...]string{"Claimed", "Done", "Unknown", "Released"}[s]
 }
 
+// JobState is the state of a job.
+type JobState uint8
+
+// The states of a job.
+const (
+	// JobAccepted was not sent: whoever holds it may run it.
+	JobAccepted JobState = iota
+	// JobSent may have run: only an idempotent job may be run by another holder.
+	JobSent
+	// JobEnded has its outcome in the claim.
+	JobEnded
+)
+
+// String returns the state as stored.
+func (s JobState) String() string {
+	return [...]string{"Accepted", "Sent", "Ended"}[s]
+}
+
+// JobSpec is a request that was accepted with status 202. Its work is an object
+// of the object store; the claim has its outcome.
+type JobSpec struct {
+	Request     quetzalunit.RequestID
+	Entry       quetzalunit.EntryID
+	Incarnation quetzalunit.Incarnation
+	State       JobState
+	Queue       quetzalunit.QueueID
+	Team        quetzalunit.TeamID
+	Class       Class
+	Urgent      bool
+	Idempotent  bool
+	Deadline    quetzalunit.Instant
+	Sum         quetzalunit.BodySum
+}
+
 // RevisedRow is a stored row with its key and the revision of its last write.
 type RevisedRow struct {
 	Key      RowKey
--- a/quetzalcore/quetzalfleet/timers.go
+++ b/quetzalcore/quetzalfleet/timers.go
@@ -31,6 +31,8 @@
 	ChangeDue struct{ Change Row }
 	// PoolDue dispatches a pool's requests again.
 	PoolDue struct{ Pool Row }
+	// JobsDue reads the jobs, as the holder of the zone's duties.
+	JobsDue struct{}
 	// LeavingSignOver ends the effect of a sign of leaving.
 	LeavingSignOver struct{ Host Row }
 	// RequestForgotten deletes a finished request that could still be joined.
@@ -49,6 +51,7 @@
 func (Wake) implementsTimer()             {}
 func (ChangeDue) implementsTimer()        {}
 func (PoolDue) implementsTimer()          {}
+func (JobsDue) implementsTimer()          {}
 func (LeavingSignOver) implementsTimer()  {}
 func (RequestForgotten) implementsTimer() {}
 
@@ -85,6 +88,23 @@
 	ForClaimRead struct{ Requests []Row }
 	// ForClaimOutcome writes the outcomes of claimed requests.
 	ForClaimOutcome struct{ Requests []Row }
+	// ForWork stores the work of a job.
+	ForWork struct{ Request Row }
+	// ForJob commits a job's row as accepted, or as sent.
+	ForJob struct{ Request Row }
+	// ForJobRead finds out whether an unanswered acceptance took effect.
+	ForJobRead struct{ Request Row }
+	// ForJobScan reads the jobs.
+	ForJobScan struct{}
+	// ForJobTakeover takes over a job whose holder has gone.
+	ForJobTakeover struct{ Job Row }
+	// ForJobWork reads the work of a job that was taken over.
+	ForJobWork struct{ Request Row }
+	// ForResult reads the claim of a request that somebody asks for.
+	ForResult struct {
+		Caller quetzalunit.Caller
+		ID     quetzalunit.RequestID
+	}
 	// ForHost changes the row of a host.
 	ForHost struct{ Host Row }
 	// ForReboot asks for a host's reboot.
@@ -107,6 +127,13 @@
 func (ForClaims) implementsStorePurpose()        {}
 func (ForClaimRead) implementsStorePurpose()     {}
 func (ForClaimOutcome) implementsStorePurpose()  {}
+func (ForWork) implementsStorePurpose()          {}
+func (ForJob) implementsStorePurpose()           {}
+func (ForJobRead) implementsStorePurpose()       {}
+func (ForJobScan) implementsStorePurpose()       {}
+func (ForJobTakeover) implementsStorePurpose()   {}
+func (ForJobWork) implementsStorePurpose()       {}
+func (ForResult) implementsStorePurpose()        {}
 func (ForHost) implementsStorePurpose()          {}
 func (ForReboot) implementsStorePurpose()        {}
 func (ForWave) implementsStorePurpose()          {}
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -46,6 +46,7 @@
 	Confirmed  quetzaltable.Table[Confirmation]
 	StoreCalls quetzaltable.Table[StoreCall]
 	Changes    quetzaltable.Table[Change]
+	Jobs       quetzaltable.Table[PendingJob]
 
 	RequestByID   quetzaltable.Index[quetzalunit.RequestID]
 	RequestOf     quetzaltable.Index[quetzalunit.Caller]
@@ -60,6 +61,7 @@
 	DutyByZone    quetzaltable.Index[quetzalunit.ZoneID]
 	SettingByPath quetzaltable.Index[quetzalunit.NodePath]
 	ConfirmedBy   quetzaltable.Index[ConfirmationKey]
+	JobByID       quetzaltable.Index[quetzalunit.RequestID]
 
 	// Timers wakes the systems.
 	Timers quetzaltable.Timers[Timer]
@@ -95,6 +97,10 @@
 	RenewedAt quetzalunit.Instant
 	// Live counts the requests without an outcome.
 	Live quetzalunit.Requests
+	// JobsSeen is the revision up to which the jobs were read, and JobScan the read
+	// in flight, zero without one.
+	JobsSeen quetzalunit.Revision
+	JobScan  Row
 	// ClaimCalls counts the claim transactions in flight.
 	ClaimCalls int
 	// OutcomeCall is the transaction that stores outcomes, zero without one.
--- a/quetzalcore/quetzalfront/callers.go
+++ b/quetzalcore/quetzalfront/callers.go
@@ -16,6 +16,7 @@
 
 	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalsystem"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalupstream"
 	"quetzalstair/quetzalcore/quetzalwaiter"
@@ -38,6 +39,8 @@
 	// flagTrue is the value of a header field or parameter that is switched on.
 	flagTrue   = "true"
 	maxTimeout = 24 * time.Hour
+	// asyncTimeout is the deadline of a request with status 202 that names none.
+	asyncTimeout = 24 * time.Hour
 	// bodyTimeout bounds the time in which a caller sends a body.
 	bodyTimeout = 30 * time.Second
 	// maxWait bounds the Wait parameter.
@@ -200,12 +203,29 @@
 	if in.Urgent, err = parseFlag(HeaderUrgent, r.Header.Get(HeaderUrgent)); err != nil {
 		return in, err
 	}
+	if preferAsync(r.Header) {
+		in.Async, in.Timeout = true, asyncTimeout
+		if in.Minted {
+			// The id outlives this process, so that it must not name it as its home.
+			in.ID, in.Minted = "job-"+quetzalunit.RequestID(strings.TrimPrefix(string(in.ID), quetzalsystem.MintMark)), false
+		}
+	}
 	if text := r.Header.Get(HeaderTimeout); text != "" {
 		in.Timeout, err = parseSpan(HeaderTimeout, text, maxTimeout)
 	}
 	return in, err
 }
 
+// preferAsync tells whether the caller wants status 202 and will ask for the outcome.
+func preferAsync(h http.Header) bool {
+	for _, v := range strings.Split(h.Get("Prefer"), ",") {
+		if strings.TrimSpace(v) == "respond-async" {
+			return true
+		}
+	}
+	return false
+}
+
 func parseClass(text string) (quetzalfleet.Class, error) {
 	switch text {
 	case "", "Short":
@@ -290,6 +310,10 @@
 	switch o := o.(type) {
 	case quetzalfleet.Ran:
 		writePayload(w, o.Answer)
+	case quetzalfleet.Accepted:
+		header["Location"] = []string{"/requests/" + string(id)}
+		doc.Message = "the request is stored and will be run: ask for its outcome at Location"
+		writeError(w, http.StatusAccepted, doc)
 	case quetzalfleet.NotRun:
 		status := http.StatusServiceUnavailable
 		if o.Reason == quetzalfleet.OverQuota {
--- a/quetzalcore/quetzalstore/client.go
+++ b/quetzalcore/quetzalstore/client.go
@@ -75,7 +75,11 @@
 	case quetzalfleet.ReadStore:
 		result, err = c.read(ctx, v.Keys)
 	case quetzalfleet.ScanStore:
-		result, err = c.scan(ctx, v.After)
+		result, err = c.scan(ctx, v.Tables, v.After)
+	case quetzalfleet.PutObject:
+		result, err = c.putObject(ctx, v.Key, v.Object)
+	case quetzalfleet.GetObject:
+		result, err = c.getObject(ctx, v.Key)
 	case quetzalfleet.ListHosts:
 		result, err = c.list(ctx)
 	case quetzalfleet.RebootHost:
@@ -138,9 +142,11 @@
 	return c.rows(ctx, http.MethodPost, "/reads", req)
 }
 
-func (c *Client) scan(ctx context.Context, after quetzalunit.Revision) (quetzalfleet.StoreResult, error) {
+func (c *Client) scan(
+	ctx context.Context, tables []quetzalfleet.TableName, after quetzalunit.Revision,
+) (quetzalfleet.StoreResult, error) {
 	query := url.Values{"After": {strconv.FormatInt(int64(after), 10)}}
-	for _, table := range quetzalfleet.FleetTables() {
+	for _, table := range tables {
 		query.Add("Table", string(table))
 	}
 	return c.rows(ctx, http.MethodGet, "/rows?"+query.Encode(), nil)
@@ -202,6 +208,50 @@
 	return result
 }
 
+func (c *Client) objectURL(key quetzalfleet.ObjectKey) string {
+	return c.base + "/objects/" + url.PathEscape(string(key))
+}
+
+func (c *Client) putObject(
+	ctx context.Context, key quetzalfleet.ObjectKey, p *quetzalfleet.Payload,
+) (quetzalfleet.StoreResult, error) {
+	text, err := quetzalcodec.EncodeObject(p)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, c.objectURL(key), bytes.NewReader(text))
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	_, res, err := c.roundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, &StatusError{Path: req.URL.Path, Status: res.StatusCode}
+	}
+	return quetzalfleet.ObjectStored{}, nil
+}
+
+func (c *Client) getObject(ctx context.Context, key quetzalfleet.ObjectKey) (quetzalfleet.StoreResult, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.objectURL(key), nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	text, res, err := c.roundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	switch res.StatusCode {
+	case http.StatusNotFound:
+		return quetzalfleet.ObjectRead{}, nil
+	case http.StatusOK:
+		p, err := quetzalcodec.DecodeObject(text)
+		return quetzalfleet.ObjectRead{Object: p}, err
+	}
+	return nil, &StatusError{Path: req.URL.Path, Status: res.StatusCode}
+}
+
 func (c *Client) reboot(
 	ctx context.Context, host quetzalunit.HostID, before quetzalunit.Boot,
 ) (quetzalfleet.StoreResult, error) {
--- a/quetzalcore/quetzalsystem/attempt.go
+++ b/quetzalcore/quetzalsystem/attempt.go
@@ -133,7 +133,7 @@
 	if h := w.Hosts.At(hostRow); h != nil && !slices.Contains(r.FailedHosts, h.ID) {
 		r.FailedHosts = append(r.FailedHosts, h.ID)
 	}
-	if len(r.Callers) == 0 {
+	if len(r.Callers) == 0 && !r.Job {
 		return false
 	}
 	if len(r.FailedHosts) >= parkAfterHosts && r.MayHaveRun {
@@ -206,6 +206,10 @@
 
 func retryRequest(w *quetzalfleet.World, row quetzalfleet.Row) {
 	r := w.Requests.At(row)
+	if r != nil && r.State == quetzalfleet.RequestStoring {
+		resumeStoring(w, row)
+		return
+	}
 	if r == nil || r.State != quetzalfleet.RequestWaiting {
 		return
 	}
--- a/quetzalcore/quetzalsystem/claim.go
+++ b/quetzalcore/quetzalsystem/claim.go
@@ -269,6 +269,11 @@
 		}
 		requests = append(requests, row)
 		t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: claimKey(r.ID), Revision: r.ClaimRevision})
+		if r.Job {
+			t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: jobKey(r.ID), Revision: r.JobRevision})
+			t.Writes = append(t.Writes, jobRows(w, r, quetzalfleet.JobEnded, outcomeRow(w, r))...)
+			continue
+		}
 		t.Writes = append(t.Writes, quetzalfleet.Write{Key: claimKey(r.ID), Row: outcomeRow(w, r)})
 	}
 	w.OutcomesAt = 0
--- a/quetzalcore/quetzalsystem/dispatch.go
+++ b/quetzalcore/quetzalsystem/dispatch.go
@@ -78,6 +78,12 @@
 			finish(d.w, row, tooLate(d.w, d.w.Requests.At(row)))
 			continue
 		}
+		if mustMark(d.w.Requests.At(row)) {
+			if !markSent(d.w, row) {
+				return
+			}
+			continue
+		}
 		unlink(d.w, row)
 		passTurn(d.w, queueRow, lineRow)
 		d.start(row, host, lineRow)
@@ -245,6 +251,7 @@
 	if long {
 		h.RunningLong++
 	}
+	endMarking(w, r)
 	r.State = quetzalfleet.RequestRunning
 	r.Attempt = attempt
 	r.Attempts++
--- a/quetzalcore/quetzalsystem/doc.go
+++ b/quetzalcore/quetzalsystem/doc.go
@@ -8,6 +8,7 @@
 //	request.go   arrival, admission, cancellation and outcome of requests
 //	line.go      lanes of a queue and fair sharing between teams
 //	claim.go     claims of requests whose id the caller chose
+//	job.go       requests that are accepted with status 202
 //	dispatch.go  choice of a host and start of attempts
 //	forward.go   requests handed to a zone with hosts of their pool
 //	attempt.go   end of attempts, retry
--- a/quetzalcore/quetzalsystem/forward.go
+++ b/quetzalcore/quetzalsystem/forward.go
@@ -87,6 +87,12 @@
 			lookAgain(w, q.Pool)
 			return
 		}
+		if mustMark(w.Requests.At(row)) {
+			if !markSent(w, row) {
+				return
+			}
+			continue
+		}
 		unlink(w, row)
 		passTurn(w, queue, line)
 		forward(w, row, peer)
@@ -109,6 +115,7 @@
 		Request: row, Peer: peer, Queue: r.Queue, Team: r.Team, StartedAt: w.Now,
 	})
 	p.Forwarded++
+	endMarking(w, r)
 	r.State = quetzalfleet.RequestRunning
 	r.Attempt = attempt
 	r.Attempts++
--- /dev/null
+++ b/quetzalcore/quetzalsystem/job.go
@@ -0,0 +1,404 @@
+package quetzalsystem
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+const (
+	// jobsPeriod is the mean time between two reads of the jobs.
+	jobsPeriod = 2 * time.Second
+	// maxMarking is the number of jobs of a pool that are marked as sent at a time.
+	maxMarking = 4
+	// storeTimeout is how long the acceptance of a job is tried.
+	storeTimeout = 10 * time.Second
+)
+
+func jobKey(id quetzalunit.RequestID) quetzalfleet.RowKey {
+	return quetzalfleet.RowKey{Table: quetzalfleet.TableJobs, Key: string(id)}
+}
+
+// storeJob stores the work of a request that was asked for with status 202.
+func storeJob(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
+	r.State = quetzalfleet.RequestStoring
+	w.Emit(quetzalfleet.PutObject{
+		Call: addCall(w, quetzalfleet.ForWork{Request: row}), Key: quetzalfleet.WorkKey(r.ID), Object: r.Work,
+	})
+}
+
+func endWork(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
+	r := w.Requests.At(row)
+	if r == nil || r.State != quetzalfleet.RequestStoring {
+		return
+	}
+	if _, ok := result.(quetzalfleet.ObjectStored); !ok {
+		// Without its row the object is no job: nobody will run it.
+		finish(w, row, quetzalfleet.NotRun{Reason: quetzalfleet.ClaimUnavailable, RetryAfter: time.Second})
+		return
+	}
+	writeJob(w, row, quetzalfleet.JobAccepted)
+}
+
+// jobRows returns the rows of a job held by this process.
+func jobRows(w *quetzalfleet.World, r *quetzalfleet.Request, s quetzalfleet.JobState, claim quetzalfleet.ClaimRow) []quetzalfleet.Write {
+	return []quetzalfleet.Write{
+		{Key: jobKey(r.ID), Row: quetzalfleet.JobRow{JobSpec: quetzalfleet.JobSpec{
+			Request: r.ID, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, State: s,
+			Queue: w.Queues.At(r.Queue).ID, Team: w.Teams.At(r.Team).ID, Class: r.Class, Urgent: r.Urgent,
+			Idempotent: r.Idempotent, Deadline: r.Deadline, Sum: r.Sum,
+		}}},
+		{Key: claimKey(r.ID), Row: claim},
+	}
+}
+
+// writeJob commits the rows of a job in a state.
+func writeJob(w *quetzalfleet.World, row quetzalfleet.Row, s quetzalfleet.JobState) {
+	r := w.Requests.At(row)
+	t := quetzalfleet.Transaction{
+		Conditions: []quetzalfleet.Condition{{Key: jobKey(r.ID), Revision: r.JobRevision}},
+		Writes:     jobRows(w, r, s, claimRow(w, r, quetzalfleet.ClaimHeld, nil)),
+	}
+	if r.JobRevision == 0 {
+		t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: claimKey(r.ID)})
+	}
+	write(w, quetzalfleet.ForJob{Request: row}, t)
+}
+
+func endJob(w *quetzalfleet.World, row quetzalfleet.Row, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
+	r := w.Requests.At(row)
+	if r == nil || r.State != quetzalfleet.RequestStoring {
+		return
+	}
+	switch result := result.(type) {
+	case quetzalfleet.Committed:
+		jobCommitted(w, row, call.Transaction.Writes[0].Row.(quetzalfleet.JobRow).State, result.Revision)
+	case quetzalfleet.Conflicted:
+		jobConflict(w, row, result.Rows)
+	default:
+		read(w, quetzalfleet.ForJobRead{Request: row}, []quetzalfleet.RowKey{jobKey(r.ID), claimKey(r.ID)})
+	}
+}
+
+// jobCommitted goes on with a job whose rows are stored.
+func jobCommitted(w *quetzalfleet.World, row quetzalfleet.Row, s quetzalfleet.JobState, rev quetzalunit.Revision) {
+	r := w.Requests.At(row)
+	r.JobRevision, r.ClaimRevision = rev, rev
+	r.JobSent = s == quetzalfleet.JobSent
+	acceptCallers(w, row)
+	enqueue(w, row, r.JobSent)
+}
+
+// acceptCallers answers those who asked for the job's acceptance; whoever wants
+// the outcome asks for it.
+func acceptCallers(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
+	for _, caller := range r.Callers {
+		w.RequestOf.Delete(caller)
+		answer(w, caller, r.ID, quetzalfleet.Accepted{})
+	}
+	r.Callers = nil
+}
+
+// jobConflict settles a job whose rows are not as this process knew them: its id
+// was used before, or another entry has taken the job over.
+func jobConflict(w *quetzalfleet.World, row quetzalfleet.Row, rows []quetzalfleet.RevisedRow) {
+	r := w.Requests.At(row)
+	if r.JobRevision > 0 {
+		abandon(w, row)
+		return
+	}
+	for _, found := range rows {
+		claim, ok := found.Row.(quetzalfleet.ClaimRow)
+		if !ok {
+			continue
+		}
+		if claim.Sum != r.Sum {
+			finish(w, row, quetzalfleet.Conflict{})
+			return
+		}
+		acceptCallers(w, row)
+		abandon(w, row)
+		return
+	}
+	finish(w, row, quetzalfleet.Unknown{Reason: quetzalfleet.NotStored})
+}
+
+// endJobRead settles an acceptance that had no answer. A job that may be stored
+// must not be called NotRun.
+func endJobRead(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
+	r := w.Requests.At(row)
+	if r == nil || r.State != quetzalfleet.RequestStoring {
+		return
+	}
+	found, ok := result.(quetzalfleet.RowsRead)
+	if !ok {
+		if w.Now.Sub(r.ArrivedAt) > storeTimeout && r.JobRevision == 0 {
+			finish(w, row, quetzalfleet.Unknown{Reason: quetzalfleet.NotStored})
+			return
+		}
+		w.After(claimRetry, quetzalfleet.RetryDue{Request: row})
+		return
+	}
+	for _, f := range found.Rows {
+		job, ok := f.Row.(quetzalfleet.JobRow)
+		mine := ok && job.Entry == w.Self.Entry && job.Incarnation == w.Self.Incarnation
+		if mine && f.Revision > r.JobRevision {
+			jobCommitted(w, row, job.State, f.Revision)
+			return
+		}
+	}
+	writeJob(w, row, nextJobState(r))
+}
+
+// nextJobState returns the state in which a job's row is written next.
+func nextJobState(r *quetzalfleet.Request) quetzalfleet.JobState {
+	if r.JobRevision > 0 {
+		return quetzalfleet.JobSent
+	}
+	return quetzalfleet.JobAccepted
+}
+
+// abandon forgets a job that another entry runs, without an outcome.
+func abandon(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
+	if r.State == quetzalfleet.RequestQueued {
+		unlink(w, row)
+	}
+	for _, caller := range r.Callers {
+		w.RequestOf.Delete(caller)
+		answer(w, caller, r.ID, quetzalfleet.Accepted{})
+	}
+	endMarking(w, r)
+	w.Live--
+	r.State = quetzalfleet.RequestDone
+	forgetRequest(w, row)
+}
+
+// mustMark tells whether the job's row must say that it may have run before the
+// request is sent.
+func mustMark(r *quetzalfleet.Request) bool {
+	return r.Job && !r.Idempotent && !r.JobSent
+}
+
+// markSent takes a job out of its line until its row says that it may have run,
+// and tells whether it did. Few jobs are marked at a time: one that is marked and
+// never sent, because its entry dies, can only end as Unknown.
+func markSent(w *quetzalfleet.World, row quetzalfleet.Row) bool {
+	r := w.Requests.At(row)
+	p := w.Pools.At(w.Queues.At(r.Queue).Pool)
+	if p.Marking >= maxMarking {
+		return false
+	}
+	p.Marking++
+	r.Marking = true
+	unlink(w, row)
+	r.State = quetzalfleet.RequestStoring
+	writeJob(w, row, quetzalfleet.JobSent)
+	return true
+}
+
+// endMarking tells that a marked job was sent or has ended.
+func endMarking(w *quetzalfleet.World, r *quetzalfleet.Request) {
+	if !r.Marking {
+		return
+	}
+	r.Marking = false
+	pool := w.Queues.At(r.Queue).Pool
+	w.Pools.At(pool).Marking--
+	w.DirtyPools.Add(pool)
+}
+
+// scanJobs reads what changed of the jobs, as the holder of the zone's duties.
+func scanJobs(w *quetzalfleet.World) {
+	w.After(w.Jitter(jobsPeriod), quetzalfleet.JobsDue{})
+	if !holdsDuty(w) || w.JobScan != 0 || w.Stop != quetzalfleet.StopNone {
+		return
+	}
+	w.JobScan = addCall(w, quetzalfleet.ForJobScan{})
+	w.Emit(quetzalfleet.ScanStore{
+		Call: w.JobScan, Tables: []quetzalfleet.TableName{quetzalfleet.TableJobs}, After: w.JobsSeen,
+	})
+}
+
+func endJobScan(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+	w.JobScan = 0
+	found, ok := result.(quetzalfleet.RowsRead)
+	if !ok {
+		return
+	}
+	w.JobsSeen = max(w.JobsSeen, found.Revision)
+	for _, f := range found.Rows {
+		if job, ok := f.Row.(quetzalfleet.JobRow); ok {
+			noteJob(w, job.JobSpec, f.Revision)
+		}
+	}
+	for row, job := range w.Jobs.All() {
+		if job.Call == 0 && !holderLives(w, &job.JobSpec) {
+			takeJob(w, row)
+		}
+	}
+}
+
+// noteJob keeps a job that has no outcome and forgets one that has.
+func noteJob(w *quetzalfleet.World, spec quetzalfleet.JobSpec, rev quetzalunit.Revision) {
+	row := w.JobByID.Get(spec.Request)
+	if spec.State == quetzalfleet.JobEnded {
+		w.JobByID.Delete(spec.Request)
+		w.Jobs.Delete(row)
+		return
+	}
+	if row == 0 {
+		row = w.Jobs.Insert(quetzalfleet.PendingJob{})
+		w.JobByID.Put(spec.Request, row)
+	}
+	job := w.Jobs.At(row)
+	job.JobSpec, job.Revision = spec, rev
+}
+
+// holderLives tells whether the process that holds a job is in a roster.
+func holderLives(w *quetzalfleet.World, job *quetzalfleet.JobSpec) bool {
+	for _, r := range w.Rosters.All() {
+		if slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
+			return e.Entry == job.Entry && e.Incarnation == job.Incarnation
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+// takeJob takes over a job whose holder has gone, or ends it when it may have run
+// and must not run again.
+func takeJob(w *quetzalfleet.World, row quetzalfleet.Row) {
+	job := w.Jobs.At(row)
+	next := job.JobSpec
+	next.Entry, next.Incarnation, next.State = w.Self.Entry, w.Self.Incarnation, quetzalfleet.JobAccepted
+	claim := quetzalfleet.ClaimRow{
+		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Sum: job.Sum,
+	}
+	if job.State == quetzalfleet.JobSent && !job.Idempotent {
+		next.State, claim.State = quetzalfleet.JobEnded, quetzalfleet.ClaimUnknown
+	}
+	w.Decide(quetzalfleet.DecisionJob, string(job.Request), "taken over: its entry has gone")
+	job.Call = write(w, quetzalfleet.ForJobTakeover{Job: row}, quetzalfleet.Transaction{
+		Conditions: []quetzalfleet.Condition{{Key: jobKey(job.Request), Revision: job.Revision}},
+		Writes: []quetzalfleet.Write{
+			{Key: jobKey(job.Request), Row: quetzalfleet.JobRow{JobSpec: next}},
+			{Key: claimKey(job.Request), Row: claim},
+		},
+	})
+}
+
+func endJobTakeover(w *quetzalfleet.World, row quetzalfleet.Row, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
+	job := w.Jobs.At(row)
+	if job == nil {
+		return
+	}
+	job.Call = 0
+	committed, ok := result.(quetzalfleet.Committed)
+	if !ok {
+		return
+	}
+	spec := call.Transaction.Writes[0].Row.(quetzalfleet.JobRow).JobSpec
+	noteJob(w, spec, committed.Revision)
+	if spec.State == quetzalfleet.JobAccepted {
+		adoptJob(w, &spec, committed.Revision)
+	}
+}
+
+// adoptJob makes a request of a job that was taken over and reads its work.
+func adoptJob(w *quetzalfleet.World, spec *quetzalfleet.JobSpec, rev quetzalunit.Revision) {
+	row := w.Requests.Insert(quetzalfleet.Request{
+		ID: spec.Request, Queue: w.QueueByID.Get(spec.Queue), Team: teamRow(w, spec.Team), Class: spec.Class,
+		Urgent: spec.Urgent, Idempotent: spec.Idempotent, Sum: spec.Sum, ArrivedAt: w.Now, Deadline: spec.Deadline,
+		State: quetzalfleet.RequestStoring, Job: true, JobRevision: rev, ClaimRevision: rev,
+	})
+	w.Live++
+	w.RequestByID.Put(spec.Request, row)
+	r := w.Requests.At(row)
+	r.Treated = treatedClass(w, r)
+	w.Timers.Push(max(w.Now, r.Deadline), quetzalfleet.RequestDeadline{Request: row})
+	readWork(w, row)
+}
+
+func readWork(w *quetzalfleet.World, row quetzalfleet.Row) {
+	w.Emit(quetzalfleet.GetObject{
+		Call: addCall(w, quetzalfleet.ForJobWork{Request: row}), Key: quetzalfleet.WorkKey(w.Requests.At(row).ID),
+	})
+}
+
+func endJobWork(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
+	r := w.Requests.At(row)
+	if r == nil || r.State != quetzalfleet.RequestStoring {
+		return
+	}
+	object, ok := result.(quetzalfleet.ObjectRead)
+	if !ok {
+		w.After(claimRetry, quetzalfleet.RetryDue{Request: row})
+		return
+	}
+	if object.Object == nil {
+		finish(w, row, quetzalfleet.Unknown{Reason: quetzalfleet.NotStored})
+		return
+	}
+	r.Work = object.Object
+	enqueue(w, row, false)
+}
+
+// resumeStoring repeats the call of the platform that a job waits for.
+func resumeStoring(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
+	if r.Work == nil {
+		readWork(w, row)
+		return
+	}
+	read(w, quetzalfleet.ForJobRead{Request: row}, []quetzalfleet.RowKey{jobKey(r.ID), claimKey(r.ID)})
+}
+
+// handOverJobs leaves the jobs that were not sent to the entries that remain.
+func handOverJobs(w *quetzalfleet.World) {
+	for row, r := range w.Requests.All() {
+		waiting := r.State == quetzalfleet.RequestQueued || r.State == quetzalfleet.RequestWaiting
+		if r.Job && waiting && r.JobRevision > 0 && !r.JobSent {
+			abandon(w, row)
+		}
+	}
+}
+
+// findResult reads the claim of a request that is not known here.
+func findResult(w *quetzalfleet.World, caller quetzalunit.Caller, id quetzalunit.RequestID) {
+	read(w, quetzalfleet.ForResult{Caller: caller, ID: id}, []quetzalfleet.RowKey{claimKey(id)})
+}
+
+func endResult(w *quetzalfleet.World, p quetzalfleet.ForResult, result quetzalfleet.StoreResult) {
+	found, ok := result.(quetzalfleet.RowsRead)
+	if !ok {
+		answer(w, p.Caller, p.ID, quetzalfleet.Unknown{Reason: quetzalfleet.HolderGone})
+		return
+	}
+	var outcome quetzalfleet.Outcome = quetzalfleet.Invalid{Reason: quetzalfleet.UnknownRequest}
+	for _, f := range found.Rows {
+		if claim, ok := f.Row.(quetzalfleet.ClaimRow); ok {
+			outcome = claimOutcome(&claim)
+		}
+	}
+	answer(w, p.Caller, p.ID, outcome)
+}
+
+// claimOutcome returns what a claim tells of its request.
+func claimOutcome(claim *quetzalfleet.ClaimRow) quetzalfleet.Outcome {
+	switch claim.State {
+	case quetzalfleet.ClaimDone:
+		return quetzalfleet.Ran{Answer: claim.Answer}
+	case quetzalfleet.ClaimUnknown:
+		return quetzalfleet.Unknown{Reason: quetzalfleet.HolderGone}
+	case quetzalfleet.ClaimReleased:
+		return quetzalfleet.NotRun{Reason: quetzalfleet.DeadlinePassed}
+	case quetzalfleet.ClaimHeld:
+	}
+	return quetzalfleet.Accepted{}
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -15,7 +15,7 @@
 	w.After(w.Jitter(w.Self.Poll), quetzalfleet.PollDue{})
 	if w.ScanCall == 0 {
 		w.ScanCall = addCall(w, quetzalfleet.ForScan{})
-		w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, After: w.Seen})
+		w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, Tables: quetzalfleet.FleetTables(), After: w.Seen})
 	}
 	if w.ListCall == 0 {
 		w.ListCall = addCall(w, quetzalfleet.ForHostList{})
@@ -70,7 +70,8 @@
 		applyRows(w, result.Rows)
 	case quetzalfleet.RowsRead:
 		applyRows(w, result.Rows)
-	case quetzalfleet.HostsListed, quetzalfleet.RebootAccepted, quetzalfleet.NoAnswer:
+	case quetzalfleet.HostsListed, quetzalfleet.RebootAccepted, quetzalfleet.ObjectStored,
+		quetzalfleet.ObjectRead, quetzalfleet.NoAnswer:
 	}
 }
 
@@ -97,6 +98,20 @@
 		endClaimRead(w, p.Requests, result)
 	case quetzalfleet.ForClaimOutcome:
 		endClaimOutcome(w, p.Requests, result)
+	case quetzalfleet.ForWork:
+		endWork(w, p.Request, result)
+	case quetzalfleet.ForJob:
+		endJob(w, p.Request, call, result)
+	case quetzalfleet.ForJobRead:
+		endJobRead(w, p.Request, result)
+	case quetzalfleet.ForJobScan:
+		endJobScan(w, result)
+	case quetzalfleet.ForJobTakeover:
+		endJobTakeover(w, p.Job, call, result)
+	case quetzalfleet.ForJobWork:
+		endJobWork(w, p.Request, result)
+	case quetzalfleet.ForResult:
+		endResult(w, p, result)
 	case quetzalfleet.ForHost:
 		endHostChange(w, p.Host, result)
 	case quetzalfleet.ForReboot:
--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -136,6 +136,69 @@
 	}
 }
 
+// A job outlives its caller and the entries that hold it, and runs once.
+func TestJobIsTakenOver(t *testing.T) {
+	for kill := range 8 {
+		t.Run(fmt.Sprint("killed after ", kill*7, " ms"), func(t *testing.T) {
+			trial := newTrial(t, uint64(kill)+1, smallFleet())
+			trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 300 * time.Millisecond }
+			for n := range 30 {
+				in := request(fmt.Sprint("job", n), n%2 == 0)
+				in.Async, in.Timeout = true, time.Hour
+				trial.Submit("a-entry1", in)
+			}
+			trial.Run(time.Duration(kill) * 7 * time.Millisecond)
+			trial.Kill("a-entry1")
+			accepted := make(map[quetzalunit.RequestID]bool)
+			for _, a := range trial.Answers {
+				require.IsType(t, quetzalfleet.Accepted{}, a.Outcome)
+				accepted[a.Request] = true
+			}
+			trial.Run(time.Minute)
+			known := len(trial.Answers)
+			for id := range accepted {
+				trial.AskResult("b-entry0", id)
+			}
+			trial.Run(time.Second)
+			require.Len(t, trial.Answers, known+len(accepted))
+			neverSent := 0
+			for _, a := range trial.Answers[known:] {
+				switch a.Outcome.(type) {
+				case quetzalfleet.Ran:
+				case quetzalfleet.Unknown:
+					if trial.RunsOf(a.Request) == 0 {
+						neverSent++
+					}
+				default:
+					require.Fail(t, "not ended", "%s: %T", a.Request, a.Outcome)
+				}
+			}
+			const markedAtOnce = 4
+			require.LessOrEqual(t, neverSent, markedAtOnce)
+			require.Empty(t, trial.Judge())
+		})
+	}
+}
+
+// A planned stop leaves the jobs that wait to the other entries at once.
+func TestPlannedStopHandsJobsOver(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 3 * time.Second }
+	for n := range 60 {
+		in := request(fmt.Sprint("job", n), true)
+		in.Async, in.Timeout, in.Class = true, time.Hour, quetzalfleet.Long
+		trial.Submit("a-entry1", in)
+	}
+	trial.Run(time.Second)
+	trial.Stop("a-entry1")
+	trial.Run(10 * time.Second)
+	require.True(t, trial.Entry("a-entry1").Finished)
+	trial.Run(2 * time.Minute)
+	for n := range 60 {
+		require.Equal(t, 1, trial.RunsOf(quetzalunit.RequestID(fmt.Sprint("job", n))))
+	}
+}
+
 // A request whose pool has no host in the zone runs in another zone.
 func TestRequestIsForwardedToAZoneWithHosts(t *testing.T) {
 	trial := newTrial(t, 1, smallFleet())
@@ -356,6 +419,9 @@
 			if i%3 == 0 {
 				in.Queue = "posters"
 			}
+			if i%7 == 6 {
+				in.Async = true
+			}
 			trial.Submit(entry, in)
 		}
 	case 4:
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -63,6 +63,11 @@
 	r := w.Requests.At(row)
 	r.Treated = treatedClass(w, r)
 	w.Timers.Push(r.Deadline, quetzalfleet.RequestDeadline{Request: row})
+	if in.Async {
+		r.Job = true
+		storeJob(w, row)
+		return
+	}
 	if needsClaim(w, r) {
 		w.ClaimsToTake.Add(row)
 		return
@@ -173,6 +178,8 @@
 		answer(w, in.Caller, in.ID, quetzalfleet.Conflict{})
 	case r.State == quetzalfleet.RequestDone:
 		answer(w, in.Caller, in.ID, r.Outcome)
+	case r.Job && in.Async && r.JobRevision > 0:
+		answer(w, in.Caller, in.ID, quetzalfleet.Accepted{})
 	default:
 		addCaller(w, row, in.Caller)
 	}
@@ -180,7 +187,7 @@
 
 // joinFromPeer adds a peer to a request that was claimed here.
 func joinFromPeer(w *quetzalfleet.World, in quetzalfleet.JoinArrived) {
-	if in.Incarnation != w.Self.Incarnation {
+	if in.Incarnation != w.Self.Incarnation || w.RequestByID.Get(in.ID) == 0 {
 		answer(w, in.Caller, in.ID, quetzalfleet.Invalid{Reason: quetzalfleet.UnknownRequest})
 		return
 	}
@@ -193,7 +200,7 @@
 	r := w.Requests.At(row)
 	switch {
 	case r == nil:
-		answer(w, caller, id, quetzalfleet.Invalid{Reason: quetzalfleet.UnknownRequest})
+		findResult(w, caller, id)
 	case r.State == quetzalfleet.RequestDone:
 		answer(w, caller, id, r.Outcome)
 	default:
@@ -219,7 +226,7 @@
 	if i := slices.Index(r.Callers, caller); i >= 0 {
 		r.Callers = slices.Delete(r.Callers, i, i+1)
 	}
-	if len(r.Callers) == 0 {
+	if len(r.Callers) == 0 && !r.Job {
 		withdraw(w, row)
 	}
 }
@@ -229,7 +236,7 @@
 	r := w.Requests.At(row)
 	switch r.State {
 	case quetzalfleet.RequestQueued, quetzalfleet.RequestWaiting, quetzalfleet.RequestClaiming,
-		quetzalfleet.RequestJoining:
+		quetzalfleet.RequestJoining, quetzalfleet.RequestStoring:
 		finish(w, row, quetzalfleet.Cancelled{})
 	case quetzalfleet.RequestRunning:
 		if r.Idempotent && r.Minted {
@@ -283,7 +290,7 @@
 		finish(w, row, quetzalfleet.Unknown{Reason: quetzalfleet.AttemptTimedOut})
 	case quetzalfleet.RequestQueued, quetzalfleet.RequestWaiting:
 		finish(w, row, expired(w, r))
-	case quetzalfleet.RequestRunning, quetzalfleet.RequestDone:
+	case quetzalfleet.RequestRunning, quetzalfleet.RequestStoring, quetzalfleet.RequestDone:
 	}
 }
 
@@ -313,6 +320,7 @@
 	if r.State == quetzalfleet.RequestQueued {
 		unlink(w, row)
 	}
+	endMarking(w, r)
 	w.Live--
 	r.State = quetzalfleet.RequestDone
 	r.Outcome = outcome
--- a/quetzalcore/quetzalsystem/row.go
+++ b/quetzalcore/quetzalsystem/row.go
@@ -51,7 +51,7 @@
 		d.RenewalRevision, d.RenewalCount, d.RenewalSeenAt = row.Revision, v.Count, w.Now
 	case quetzalfleet.WaveRow:
 		applyWave(w, v.WaveSpec, row.Revision)
-	case quetzalfleet.ClaimRow, quetzalfleet.ChangeRow:
+	case quetzalfleet.ClaimRow, quetzalfleet.ChangeRow, quetzalfleet.JobRow:
 		return false
 	}
 	return true
--- a/quetzalcore/quetzalsystem/stop.go
+++ b/quetzalcore/quetzalsystem/stop.go
@@ -16,6 +16,7 @@
 	}
 	w.Stop = quetzalfleet.StopDraining
 	w.GossipNow = true
+	handOverJobs(w)
 }
 
 // finishStop takes the steps of a planned stop: nothing in flight, outcomes
--- a/quetzalcore/quetzalsystem/tick.go
+++ b/quetzalcore/quetzalsystem/tick.go
@@ -23,6 +23,7 @@
 	w.Timers.Push(now.Add(w.Self.Gossip), quetzalfleet.GossipDue{})
 	w.Timers.Push(now.Add(w.Self.Poll), quetzalfleet.DutyDue{})
 	w.Timers.Push(now.Add(planPeriod), quetzalfleet.PlanDue{})
+	w.Timers.Push(now.Add(jobsPeriod), quetzalfleet.JobsDue{})
 }
 
 // Tick applies the inputs at an instant, runs every system and returns the
@@ -110,6 +111,8 @@
 	case quetzalfleet.PoolDue:
 		w.Pools.At(t.Pool).LookAgain = false
 		w.DirtyPools.Add(t.Pool)
+	case quetzalfleet.JobsDue:
+		scanJobs(w)
 	case quetzalfleet.LeavingSignOver:
 		endLeavingSign(w, t.Host)
 	case quetzalfleet.RequestForgotten:
--- a/quetzalcore/quetzaltrial/judge.go
+++ b/quetzalcore/quetzaltrial/judge.go
@@ -92,6 +92,17 @@
 	return n > 1
 }
 
+// RunsOf counts the runs of a request.
+func (t *Trial) RunsOf(id quetzalunit.RequestID) int {
+	n := 0
+	for _, run := range t.Runs.All() {
+		if run.Request == id {
+			n++
+		}
+	}
+	return n
+}
+
 // judgePools finds runs for different pools at one time on one host.
 func (t *Trial) judgePools() []Breach {
 	byHost := make(map[quetzalunit.HostID][]Run)
--- a/quetzalcore/quetzaltrial/perform.go
+++ b/quetzalcore/quetzaltrial/perform.go
@@ -34,6 +34,10 @@
 		t.callPlatform(row, c.Call, c)
 	case quetzalfleet.ScanStore:
 		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.PutObject:
+		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.GetObject:
+		t.callPlatform(row, c.Call, c)
 	case quetzalfleet.ListHosts:
 		t.callPlatform(row, c.Call, c)
 	case quetzalfleet.RebootHost:
--- a/quetzalcore/quetzaltrial/platform.go
+++ b/quetzalcore/quetzaltrial/platform.go
@@ -49,12 +49,17 @@
 		rows, rev := t.Platform.Tables.Read(ids)
 		return quetzalfleet.RowsRead{Revision: rev, Rows: decodeRows(rows)}
 	case quetzalfleet.ScanStore:
-		names := make([]string, 0, len(quetzalfleet.FleetTables()))
-		for _, name := range quetzalfleet.FleetTables() {
+		names := make([]string, 0, len(c.Tables))
+		for _, name := range c.Tables {
 			names = append(names, string(name))
 		}
 		rows, rev := t.Platform.Tables.Scan(names, c.After)
 		return quetzalfleet.RowsRead{Revision: rev, Rows: decodeRows(rows)}
+	case quetzalfleet.PutObject:
+		t.Platform.Objects[c.Key] = c.Object
+		return quetzalfleet.ObjectStored{}
+	case quetzalfleet.GetObject:
+		return quetzalfleet.ObjectRead{Object: t.Platform.Objects[c.Key]}
 	case quetzalfleet.ListHosts:
 		return t.list()
 	case quetzalfleet.RebootHost:
--- a/quetzalcore/quetzaltrial/trial.go
+++ b/quetzalcore/quetzaltrial/trial.go
@@ -79,6 +79,8 @@
 // Platform is the trial's platform.
 type Platform struct {
 	Tables quetzalplatform.Tables
+	// Objects is the object store.
+	Objects map[quetzalfleet.ObjectKey]*quetzalfleet.Payload
 	// Outage fails every call; Lose loses the answers of as many transactions.
 	Outage bool
 	Lose   int
@@ -185,6 +187,7 @@
 		Now: firstInstant, Seed: seed,
 		RunTime:  func(quetzalunit.RequestID) time.Duration { return 10 * time.Millisecond },
 		operator: make(map[quetzalunit.Caller]quetzalfleet.OperatorResult),
+		Platform: Platform{Objects: make(map[quetzalfleet.ObjectKey]*quetzalfleet.Payload)},
 	}
 }
 
@@ -240,6 +243,12 @@
 	t.deliver(t.entryByAddr.Get(quetzalunit.Address(id)), in)
 }
 
+// AskResult asks an entry for the outcome of a request.
+func (t *Trial) AskResult(entry quetzalunit.EntryID, id quetzalunit.RequestID) {
+	c := quetzalunit.Caller(t.callers.Insert(userCaller{id: id}))
+	t.deliver(t.entryByAddr.Get(quetzalunit.Address(entry)), quetzalfleet.ResultAsked{Caller: c, ID: id})
+}
+
 // Ask sends an operator's action to an entry; Result has its result later.
 func (t *Trial) Ask(id quetzalunit.EntryID, a quetzalfleet.OperatorAction) quetzalunit.Caller {
 	c := quetzalunit.Caller(t.callers.Insert(userCaller{}))
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -501,6 +501,48 @@
 	Hosts []HostStatus `json:"Hosts" yaml:"Hosts"`
 }
 
+// JobDoc is a request that was accepted with status 202; its work is an object.
+type JobDoc struct {
+	// BodySum corresponds to the JSON schema field "BodySum".
+	BodySum string `json:"BodySum" yaml:"BodySum"`
+
+	// DeadlineMs corresponds to the JSON schema field "DeadlineMs".
+	DeadlineMs int `json:"DeadlineMs" yaml:"DeadlineMs"`
+
+	// Entry corresponds to the JSON schema field "Entry".
+	Entry string `json:"Entry" yaml:"Entry"`
+
+	// Idempotent corresponds to the JSON schema field "Idempotent".
+	Idempotent bool `json:"Idempotent" yaml:"Idempotent"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
+
+	// Long corresponds to the JSON schema field "Long".
+	Long bool `json:"Long" yaml:"Long"`
+
+	// Queue corresponds to the JSON schema field "Queue".
+	Queue string `json:"Queue" yaml:"Queue"`
+
+	// Request corresponds to the JSON schema field "Request".
+	Request string `json:"Request" yaml:"Request"`
+
+	// State corresponds to the JSON schema field "State".
+	State JobDocState `json:"State" yaml:"State"`
+
+	// Team corresponds to the JSON schema field "Team".
+	Team string `json:"Team" yaml:"Team"`
+
+	// Urgent corresponds to the JSON schema field "Urgent".
+	Urgent bool `json:"Urgent" yaml:"Urgent"`
+}
+
+type JobDocState string
+
+const JobDocStateAccepted JobDocState = "Accepted"
+const JobDocStateEnded JobDocState = "Ended"
+const JobDocStateSent JobDocState = "Sent"
+
 // JoinMessage asks the entry that claimed a request for its answer.
 type JoinMessage struct {
 	// Incarnation corresponds to the JSON schema field "Incarnation".
@@ -576,6 +618,18 @@
 	Pool string `json:"Pool" yaml:"Pool"`
 }
 
+// ObjectDoc is a payload in the object store; Body is base64.
+type ObjectDoc struct {
+	// Body corresponds to the JSON schema field "Body".
+	Body string `json:"Body" yaml:"Body"`
+
+	// Fields corresponds to the JSON schema field "Fields".
+	Fields []HeaderField `json:"Fields" yaml:"Fields"`
+
+	// Status corresponds to the JSON schema field "Status".
+	Status int `json:"Status" yaml:"Status"`
+}
+
 // PlatformLoad counts the work of the stand-in platform.
 type PlatformLoad struct {
 	// Commits corresponds to the JSON schema field "Commits".
@@ -843,55 +897,63 @@
 // SettingValues holds the values set on one node of the settings tree; absent
 // fields are inherited.
 type SettingValues struct {
-	// DispatchPolicy corresponds to the JSON schema field "DispatchPolicy".
+	// How entries share the slots of minions: Shared learns from refusals, Fixed
+	// divides by the roster, Borrow adds the shares of idle entries (default Shared).
 	DispatchPolicy *SettingValuesDispatchPolicy `json:"DispatchPolicy,omitempty,omitzero" yaml:"DispatchPolicy,omitempty"`
 
-	// DrainTimeoutMs corresponds to the JSON schema field "DrainTimeoutMs".
+	// Time after which a host that does not drain goes back to its pool, in ms
+	// (default 60000).
 	DrainTimeoutMs *int `json:"DrainTimeoutMs,omitempty,omitzero" yaml:"DrainTimeoutMs,omitempty"`
 
-	// EjectAfterFailures corresponds to the JSON schema field "EjectAfterFailures".
+	// Consecutive failures after which a host is ejected (default 5).
 	EjectAfterFailures *int `json:"EjectAfterFailures,omitempty,omitzero" yaml:"EjectAfterFailures,omitempty"`
 
-	// EjectMaxPercent corresponds to the JSON schema field "EjectMaxPercent".
+	// Hosts of a pool that may be ejected at once, in percent (default 34).
 	EjectMaxPercent *int `json:"EjectMaxPercent,omitempty,omitzero" yaml:"EjectMaxPercent,omitempty"`
 
-	// EjectMs corresponds to the JSON schema field "EjectMs".
+	// First time of ejection, in ms; doubled with each further one (default 5000).
 	EjectMs *int `json:"EjectMs,omitempty,omitzero" yaml:"EjectMs,omitempty"`
 
-	// LanePolicy corresponds to the JSON schema field "LanePolicy".
+	// Which requests may use a minion: Open lets long work take all slots, Reserve
+	// limits declared long work, Demote also limits what runs long (default Demote).
 	LanePolicy *SettingValuesLanePolicy `json:"LanePolicy,omitempty,omitzero" yaml:"LanePolicy,omitempty"`
 
-	// LongSlotsPercent corresponds to the JSON schema field "LongSlotsPercent".
+	// Slots of a minion that long work may take, in percent (default 50).
 	LongSlotsPercent *int `json:"LongSlotsPercent,omitempty,omitzero" yaml:"LongSlotsPercent,omitempty"`
 
-	// MovePolicy corresponds to the JSON schema field "MovePolicy".
+	// When hosts move between a pool and the spare pool for demand: Fixed never,
+	// Reactive at any backlog, SkiRental when the waiting has paid for the move
+	// (default SkiRental).
 	MovePolicy *SettingValuesMovePolicy `json:"MovePolicy,omitempty,omitzero" yaml:"MovePolicy,omitempty"`
 
-	// QueueLimit corresponds to the JSON schema field "QueueLimit".
+	// Requests that may wait in a queue at one entry (default 20000).
 	QueueLimit *int `json:"QueueLimit,omitempty,omitzero" yaml:"QueueLimit,omitempty"`
 
-	// RetryBaseMs corresponds to the JSON schema field "RetryBaseMs".
+	// Longest wait before the first retry, in ms; doubled with each attempt (default
+	// 50).
 	RetryBaseMs *int `json:"RetryBaseMs,omitempty,omitzero" yaml:"RetryBaseMs,omitempty"`
 
-	// RetryBudgetPercent corresponds to the JSON schema field "RetryBudgetPercent".
+	// Retries that a pool may add to its first attempts, in percent (default 20).
 	RetryBudgetPercent *int `json:"RetryBudgetPercent,omitempty,omitzero" yaml:"RetryBudgetPercent,omitempty"`
 
-	// RetryCapMs corresponds to the JSON schema field "RetryCapMs".
+	// Longest wait before any retry, in ms (default 2000).
 	RetryCapMs *int `json:"RetryCapMs,omitempty,omitzero" yaml:"RetryCapMs,omitempty"`
 
-	// RetryMaxAttempts corresponds to the JSON schema field "RetryMaxAttempts".
+	// Attempts of one request, the first included (default 4).
 	RetryMaxAttempts *int `json:"RetryMaxAttempts,omitempty,omitzero" yaml:"RetryMaxAttempts,omitempty"`
 
-	// RetryPolicy corresponds to the JSON schema field "RetryPolicy".
+	// When a failed attempt of an idempotent request is followed by another (default
+	// Exponential).
 	RetryPolicy *SettingValuesRetryPolicy `json:"RetryPolicy,omitempty,omitzero" yaml:"RetryPolicy,omitempty"`
 
-	// ShortRunMs corresponds to the JSON schema field "ShortRunMs".
+	// Run time from which on an attempt counts as long, in ms (default 500).
 	ShortRunMs *int `json:"ShortRunMs,omitempty,omitzero" yaml:"ShortRunMs,omitempty"`
 
-	// SurviveRackLoss corresponds to the JSON schema field "SurviveRackLoss".
+	// The budget must hold even if the rack with most of the pool's hosts is lost
+	// (default false).
 	SurviveRackLoss *bool `json:"SurviveRackLoss,omitempty,omitzero" yaml:"SurviveRackLoss,omitempty"`
 
-	// TeamQueueLimit corresponds to the JSON schema field "TeamQueueLimit".
+	// Requests of one team that may wait at one entry (default 10000).
 	TeamQueueLimit *int `json:"TeamQueueLimit,omitempty,omitzero" yaml:"TeamQueueLimit,omitempty"`
 }
 
--- a/quetzalentry/perform.go
+++ b/quetzalentry/perform.go
@@ -27,6 +27,10 @@
 		e.callStore(c.Call, c)
 	case quetzalfleet.ScanStore:
 		e.callStore(c.Call, c)
+	case quetzalfleet.PutObject:
+		e.callStore(c.Call, c)
+	case quetzalfleet.GetObject:
+		e.callStore(c.Call, c)
 	case quetzalfleet.ListHosts:
 		e.callStore(c.Call, c)
 	case quetzalfleet.RebootHost:
--- a/quetzalstandin/platform.go
+++ b/quetzalstandin/platform.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	faults quetzalwire.Faults
 	hosts  []platformHost
+	// objects is the object store.
+	objects map[string][]byte
 	// shown is the list of hosts as callers see it, from shownAt on.
 	shown   []quetzalwire.ListedHost
 	shownAt time.Time
@@ -61,6 +63,8 @@
 	mux.HandleFunc("POST /reads", p.read)
 	mux.HandleFunc("GET /rows", p.scan)
 	mux.HandleFunc("GET /hosts", p.list)
+	mux.HandleFunc("PUT /objects/{Key}", p.putObject)
+	mux.HandleFunc("GET /objects/{Key}", p.getObject)
 	mux.HandleFunc("POST /hosts/{Host}/reboot", p.reboot)
 	return p.withFaults(mux)
 }
@@ -187,6 +191,31 @@
 	_, _ = w.Write(text)
 }
 
+func (p *platform) putObject(w http.ResponseWriter, r *http.Request) {
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequest))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.objects == nil {
+		p.objects = make(map[string][]byte)
+	}
+	p.objects[r.PathValue("Key")] = text
+}
+
+func (p *platform) getObject(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	text, ok := p.objects[r.PathValue("Key")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(text)
+}
+
 func (p *platform) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f quetzalwire.Faults
 	if !readJSON(w, r, &f) {
