--- /dev/null
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -0,0 +1,203 @@
+package quetzalsystem_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalsystem"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// lone is the world of one entry whose platform and peers are played by the test.
+type lone struct {
+	t *testing.T
+	w *quetzalfleet.World
+	// commands are those of the last tick.
+	commands []quetzalfleet.Command
+	revision quetzalunit.Revision
+}
+
+func newLone(t *testing.T) *lone {
+	l := &lone{t: t, w: &quetzalfleet.World{Self: quetzalfleet.Identity{
+		Entry: "e", Zone: "a", Incarnation: 7, Lease: 5 * time.Second, Poll: time.Second, Gossip: time.Second,
+	}}}
+	quetzalsystem.Start(l.w, quetzalunit.Instant(time.Hour))
+	return l
+}
+
+// tick lets a span of time pass with some inputs at its end. Peers answer the
+// messages of the last tick.
+func (l *lone) tick(d time.Duration, inputs ...quetzalfleet.Input) {
+	for _, c := range l.commands {
+		if tell, ok := c.(quetzalfleet.TellPeer); ok {
+			inputs = append(inputs, quetzalfleet.PeerAnswered{Peer: tell.Peer})
+		}
+	}
+	l.commands = quetzalsystem.Tick(l.w, l.w.Now.Add(d), inputs)
+}
+
+// scan answers the scan in flight with rows at new revisions.
+func (l *lone) scan(rows ...quetzalfleet.RevisedRow) {
+	l.t.Helper()
+	for i := range rows {
+		l.revision++
+		rows[i].Revision = l.revision
+	}
+	for range 10 {
+		if call := l.w.ScanCall; call != 0 {
+			l.tick(0, quetzalfleet.StoreAnswered{Call: call, Result: quetzalfleet.RowsRead{Revision: l.revision, Rows: rows}})
+			return
+		}
+		l.tick(time.Second)
+	}
+	require.Fail(l.t, "no scan")
+}
+
+func row(table quetzalfleet.TableName, key string, v quetzalfleet.StoredRow) quetzalfleet.RevisedRow {
+	return quetzalfleet.RevisedRow{Key: quetzalfleet.RowKey{Table: table, Key: key}, Row: v}
+}
+
+func hostRow(id string, g quetzalunit.Generation, s quetzalfleet.HostState) quetzalfleet.RevisedRow {
+	return row(quetzalfleet.TableHosts, id, quetzalfleet.HostRow{HostSpec: quetzalfleet.HostSpec{
+		ID: quetzalunit.HostID(id), Zone: "a", Pool: "proofs", Generation: g, State: s,
+	}})
+}
+
+func rosterRow(entries ...quetzalfleet.RosterEntry) quetzalfleet.RevisedRow {
+	return row(quetzalfleet.TableRosters, "a", quetzalfleet.RosterRow{Zone: "a", Entries: entries})
+}
+
+var self = quetzalfleet.RosterEntry{Entry: "e", Incarnation: 7}
+
+func fleetRows() []quetzalfleet.RevisedRow {
+	return []quetzalfleet.RevisedRow{
+		row(quetzalfleet.TablePools, "proofs", quetzalfleet.PoolRow{
+			ID: "proofs", Budgets: []quetzalfleet.ZoneBudget{{Zone: "a", MinHosts: 1}},
+		}),
+		row(quetzalfleet.TableQueues, "proofs", quetzalfleet.QueueRow{ID: "proofs", Pool: "proofs"}),
+		hostRow("host0", 1, quetzalfleet.HostServing),
+		hostRow("host1", 1, quetzalfleet.HostServing),
+		row(quetzalfleet.TableWaves, "w", quetzalfleet.WaveRow{WaveSpec: quetzalfleet.WaveSpec{ID: "w"}}),
+	}
+}
+
+// writes returns the calls of the last tick that write rows of a table.
+func (l *lone) writes(table quetzalfleet.TableName) []quetzalfleet.WriteStore {
+	var found []quetzalfleet.WriteStore
+	for _, c := range l.commands {
+		if w, ok := c.(quetzalfleet.WriteStore); ok && w.Transaction.Writes[0].Key.Table == table {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
+// waitForWrite ticks until a write of a table comes.
+func (l *lone) waitForWrite(table quetzalfleet.TableName) quetzalfleet.WriteStore {
+	l.t.Helper()
+	for range 20 {
+		if found := l.writes(table); len(found) > 0 {
+			return found[0]
+		}
+		l.tick(200 * time.Millisecond)
+	}
+	require.Fail(l.t, "no write of "+string(table))
+	return quetzalfleet.WriteStore{}
+}
+
+func (l *lone) commit(w quetzalfleet.WriteStore) {
+	l.revision++
+	l.tick(0, quetzalfleet.StoreAnswered{Call: w.Call, Result: quetzalfleet.Committed{Revision: l.revision}})
+}
+
+// A new holder of the duties may not know yet what its predecessor wrote.
+func TestNewHolderReadsBeforeItPlans(t *testing.T) {
+	l := newLone(t)
+	l.scan(append(fleetRows(), rosterRow(self))...)
+	l.commit(l.waitForWrite(quetzalfleet.TableEpochs))
+	for range 5 {
+		require.Empty(t, l.writes(quetzalfleet.TableHosts), "planned before it had read")
+		l.tick(100 * time.Millisecond)
+	}
+	l.scan(hostRow("host0", 2, quetzalfleet.HostLeaving))
+	l.tick(time.Second)
+	require.Empty(t, l.writes(quetzalfleet.TableHosts), "took the pool's last host")
+}
+
+// A change without an answer may take effect at any time until its row has a new
+// revision.
+func TestHostInDoubtCountsAsTaken(t *testing.T) {
+	l := newLone(t)
+	l.scan(append(fleetRows(), rosterRow(self))...)
+	l.commit(l.waitForWrite(quetzalfleet.TableEpochs))
+	l.scan()
+	take := l.waitForWrite(quetzalfleet.TableHosts)
+	taken := take.Transaction.Writes[0].Row.(quetzalfleet.HostRow)
+	require.Equal(t, quetzalfleet.HostLeaving, taken.State)
+	l.tick(0, quetzalfleet.StoreAnswered{Call: take.Call, Result: quetzalfleet.NoAnswer{}})
+	again := l.waitForWrite(quetzalfleet.TableHosts)
+	require.Len(t, l.writes(quetzalfleet.TableHosts), 1, "took another host")
+	rewritten := again.Transaction.Writes[0].Row.(quetzalfleet.HostRow)
+	require.Equal(t, taken.ID, rewritten.ID)
+	require.Equal(t, quetzalfleet.HostServing, rewritten.State)
+	require.Equal(t, quetzalunit.Generation(1), rewritten.Generation)
+}
+
+// Moves wait for the entries of the roster alone, so that others must send nothing.
+func TestEntryOutsideTheRosterSendsNothing(t *testing.T) {
+	l := newLone(t)
+	l.scan(append(fleetRows(), rosterRow(quetzalfleet.RosterEntry{Entry: "e", Incarnation: 6}))...)
+	in := request("q~1", true)
+	in.Minted, in.Caller = true, 1
+	l.tick(time.Millisecond, in)
+	require.Zero(t, l.w.Attempts.Len())
+	l.scan(rosterRow(self))
+	require.Equal(t, 1, l.w.Attempts.Len())
+}
+
+// A minion may go on for a while with a run whose attempt timed out.
+func TestHostIsNotConfirmedWhileWorkMayLinger(t *testing.T) {
+	l := newLone(t)
+	peer := quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}
+	rows := append(fleetRows(), rosterRow(self, peer))
+	l.scan(rows[0], rows[1], rows[2], rows[5])
+	in := request("q~1", false)
+	in.Minted, in.Caller = true, 1
+	l.tick(time.Millisecond, in)
+	var attempt quetzalfleet.Row
+	for row := range l.w.Attempts.All() {
+		attempt = row
+	}
+	l.tick(time.Second, quetzalfleet.AttemptEnded{Attempt: attempt, Result: quetzalfleet.TimedOut{}})
+	ended := l.w.Now
+	l.scan(hostRow("host0", 2, quetzalfleet.HostLeaving))
+	const grace = 2 * time.Second
+	confirmed := false
+	for range 50 {
+		for _, c := range l.commands {
+			if tell, ok := c.(quetzalfleet.TellPeer); ok {
+				confirmed = len(tell.Message.Confirmed) > 0
+				require.False(t, confirmed && l.w.Now.Sub(ended) < grace, "confirmed after %s", l.w.Now.Sub(ended))
+			}
+		}
+		l.tick(100 * time.Millisecond)
+	}
+	require.True(t, confirmed)
+}
+
+// A change that is sent again after a lost answer has no second effect.
+func TestRepeatedChangeIsAppliedOnce(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	three := quetzalunit.Attempts(3)
+	change := quetzalfleet.ChangeSetting{ID: "c1", Path: "Fleet/a", Values: quetzalfleet.SettingValues{RetryMaxAttempts: &three}}
+	first := trial.Ask("a-entry0", change)
+	trial.Run(time.Second)
+	again := trial.Ask("b-entry1", change)
+	trial.Run(3 * time.Second)
+	require.IsType(t, quetzalfleet.Changed{}, trial.Result(first))
+	require.Equal(t, trial.Result(first), trial.Result(again))
+	require.Equal(t, trial.Result(first).(quetzalfleet.Changed).Version, trial.Entry("b-entry1").World.Head)
+}
