--- a/demo/run.sh
+++ b/demo/run.sh
@@ -28,7 +28,7 @@
 
 pools=(freezer swaps stock churn office office office)
 zones=(a b c)
-logs=() operators=() entries=()
+logs=() entries=()
 {
   echo "Pools:"
   for p in freezer swaps stock churn office; do
@@ -74,7 +74,6 @@
     [ $z$n = 02 ] && victim=$last
     entries+=(--entry "http://127.0.0.1:$((base + 10 + 10 * z + 3 * n))")
   done
-  operators+=(--operator "http://127.0.0.1:$((base + 14 + 10 * z))")
 done
 for z in 0 1 2; do for n in 1 2; do wait_for "http://127.0.0.1:$((base + 10 + 10 * z + 3 * n))/readyz"; done; done
 export QUETZAL_ENTRY=http://127.0.0.1:$((base + 14)),http://127.0.0.1:$((base + 24))
@@ -83,7 +82,7 @@
 sleep 2
 
 echo "demo: load begins: 5 queues in bursts, 240 requests a second for 18 s"
-bin/quetzalload run "${entries[@]}" "${operators[@]}" "${logs[@]}" \
+bin/quetzalload run "${entries[@]}" --platform "$admin" "${logs[@]}" \
   --queue freezer --queue swaps --queue stock --queue churn --queue office \
   --team parlours --team suppliers --team churners --seed "$seed" \
   --rate 240 --for 18s --burst 2s --short-run 30ms --long 3 --long-run 800ms --misdeclared 20 \
--- a/quetzalcore/quetzalsystem/bench_test.go
+++ b/quetzalcore/quetzalsystem/bench_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalsystem"
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -39,6 +42,10 @@
 			ID: quetzalunit.HostID(id), Zone: "a", Pool: pool, Generation: 1,
 		}})
 	}
+	limit := quetzalunit.Requests(1_000_000)
+	add(quetzalfleet.TableSettings, "Fleet", quetzalfleet.SettingRow{
+		Path: "Fleet", Values: quetzalfleet.SettingValues{QueueLimit: &limit, TeamQueueLimit: &limit},
+	})
 	add(quetzalfleet.TableRosters, "a", quetzalfleet.RosterRow{
 		Zone: "a", Entries: []quetzalfleet.RosterEntry{{Entry: "e", Incarnation: 1}},
 	})
@@ -50,8 +57,9 @@
 		}
 	}
 	for q := range queued {
-		arrive(w, now, quetzalunit.Caller(1_000_000+q), quetzalunit.QueueID(fmt.Sprint("pool", pools-1)))
+		arrive(w, now, quetzalunit.Caller(1_000_000_000+q), quetzalunit.QueueID(fmt.Sprint("pool", pools-1)))
 	}
+	require.EqualValues(b, queued, w.Live)
 	return w
 }
 
@@ -67,13 +75,14 @@
 // other tables.
 func BenchmarkRequest(b *testing.B) {
 	for _, size := range []struct{ hosts, pools, queued int }{
-		{50, 5, 0}, {570, 5, 0}, {570, 142, 0}, {570, 142, 1000}, {570, 142, 10_000}, {570, 142, 20_000},
+		{50, 5, 0}, {570, 5, 0}, {570, 142, 0}, {570, 142, 1000}, {570, 142, 10_000}, {570, 142, 100_000},
 	} {
 		b.Run(fmt.Sprintf("hosts=%d/pools=%d/queued=%d", size.hosts, size.pools, size.queued), func(b *testing.B) {
 			w := benchWorld(b, size.hosts, size.pools, size.queued)
 			now := w.Now
 			answer := quetzalfleet.Answered{Answer: &quetzalfleet.Payload{Status: 200}}
 			b.ReportAllocs()
+			b.ResetTimer()
 			for i := range b.N {
 				now = now.Add(time.Microsecond)
 				for _, c := range arrive(w, now, quetzalunit.Caller(i+1), "pool0") {
@@ -88,12 +97,34 @@
 	}
 }
 
+// BenchmarkMemory reports the memory of a world by hosts and by queued requests.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() float64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapAlloc)
+	}
+	const hosts, queued = 570, 100_000
+	for range b.N {
+		before := heap()
+		small := benchWorld(b, hosts, 142, 0)
+		b.ReportMetric((heap()-before)/hosts, "B/host")
+		before = heap()
+		large := benchWorld(b, 50, 5, queued)
+		b.ReportMetric((heap()-before)/queued, "B/request")
+		runtime.KeepAlive(small)
+		runtime.KeepAlive(large)
+	}
+}
+
 // BenchmarkCancel measures the cancellation of a queued request among many.
 func BenchmarkCancel(b *testing.B) {
-	for _, queued := range []int{1000, 19_000} {
+	for _, queued := range []int{1000, 100_000} {
 		b.Run(fmt.Sprint("queued=", queued), func(b *testing.B) {
 			w := benchWorld(b, 50, 5, queued)
 			b.ReportAllocs()
+			b.ResetTimer()
 			for i := range b.N {
 				c := quetzalunit.Caller(i + 1)
 				arrive(w, w.Now, c, "pool4")
--- a/quetzalcore/quetzalsystem/claim.go
+++ b/quetzalcore/quetzalsystem/claim.go
@@ -10,11 +10,11 @@
 const (
 	// claimBatch is the number of claims in one transaction.
 	claimBatch = 256
-	// claimSpacing is the mean time between two claim transactions of a busy entry:
-	// nine entries at this pace stay within several hundred writes a second.
-	claimSpacing = 25 * time.Millisecond
-	// claimBurst is how far an entry may run ahead of this pace.
-	claimBurst = 10 * claimSpacing
+	// claimRate is the number of claim transactions a second that the busy entries of
+	// the whole fleet share.
+	claimRate = 360
+	// claimBurst is how many transactions an entry may run ahead of its part.
+	claimBurst = 10
 	// outcomeDelay is how long outcomes gather before they are stored together.
 	outcomeDelay = 500 * time.Millisecond
 	// maxClaimCalls is the number of claim transactions in flight. While they are,
@@ -40,8 +40,9 @@
 	if w.ClaimsToTake.Len() == 0 || w.ClaimCalls >= maxClaimCalls || w.Now < w.RetryClaimsAt {
 		return
 	}
-	if ahead := w.ClaimPace.Sub(w.Now); ahead > claimBurst {
-		w.RetryClaimsAt = w.Now.Add(ahead - claimBurst)
+	spacing := claimSpacing(w)
+	if ahead := w.ClaimPace.Sub(w.Now); ahead > claimBurst*spacing {
+		w.RetryClaimsAt = w.Now.Add(ahead - claimBurst*spacing)
 		w.Timers.Push(w.RetryClaimsAt, quetzalfleet.Wake{})
 		return
 	}
@@ -66,10 +67,16 @@
 		return
 	}
 	w.ClaimCalls++
-	w.ClaimPace = max(w.ClaimPace, w.Now).Add(claimSpacing)
+	w.ClaimPace = max(w.ClaimPace, w.Now).Add(spacing)
 	write(w, quetzalfleet.ForClaims{Requests: requests}, t)
 }
 
+// claimSpacing returns the mean time between two claim transactions of this entry
+// when all entries are busy.
+func claimSpacing(w *quetzalfleet.World) time.Duration {
+	return time.Duration(w.Peers.Len()+1) * time.Second / claimRate
+}
+
 func claimRow(
 	w *quetzalfleet.World, r *quetzalfleet.Request, s quetzalfleet.ClaimState, a *quetzalfleet.Payload,
 ) quetzalfleet.ClaimRow {
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -642,6 +642,16 @@
 	Writes int `json:"Writes" yaml:"Writes"`
 }
 
+// PlatformSnapshot has the rows of pools and hosts and the hosts as they really
+// are, at one instant.
+type PlatformSnapshot struct {
+	// Hosts corresponds to the JSON schema field "Hosts".
+	Hosts []ListedHost `json:"Hosts" yaml:"Hosts"`
+
+	// Rows corresponds to the JSON schema field "Rows".
+	Rows []Row `json:"Rows" yaml:"Rows"`
+}
+
 // PoolChange is the body that creates or changes a pool.
 type PoolChange struct {
 	// Budgets corresponds to the JSON schema field "Budgets".
--- a/quetzalload/main.go
+++ b/quetzalload/main.go
@@ -47,8 +47,7 @@
 	BodyBytes   int           `default:"64" help:"Size of each body, in bytes."`
 	Seed        uint64        `default:"1" help:"Seed of the plan."`
 	Log         []string      `help:"Admin URL of a stand-in's minions, whose log judges the answers; repeat for each."`
-	Operator    []string      `help:"Base URL of an operators' API, to watch the availability budgets; repeat for each zone."`
-	Token       string        `env:"QUETZAL_TOKEN" help:"The operators' token."`
+	Platform    string        `help:"Admin URL of the stand-in platform, to watch the availability budgets from outside."`
 	Report      string        `help:"File for a page with plots." placeholder:"FILE"`
 	Progress    bool          `help:"Print progress to standard error."`
 }
@@ -62,7 +61,7 @@
 	if c.Progress {
 		sender.Progress = os.Stderr
 	}
-	watch, stopWatch := quetzalwatch.Start(c.Operator, c.Token)
+	watch, stopWatch := quetzalwatch.Start(c.Platform)
 	begin := time.Now()
 	shots := sender.Send(plan)
 	stopWatch()
@@ -80,6 +79,9 @@
 	}
 	verdict.Breaches = watch.Breaches()
 	fmt.Println(verdict.String())
+	if c.Platform != "" {
+		fmt.Printf("budgets: %d breaches in %d looks\n", watch.Breaches(), watch.Looks())
+	}
 	if err := c.writePage(&verdict, series); err != nil {
 		return err
 	}
--- a/quetzalstandin/platform.go
+++ b/quetzalstandin/platform.go
@@ -77,7 +77,7 @@
 		l := p.tables.Load()
 		writeJSON(w, quetzalwire.PlatformLoad{Commits: int(l.Commits), Writes: int(l.Writes), Reads: int(l.Reads)})
 	})
-	mux.HandleFunc("GET /rows", p.scan)
+	mux.HandleFunc("GET /snapshot", p.snapshot)
 	return mux
 }
 
@@ -216,6 +216,19 @@
 	_, _ = w.Write(text)
 }
 
+// snapshot shows the rows of pools and hosts beside the hosts as they are. A
+// row says Serving again only after its host is live, so that the two agree.
+func (p *platform) snapshot(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	rows, _ := p.tables.Scan([]string{"Pools", "Hosts"}, 0)
+	s := quetzalwire.PlatformSnapshot{Rows: rowDocs(rows), Hosts: make([]quetzalwire.ListedHost, 0, len(p.hosts))}
+	for _, h := range p.hosts {
+		s.Hosts = append(s.Hosts, h.listed)
+	}
+	writeJSON(w, s)
+}
+
 func (p *platform) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f quetzalwire.Faults
 	if !readJSON(w, r, &f) {
