End the connection of a sender that is too slow

Change: the deadline is cleared after a whole body only, and the connection closes otherwise. Replies of the platform are read into a struct of their own.

--- a/quetzalcore/quetzalfront/callers.go
+++ b/quetzalcore/quetzalfront/callers.go
@@ -1,6 +1,7 @@
 package quetzalfront
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -8,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -36,13 +38,15 @@
 )
 
 const (
+	// fieldBody names the body in errors.
+	fieldBody = "body"
 	// flagTrue is the value of a header field or parameter that is switched on.
 	flagTrue   = "true"
 	maxTimeout = 24 * time.Hour
 	// asyncTimeout is the deadline of a request with status 202 that names none.
 	asyncTimeout = 24 * time.Hour
-	// bodyTimeout bounds the time in which a caller sends a body.
-	bodyTimeout = 30 * time.Second
+	// defaultBodyTimeout bounds the time in which a caller sends a body.
+	defaultBodyTimeout = 30 * time.Second
 	// maxWait bounds the Wait parameter.
 	maxWait = 5 * time.Minute
 )
@@ -71,6 +75,8 @@
 	Ready func() bool
 	// MaxBody is the size of the largest body in bytes.
 	MaxBody int64
+	// BodyTimeout bounds the time in which a caller sends a body; zero means 30 s.
+	BodyTimeout time.Duration
 	// DefaultTimeout is the deadline of a request that names none.
 	DefaultTimeout time.Duration
 	// MintPrefix begins the ids that this process mints.
@@ -106,7 +112,7 @@
 		writeBadRequest(w, http.StatusBadRequest, err)
 		return
 	}
-	body, status, err := readBody(w, r, c.MaxBody)
+	body, status, err := c.readBody(w, r)
 	if err != nil {
 		writeBadRequest(w, status, err)
 		return
@@ -256,15 +262,16 @@
 	return d, nil
 }
 
-// readBody reads a whole body of at most limit bytes, and returns the status of a failure.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, int, error) {
+// readBody reads a whole body, and returns the status of a failure.
+func (c *Callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, int, error) {
+	limit := c.MaxBody
 	if r.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge, &http.MaxBytesError{Limit: limit}
 	}
-	// The deadline is cleared afterwards: it would end the wait for the answer.
+	// The deadline is cleared after a whole body, since it would end the wait for the
+	// answer. Otherwise it stays, and ends the connection of a sender that is too slow.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	_ = control.SetReadDeadline(time.Now().Add(cmp.Or(c.BodyTimeout, defaultBodyTimeout)))
 	reader := http.MaxBytesReader(w, r.Body, limit)
 	var body []byte
 	var err error
@@ -274,14 +281,20 @@
 	} else {
 		body, err = io.ReadAll(reader)
 	}
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, 0, nil
+	}
+	w.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, tooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest, &HeaderError{Field: "body", Problem: "ended early: " + err.Error()}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout, &HeaderError{Field: fieldBody, Problem: "did not come in time"}
+	default:
+		return nil, http.StatusBadRequest, &HeaderError{Field: fieldBody, Problem: "ended early: " + err.Error()}
 	}
-	return body, 0, nil
 }
 
 // workFields returns the header fields that travel with the work to the minion.
--- a/quetzalcore/quetzalfront/operators.go
+++ b/quetzalcore/quetzalfront/operators.go
@@ -148,7 +148,7 @@
 		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&doc); err != nil {
-			writeBadRequest(w, http.StatusBadRequest, &HeaderError{Field: "body", Problem: err.Error()})
+			writeBadRequest(w, http.StatusBadRequest, &HeaderError{Field: fieldBody, Problem: err.Error()})
 			return
 		}
 		if name := r.PathValue("Name"); name != "" {
--- a/quetzalcore/quetzalstore/client.go
+++ b/quetzalcore/quetzalstore/client.go
@@ -171,30 +171,30 @@
 	req.Header.Set("If-None-Match", c.listTag)
 	last := c.lastList
 	c.mu.Unlock()
-	answer, res, err := c.roundTrip(req)
+	res, err := c.roundTrip(req)
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode == http.StatusNotModified {
+	if res.status == http.StatusNotModified {
 		return last, nil
 	}
-	if res.StatusCode != http.StatusOK {
-		return nil, &StatusError{Path: "/hosts", Status: res.StatusCode}
+	if res.status != http.StatusOK {
+		return nil, &StatusError{Path: "/hosts", Status: res.status}
 	}
-	var reply quetzalwire.HostList
-	if err := json.Unmarshal(answer, &reply); err != nil {
+	var doc quetzalwire.HostList
+	if err := json.Unmarshal(res.body, &doc); err != nil {
 		return nil, eris.Wrap(err, "decode list")
 	}
-	listed := listedHosts(&reply)
+	listed := listedHosts(&doc)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastList, c.listTag = listed, res.Header.Get("ETag")
+	c.lastList, c.listTag = listed, res.tag
 	return listed, nil
 }
 
-func listedHosts(reply *quetzalwire.HostList) quetzalfleet.HostsListed {
-	result := quetzalfleet.HostsListed{Hosts: make([]quetzalfleet.ListedHost, 0, len(reply.Hosts))}
-	for _, d := range reply.Hosts {
+func listedHosts(doc *quetzalwire.HostList) quetzalfleet.HostsListed {
+	result := quetzalfleet.HostsListed{Hosts: make([]quetzalfleet.ListedHost, 0, len(doc.Hosts))}
+	for _, d := range doc.Hosts {
 		h := quetzalfleet.ListedHost{ID: quetzalunit.HostID(d.Host), Boot: quetzalunit.Boot(d.Boot)}
 		switch d.State {
 		case quetzalwire.ListedHostStateLeaving:
@@ -223,12 +223,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "build request")
 	}
-	_, res, err := c.roundTrip(req)
+	res, err := c.roundTrip(req)
 	if err != nil {
 		return nil, err
 	}
-	if res.StatusCode != http.StatusOK {
-		return nil, &StatusError{Path: req.URL.Path, Status: res.StatusCode}
+	if res.status != http.StatusOK {
+		return nil, &StatusError{Path: req.URL.Path, Status: res.status}
 	}
 	return quetzalfleet.ObjectStored{}, nil
 }
@@ -238,18 +238,18 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "build request")
 	}
-	text, res, err := c.roundTrip(req)
+	res, err := c.roundTrip(req)
 	if err != nil {
 		return nil, err
 	}
-	switch res.StatusCode {
+	switch res.status {
 	case http.StatusNotFound:
 		return quetzalfleet.ObjectRead{}, nil
 	case http.StatusOK:
-		p, err := quetzalcodec.DecodeObject(text)
+		p, err := quetzalcodec.DecodeObject(res.body)
 		return quetzalfleet.ObjectRead{Object: p}, err
 	}
-	return nil, &StatusError{Path: req.URL.Path, Status: res.StatusCode}
+	return nil, &StatusError{Path: req.URL.Path, Status: res.status}
 }
 
 func (c *Client) reboot(
@@ -262,16 +262,23 @@
 	return quetzalfleet.RebootAccepted{}, nil
 }
 
+// reply is a whole reply of the platform.
+type reply struct {
+	status int
+	tag    string
+	body   []byte
+}
+
 // roundTrip sends a request and reads the whole reply.
-func (c *Client) roundTrip(req *http.Request) ([]byte, *http.Response, error) {
+func (c *Client) roundTrip(req *http.Request) (reply, error) {
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, nil, eris.Wrap(err, "call platform")
+		return reply{}, eris.Wrap(err, "call platform")
 	}
 	defer res.Body.Close() //nolint:errcheck // the body was read
 	answer, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
 	c.bytes.Add(int64(len(req.URL.Path) + len(req.URL.RawQuery) + len(answer)))
-	return answer, res, eris.Wrap(err, "read reply")
+	return reply{status: res.StatusCode, tag: res.Header.Get("ETag"), body: answer}, eris.Wrap(err, "read reply")
 }
 
 // call sends one request with a JSON body and decodes the JSON reply.
@@ -288,15 +295,15 @@
 		return eris.Wrap(err, "build request")
 	}
 	c.bytes.Add(int64(len(text)))
-	answer, res, err := c.roundTrip(req)
+	res, err := c.roundTrip(req)
 	if err != nil {
 		return err
 	}
-	if res.StatusCode != http.StatusOK {
-		return &StatusError{Path: path, Status: res.StatusCode}
+	if res.status != http.StatusOK {
+		return &StatusError{Path: path, Status: res.status}
 	}
 	if reply == nil {
 		return nil
 	}
-	return eris.Wrap(json.Unmarshal(answer, reply), "decode reply")
+	return eris.Wrap(json.Unmarshal(res.body, reply), "decode reply")
 }
--- a/quetzalentry/path_test.go
+++ b/quetzalentry/path_test.go
@@ -21,6 +21,7 @@
 
 	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalfront"
 	"quetzalstair/quetzalcore/quetzalsettings"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalupstream"
@@ -181,6 +182,27 @@
 	require.Empty(t, reached)
 }
 
+func TestSlowSenderGetsAnAnswer(t *testing.T) {
+	reached := make(chan struct{}, 1)
+	c := &quetzalfront.Callers{
+		Post: func(quetzalfleet.Input) { reached <- struct{}{} }, MaxBody: 100,
+		DefaultTimeout: time.Second, BodyTimeout: 100 * time.Millisecond,
+	}
+	s := httptest.NewServer(c.Handler())
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /queues/rota/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nslow")
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	answer, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Contains(t, string(answer), "408 Request Timeout")
+	require.Contains(t, string(answer), "did not come in time")
+	require.Empty(t, reached)
+}
+
 func TestLeavingCallerEndsAnIdempotentAttempt(t *testing.T) {
 	started, ended := make(chan struct{}), make(chan struct{})
 	base := startEntry(t, startMinion(t, func(_ http.ResponseWriter, r *http.Request) {
--- a/quetzalproof/promise_test.go
+++ b/quetzalproof/promise_test.go
@@ -253,6 +253,33 @@
 	f.requireVersion(len(versions), 17*time.Second)
 }
 
+// Two hosts of a pool of two die at once while the list lags; spare hosts are
+// lent, and requests that never ran are answered in the other zone meanwhile.
+func TestLostHostsAreReplacedFromTheSparePool(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, []string{"a", "b"}, 2)
+	f.faults(quetzalwire.Faults{ListLagMs: 2000})
+	s := proofLoad(18, 10*time.Second)
+	l := f.sendLoad(s, f.callerURLs())
+	time.Sleep(2 * time.Second)
+	for _, host := range []string{"a-host1", "a-host2"} {
+		f.minionFaults("a", host, quetzalwire.MinionFaults{Hang: true})
+		f.list(host, "Gone")
+	}
+	require.Eventually(t, func() bool {
+		var list quetzalwire.PoolList
+		if !f.get(f.entries[0], "/pools", &list) {
+			return false
+		}
+		return slices.ContainsFunc(list.Pools, func(p quetzalwire.PoolStatus) bool {
+			return p.Pool == "proofs" && p.Available >= 1 && p.Headroom >= 0
+		})
+	}, 20*time.Second, 50*time.Millisecond, "no spare host was lent")
+	v := l.judge()
+	require.NoError(t, v.Broken())
+	t.Log("longest time without an answer:", l.longestGap())
+}
+
 func TestBlackHoleMinionIsEjected(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, []string{"a"}, 1)
