Let entries tell each other of teams whose short work runs long

Change: gossip names the teams; limits recover in 40 ms.

Two runs of the experiments have the same output; TestTrialsRepeatThemselves.

--- a/quetzalcore/quetzalcodec/gossip.go
+++ b/quetzalcore/quetzalcodec/gossip.go
@@ -13,6 +13,7 @@
 		Since: int(m.Since), Seen: int(m.Seen), SettingsVersion: int(m.SettingsVersion),
 		Confirmed: generationDocs(m.Confirmed), Leaving: generationDocs(m.Leaving),
 	}
+	d.LongTeams = toStrings(m.LongTeams)
 	for _, l := range m.Loads {
 		d.Loads = append(d.Loads, quetzalwire.PoolLoad{Pool: string(l.Pool), Queued: int(l.Queued), Running: int(l.Running)})
 	}
@@ -37,6 +38,7 @@
 		SettingsVersion: quetzalunit.Version(d.SettingsVersion),
 		Confirmed:       generations(d.Confirmed), Leaving: generations(d.Leaving),
 	}
+	m.LongTeams = FromStrings[quetzalunit.TeamID](d.LongTeams)
 	for _, l := range d.Loads {
 		m.Loads = append(m.Loads, quetzalfleet.PoolLoad{
 			Pool: quetzalunit.PoolID(l.Pool), Queued: quetzalunit.Requests(l.Queued), Running: quetzalunit.Requests(l.Running),
--- a/quetzalcore/quetzalfleet/inputs.go
+++ b/quetzalcore/quetzalfleet/inputs.go
@@ -177,6 +177,8 @@
 	// Leaving lists hosts of which the sender saw a sign of leaving.
 	Leaving []HostGeneration
 	Loads   []PoolLoad
+	// LongTeams are the teams whose short requests often run long.
+	LongTeams []quetzalunit.TeamID
 }
 
 // HostGeneration names a generation of a host's row.
--- a/quetzalcore/quetzalsystem/attempt.go
+++ b/quetzalcore/quetzalsystem/attempt.go
@@ -237,7 +237,9 @@
 	t := w.Teams.At(team)
 	if sample > t.LongShare {
 		// Each wrong declaration costs a slot for a whole long run: learn at once.
+		before := t.LongShare
 		t.LongShare = (sample + t.LongShare + 1) / 2
+		w.GossipNow = w.GossipNow || (before < longShareLimit && t.LongShare >= longShareLimit)
 		return
 	}
 	t.LongShare += (sample - t.LongShare) / averageWeight
--- a/quetzalcore/quetzalsystem/dispatch.go
+++ b/quetzalcore/quetzalsystem/dispatch.go
@@ -10,7 +10,7 @@
 
 const (
 	// limitRecovery is the mean time after which a host's limit rises by one slot.
-	limitRecovery = 80 * time.Millisecond
+	limitRecovery = 40 * time.Millisecond
 	// shareFactor is how many times its share a team may run before it leaves the
 	// last slot of each host to others.
 	shareFactor = 2
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -107,6 +107,7 @@
 		Confirmed:       confirmedHosts(w),
 		Leaving:         leavingHosts(w),
 		Loads:           loads(w),
+		LongTeams:       longTeams(w),
 	}})
 }
 
@@ -178,6 +179,26 @@
 	return l
 }
 
+// longTeams lists the teams whose short requests are treated as long.
+func longTeams(w *quetzalfleet.World) []quetzalunit.TeamID {
+	var teams []quetzalunit.TeamID
+	for _, t := range w.Teams.All() {
+		if t.LongShare >= longShareLimit {
+			teams = append(teams, t.ID)
+		}
+	}
+	return teams
+}
+
+// hearLongTeams spares this entry the long runs that a peer has learnt from.
+func hearLongTeams(w *quetzalfleet.World, teams []quetzalunit.TeamID) {
+	for _, id := range teams {
+		if t := w.Teams.At(w.TeamByID.Get(id)); t != nil {
+			t.LongShare = max(t.LongShare, longShareLimit)
+		}
+	}
+}
+
 func hearGossip(w *quetzalfleet.World, in quetzalfleet.PeerSaid) {
 	m := in.Message
 	applyRows(w, m.Rows)
@@ -193,6 +214,7 @@
 			seeLeaving(w, row, l.Generation)
 		}
 	}
+	hearLongTeams(w, m.LongTeams)
 	joinRosterIfKnown(w)
 	w.Emit(quetzalfleet.AnswerGossip{Caller: in.Caller, Seen: w.Seen, SettingsVersion: w.InForce})
 }
--- a/quetzalcore/quetzalsystem/lone_test.go
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -1,6 +1,7 @@
 package quetzalsystem_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalsystem"
+	"quetzalstair/quetzalcore/quetzaltrial"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
@@ -201,3 +203,20 @@
 	require.Equal(t, trial.Result(first), trial.Result(again))
 	require.Equal(t, trial.Result(first).(quetzalfleet.Changed).Version, trial.Entry("b-entry1").World.Head)
 }
+
+// The same script and seed give the same course, whatever the order of maps.
+func TestTrialsRepeatThemselves(t *testing.T) {
+	course := func() string {
+		trial := newTrial(t, 9, smallFleet())
+		for n := range 300 {
+			in := request(fmt.Sprint("r", n), n%2 == 0)
+			in.Queue = []quetzalunit.QueueID{"proofs", "editions", "posters"}[n%3]
+			trial.After(time.Duration(n)*7*time.Millisecond, func() { trial.Submit(quetzaltrial.EntryName("a", n%3), in) })
+		}
+		trial.Ask("a-entry0", quetzalfleet.CreateWave{ID: "w", Wave: quetzalfleet.WaveSpec{ID: "w", MaxConcurrent: 2}})
+		trial.After(time.Second, func() { trial.Kill("a-entry2") })
+		trial.Run(time.Minute)
+		return fmt.Sprint(trial.Decisions, len(trial.Answers), trial.Runs.Len())
+	}
+	require.Equal(t, course(), course())
+}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -332,6 +332,9 @@
 	// Loads corresponds to the JSON schema field "Loads".
 	Loads []PoolLoad `json:"Loads" yaml:"Loads"`
 
+	// LongTeams corresponds to the JSON schema field "LongTeams".
+	LongTeams []string `json:"LongTeams" yaml:"LongTeams"`
+
 	// Rows corresponds to the JSON schema field "Rows".
 	Rows []Row `json:"Rows" yaml:"Rows"`
 
