--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -305,6 +305,40 @@
 	}
 }
 
+// With SurviveRackLoss a wave leaves the budget whole even if any one rack is lost.
+func TestWaveLeavesRoomForARackLoss(t *testing.T) {
+	for _, survive := range []bool{false, true} {
+		t.Run(fmt.Sprint("SurviveRackLoss ", survive), func(t *testing.T) {
+			spec := smallFleet()
+			spec.Pools = []quetzaltrial.PoolSpec{{ID: "proofs", HostsPerZone: 6, MinHosts: 2}}
+			spec.Settings.SurviveRackLoss = &survive
+			trial := newTrial(t, 1, spec)
+			fewest := 6
+			trial.OnCommit = func() { fewest = min(fewest, servingAfterRackLoss(trial)) }
+			trial.Ask("a-entry0", quetzalfleet.CreateWave{ID: "w", Wave: quetzalfleet.WaveSpec{ID: "w"}})
+			trial.Run(2 * time.Minute)
+			require.Equal(t, survive, fewest >= 2, "after the worst rack's loss %d hosts were left", fewest)
+			w := trial.Entry("a-entry0").World
+			require.Equal(t, quetzalfleet.WaveFinished, w.Waves.At(w.WaveByID.Get("w")).State)
+		})
+	}
+}
+
+// servingAfterRackLoss returns the hosts of zone a that serve by the committed
+// rows if the rack with most of them is lost.
+func servingAfterRackLoss(trial *quetzaltrial.Trial) int {
+	all, worst := 0, 0
+	racks := make(map[quetzalunit.RackID]int)
+	for _, h := range trial.Hosts() {
+		if h.Zone == "a" && h.State == quetzalfleet.HostServing {
+			all++
+			racks[h.Rack]++
+			worst = max(worst, racks[h.Rack])
+		}
+	}
+	return all - worst
+}
+
 func TestLeavingMinionGetsNoNewWork(t *testing.T) {
 	trial := newTrial(t, 1, smallFleet())
 	trial.Minion("a-host0").Leaving = true
--- a/quetzalcore/quetzaltrial/judge.go
+++ b/quetzalcore/quetzaltrial/judge.go
@@ -184,6 +184,18 @@
 	return breaches
 }
 
+// Hosts returns the committed rows of the hosts.
+func (t *Trial) Hosts() []quetzalfleet.HostSpec {
+	var hosts []quetzalfleet.HostSpec
+	rows, _ := t.Platform.Tables.Scan([]string{string(quetzalfleet.TableHosts)}, 0)
+	for _, row := range decodeRows(rows) {
+		if h, ok := row.Row.(quetzalfleet.HostRow); ok {
+			hosts = append(hosts, h.HostSpec)
+		}
+	}
+	return hosts
+}
+
 func (t *Trial) serving(hosts []quetzalfleet.HostRow, pool quetzalunit.PoolID, zone quetzalunit.ZoneID) quetzalunit.Hosts {
 	var n quetzalunit.Hosts
 	for _, h := range hosts {
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -2,6 +2,42 @@
 
 package quetzalwire
 
+// ArrivalDoc is one request of a recorded plan; times are in microseconds.
+type ArrivalDoc struct {
+	// AtUs corresponds to the JSON schema field "AtUs".
+	AtUs int `json:"AtUs" yaml:"AtUs"`
+
+	// Idempotent corresponds to the JSON schema field "Idempotent".
+	Idempotent bool `json:"Idempotent" yaml:"Idempotent"`
+
+	// Long corresponds to the JSON schema field "Long".
+	Long bool `json:"Long" yaml:"Long"`
+
+	// Queue corresponds to the JSON schema field "Queue".
+	Queue string `json:"Queue" yaml:"Queue"`
+
+	// Request corresponds to the JSON schema field "Request".
+	Request string `json:"Request" yaml:"Request"`
+
+	// RunUs corresponds to the JSON schema field "RunUs".
+	RunUs int `json:"RunUs" yaml:"RunUs"`
+
+	// Team corresponds to the JSON schema field "Team".
+	Team string `json:"Team" yaml:"Team"`
+
+	// TimeoutUs corresponds to the JSON schema field "TimeoutUs".
+	TimeoutUs int `json:"TimeoutUs" yaml:"TimeoutUs"`
+
+	// Urgent corresponds to the JSON schema field "Urgent".
+	Urgent bool `json:"Urgent" yaml:"Urgent"`
+}
+
+// ArrivalTrace is a recorded plan of arrivals.
+type ArrivalTrace struct {
+	// Arrivals corresponds to the JSON schema field "Arrivals".
+	Arrivals []ArrivalDoc `json:"Arrivals" yaml:"Arrivals"`
+}
+
 // ChangeDoc records one accepted change, so that a repeated ChangeId is applied
 // once.
 type ChangeDoc struct {
--- a/quetzalload/main.go
+++ b/quetzalload/main.go
@@ -48,13 +48,18 @@
 	Seed        uint64        `default:"1" help:"Seed of the plan."`
 	Log         []string      `help:"Admin URL of a stand-in's minions, whose log judges the answers; repeat for each."`
 	Platform    string        `help:"Admin URL of the stand-in platform, to watch the availability budgets from outside."`
+	Record      string        `help:"File to write the plan to, for --replay." placeholder:"FILE"`
+	Replay      string        `help:"File with a recorded plan to send instead of a new one." type:"existingfile"`
 	Report      string        `help:"File for a page with plots." placeholder:"FILE"`
 	Progress    bool          `help:"Print progress to standard error."`
 }
 
 // Run sends the plan, prints the report and returns an error when a promise broke.
 func (c *runCommand) Run() error {
-	plan := quetzalarrival.Plan(c.spec())
+	plan, err := c.plan()
+	if err != nil {
+		return err
+	}
 	sender, cleanup := quetzalsender.New(c.Entry)
 	defer cleanup()
 	sender.Direct, sender.BodyBytes = c.Direct, c.BodyBytes
@@ -88,6 +93,30 @@
 	return verdict.Broken()
 }
 
+// plan returns the plan to send, and records it when asked to.
+func (c *runCommand) plan() (*quetzaltable.Table[quetzalarrival.Arrival], error) {
+	if c.Replay != "" {
+		f, err := os.Open(c.Replay)
+		if err != nil {
+			return nil, eris.Wrap(err, "open trace")
+		}
+		defer f.Close() //nolint:errcheck // the file was only read
+		return quetzalarrival.Replay(f)
+	}
+	plan := quetzalarrival.Plan(c.spec())
+	if c.Record == "" {
+		return plan, nil
+	}
+	f, err := os.Create(c.Record)
+	if err != nil {
+		return nil, eris.Wrap(err, "create trace")
+	}
+	if err := quetzalarrival.Record(f, plan); err != nil {
+		return nil, err
+	}
+	return plan, eris.Wrap(f.Close(), "close trace")
+}
+
 func (c *runCommand) spec() *quetzalarrival.Spec {
 	s := &quetzalarrival.Spec{
 		Rate: c.Rate, For: c.For, Profile: quetzalarrival.Flat{},
--- a/quetzalproof/harness_test.go
+++ b/quetzalproof/harness_test.go
@@ -119,6 +119,8 @@
 	base    string
 	admin   string
 	minions map[string]string
+	// groups are the processes of each zone's minions.
+	groups  map[string]*process
 	entries []*entry
 	proxies *toxiproxy.ApiServer
 }
@@ -172,7 +174,7 @@
 	port := freePort(t, 2)
 	f := &fleet{
 		t: t, dir: t.TempDir(), base: "http://" + address(port), admin: "http://" + address(port+1),
-		minions: make(map[string]string),
+		minions: make(map[string]string), groups: make(map[string]*process),
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
 	}
 	startProcess(t, f.dir+"/platform.log", "quetzalstandin", "platform", "--address", address(port), "--admin", address(port+1))
@@ -190,7 +192,7 @@
 	for _, z := range zones {
 		first := freePort(t, 5)
 		f.minions[z] = "http://" + address(first+4)
-		startProcess(t, f.dir+"/minions-"+z+".log", "quetzalstandin", "minions", "--prefix", z+"-host", "--count", "4",
+		f.groups[z] = startProcess(t, f.dir+"/minions-"+z+".log", "quetzalstandin", "minions", "--prefix", z+"-host", "--count", "4",
 			"--first-port", fmt.Sprint(first), "--admin-port", fmt.Sprint(first+4), "--platform", f.admin)
 		for i, pool := range []string{"proofs", "proofs", "leaflets", "leaflets"} {
 			fmt.Fprintf(&file, "  - {Host: %s-host%d, Address: %s, Zone: %s, Rack: %s-r%d, Pool: %s}\n",
--- a/quetzalproof/promise_test.go
+++ b/quetzalproof/promise_test.go
@@ -280,6 +280,30 @@
 	t.Log("longest time without an answer:", l.longestGap())
 }
 
+// A zone goes: its entries die and its minions answer no more. The other zone
+// serves every caller that asks again.
+func TestLostZoneIsServedByTheOther(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, []string{"a", "b"}, 2)
+	l := f.sendLoad(proofLoad(19, 8*time.Second), f.callerURLs())
+	time.Sleep(2 * time.Second)
+	f.groups["b"].signal(t, syscall.SIGSTOP)
+	for _, e := range f.entries {
+		if e.zone == "b" {
+			f.kill(e)
+		}
+	}
+	for n := range 4 {
+		f.list(fmt.Sprint("b-host", n+1), "Gone")
+	}
+	<-l.done
+	f.groups["b"].signal(t, syscall.SIGCONT)
+	time.Sleep(200 * time.Millisecond)
+	v := l.judge()
+	require.NoError(t, v.Broken())
+	t.Log("longest time without an answer:", l.longestGap())
+}
+
 func TestBlackHoleMinionIsEjected(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, []string{"a"}, 1)
