Let an entry that starts during an outage serve as a guest of its peers

Cause: entries are replaced at any time and the platform can be down for long stretches; an entry that could not write itself into the roster never became ready, so that every failure in an outage cost the zone an entry.

Alternatives: self-granted leases (a move would have to wait them out); serving outside the roster (a move would not wait for it at all). Chosen: a fresh entry asks the peers that its settings name; an entry of the roster that grants it confirms no host before the guest has.

--- a/quetzalcore/quetzalcodec/gossip.go
+++ b/quetzalcore/quetzalcodec/gossip.go
@@ -9,7 +9,8 @@
 // EncodeGossip returns the message of gossip.
 func EncodeGossip(m *quetzalfleet.Gossip) (*quetzalwire.GossipMessage, error) {
 	d := &quetzalwire.GossipMessage{
-		From: string(m.From), Incarnation: int(m.Incarnation), Zone: string(m.Zone), Stopping: m.Stopping,
+		From: string(m.From), Incarnation: int(m.Incarnation), Zone: string(m.Zone),
+		Address: string(m.Address), Guest: m.Guest, Stopping: m.Stopping,
 		Since: int(m.Since), Seen: int(m.Seen), SettingsVersion: int(m.SettingsVersion),
 		Confirmed: generationDocs(m.Confirmed), Leaving: generationDocs(m.Leaving),
 	}
@@ -33,7 +34,7 @@
 func DecodeGossip(d *quetzalwire.GossipMessage) (quetzalfleet.Gossip, error) {
 	m := quetzalfleet.Gossip{
 		From: quetzalunit.EntryID(d.From), Incarnation: quetzalunit.Incarnation(d.Incarnation),
-		Zone: quetzalunit.ZoneID(d.Zone), Stopping: d.Stopping,
+		Zone: quetzalunit.ZoneID(d.Zone), Address: quetzalunit.Address(d.Address), Guest: d.Guest, Stopping: d.Stopping,
 		Since: quetzalunit.Revision(d.Since), Seen: quetzalunit.Revision(d.Seen),
 		SettingsVersion: quetzalunit.Version(d.SettingsVersion),
 		Confirmed:       generations(d.Confirmed), Leaving: generations(d.Leaving),
--- a/quetzalcore/quetzalfleet/commands.go
+++ b/quetzalcore/quetzalfleet/commands.go
@@ -89,6 +89,7 @@
 		Caller          quetzalunit.Caller
 		Seen            quetzalunit.Revision
 		SettingsVersion quetzalunit.Version
+		Sponsors        bool
 	}
 	// AskPeer asks the holder of a claim for the outcome; it ends with JoinAnswered.
 	AskPeer struct {
--- a/quetzalcore/quetzalfleet/entities.go
+++ b/quetzalcore/quetzalfleet/entities.go
@@ -367,6 +367,11 @@
 	SettingsVersion quetzalunit.Version
 	// HeardAt is when the peer last said or answered something.
 	HeardAt quetzalunit.Instant
+	// Guest tells that the peer is not in the roster and serves on this entry's word:
+	// this entry confirms no host that the guest has not confirmed.
+	Guest bool
+	// ToldAt is when the message in flight was sent.
+	ToldAt quetzalunit.Instant
 	// Told is the greatest revision of a row that was sent to the peer.
 	Told quetzalunit.Revision
 	// InFlight tells that a gossip message waits for its reply.
--- a/quetzalcore/quetzalfleet/inputs.go
+++ b/quetzalcore/quetzalfleet/inputs.go
@@ -66,6 +66,8 @@
 		Peer            quetzalunit.EntryID
 		Seen            quetzalunit.Revision
 		SettingsVersion quetzalunit.Version
+		// Sponsors tells that the peer lets this entry serve as its guest.
+		Sponsors bool
 		// Failed tells that no reply came; the other fields are zero.
 		Failed bool
 	}
@@ -166,7 +168,11 @@
 	From        quetzalunit.EntryID
 	Incarnation quetzalunit.Incarnation
 	Zone        quetzalunit.ZoneID
-	Stopping    bool
+	// Address is where the sender is reached.
+	Address quetzalunit.Address
+	// Guest tells that the sender is not in the roster and asks to serve as a guest.
+	Guest    bool
+	Stopping bool
 	// Since and Seen bound the revisions of Rows: it holds every row of the sender
 	// above Since and up to Seen.
 	Since, Seen     quetzalunit.Revision
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -15,6 +15,8 @@
 	Incarnation quetzalunit.Incarnation
 	// PeerAddress is where the other entries reach this one.
 	PeerAddress quetzalunit.Address
+	// Seeds are entries of the zone from which this one starts without the platform.
+	Seeds []quetzalunit.Address
 	// Lease is the time without renewal after which a zone's duties are taken over.
 	Lease time.Duration
 	// Poll is the mean time between reads of the platform's tables.
@@ -28,6 +30,8 @@
 // World owns the tables of one entry. The zero value is an empty world.
 type World struct {
 	Self Identity
+	// StartedAt is when the process started.
+	StartedAt quetzalunit.Instant
 	// Now is the instant of the present tick; it never decreases.
 	Now quetzalunit.Instant
 
@@ -85,6 +89,9 @@
 	GossipWaiting bool
 	// GossipedAt is the instant of the last message to the zone's peers.
 	GossipedAt quetzalunit.Instant
+	// GuestUntil ends the right to serve without a place in the roster, which an entry
+	// of the roster gave; zero without one.
+	GuestUntil quetzalunit.Instant
 	// ScanCall and ListCall are the reads in flight, zero without one.
 	ScanCall, ListCall Row
 	// RosterCall is the call that joins or leaves the roster, zero without one.
--- a/quetzalcore/quetzalpeer/client.go
+++ b/quetzalcore/quetzalpeer/client.go
@@ -54,6 +54,7 @@
 	}
 	return quetzalfleet.PeerAnswered{
 		Peer: t.Peer, Seen: quetzalunit.Revision(reply.Seen), SettingsVersion: quetzalunit.Version(reply.SettingsVersion),
+		Sponsors: reply.Sponsors,
 	}, nil
 }
 
--- a/quetzalcore/quetzalpeer/server.go
+++ b/quetzalcore/quetzalpeer/server.go
@@ -59,6 +59,7 @@
 		reply.From = string(c.s.Entry)
 		reply.Seen = int(a.Seen)
 		reply.SettingsVersion = int(a.SettingsVersion)
+		reply.Sponsors = a.Sponsors
 		return nil
 	case <-timeout.C:
 		forget()
--- a/quetzalcore/quetzalsettings/file.go
+++ b/quetzalcore/quetzalsettings/file.go
@@ -152,6 +152,11 @@
 			return err
 		}
 	}
+	for _, peer := range s.Peers {
+		if err := CheckAddress("Peers", peer); err != nil {
+			return err
+		}
+	}
 	return checkLevel(string(*s.LogLevel))
 }
 
--- a/quetzalcore/quetzalsystem/dispatch.go
+++ b/quetzalcore/quetzalsystem/dispatch.go
@@ -20,7 +20,7 @@
 
 // dispatch starts what the free slots of the changed pools permit.
 func dispatch(w *quetzalfleet.World) {
-	if !inRoster(w) {
+	if !mayServe(w) {
 		return
 	}
 	for _, row := range w.DirtyPools.Take() {
--- a/quetzalcore/quetzalsystem/doc.go
+++ b/quetzalcore/quetzalsystem/doc.go
@@ -17,6 +17,7 @@
 //	poll.go      reads of the platform
 //	gossip.go    messages between entries
 //	roster.go    the zone's roster of entries
+//	guest.go     entries that serve before they are in the roster
 //	duty.go      the lease on the zone's duties
 //	budget.go    availability budgets
 //	plan.go      moves and reboots of hosts
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -45,6 +45,7 @@
 // gossipRound tells the zone's peers, and one random peer of another zone.
 func gossipRound(w *quetzalfleet.World) {
 	w.After(w.Jitter(w.Self.Gossip), quetzalfleet.GossipDue{})
+	meetSeeds(w)
 	tellZone(w, unseen)
 	var others []quetzalfleet.Row
 	for row, p := range w.Peers.All() {
@@ -88,7 +89,7 @@
 	if p.InFlight {
 		return
 	}
-	p.InFlight = true
+	p.InFlight, p.ToldAt = true, w.Now
 	base := from(w, p)
 	rows, seen := rowsSince(w, base)
 	p.Told = max(p.Told, seen)
@@ -99,6 +100,8 @@
 		From:            w.Self.Entry,
 		Incarnation:     w.Self.Incarnation,
 		Zone:            w.Self.Zone,
+		Address:         w.Self.PeerAddress,
+		Guest:           !inRoster(w),
 		Stopping:        w.Stop != quetzalfleet.StopNone,
 		Since:           base,
 		Seen:            seen,
@@ -136,16 +139,17 @@
 func confirmedHosts(w *quetzalfleet.World) []quetzalfleet.HostGeneration {
 	var confirmed []quetzalfleet.HostGeneration
 	for _, h := range w.Hosts.All() {
-		if h.Zone == w.Self.Zone && h.State == quetzalfleet.HostLeaving && idleHere(w, h) {
+		if h.Zone == w.Self.Zone && h.State == quetzalfleet.HostLeaving && idleHere(w, h) && guestsConfirmed(w, h) {
 			confirmed = append(confirmed, quetzalfleet.HostGeneration{Host: h.ID, Generation: h.Generation})
 		}
 	}
 	return confirmed
 }
 
-// idleHere tells whether nothing that this entry sent can still run on a host.
+// idleHere tells whether nothing that this entry sent can still run on a host, nor
+// anything of a process that had its name before.
 func idleHere(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
-	return h.Running == 0 && h.LingerUntil <= w.Now
+	return h.Running == 0 && h.LingerUntil <= w.Now && w.Now.Sub(w.StartedAt) >= cancelGrace
 }
 
 func leavingHosts(w *quetzalfleet.World) []quetzalfleet.HostGeneration {
@@ -205,6 +209,7 @@
 	if m.Since <= w.Seen {
 		advanceSeen(w, m.Seen)
 	}
+	sponsors := sponsor(w, &m)
 	hearPeer(w, &m)
 	for _, c := range m.Confirmed {
 		confirm(w, &m, c)
@@ -216,7 +221,7 @@
 	}
 	hearLongTeams(w, m.LongTeams)
 	joinRosterIfKnown(w)
-	w.Emit(quetzalfleet.AnswerGossip{Caller: in.Caller, Seen: w.Seen, SettingsVersion: w.InForce})
+	w.Emit(quetzalfleet.AnswerGossip{Caller: in.Caller, Seen: w.Seen, SettingsVersion: w.InForce, Sponsors: sponsors})
 }
 
 // joinRosterIfKnown joins the roster as soon as the rows are known.
@@ -249,6 +254,8 @@
 	if v.Incarnation != m.Incarnation || v.Generation != c.Generation {
 		v.Incarnation, v.Generation = m.Incarnation, c.Generation
 		w.PlanDirty = true
+		// This entry's own confirmation may have waited for its guest's.
+		w.GossipNow = w.GossipNow || m.Guest
 	}
 }
 
@@ -262,6 +269,10 @@
 		p.Told = 0
 		return
 	}
+	if in.Sponsors {
+		w.GuestUntil = max(w.GuestUntil, p.ToldAt.Add(guestLease))
+		dirtyAllPools(w)
+	}
 	p.HeardAt = w.Now
 	p.Seen = in.Seen
 	p.SettingsVersion = max(p.SettingsVersion, in.SettingsVersion)
--- a/quetzalcore/quetzalsystem/lone_test.go
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -218,5 +218,7 @@
 		trial.Run(time.Minute)
 		return fmt.Sprint(trial.Decisions, len(trial.Answers), trial.Runs.Len())
 	}
-	require.Equal(t, course(), course())
+	first := course()
+	second := course()
+	require.Equal(t, first, second)
 }
--- a/quetzalcore/quetzalsystem/plan.go
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -83,7 +83,7 @@
 // nothing on a host and will send nothing.
 func drained(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
 	r := zoneRoster(w)
-	if r == nil || !idleHere(w, h) {
+	if r == nil || !idleHere(w, h) || !guestsConfirmed(w, h) {
 		return false
 	}
 	for _, e := range r.Entries {
@@ -91,7 +91,8 @@
 			continue
 		}
 		c := w.Confirmed.At(w.ConfirmedBy.Get(quetzalfleet.ConfirmationKey{Entry: e.Entry, Host: h.ID}))
-		if c == nil || c.Incarnation != e.Incarnation || c.Generation != h.Generation {
+		// A newer process with the name answers for the one in the roster, which is dead.
+		if c == nil || c.Incarnation < e.Incarnation || c.Generation != h.Generation {
 			return false
 		}
 	}
--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -284,6 +284,51 @@
 	require.Empty(t, trial.Judge())
 }
 
+// An entry that starts while the platform is out serves as a guest of its peers.
+func TestFreshEntryServesDuringAnOutage(t *testing.T) {
+	trial := newTrial(t, 1, smallFleet())
+	trial.Platform.Outage = true
+	trial.Run(time.Second)
+	trial.Kill("a-entry1")
+	trial.AddEntry("a-entry1", "a")
+	trial.Run(5 * time.Second)
+	for n := range 20 {
+		in := request(fmt.Sprint("q~fresh", n), false)
+		in.Minted = true
+		trial.Submit("a-entry1", in)
+	}
+	trial.Run(time.Second)
+	require.Len(t, trial.Answers, 20)
+	for _, a := range trial.Answers {
+		require.IsType(t, quetzalfleet.Ran{}, a.Outcome)
+	}
+}
+
+// A move waits for guests as it does for the entries of the roster.
+func TestGuestHoldsUpAMove(t *testing.T) {
+	spec := smallFleet()
+	drain := 20 * time.Second
+	spec.Settings.DrainTimeout = &drain
+	trial := newTrial(t, 1, spec)
+	trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 2500 * time.Millisecond }
+	guest := trial.Entries.At(trial.AddEntry("a-entry9", "a"))
+	guest.CutPlatform = true
+	trial.Run(8 * time.Second)
+	for n := range 10 {
+		in := request(fmt.Sprint("q~guest", n), false)
+		in.Minted = true
+		trial.Submit("a-entry9", in)
+	}
+	trial.Run(10 * time.Millisecond)
+	require.Equal(t, 10, guest.World.Attempts.Len(), "the guest does not serve")
+	trial.Ask("a-entry0", quetzalfleet.MoveHost{ID: "m", Host: "a-host0", Pool: "editions"})
+	trial.Run(2 * time.Second)
+	require.Equal(t, quetzalunit.PoolID("proofs"), hostSpec(trial, "a-host0").Pool)
+	trial.Run(20 * time.Second)
+	require.Equal(t, quetzalunit.PoolID("editions"), hostSpec(trial, "a-host0").Pool)
+	require.Empty(t, trial.Judge())
+}
+
 func TestWaveFinishesWhenItsHolderDies(t *testing.T) {
 	for kill := range 12 {
 		t.Run(fmt.Sprint("after ", kill*400, " ms"), func(t *testing.T) {
@@ -470,8 +515,11 @@
 	case 5:
 		trial.Kill(entry)
 		id := entry
+		if rapid.Bool().Draw(rt, "another name") {
+			id = quetzalunit.EntryID(fmt.Sprintf("%s-new%d", zone, *n))
+		}
 		trial.After(time.Duration(rapid.IntRange(1, 5000).Draw(rt, "down"))*time.Millisecond, func() {
-			if trial.Entry(id).Dead {
+			if e := trial.Entry(id); e == nil || e.Dead {
 				trial.AddEntry(id, zone)
 			}
 		})
--- a/quetzalcore/quetzalsystem/roster.go
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -151,13 +151,13 @@
 		p.Seen, p.Stopping, p.Loads = 0, false, nil
 		p.HeardAt = w.Now
 	}
-	p.Zone, p.Incarnation, p.Address = zone, e.Incarnation, e.Address
+	p.Zone, p.Incarnation, p.Address, p.Guest = zone, e.Incarnation, e.Address, false
 }
 
 // dropPeers forgets the peers that left a zone's roster.
 func dropPeers(w *quetzalfleet.World, r *quetzalfleet.Roster) {
 	for row, p := range w.Peers.All() {
-		if p.Zone != r.Zone || slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool { return e.Entry == p.ID }) {
+		if p.Zone != r.Zone || p.Guest || isSeed(p) || slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool { return e.Entry == p.ID }) {
 			continue
 		}
 		w.PeerByID.Delete(p.ID)
--- a/quetzalcore/quetzalsystem/tick.go
+++ b/quetzalcore/quetzalsystem/tick.go
@@ -18,7 +18,7 @@
 
 // Start sets the timers of a new World. It is called once, before the first tick.
 func Start(w *quetzalfleet.World, now quetzalunit.Instant) {
-	w.Now = now
+	w.Now, w.StartedAt = now, now
 	w.Timers.Push(now, quetzalfleet.PollDue{})
 	w.Timers.Push(now.Add(w.Self.Gossip), quetzalfleet.GossipDue{})
 	w.Timers.Push(now.Add(w.Self.Poll), quetzalfleet.DutyDue{})
--- a/quetzalcore/quetzalsystem/view.go
+++ b/quetzalcore/quetzalsystem/view.go
@@ -190,8 +190,8 @@
 	return v
 }
 
-// Ready tells whether the entry takes requests: it is in its zone's roster and
-// not stopping.
+// Ready tells whether the entry takes requests: it knows the fleet, may serve and
+// is not stopping.
 func Ready(w *quetzalfleet.World) bool {
-	return w.Stop == quetzalfleet.StopNone && inRoster(w)
+	return w.Stop == quetzalfleet.StopNone && w.Seen > 0 && mayServe(w)
 }
--- a/quetzalcore/quetzaltrial/perform.go
+++ b/quetzalcore/quetzaltrial/perform.go
@@ -150,7 +150,7 @@
 	t.callers.Delete(row)
 	if ok {
 		t.events.Push(t.Now.Add(Hop), inputArrives{entry: g.entry, in: quetzalfleet.PeerAnswered{
-			Peer: g.peer, Seen: c.Seen, SettingsVersion: c.SettingsVersion,
+			Peer: g.peer, Seen: c.Seen, SettingsVersion: c.SettingsVersion, Sponsors: c.Sponsors,
 		}})
 	}
 }
--- a/quetzalcore/quetzaltrial/trial.go
+++ b/quetzalcore/quetzaltrial/trial.go
@@ -1,6 +1,7 @@
 package quetzaltrial
 
 import (
+	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
@@ -198,7 +199,7 @@
 	w := &quetzalfleet.World{Self: quetzalfleet.Identity{
 		Entry: id, Zone: zone, Incarnation: t.incarnation, PeerAddress: address,
 		Lease: 5 * time.Second, Poll: 1500 * time.Millisecond, Gossip: time.Second,
-		Seed: t.Seed*1000 + uint64(t.incarnation),
+		Seed: t.Seed*1000 + uint64(t.incarnation), Seeds: t.zonePeers(id, zone),
 	}}
 	row := t.Entries.Insert(Entry{ID: id, Zone: zone, World: w})
 	t.entryByAddr.Put(address, row)
@@ -207,6 +208,17 @@
 	return row
 }
 
+// zonePeers lists the addresses of the other entries of a zone.
+func (t *Trial) zonePeers(id quetzalunit.EntryID, zone quetzalunit.ZoneID) []quetzalunit.Address {
+	var list []quetzalunit.Address
+	for _, e := range t.Entries.All() {
+		if e.Zone == zone && e.ID != id && !slices.Contains(list, quetzalunit.Address(e.ID)) {
+			list = append(list, quetzalunit.Address(e.ID))
+		}
+	}
+	return list
+}
+
 // AddMinion adds a host to the platform's list.
 func (t *Trial) AddMinion(id quetzalunit.HostID) quetzaltable.Row {
 	row := t.Minions.Insert(Minion{ID: id, Boot: 1})
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -151,6 +151,10 @@
 	// IP:port to listen on for calls between entries (default PeerAddress).
 	PeerListen *string `json:"PeerListen,omitempty,omitzero" yaml:"PeerListen,omitempty"`
 
+	// PeerAddress of other entries of the zone, from which this one starts while the
+	// platform is out (default none).
+	Peers []string `json:"Peers,omitempty,omitzero" yaml:"Peers,omitempty"`
+
 	// Base URL of the platform's service.
 	PlatformURL string `json:"PlatformURL" yaml:"PlatformURL"`
 
@@ -353,12 +357,18 @@
 // GossipMessage carries what an entry has learnt to a peer; Seen is the revision
 // up to which it holds every row.
 type GossipMessage struct {
+	// Address corresponds to the JSON schema field "Address".
+	Address string `json:"Address" yaml:"Address"`
+
 	// Confirmed corresponds to the JSON schema field "Confirmed".
 	Confirmed []HostGeneration `json:"Confirmed" yaml:"Confirmed"`
 
 	// From corresponds to the JSON schema field "From".
 	From string `json:"From" yaml:"From"`
 
+	// Guest corresponds to the JSON schema field "Guest".
+	Guest bool `json:"Guest" yaml:"Guest"`
+
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
 
@@ -400,6 +410,9 @@
 
 	// SettingsVersion corresponds to the JSON schema field "SettingsVersion".
 	SettingsVersion int `json:"SettingsVersion" yaml:"SettingsVersion"`
+
+	// Sponsors corresponds to the JSON schema field "Sponsors".
+	Sponsors bool `json:"Sponsors" yaml:"Sponsors"`
 }
 
 // HeadDoc holds the fleet-wide version of the settings.
--- a/quetzalentry/serve.go
+++ b/quetzalentry/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalfront"
 	"quetzalstair/quetzalcore/quetzalmetric"
@@ -84,6 +85,7 @@
 
 func identity(cfg *quetzalwire.EntrySettings, incarnation quetzalunit.Incarnation) quetzalfleet.Identity {
 	return quetzalfleet.Identity{
+		Seeds: quetzalcodec.FromStrings[quetzalunit.Address](cfg.Peers),
 		Entry: quetzalunit.EntryID(cfg.Entry), Zone: quetzalunit.ZoneID(cfg.Zone), Incarnation: incarnation,
 		PeerAddress: quetzalunit.Address(cfg.PeerAddress), Lease: millis(*cfg.LeaseMs), Poll: millis(*cfg.PollMs),
 		Gossip: millis(*cfg.GossipMs), Seed: uint64(incarnation),
--- a/quetzalproof/harness_test.go
+++ b/quetzalproof/harness_test.go
@@ -234,12 +234,26 @@
 	text := fmt.Sprintf("Entry: %s\nZone: %s\nCallerAddress: %s\nOperatorAddress: %s\nPeerAddress: %s\nPeerListen: %s\n"+
 		"PlatformURL: http://%s\nOperatorToken: %s\nLeaseMs: %d\nPollMs: 500\nGossipMs: 300\nStopNoticeMs: 300\n",
 		e.name, e.zone, e.caller, e.operator, e.peers.Listen, e.listen, e.platform.Listen, token, leaseTime.Milliseconds())
+	if peers := f.peersOf(e); len(peers) > 0 {
+		text += "Peers: [" + strings.Join(peers, ", ") + "]\n"
+	}
 	file := filepath.Join(f.dir, e.name+".yaml")
 	require.NoError(f.t, os.WriteFile(file, []byte(text), 0o600))
 	e.process = startProcess(f.t, f.dir+"/"+e.name+".log", "quetzalentry", "run", "--settings", file)
 	f.list(e.name, "Live")
 }
 
+// peersOf lists the addresses of the other entries of an entry's zone.
+func (f *fleet) peersOf(e *entry) []string {
+	var list []string
+	for _, other := range f.entries {
+		if other.zone == e.zone && other != e {
+			list = append(list, other.peers.Listen)
+		}
+	}
+	return list
+}
+
 // kill ends an entry's process at once and lists its host as gone.
 func (f *fleet) kill(e *entry) {
 	e.signal(f.t, syscall.SIGKILL)
--- a/quetzalproof/promise_test.go
+++ b/quetzalproof/promise_test.go
@@ -138,6 +138,27 @@
 	f.t.Logf("version %d in force everywhere after %s", version, time.Since(begin).Round(time.Millisecond))
 }
 
+// Entries that are replaced while the platform is out serve as guests of their peers.
+func TestEntryReplacedDuringAnOutageServes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, []string{"a"}, 3)
+	f.faults(quetzalwire.Faults{Outage: true})
+	time.Sleep(500 * time.Millisecond)
+	fresh := f.entries[1]
+	f.kill(fresh)
+	f.start(fresh)
+	f.waitFor("http://" + fresh.caller + "/readyz")
+	s := proofLoad(20, 4*time.Second)
+	s.OwnIDs = false
+	l := f.sendLoad(s, []string{"http://" + fresh.caller})
+	v := l.judge()
+	require.NoError(t, v.Broken())
+	require.Equal(t, v.Sent, v.Outcomes[quetzalsender.Ran])
+	f.faults(quetzalwire.Faults{})
+	out, err := f.ctl(f.entries[0], "hosts", "move", "a-host4", "proofs", "--wait")
+	require.NoError(t, err, out)
+}
+
 func TestOutageWithLostAnswersRunsNothingTwice(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, []string{"a"}, 2)
