--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,9 @@
 
 .PHONY: lint
 lint: tools
-	@for m in $(MODULES); do (cd $$m && $(TOOLS)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+	@status=0; for m in $(MODULES); do \
+	  (cd $$m && $(TOOLS)/golangci-lint run --config $(CURDIR)/.golangci.yml ./...) || status=1; \
+	done; exit $$status
 
 .PHONY: format
 format: tools
--- a/quetzalcore/quetzalfleet/commands.go
+++ b/quetzalcore/quetzalfleet/commands.go
@@ -139,6 +139,28 @@
 func (LogDecision) implementsCommand()    {}
 func (FinishStop) implementsCommand()     {}
 
+// CallOf returns the call that a command makes of the platform, or zero.
+func CallOf(c Command) Row {
+	switch c := c.(type) {
+	case WriteStore:
+		return c.Call
+	case ReadStore:
+		return c.Call
+	case ScanStore:
+		return c.Call
+	case PutObject:
+		return c.Call
+	case GetObject:
+		return c.Call
+	case ListHosts:
+		return c.Call
+	case RebootHost:
+		return c.Call
+	default:
+		return 0
+	}
+}
+
 // ObjectKey names an object of the object store.
 type ObjectKey string
 
--- a/quetzalcore/quetzalsystem/dispatch.go
+++ b/quetzalcore/quetzalsystem/dispatch.go
@@ -242,32 +242,39 @@
 	w := d.w
 	r, h := w.Requests.At(row), w.Hosts.At(hostRow)
 	long := r.Treated == quetzalfleet.Long
-	attempt := w.Attempts.Insert(quetzalfleet.Attempt{
-		Request: row, Host: hostRow, Line: lineRow, Queue: r.Queue, Team: r.Team,
-		StartedAt: w.Now, Long: long, Generation: h.Generation,
+	attempt := beginAttempt(w, row, quetzalfleet.Attempt{
+		Host: hostRow, Line: lineRow, Long: long, Generation: h.Generation,
 	})
 	w.Lines.At(lineRow).Running++
 	h.Running++
 	if long {
 		h.RunningLong++
 	}
+	if _, ok := d.settings.Lanes.(quetzalfleet.DemoteLanes); ok && !long {
+		w.After(d.settings.ShortRun, quetzalfleet.ShortRunOver{Attempt: attempt})
+	}
+	w.Emit(quetzalfleet.SendAttempt{
+		Attempt: attempt, ID: r.ID, Host: h.ID, Address: h.Address, Pool: h.Pool,
+		Generation: h.Generation, Work: r.Work, Timeout: r.Deadline.Sub(w.Now),
+	})
+}
+
+// beginAttempt records the start of an attempt of a request.
+func beginAttempt(w *quetzalfleet.World, row quetzalfleet.Row, a quetzalfleet.Attempt) quetzalfleet.Row {
+	r := w.Requests.At(row)
+	a.Request, a.Queue, a.Team, a.StartedAt = row, r.Queue, r.Team, w.Now
+	attempt := w.Attempts.Insert(a)
 	endMarking(w, r)
 	r.State = quetzalfleet.RequestRunning
 	r.Attempt = attempt
 	r.Attempts++
 	if r.StartedAt == 0 {
 		r.StartedAt = w.Now
-		earnRetries(w, h.PoolRow)
+		earnRetries(w, w.Queues.At(r.Queue).Pool)
 	}
 	w.Queues.At(r.Queue).Running++
 	w.Teams.At(r.Team).Running++
-	if _, ok := d.settings.Lanes.(quetzalfleet.DemoteLanes); ok && !long {
-		w.After(d.settings.ShortRun, quetzalfleet.ShortRunOver{Attempt: attempt})
-	}
-	w.Emit(quetzalfleet.SendAttempt{
-		Attempt: attempt, ID: r.ID, Host: h.ID, Address: h.Address, Pool: h.Pool,
-		Generation: h.Generation, Work: r.Work, Timeout: r.Deadline.Sub(w.Now),
-	})
+	return attempt
 }
 
 // demoteAttempt counts a run that outlasted the short run time as long.
--- a/quetzalcore/quetzalsystem/forward.go
+++ b/quetzalcore/quetzalsystem/forward.go
@@ -109,22 +109,11 @@
 	w.After(w.Jitter(forwardRetry), quetzalfleet.PoolDue{Pool: pool})
 }
 
+// forward hands a request to an entry of another zone.
 func forward(w *quetzalfleet.World, row, peer quetzalfleet.Row) {
 	r, p := w.Requests.At(row), w.Peers.At(peer)
-	attempt := w.Attempts.Insert(quetzalfleet.Attempt{
-		Request: row, Peer: peer, Queue: r.Queue, Team: r.Team, StartedAt: w.Now,
-	})
+	attempt := beginAttempt(w, row, quetzalfleet.Attempt{Peer: peer})
 	p.Forwarded++
-	endMarking(w, r)
-	r.State = quetzalfleet.RequestRunning
-	r.Attempt = attempt
-	r.Attempts++
-	if r.StartedAt == 0 {
-		r.StartedAt = w.Now
-		earnRetries(w, w.Queues.At(r.Queue).Pool)
-	}
-	w.Queues.At(r.Queue).Running++
-	w.Teams.At(r.Team).Running++
 	w.Emit(quetzalfleet.ForwardAttempt{
 		Attempt: attempt, Address: p.Address, ID: r.ID, Queue: w.Queues.At(r.Queue).ID, Team: w.Teams.At(r.Team).ID,
 		Class: r.Class, Urgent: r.Urgent, Idempotent: r.Idempotent, Work: r.Work, Timeout: r.Deadline.Sub(w.Now),
--- a/quetzalcore/quetzaltrial/fleet.go
+++ b/quetzalcore/quetzaltrial/fleet.go
@@ -16,20 +16,23 @@
 	ID    quetzalunit.PoolID
 	Spare bool
 	// HostsPerZone and MinHosts are the pool's hosts and budget in each zone.
-	HostsPerZone int
+	HostsPerZone quetzalunit.Hosts
 	// Zones restricts the pool's hosts; empty means every zone.
 	Zones    []quetzalunit.ZoneID
 	MinHosts quetzalunit.Hosts
 }
 
+// Count counts entries of a zone or hosts of a rack.
+type Count int
+
 // FleetSpec describes a fleet.
 type FleetSpec struct {
 	Zones          []quetzalunit.ZoneID
-	EntriesPerZone int
+	EntriesPerZone Count
 	Pools          []PoolSpec
 	Teams          []quetzalunit.TeamID
 	// HostsPerRack groups the hosts of a zone.
-	HostsPerRack int
+	HostsPerRack Count
 	// Settings are set on the root of the tree.
 	Settings quetzalfleet.SettingValues
 }
@@ -46,7 +49,7 @@
 // the first entry. It returns an error when a change is not accepted.
 func (t *Trial) Build(s *FleetSpec) error {
 	for _, z := range s.Zones {
-		for n := range s.EntriesPerZone {
+		for n := range int(s.EntriesPerZone) {
 			t.AddEntry(EntryName(z, n), z)
 		}
 	}
@@ -90,9 +93,9 @@
 			if len(p.Zones) > 0 && !slices.Contains(p.Zones, z) {
 				continue
 			}
-			for range p.HostsPerZone {
+			for range int(p.HostsPerZone) {
 				host := quetzalunit.HostID(fmt.Sprintf("%s-host%d", z, n))
-				rack := quetzalunit.RackID(fmt.Sprintf("%s-rack%d", z, n/max(1, s.HostsPerRack)))
+				rack := quetzalunit.RackID(fmt.Sprintf("%s-rack%d", z, n/max(1, int(s.HostsPerRack))))
 				t.AddMinion(host)
 				list = append(list, quetzalfleet.RegisterHost{ID: id(), Host: quetzalfleet.HostSpec{
 					ID: host, Address: quetzalunit.Address(host), Zone: z, Rack: rack, Pool: p.ID,
--- a/quetzalcore/quetzaltrial/perform.go
+++ b/quetzalcore/quetzaltrial/perform.go
@@ -28,20 +28,9 @@
 		t.forward(row, &c)
 	case quetzalfleet.AnswerCaller:
 		t.answer(e.World.Self.Incarnation, &c)
-	case quetzalfleet.WriteStore:
-		t.callPlatform(row, c.Call, c)
-	case quetzalfleet.ReadStore:
-		t.callPlatform(row, c.Call, c)
-	case quetzalfleet.ScanStore:
-		t.callPlatform(row, c.Call, c)
-	case quetzalfleet.PutObject:
-		t.callPlatform(row, c.Call, c)
-	case quetzalfleet.GetObject:
-		t.callPlatform(row, c.Call, c)
-	case quetzalfleet.ListHosts:
-		t.callPlatform(row, c.Call, c)
-	case quetzalfleet.RebootHost:
-		t.callPlatform(row, c.Call, c)
+	case quetzalfleet.WriteStore, quetzalfleet.ReadStore, quetzalfleet.ScanStore, quetzalfleet.PutObject,
+		quetzalfleet.GetObject, quetzalfleet.ListHosts, quetzalfleet.RebootHost:
+		t.callPlatform(row, quetzalfleet.CallOf(c), c)
 	case quetzalfleet.TellPeer:
 		t.tellPeer(row, &c)
 	case quetzalfleet.AnswerGossip:
--- a/quetzalentry/path_test.go
+++ b/quetzalentry/path_test.go
@@ -114,7 +114,7 @@
 	req.Header = header
 	res, err := http.DefaultClient.Do(req)
 	require.NoError(tb, err)
-	defer res.Body.Close()
+	defer res.Body.Close() //nolint:errcheck // the body was read
 	text, err := io.ReadAll(res.Body)
 	require.NoError(tb, err)
 	return res, string(text)
@@ -192,7 +192,7 @@
 	defer s.Close()
 	conn, err := net.Dial("tcp", s.Listener.Addr().String())
 	require.NoError(t, err)
-	defer conn.Close()
+	defer conn.Close() //nolint:errcheck // the test has its answer
 	_, err = io.WriteString(conn, "POST /queues/rota/requests HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nslow")
 	require.NoError(t, err)
 	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
--- a/quetzalentry/perform.go
+++ b/quetzalentry/perform.go
@@ -21,20 +21,9 @@
 		e.work.Go(func() { e.forward(&c) })
 	case quetzalfleet.AnswerCaller:
 		e.callers.Answer(c.Caller, c)
-	case quetzalfleet.WriteStore:
-		e.callStore(c.Call, c)
-	case quetzalfleet.ReadStore:
-		e.callStore(c.Call, c)
-	case quetzalfleet.ScanStore:
-		e.callStore(c.Call, c)
-	case quetzalfleet.PutObject:
-		e.callStore(c.Call, c)
-	case quetzalfleet.GetObject:
-		e.callStore(c.Call, c)
-	case quetzalfleet.ListHosts:
-		e.callStore(c.Call, c)
-	case quetzalfleet.RebootHost:
-		e.callStore(c.Call, c)
+	case quetzalfleet.WriteStore, quetzalfleet.ReadStore, quetzalfleet.ScanStore, quetzalfleet.PutObject,
+		quetzalfleet.GetObject, quetzalfleet.ListHosts, quetzalfleet.RebootHost:
+		e.callStore(quetzalfleet.CallOf(c), c)
 	case quetzalfleet.TellPeer:
 		e.work.Go(func() { e.tellPeer(&c) })
 	case quetzalfleet.AnswerGossip:
--- a/quetzalload/quetzalexperiment/dispatch.go
+++ b/quetzalload/quetzalexperiment/dispatch.go
@@ -61,28 +61,28 @@
 	seed uint64, policy quetzalfleet.LanePolicy, slots quetzalunit.Percent, withLong bool,
 ) (*quetzalreport.Series, int, error) {
 	settings := quetzalfleet.SettingValues{Lanes: &policy, LongSlots: ptr(max(1, slots))}
-	b, err := newBench(seed, onePool(benchHosts, benchEntries, settings, "proofs", "translations"))
+	b, err := newBench(seed, onePool(settings, shortTeam, longTeam))
 	if err != nil {
 		return nil, 0, err
 	}
-	queues := []quetzalunit.QueueID{"proofs"}
+	queues := []quetzalunit.QueueID{shortTeam}
 	b.submit(&quetzalarrival.Spec{
-		Queues: queues, Teams: []quetzalunit.TeamID{"proofs"}, Rate: 100, For: lanesLength, Profile: quetzalarrival.Flat{},
+		Queues: queues, Teams: []quetzalunit.TeamID{shortTeam}, Rate: 100, For: lanesLength, Profile: quetzalarrival.Flat{},
 		ShortRun: 20 * time.Millisecond, Timeout: 10 * time.Minute, Idempotent: 100, Seed: seed,
 	}, b.entries)
 	if withLong {
 		b.submit(&quetzalarrival.Spec{
-			Queues: queues, Teams: []quetzalunit.TeamID{"translations"}, Rate: 3.5, For: lanesLength, Profile: quetzalarrival.Flat{},
+			Queues: queues, Teams: []quetzalunit.TeamID{longTeam}, Rate: 3.5, For: lanesLength, Profile: quetzalarrival.Flat{},
 			Long: 100, Misdeclared: 20, LongRun: 20 * time.Second, Timeout: 10 * time.Minute, Idempotent: 100, Seed: seed + 1,
 		}, b.entries)
 	}
 	b.Run(lanesLength)
 	long := 0
 	short := b.series(func(r *result) (time.Duration, bool) {
-		if r.Team == "translations" && r.ran {
+		if r.Team == longTeam && r.ran {
 			long++
 		}
-		return r.latency, r.Team == "proofs" && r.ran && r.At > lanesLength/6
+		return r.latency, r.Team == shortTeam && r.ran && r.At > lanesLength/6
 	})
 	return short, long, nil
 }
@@ -118,7 +118,7 @@
 func dispatchVariant(
 	t *Table, seed uint64, name string, policy quetzalfleet.DispatchPolicy, share float64, skewed bool,
 ) error {
-	b, err := newBench(seed, onePool(benchHosts, benchEntries, quetzalfleet.SettingValues{Dispatch: &policy}))
+	b, err := newBench(seed, onePool(quetzalfleet.SettingValues{Dispatch: &policy}))
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 		entries, callers = b.entries[:1], "at one entry"
 	}
 	b.submit(&quetzalarrival.Spec{
-		Queues: []quetzalunit.QueueID{"proofs"}, Rate: share * float64(benchSlots) / run.Seconds(), For: length,
+		Queues: []quetzalunit.QueueID{shortTeam}, Rate: share * float64(benchSlots) / run.Seconds(), For: length,
 		Profile: quetzalarrival.Flat{}, ShortRun: run, Timeout: time.Minute, Idempotent: 100, Seed: seed,
 	}, entries)
 	idle := b.sampleIdle(length)
--- a/quetzalload/quetzalexperiment/experiment.go
+++ b/quetzalload/quetzalexperiment/experiment.go
@@ -134,7 +134,7 @@
 		return nil, eris.Wrap(err, "build fleet")
 	}
 	for _, z := range spec.Zones {
-		for n := range spec.EntriesPerZone {
+		for n := range int(spec.EntriesPerZone) {
 			b.entries = append(b.entries, quetzaltrial.EntryName(z, n))
 		}
 	}
@@ -199,11 +199,19 @@
 	return s
 }
 
-// onePool is a zone with one pool and some entries.
-func onePool(hosts, entries int, settings quetzalfleet.SettingValues, teams ...quetzalunit.TeamID) *quetzaltrial.FleetSpec {
+// The names in experiments: a pool, its queue and the team of its short work share one.
+const (
+	shortTeam = "proofs"
+	longTeam  = "translations"
+	hogTeam   = "hog"
+	waveName  = "wave"
+)
+
+// onePool is a zone with one pool.
+func onePool(settings quetzalfleet.SettingValues, teams ...quetzalunit.TeamID) *quetzaltrial.FleetSpec {
 	return &quetzaltrial.FleetSpec{
-		Zones: []quetzalunit.ZoneID{"a"}, EntriesPerZone: entries, HostsPerRack: 4, Teams: teams, Settings: settings,
-		Pools: []quetzaltrial.PoolSpec{{ID: "proofs", HostsPerZone: hosts}},
+		Zones: []quetzalunit.ZoneID{"a"}, EntriesPerZone: benchEntries, HostsPerRack: 4, Teams: teams, Settings: settings,
+		Pools: []quetzaltrial.PoolSpec{{ID: shortTeam, HostsPerZone: benchHosts}},
 	}
 }
 
--- a/quetzalload/quetzalexperiment/move.go
+++ b/quetzalload/quetzalexperiment/move.go
@@ -14,7 +14,7 @@
 var quetzaltrialFleet = quetzaltrial.FleetSpec{
 	Zones: []quetzalunit.ZoneID{"a"}, EntriesPerZone: benchEntries, HostsPerRack: 4,
 	Pools: []quetzaltrial.PoolSpec{
-		{ID: "proofs", HostsPerZone: benchHosts, MinHosts: 1},
+		{ID: shortTeam, HostsPerZone: benchHosts, MinHosts: 1},
 		{ID: "editions", HostsPerZone: benchHosts, MinHosts: 1},
 		{ID: "posters", HostsPerZone: benchHosts, MinHosts: 1},
 		{ID: "leaflets", Spare: true, HostsPerZone: 4, MinHosts: 1},
@@ -32,14 +32,14 @@
 	}
 	spare := s.SpareHosts
 	for n := range s.Pools {
-		p := quetzaltrial.PoolSpec{ID: quetzalunit.PoolID(fmt.Sprint("pool", n)), HostsPerZone: s.HostsPerPool, MinHosts: 1}
+		p := quetzaltrial.PoolSpec{ID: quetzalunit.PoolID(fmt.Sprint("pool", n)), HostsPerZone: quetzalunit.Hosts(s.HostsPerPool), MinHosts: 1}
 		if buffers && spare > 1 {
 			p.HostsPerZone++
 			spare--
 		}
 		f.Pools = append(f.Pools, p)
 	}
-	f.Pools = append(f.Pools, quetzaltrial.PoolSpec{ID: sparePool, Spare: true, HostsPerZone: spare, MinHosts: 1})
+	f.Pools = append(f.Pools, quetzaltrial.PoolSpec{ID: sparePool, Spare: true, HostsPerZone: quetzalunit.Hosts(spare), MinHosts: 1})
 	return f
 }
 
@@ -152,7 +152,7 @@
 	t := &Table{
 		Title: "Maintenance wave over every host, " + s.Name + ": reboots of 2 s, light load",
 		Columns: []string{
-			"wave", "time", "lower bound", "time over bound", "moves", "budget breaches", "late or refused",
+			waveName, "time", "lower bound", "time over bound", "moves", "budget breaches", "late or refused",
 		},
 	}
 	for _, width := range []int{1, 2, 4, 8, 0} {
@@ -185,7 +185,7 @@
 	b.submit(&spec, b.entries)
 	breaches := 0
 	b.OnCommit = func() { breaches += len(b.BelowBudget()) }
-	b.Ask(b.entries[0], quetzalfleet.CreateWave{ID: "wave", Wave: quetzalfleet.WaveSpec{ID: "wave", MaxConcurrent: quetzalunit.Hosts(width)}})
+	b.Ask(b.entries[0], quetzalfleet.CreateWave{ID: waveName, Wave: quetzalfleet.WaveSpec{ID: waveName, MaxConcurrent: quetzalunit.Hosts(width)}})
 	begin := b.Now
 	for !b.waveDone() && b.Now.Sub(begin) < waveLimit {
 		b.Run(sampleEvery)
@@ -216,6 +216,6 @@
 
 func (b *bench) waveDone() bool {
 	w := b.Entry(b.entries[0]).World
-	v := w.Waves.At(w.WaveByID.Get("wave"))
+	v := w.Waves.At(w.WaveByID.Get(waveName))
 	return v != nil && v.State == quetzalfleet.WaveFinished
 }
--- a/quetzalload/quetzalexperiment/retry.go
+++ b/quetzalload/quetzalexperiment/retry.go
@@ -32,13 +32,13 @@
 		{"Exponential, full jitter, budget 20 %", quetzalfleet.ExponentialRetry{}},
 		{"FourPhase", quetzalfleet.FourPhaseRetry{}},
 	} {
-		b, err := newBench(seed, onePool(benchHosts, benchEntries, quetzalfleet.SettingValues{Retry: &v.policy}))
+		b, err := newBench(seed, onePool(quetzalfleet.SettingValues{Retry: &v.policy}))
 		if err != nil {
 			return nil, err
 		}
 		const run = 40 * time.Millisecond
 		b.submit(&quetzalarrival.Spec{
-			Queues: []quetzalunit.QueueID{"proofs"}, Rate: 0.6 * float64(benchSlots) / run.Seconds(), For: retryLength,
+			Queues: []quetzalunit.QueueID{shortTeam}, Rate: 0.6 * float64(benchSlots) / run.Seconds(), For: retryLength,
 			Profile: quetzalarrival.Flat{}, ShortRun: run, Timeout: 8 * time.Second, Idempotent: 100, Seed: seed,
 		}, b.entries)
 		b.After(outageBegin, func() { b.failMinions(true) })
@@ -101,13 +101,13 @@
 		}
 		refused, hogs := 0, 0
 		others := b.series(func(r *result) (time.Duration, bool) {
-			if r.Team == "hog" {
+			if r.Team == hogTeam {
 				hogs++
 				if !r.ran {
 					refused++
 				}
 			}
-			return r.latency, r.Team != "hog" && r.ran
+			return r.latency, r.Team != hogTeam && r.ran
 		})
 		if without == 0 {
 			without = others.Quantile(99)
@@ -128,7 +128,7 @@
 
 func quotaVariant(seed uint64, hog float64) (*bench, error) {
 	teams := teamNames()
-	b, err := newBench(seed, onePool(benchHosts, benchEntries, quetzalfleet.SettingValues{}, append(teams, "hog")...))
+	b, err := newBench(seed, onePool(quetzalfleet.SettingValues{}, append(teams, hogTeam)...))
 	if err != nil {
 		return nil, err
 	}
@@ -138,12 +138,12 @@
 	)
 	capacity := float64(benchSlots) / run.Seconds()
 	spec := quetzalarrival.Spec{
-		Queues: []quetzalunit.QueueID{"proofs"}, Teams: teams, Rate: 0.6 * capacity, For: length, Profile: quetzalarrival.Flat{},
+		Queues: []quetzalunit.QueueID{shortTeam}, Teams: teams, Rate: 0.6 * capacity, For: length, Profile: quetzalarrival.Flat{},
 		ShortRun: run, Timeout: 5 * time.Second, Idempotent: 100, Seed: seed,
 	}
 	b.submit(&spec, b.entries)
 	if hog > 0 {
-		spec.Teams, spec.Rate, spec.Seed = []quetzalunit.TeamID{"hog"}, hog*capacity/quotaTeams, seed+1
+		spec.Teams, spec.Rate, spec.Seed = []quetzalunit.TeamID{hogTeam}, hog*capacity/quotaTeams, seed+1
 		b.submit(&spec, b.entries)
 	}
 	b.Run(length + 10*time.Second)
@@ -158,7 +158,7 @@
 	}
 	const run = 200 * time.Millisecond
 	b.submit(&quetzalarrival.Spec{
-		Queues: []quetzalunit.QueueID{"proofs", "editions", "posters"}, Rate: 0.35 * 3 * float64(benchSlots) / run.Seconds(),
+		Queues: []quetzalunit.QueueID{shortTeam, "editions", "posters"}, Rate: 0.35 * 3 * float64(benchSlots) / run.Seconds(),
 		For: time.Minute, Profile: quetzalarrival.Burst{Turn: 8 * time.Second}, Urgent: 10, ShortRun: run,
 		Timeout: 20 * time.Second, Idempotent: 100, Seed: seed,
 	}, b.entries)
