--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -21,9 +21,6 @@
 	"quetzalstair/quetzalcore/quetzalwaiter"
 )
 
-// ticksAtOnce is the number of ticks after which the actor lets other goroutines run.
-const ticksAtOnce = 16
-
 // gaugePeriod is the least time between two updates of the gauges.
 const gaugePeriod = time.Second
 
@@ -110,7 +107,7 @@
 	e.cancels = make(map[quetzalfleet.Row]context.CancelFunc)
 	e.finished = make(chan struct{})
 	system := actor.NewActorSystem(actor.WithLoggerFactory(libraryLogger))
-	pid := system.Root.Spawn(actor.PropsFromFunc(e.receive, actor.WithDispatcher(actor.NewSynchronizedDispatcher(ticksAtOnce))))
+	pid := system.Root.Spawn(actor.PropsFromFunc(e.receive))
 	e.inbox.send = func() { system.Root.Send(pid, wake{}) }
 	e.timer = time.AfterFunc(time.Hour, e.inbox.wake)
 	quetzalsystem.Start(&e.world, quetzalunit.InstantOf(time.Now()))
