--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -424,6 +424,31 @@
 	require.Len(t, w.Rosters.At(w.RosterByZone.Get("a")).Entries, 2)
 }
 
+// A zone that is cut from the platform gets the settings from other zones in time.
+func TestSettingsReachAZoneThroughOtherZones(t *testing.T) {
+	const limit = 17 * time.Second
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			spec := smallFleet()
+			spec.Zones = []quetzalunit.ZoneID{"a", "b", "c", "d", "e"}
+			trial := newTrial(t, seed, spec)
+			for n := range 3 {
+				trial.Entry(quetzaltrial.EntryName("e", n)).CutPlatform = true
+			}
+			trial.Run(30 * time.Second)
+			three := quetzalunit.Attempts(3)
+			c := trial.Ask("a-entry0", quetzalfleet.ChangeSetting{
+				ID: "c1", Path: "Fleet", Values: quetzalfleet.SettingValues{RetryMaxAttempts: &three},
+			})
+			trial.Run(limit)
+			version := trial.Result(c).(quetzalfleet.Changed).Version
+			for _, e := range trial.Entries.All() {
+				require.Equal(t, version, e.World.InForce, e.ID)
+			}
+		})
+	}
+}
+
 func TestRacingOperatorsLoseNoChange(t *testing.T) {
 	trial := newTrial(t, 1, smallFleet())
 	first := quetzalunit.Version(0)
