Let a guest serve only once it knows what its sponsor confirmed

Cause: read as a newcomer, the grant had a hole: an entry of the roster that had confirmed a leaving host could let a guest serve that still knew the host as serving, while the move no longer waited for either.

Change: a sponsor withholds its confirmations from the moment it is asked and grants once the guest holds every row of the zone's hosts.

--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -46,8 +46,9 @@
 	return p.ID[0] == seedMark[0]
 }
 
-// sponsor takes an entry that is not in the roster as a guest, and tells whether
-// it did. From then on this entry confirms a host only when the guest has.
+// sponsor takes an entry that is not in the roster as a guest: from then on this
+// entry confirms a host only when the guest has. It tells whether the guest may
+// serve, which it may once it knows every host that this entry has confirmed before.
 func sponsor(w *quetzalfleet.World, m *quetzalfleet.Gossip) bool {
 	if !m.Guest || m.Zone != w.Self.Zone || m.Stopping || w.Stop != quetzalfleet.StopNone || !inRoster(w) {
 		return false
@@ -65,6 +66,16 @@
 		p.Seen, p.Told, p.Loads = 0, 0, nil
 	}
 	p.Guest, p.Zone, p.Address, p.Incarnation, p.HeardAt = true, m.Zone, m.Address, m.Incarnation, w.Now
+	return knowsHosts(w, m.Seen)
+}
+
+// knowsHosts tells whether the rows up to a revision include those of the zone's hosts.
+func knowsHosts(w *quetzalfleet.World, seen quetzalunit.Revision) bool {
+	for _, h := range w.Hosts.All() {
+		if h.Zone == w.Self.Zone && h.Revision > seen {
+			return false
+		}
+	}
 	return true
 }
 
--- a/quetzalcore/quetzalsystem/lone_test.go
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -160,6 +160,29 @@
 	require.Equal(t, 1, l.w.Attempts.Len())
 }
 
+// A host that this entry has confirmed may move at any time, so that a guest which
+// does not know of it yet must not serve.
+func TestGuestMayServeOnceItKnowsTheHosts(t *testing.T) {
+	l := newLone(t)
+	l.scan(append(fleetRows(), rosterRow(self))...)
+	l.scan(hostRow("host0", 2, quetzalfleet.HostLeaving))
+	ask := func(seen quetzalunit.Revision) bool {
+		l.tick(time.Millisecond, quetzalfleet.PeerSaid{Message: quetzalfleet.Gossip{
+			From: "guest", Incarnation: 1, Zone: "a", Address: "guest:1", Guest: true, Seen: seen,
+		}})
+		for _, c := range l.commands {
+			if a, ok := c.(quetzalfleet.AnswerGossip); ok {
+				return a.Sponsors
+			}
+		}
+		require.Fail(t, "no reply")
+		return false
+	}
+	require.False(t, ask(0))
+	require.False(t, ask(l.revision-1))
+	require.True(t, ask(l.revision))
+}
+
 // A minion may go on for a while with a run whose attempt timed out.
 func TestHostIsNotConfirmedWhileWorkMayLinger(t *testing.T) {
 	l := newLone(t)
