--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,8 +97,9 @@
 	// work counts the goroutines that perform commands.
 	work     sync.WaitGroup
 	gaugesAt quetzalunit.Instant
-	// busy is the time spent in ticks.
-	busy time.Duration
+	// busy is the time spent in ticks, and control that of ticks without an input of
+	// a caller or a minion.
+	busy, control time.Duration
 }
 
 // start spawns the actor. The function that it returns stops it and waits for
@@ -146,6 +148,7 @@
 			e.endAttempt(end.Attempt)
 		}
 	}
+	isControl := !servesRequests(inputs)
 	commands := quetzalsystem.Tick(&e.world, quetzalunit.InstantOf(begin), inputs)
 	clear(inputs)
 	e.spare = inputs
@@ -154,10 +157,31 @@
 		e.perform(c)
 	}
 	e.arm()
-	e.busy += time.Since(begin)
+	e.countTime(time.Since(begin), isControl)
 	e.updateGauges()
 }
 
+// countTime adds the time of a tick.
+func (e *engine) countTime(d time.Duration, control bool) {
+	e.busy += d
+	if control {
+		e.control += d
+	}
+}
+
+// servesRequests tells whether any input comes from a caller or a minion.
+func servesRequests(inputs []quetzalfleet.Input) bool {
+	return slices.ContainsFunc(inputs, func(in quetzalfleet.Input) bool {
+		switch in.(type) {
+		case quetzalfleet.RequestArrived, quetzalfleet.AttemptEnded, quetzalfleet.CallerGone,
+			quetzalfleet.CancelAsked, quetzalfleet.ResultAsked, quetzalfleet.JoinArrived, quetzalfleet.JoinAnswered:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 // endAttempt releases the context of an attempt, if it has one.
 func (e *engine) endAttempt(attempt quetzalfleet.Row) {
 	if cancel := e.cancels[attempt]; cancel != nil {
--- a/quetzalentry/perform.go
+++ b/quetzalentry/perform.go
@@ -93,6 +93,7 @@
 	e.gaugesAt = w.Now
 	e.metrics.Gauge("control_bytes", float64(e.store.Bytes()+e.peers.Bytes()))
 	e.metrics.Gauge("tick_seconds", e.busy.Seconds())
+	e.metrics.Gauge("control_tick_seconds", e.control.Seconds())
 	e.metrics.Gauge("requests_live", float64(w.Live))
 	e.metrics.Gauge("settings_version", float64(w.InForce))
 	e.metrics.Gauge("callers_waiting", float64(e.callers.Len()))
--- a/quetzalload/compare.go
+++ b/quetzalload/compare.go
@@ -3,13 +3,17 @@
 import (
 	"os"
 
+	"github.com/rotisserie/eris"
+
 	"quetzalstair/quetzalload/quetzalexperiment"
+	"quetzalstair/quetzalload/quetzalreport"
 )
 
 // compareCommand runs an experiment on a virtual clock.
 type compareCommand struct {
 	Experiment []string `arg:"" optional:"" enum:"lanes,dispatch,retries,quotas,moves,waves" help:"Experiments: ${enum}; all when absent."`
 	Seed       uint64   `default:"1" help:"Seed of arrivals and policies."`
+	Report     string   `help:"File for a page with tables and bars." placeholder:"FILE"`
 }
 
 // Run prints a table for each experiment.
@@ -18,6 +22,7 @@
 	if len(names) == 0 {
 		names = []string{"lanes", "dispatch", "retries", "quotas", "moves", "waves"}
 	}
+	var charts []quetzalreport.Chart
 	for _, name := range names {
 		for _, e := range experiments(name) {
 			table, err := quetzalexperiment.Run(e, c.Seed)
@@ -27,9 +32,24 @@
 			if err := table.Write(os.Stdout); err != nil {
 				return err
 			}
+			charts = append(charts, table.Chart())
 		}
 	}
-	return nil
+	return c.writeReport(charts)
+}
+
+func (c *compareCommand) writeReport(charts []quetzalreport.Chart) error {
+	if c.Report == "" {
+		return nil
+	}
+	f, err := os.Create(c.Report)
+	if err != nil {
+		return eris.Wrap(err, "create report")
+	}
+	if err := quetzalreport.WriteCharts(f, "Policies compared", charts); err != nil {
+		return err
+	}
+	return eris.Wrap(f.Close(), "close report")
 }
 
 func experiments(name string) []quetzalexperiment.Experiment {
--- a/quetzalload/quetzalexperiment/dispatch.go
+++ b/quetzalload/quetzalexperiment/dispatch.go
@@ -24,6 +24,7 @@
 func runLanes(seed uint64) (*Table, error) {
 	t := &Table{
 		Title:   "Short behind long: 6 minions, 3 entries, 100 short/s of 20 ms, long backlog of 20 s each, 20 % of it declared short",
+		Measure: "short p99, ms",
 		Columns: []string{"lane policy", "short p50", "short p99", "p99 over without", "long done", "long over Open"},
 	}
 	alone, _, err := lanesVariant(seed, quetzalfleet.OpenLanes{}, 0, false)
@@ -49,12 +50,18 @@
 		if unprotected == 0 {
 			unprotected = long
 		}
+		t.bar(v.name, millis(short.Quantile(99)))
 		t.add(v.name, short.Quantile(50), short.Quantile(99), float64(short.Quantile(99))/float64(alone.Quantile(99)),
 			long, float64(long)/float64(unprotected))
 	}
 	return t, nil
 }
 
+// millis returns a span of time in ms.
+func millis(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
+
 // lanesVariant returns the latencies of the proofs and the number of long
 // requests that ended in time.
 func lanesVariant(
@@ -90,7 +97,8 @@
 // runDispatch compares how entries share the slots of minions.
 func runDispatch(seed uint64) (*Table, error) {
 	t := &Table{
-		Title: "Slots shared by 3 entries: 6 minions, runs of 20 ms, 20 s",
+		Measure: "wait p99, ms",
+		Title:   "Slots shared by 3 entries: 6 minions, runs of 20 ms, 20 s",
 		Columns: []string{
 			"dispatch policy", "load", "callers", "wait p50", "wait p99", "not-run answers a request", "idle slots while requests wait",
 		},
@@ -137,6 +145,7 @@
 	idle := b.sampleIdle(length)
 	b.Run(length + 5*time.Second)
 	wait := b.series(func(r *result) (time.Duration, bool) { return r.latency - r.Run, r.ran })
+	t.bar(fmt.Sprintf("%s, %.0f %%, %s", name, share*100, callers), millis(wait.Quantile(99)))
 	t.add(name, fmt.Sprintf("%.0f %%", share*100), callers, wait.Quantile(50), wait.Quantile(99),
 		float64(b.Refusals)/float64(len(b.arrivals)), idle())
 	return nil
--- a/quetzalload/quetzalexperiment/experiment.go
+++ b/quetzalload/quetzalexperiment/experiment.go
@@ -62,6 +62,19 @@
 	Title   string
 	Columns []string
 	Rows    [][]string
+	// Measure names what the bars show.
+	Measure string
+	Bars    []quetzalreport.Bar
+}
+
+// bar adds a bar of the table's measure.
+func (t *Table) bar(label string, value float64) {
+	t.Bars = append(t.Bars, quetzalreport.Bar{Label: label, Value: value})
+}
+
+// Chart returns the table as a part of a page.
+func (t *Table) Chart() quetzalreport.Chart {
+	return quetzalreport.Chart{Title: t.Title, Columns: t.Columns, Rows: t.Rows, Measure: t.Measure, Bars: t.Bars}
 }
 
 // Write writes the table as text.
--- a/quetzalload/quetzalexperiment/move.go
+++ b/quetzalload/quetzalexperiment/move.go
@@ -59,7 +59,8 @@
 // times its mean and then a twentieth.
 func runMoves(seed uint64, s Size) (*Table, error) {
 	t := &Table{
-		Title: "Bursts, " + s.Name + ": 10 min, turns of 20 s, runs of 1 s, deadline 10 s",
+		Measure: "late or refused, %",
+		Title:   "Bursts, " + s.Name + ": 10 min, turns of 20 s, runs of 1 s, deadline 10 s",
 		Columns: []string{
 			"move policy", "late or refused", "wait p99", "moves an hour", "buffer host-hours an hour", "lent host-hours an hour", "budget breaches",
 		},
@@ -109,6 +110,7 @@
 	if buffers {
 		buffer += float64(s.SpareHosts - 1)
 	}
+	t.bar(name, 100*float64(late)/float64(len(b.arrivals)))
 	t.add(name, fmt.Sprintf("%.2f %%", 100*float64(late)/float64(len(b.arrivals))), wait.Quantile(99),
 		float64(b.moves())*float64(time.Hour)/float64(moveLength), buffer, lent(), breaches)
 }
@@ -150,7 +152,8 @@
 // runWaves compares maintenance waves of different widths over a whole zone.
 func runWaves(seed uint64, s Size) (*Table, error) {
 	t := &Table{
-		Title: "Maintenance wave over every host, " + s.Name + ": reboots of 2 s, light load",
+		Measure: "time over the lower bound",
+		Title:   "Maintenance wave over every host, " + s.Name + ": reboots of 2 s, light load",
 		Columns: []string{
 			waveName, "time", "lower bound", "time over bound", "moves", "budget breaches", "late or refused",
 		},
@@ -211,6 +214,7 @@
 	case 1:
 		name = "sequential"
 	}
+	t.bar(name, float64(took)/float64(bound))
 	t.add(name, took, bound, float64(took)/float64(bound), b.moves(), breaches, late)
 }
 
--- a/quetzalload/quetzalexperiment/retry.go
+++ b/quetzalload/quetzalexperiment/retry.go
@@ -19,7 +19,8 @@
 // runRetries compares the retry policies while every minion fails every run.
 func runRetries(seed uint64) (*Table, error) {
 	t := &Table{
-		Title: "Every minion fails for 10 s: 6 minions at 60 % load, runs of 40 ms, deadline 8 s",
+		Measure: "answered well, %",
+		Title:   "Every minion fails for 10 s: 6 minions at 60 % load, runs of 40 ms, deadline 8 s",
 		Columns: []string{
 			"retry policy", "runs a request in the outage", "answered well", "good from (after the end)", "p99 after the end",
 		},
@@ -77,6 +78,7 @@
 		}
 	}
 	after := b.series(func(r *result) (time.Duration, bool) { return r.latency, r.ran && r.At >= outageEnd })
+	t.bar(name, 100*float64(good)/float64(all))
 	t.add(name, float64(runs)/float64(arrived), fmt.Sprintf("%.2f %%", 100*float64(good)/float64(all)),
 		max(0, lastBad-outageEnd), after.Quantile(99))
 }
@@ -87,6 +89,7 @@
 // its share, and the start of urgent work in the burst profile.
 func runQuotas(seed uint64) (*Table, error) {
 	t := &Table{
+		Measure: "the others' p99, ms",
 		Title:   "87 teams: 6 minions, 3 entries, runs of 20 ms, the others at 60 % load",
 		Columns: []string{"case", "others p50", "others p99", "p99 over without", "hog refused", "urgent: longest wait"},
 	}
@@ -112,6 +115,7 @@
 		if without == 0 {
 			without = others.Quantile(99)
 		}
+		t.bar(v.name, millis(others.Quantile(99)))
 		t.add(v.name, others.Quantile(50), others.Quantile(99), float64(others.Quantile(99))/float64(without),
 			fmt.Sprintf("%d of %d", refused, hogs), "-")
 	}
--- a/quetzalload/quetzalreport/report.go
+++ b/quetzalload/quetzalreport/report.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"html/template"
 	"io"
+	"math"
 	"strings"
 	"time"
 
@@ -80,9 +81,31 @@
 	Title, Verdict, Table string
 	Lines                 []line
 	Labels                []label
+	Decades               []decade
 	Width, Height         int
 }
 
+// decade is a line of the vertical axis.
+type decade struct {
+	Y    int
+	Text string
+}
+
+// decades lists the powers of ten of the vertical axis.
+func decades() []decade {
+	var list []decade
+	for i, text := range []string{"10µs", "100µs", "1ms", "10ms", "100ms", "1s", "10s"} {
+		list = append(list, decade{Y: plotY(float64(i)), Text: text})
+	}
+	return list
+}
+
+// plotY places a number of decades above 10 µs.
+func plotY(n float64) int {
+	const shown = 6
+	return plotHeight - plotMargin - int(n/shown*(plotHeight-2*plotMargin))
+}
+
 type label struct {
 	X    int
 	Text string
@@ -95,8 +118,9 @@
 <h2>Latency by percentile</h2>
 <svg width="{{.Width}}" height="{{.Height}}" role="img" aria-label="Latency by percentile, logarithmic">
 {{range .Lines}}<polyline fill="none" stroke="{{.Colour}}" stroke-width="2" points="{{.Points}}"/>
-<text x="50" y="{{.Y}}" fill="{{.Colour}}" font-size="12">{{.Name}}</text>{{end}}
+<text x="470" y="{{.Y}}" fill="{{.Colour}}" font-size="12">{{.Name}}</text>{{end}}
 {{range .Labels}}<text x="{{.X}}" y="235" font-size="11">{{.Text}}</text>{{end}}
+{{range .Decades}}<text x="0" y="{{.Y}}" font-size="11">{{.Text}}</text><line x1="45" x2="600" y1="{{.Y}}" y2="{{.Y}}" stroke="#ddd"/>{{end}}
 </svg></body></html>
 `))
 
@@ -104,14 +128,14 @@
 func WritePage(w io.Writer, title, verdict string, series []*Series) error {
 	var table strings.Builder
 	WriteTable(&table, series)
-	p := page{Title: title, Verdict: verdict, Table: table.String(), Width: plotWidth, Height: plotHeight}
+	p := page{Title: title, Verdict: verdict, Table: table.String(), Width: plotWidth, Height: plotHeight, Decades: decades()}
 	percentiles := []float64{0, 10, 25, 50, 75, 90, 95, 99, 99.9, 100}
 	for i, s := range series {
 		if s.Count() == 0 {
 			continue
 		}
 		p.Lines = append(p.Lines, line{
-			Name: s.Name, Colour: palette[i%len(palette)], Points: points(s, percentiles), Y: 16 + 15*i,
+			Name: s.Name, Colour: palette[i%len(palette)], Points: points(s, percentiles), Y: 130 + 15*i,
 		})
 	}
 	for i, q := range percentiles {
@@ -128,11 +152,7 @@
 func points(s *Series, percentiles []float64) string {
 	var b strings.Builder
 	for i, q := range percentiles {
-		decades := 0.0
-		for v := float64(s.Quantile(q)) / float64(10*time.Microsecond); v > 1; v /= 1.2589 {
-			decades += 0.1
-		}
-		y := plotHeight - plotMargin - int(decades/6*(plotHeight-2*plotMargin))
+		y := plotY(math.Log10(max(1, float64(s.Quantile(q))/float64(10*time.Microsecond))))
 		_, _ = fmt.Fprintf(&b, "%d,%d ", plotX(i, len(percentiles)), y)
 	}
 	return b.String()
