Prove leaving, planned stops and settings under nine faults

Cause: the table of proofs was empty for leaving upstreams and thin for planned stops and settings.

Change: tests on the virtual clock for each promise under a kill, a freeze past the lease, cuts from peers and platform, an outage, lost answers, an outage with a kill, and a lost rack. Found: in an outage the sign that a minion is leaving ended after 10 s, and the minion got new work although nothing said that it stays. The sign now holds until the list can be read.

--- a/quetzalcore/quetzalfleet/host.go
+++ b/quetzalcore/quetzalfleet/host.go
@@ -120,7 +120,8 @@
 	LeavingSeen quetzalunit.Generation
 	// LeavingFirstHand tells that a minion itself gave the sign to this entry.
 	LeavingFirstHand bool
-	// LeavingUntil ends the effect of LeavingSeen unless the sign is repeated.
+	// LeavingUntil ends the effect of LeavingSeen unless the sign is repeated or the
+	// list cannot be read.
 	LeavingUntil quetzalunit.Instant
 
 	// Running counts this entry's attempts on the host; RunningLong those treated as long.
--- a/quetzalcore/quetzalsystem/eject.go
+++ b/quetzalcore/quetzalsystem/eject.go
@@ -96,7 +96,13 @@
 
 func endLeavingSign(w *quetzalfleet.World, row quetzalfleet.Row) {
 	h := w.Hosts.At(row)
-	if h == nil || h.LeavingUntil > w.Now {
+	if h == nil || h.LeavingUntil > w.Now || h.LeavingSeen == 0 {
+		return
+	}
+	if w.Now.Sub(h.ListedAt) > leavingSign {
+		// Without the list nothing says that the host stays.
+		h.LeavingUntil = w.Now.Add(leavingSign)
+		w.After(leavingSign, quetzalfleet.LeavingSignOver{Host: row})
 		return
 	}
 	h.LeavingSeen = 0
--- /dev/null
+++ b/quetzalcore/quetzalsystem/fault_test.go
@@ -0,0 +1,152 @@
+package quetzalsystem_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzaltrial"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// faults are the faults under which a promise is proved; each strikes entry
+// a-entry2 or the platform.
+var faults = []struct {
+	name   string
+	strike func(*quetzaltrial.Trial)
+}{
+	{"none", func(*quetzaltrial.Trial) {}},
+	{"kill", func(trial *quetzaltrial.Trial) { trial.Kill("a-entry2") }},
+	{"freeze past the lease", func(trial *quetzaltrial.Trial) {
+		trial.Entry("a-entry2").FrozenUntil = trial.Now.Add(8 * time.Second)
+	}},
+	{"cut from peers", func(trial *quetzaltrial.Trial) { trial.Entry("a-entry2").CutPeers = true }},
+	{"zone cut from the platform", func(trial *quetzaltrial.Trial) {
+		for n := range 3 {
+			trial.Entry(quetzaltrial.EntryName("a", n)).CutPlatform = true
+		}
+	}},
+	{"outage", func(trial *quetzaltrial.Trial) { trial.Platform.Outage = true }},
+	{"answers lost", func(trial *quetzaltrial.Trial) { trial.Platform.Lose = 20 }},
+	{"outage and kill", func(trial *quetzaltrial.Trial) {
+		trial.Platform.Outage = true
+		trial.Kill("a-entry2")
+	}},
+	{"a rack lost", func(trial *quetzaltrial.Trial) {
+		// Rack a-rack1 has the hosts 2 and 3, of other pools.
+		trial.Crash("a-host2")
+		trial.Crash("a-host3")
+	}},
+}
+
+// mintedLoad submits a request every 10 ms to the entries of zone a in turn.
+func mintedLoad(trial *quetzaltrial.Trial, d time.Duration) {
+	n := 0
+	for at := time.Duration(0); at < d; at += 10 * time.Millisecond {
+		in := request(fmt.Sprint("q~load", n), false)
+		in.Minted = true
+		entry := quetzaltrial.EntryName("a", n%3)
+		trial.After(at, func() { trial.Submit(entry, in) })
+		n++
+	}
+}
+
+// Three seconds after the first sign no entry sends new work to a leaving minion.
+// An entry that was frozen has three seconds from its thaw.
+func TestLeavingMinionUnderFaults(t *testing.T) {
+	const bound = 3 * time.Second
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			trial := newTrial(t, 3, smallFleet())
+			mintedLoad(trial, 20*time.Second)
+			trial.Run(2 * time.Second)
+			fault.strike(trial)
+			trial.Run(200 * time.Millisecond)
+			trial.Minion("a-host0").Leaving = true
+			trial.Minion("a-host0").Listed = quetzalfleet.ListedLeaving
+			trial.Run(bound)
+			// From here on the minion would run what it is sent.
+			trial.Minion("a-host0").Leaving = false
+			sign := trial.Now
+			trial.Run(12 * time.Second)
+			thaw := trial.Entry("a-entry2").FrozenUntil
+			for _, run := range trial.Runs.All() {
+				frozen := run.Entry == entryRow(trial, "a-entry2") && run.Start < thaw.Add(bound)
+				if run.Host == "a-host0" && !frozen {
+					require.Less(t, run.Start, sign, "request %s of %s", run.Request, trial.Entries.At(run.Entry).ID)
+				}
+			}
+			require.Empty(t, trial.Judge())
+		})
+	}
+}
+
+func entryRow(trial *quetzaltrial.Trial, id quetzalunit.EntryID) quetzalfleet.Row {
+	for row, e := range trial.Entries.All() {
+		if e == trial.Entry(id) {
+			return row
+		}
+	}
+	return 0
+}
+
+// A planned stop of another entry answers every request that it accepted.
+func TestPlannedStopUnderFaults(t *testing.T) {
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			trial := newTrial(t, 4, smallFleet())
+			trial.RunTime = func(quetzalunit.RequestID) time.Duration { return 700 * time.Millisecond }
+			for n := range 20 {
+				trial.Submit("a-entry0", request(fmt.Sprint("r", n), n%2 == 0))
+			}
+			trial.Run(50 * time.Millisecond)
+			fault.strike(trial)
+			trial.Stop("a-entry0")
+			trial.Run(20 * time.Second)
+			require.True(t, trial.Entry("a-entry0").Finished)
+			require.Len(t, trial.Answers, 20)
+			for _, a := range trial.Answers {
+				require.IsType(t, quetzalfleet.Ran{}, a.Outcome)
+			}
+			require.Empty(t, trial.Judge())
+		})
+	}
+}
+
+// A settings change is in force at every entry that lives and is reached, at most
+// 17 s after the fault has ended, and never goes back.
+func TestSettingsUnderFaults(t *testing.T) {
+	const bound = 17 * time.Second
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			trial := newTrial(t, 5, smallFleet())
+			highest := make(map[quetzalunit.Incarnation]quetzalunit.Version)
+			trial.OnTick = func(e *quetzaltrial.Entry) {
+				self := e.World.Self.Incarnation
+				require.GreaterOrEqual(t, e.World.InForce, highest[self])
+				highest[self] = e.World.InForce
+			}
+			fault.strike(trial)
+			limit := quetzalunit.Requests(77)
+			c := trial.Ask("b-entry0", quetzalfleet.ChangeSetting{
+				ID: "c", Path: "Fleet", Values: quetzalfleet.SettingValues{QueueLimit: &limit},
+			})
+			trial.Run(8 * time.Second)
+			trial.Platform.Outage = false
+			for _, e := range trial.Entries.All() {
+				e.CutPeers, e.CutPlatform = false, false
+			}
+			trial.Run(bound)
+			changed, ok := trial.Result(c).(quetzalfleet.Changed)
+			require.True(t, ok, "%#v", trial.Result(c))
+			for _, e := range trial.Entries.All() {
+				if !e.Dead {
+					require.Equal(t, changed.Version, e.World.InForce, e.ID)
+				}
+			}
+		})
+	}
+}
