Prove requests and waves under nine faults

Change: the same faults strike 600 requests, half of them repeats at another entry, and a wave whose budgets are judged at every commit.

--- a/quetzalcore/quetzalsystem/fault_test.go
+++ b/quetzalcore/quetzalsystem/fault_test.go
@@ -150,3 +150,52 @@
 		})
 	}
 }
+
+// Callers that ask again elsewhere get the answer of one run, or are told the truth.
+func TestRequestsUnderFaults(t *testing.T) {
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			trial := newTrial(t, 6, smallFleet())
+			for n := range 300 {
+				in := request(fmt.Sprint("r", n), n%3 == 0)
+				in.Queue = []quetzalunit.QueueID{"proofs", "editions", "posters"}[n%3]
+				at := time.Duration(n) * 10 * time.Millisecond
+				trial.After(at, func() { trial.Submit(quetzaltrial.EntryName("a", n%3), in) })
+				trial.After(at+1500*time.Millisecond, func() { trial.Submit(quetzaltrial.EntryName("a", (n+1)%3), in) })
+			}
+			trial.After(time.Second, func() { fault.strike(trial) })
+			trial.Run(20 * time.Second)
+			require.Empty(t, trial.Judge())
+			require.Empty(t, trial.Unanswered())
+			require.NotEmpty(t, trial.Answers)
+		})
+	}
+}
+
+// A wave keeps every budget under each fault, and ends after it.
+func TestWaveUnderFaults(t *testing.T) {
+	for _, fault := range faults {
+		t.Run(fault.name, func(t *testing.T) {
+			trial := newTrial(t, 7, smallFleet())
+			mintedLoad(trial, 10*time.Second)
+			trial.Ask("a-entry0", quetzalfleet.CreateWave{ID: "w", Wave: quetzalfleet.WaveSpec{ID: "w", MaxConcurrent: 2}})
+			trial.Run(time.Second)
+			if fault.name != "a rack lost" {
+				trial.OnCommit = func() { require.Empty(t, trial.BelowBudget()) }
+			}
+			fault.strike(trial)
+			trial.Run(10 * time.Second)
+			trial.Platform.Outage = false
+			for _, e := range trial.Entries.All() {
+				e.CutPeers, e.CutPlatform = false, false
+			}
+			for _, m := range trial.Minions.All() {
+				m.Down = false
+			}
+			trial.Run(3 * time.Minute)
+			w := trial.Entry("b-entry0").World
+			require.Equal(t, quetzalfleet.WaveFinished, w.Waves.At(w.WaveByID.Get("w")).State)
+			require.Empty(t, trial.Judge())
+		})
+	}
+}
