Delete old claims, jobs and changes

Cause: docs/CAPACITY.md named the growth of the claims' table without end as what breaks second.

Alternatives: each entry deletes its own claims (most processes do not live as long as their claims); an expiry of the platform (not part of a plain table service). Rows carry the time of their writing.

--- a/quetzalcore/quetzalcodec/claim.go
+++ b/quetzalcore/quetzalcodec/claim.go
@@ -14,6 +14,7 @@
 	d := quetzalwire.ClaimDoc{
 		Request: string(v.Request), Entry: string(v.Entry), Incarnation: int(v.Incarnation),
 		State: quetzalwire.ClaimDocState(v.State.String()), BodySum: string(v.Sum),
+		AtMs: int(v.At.Milliseconds()),
 	}
 	if v.Answer != nil {
 		d.Status, d.Fields, d.Answer = encodeAnswer(v.Answer)
@@ -29,6 +30,7 @@
 	v := quetzalfleet.ClaimRow{
 		Request: quetzalunit.RequestID(d.Request), Entry: quetzalunit.EntryID(d.Entry),
 		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, Sum: quetzalunit.BodySum(d.BodySum),
+		At: instant(d.AtMs),
 	}
 	if state == quetzalfleet.ClaimDone {
 		v.Answer, err = decodeAnswer(d.Status, d.Fields, d.Answer)
--- a/quetzalcore/quetzalcodec/job.go
+++ b/quetzalcore/quetzalcodec/job.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -17,6 +16,7 @@
 		State: quetzalwire.JobDocState(j.State.String()), Queue: string(j.Queue), Team: string(j.Team),
 		Long: j.Class == quetzalfleet.Long, Urgent: j.Urgent, Idempotent: j.Idempotent,
 		DeadlineMs: int(j.Deadline.Milliseconds()), BodySum: string(j.Sum),
+		AtMs: int(j.At.Milliseconds()),
 	}
 }
 
@@ -26,7 +26,8 @@
 		Request: quetzalunit.RequestID(d.Request), Entry: quetzalunit.EntryID(d.Entry),
 		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, Queue: quetzalunit.QueueID(d.Queue),
 		Team: quetzalunit.TeamID(d.Team), Urgent: d.Urgent, Idempotent: d.Idempotent,
-		Deadline: quetzalunit.Instant(d.DeadlineMs) * quetzalunit.Instant(time.Millisecond), Sum: quetzalunit.BodySum(d.BodySum),
+		Deadline: instant(d.DeadlineMs), Sum: quetzalunit.BodySum(d.BodySum),
+		At: instant(d.AtMs),
 	}
 	if d.Long {
 		j.Class = quetzalfleet.Long
--- a/quetzalcore/quetzalcodec/row.go
+++ b/quetzalcore/quetzalcodec/row.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -63,7 +64,7 @@
 	case quetzalfleet.JobRow:
 		return jobDoc(&v.JobSpec)
 	case quetzalfleet.ChangeRow:
-		return quetzalwire.ChangeDoc{ChangeID: string(v.ID), Subject: v.Subject, Version: int(v.Version)}
+		return quetzalwire.ChangeDoc{ChangeID: string(v.ID), Subject: v.Subject, Version: int(v.Version), AtMs: int(v.At.Milliseconds())}
 	}
 	return nil
 }
@@ -110,7 +111,7 @@
 	case quetzalfleet.TableChanges:
 		return decode(text, func(d *quetzalwire.ChangeDoc) (quetzalfleet.StoredRow, error) {
 			return quetzalfleet.ChangeRow{
-				ID: quetzalunit.ChangeID(d.ChangeID), Subject: d.Subject, Version: quetzalunit.Version(d.Version),
+				ID: quetzalunit.ChangeID(d.ChangeID), Subject: d.Subject, Version: quetzalunit.Version(d.Version), At: instant(d.AtMs),
 			}, nil
 		})
 	}
@@ -125,6 +126,11 @@
 	return convert(&doc)
 }
 
+// instant converts milliseconds since the Unix epoch.
+func instant(ms int) quetzalunit.Instant {
+	return quetzalunit.Instant(ms) * quetzalunit.Instant(time.Millisecond)
+}
+
 // HostDoc returns the document of a host.
 func HostDoc(h *quetzalfleet.HostSpec) quetzalwire.HostDoc {
 	return quetzalwire.HostDoc{
--- a/quetzalcore/quetzalfleet/commands.go
+++ b/quetzalcore/quetzalfleet/commands.go
@@ -56,7 +56,9 @@
 	ScanStore struct {
 		Call   Row
 		Tables []TableName
-		After  quetzalunit.Revision
+		// Limit bounds the rows, oldest first; zero for all.
+		Limit int
+		After quetzalunit.Revision
 	}
 	// PutObject stores an object; it ends with StoreAnswered.
 	PutObject struct {
--- a/quetzalcore/quetzalfleet/rows.go
+++ b/quetzalcore/quetzalfleet/rows.go
@@ -101,6 +101,7 @@
 		Sum         quetzalunit.BodySum
 		// Answer is set in ClaimDone.
 		Answer *Payload
+		At     quetzalunit.Instant
 	}
 	// JobRow stores a job in TableJobs.
 	JobRow struct{ JobSpec }
@@ -109,6 +110,7 @@
 		ID      quetzalunit.ChangeID
 		Subject string
 		Version quetzalunit.Version
+		At      quetzalunit.Instant
 	}
 )
 
@@ -178,6 +180,8 @@
 	Idempotent  bool
 	Deadline    quetzalunit.Instant
 	Sum         quetzalunit.BodySum
+	// At is when the row was written, by the writer's clock.
+	At quetzalunit.Instant
 }
 
 // RevisedRow is a stored row with its key and the revision of its last write.
@@ -194,7 +198,7 @@
 	Revision quetzalunit.Revision
 }
 
-// Write sets a row.
+// Write sets a row, or deletes it when Row is nil.
 type Write struct {
 	Key RowKey
 	Row StoredRow
--- a/quetzalcore/quetzalfleet/timers.go
+++ b/quetzalcore/quetzalfleet/timers.go
@@ -31,6 +31,10 @@
 	ChangeDue struct{ Change Row }
 	// PoolDue dispatches a pool's requests again.
 	PoolDue struct{ Pool Row }
+	// SweepDue deletes old rows, as the holder of the zone's duties.
+	SweepDue struct{}
+	// SweepAgain deletes further old rows.
+	SweepAgain struct{}
 	// JobsDue reads the jobs, as the holder of the zone's duties.
 	JobsDue struct{}
 	// LeavingSignOver ends the effect of a sign of leaving.
@@ -51,6 +55,8 @@
 func (Wake) implementsTimer()             {}
 func (ChangeDue) implementsTimer()        {}
 func (PoolDue) implementsTimer()          {}
+func (SweepDue) implementsTimer()         {}
+func (SweepAgain) implementsTimer()       {}
 func (JobsDue) implementsTimer()          {}
 func (LeavingSignOver) implementsTimer()  {}
 func (RequestForgotten) implementsTimer() {}
@@ -100,6 +106,10 @@
 	ForJobTakeover struct{ Job Row }
 	// ForJobWork reads the work of a job that was taken over.
 	ForJobWork struct{ Request Row }
+	// ForSweepScan reads the oldest rows of a table that is swept.
+	ForSweepScan struct{}
+	// ForSweep deletes old rows.
+	ForSweep struct{}
 	// ForResult reads the claim of a request that somebody asks for.
 	ForResult struct {
 		Caller quetzalunit.Caller
@@ -133,6 +143,8 @@
 func (ForJobScan) implementsStorePurpose()       {}
 func (ForJobTakeover) implementsStorePurpose()   {}
 func (ForJobWork) implementsStorePurpose()       {}
+func (ForSweepScan) implementsStorePurpose()     {}
+func (ForSweep) implementsStorePurpose()         {}
 func (ForResult) implementsStorePurpose()        {}
 func (ForHost) implementsStorePurpose()          {}
 func (ForReboot) implementsStorePurpose()        {}
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -23,6 +23,9 @@
 	Poll time.Duration
 	// Gossip is the mean time between messages to a peer.
 	Gossip time.Duration
+	// Retention is the age at which rows of claims, jobs and changes are deleted; it is
+	// longer than any deadline. Zero keeps them.
+	Retention time.Duration
 	// Seed starts the World's source of random numbers.
 	Seed uint64
 }
--- a/quetzalcore/quetzalplatform/tables.go
+++ b/quetzalcore/quetzalplatform/tables.go
@@ -27,10 +27,11 @@
 	Revision quetzalunit.Revision
 }
 
-// Write sets the value of a row.
+// Write sets the value of a row, or deletes it.
 type Write struct {
 	RowID
-	Value string
+	Value  string
+	Delete bool
 }
 
 // Tables is a transactional table service. The zero value is empty. It is safe
@@ -67,6 +68,10 @@
 	t.commits++
 	t.writes += int64(len(writes))
 	for _, w := range writes {
+		if w.Delete {
+			delete(t.rows, w.RowID)
+			continue
+		}
 		t.rows[w.RowID] = Row{RowID: w.RowID, Value: w.Value, Revision: t.revision}
 	}
 	return t.revision, nil
@@ -87,8 +92,9 @@
 }
 
 // Scan returns the rows of some tables above a revision in the order of their
-// revisions, and the revision of the snapshot, which is at least 1.
-func (t *Tables) Scan(tables []string, after quetzalunit.Revision) ([]Row, quetzalunit.Revision) {
+// revisions, at most limit unless it is zero, and the revision of the snapshot,
+// which is at least 1.
+func (t *Tables) Scan(tables []string, after quetzalunit.Revision, limit int) ([]Row, quetzalunit.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.reads++
@@ -101,6 +107,9 @@
 	slices.SortFunc(rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Table, b.Table), cmp.Compare(a.Key, b.Key))
 	})
+	if limit > 0 && len(rows) > limit {
+		rows = rows[:limit]
+	}
 	return rows, max(1, t.revision)
 }
 
--- a/quetzalcore/quetzalsettings/file.go
+++ b/quetzalcore/quetzalsettings/file.go
@@ -95,6 +95,7 @@
 	setDefault(&s.LeaseMs, defaultLeaseMs)
 	setDefault(&s.PollMs, defaultPollMs)
 	setDefault(&s.GossipMs, defaultGossipMs)
+	setDefault(&s.RetentionMs, 2*dayMs)
 	setDefault(&s.LogLevel, defaultLogLevel)
 }
 
@@ -144,6 +145,7 @@
 		checkRange("StopNoticeMs", *s.StopNoticeMs, 0, tenMinMs),
 		checkRange("StopTimeoutMs", *s.StopTimeoutMs, 1, dayMs),
 		checkRange("PollMs", *s.PollMs, 50, minuteMs),
+		checkRange("RetentionMs", *s.RetentionMs, 2*dayMs, 365*dayMs),
 		checkRange("GossipMs", *s.GossipMs, 50, minuteMs),
 		checkRange("LeaseMs", *s.LeaseMs, leasePolls**s.PollMs, tenMinMs),
 	}
--- a/quetzalcore/quetzalstore/client.go
+++ b/quetzalcore/quetzalstore/client.go
@@ -75,7 +75,7 @@
 	case quetzalfleet.ReadStore:
 		result, err = c.read(ctx, v.Keys)
 	case quetzalfleet.ScanStore:
-		result, err = c.scan(ctx, v.Tables, v.After)
+		result, err = c.scan(ctx, v.Tables, v.After, v.Limit)
 	case quetzalfleet.PutObject:
 		result, err = c.putObject(ctx, v.Key, v.Object)
 	case quetzalfleet.GetObject:
@@ -102,11 +102,14 @@
 		req.Conditions = append(req.Conditions, conditionDoc(v.Key, v.Revision))
 	}
 	for _, v := range t.Writes {
-		text, err := quetzalcodec.EncodeRow(v.Row)
-		if err != nil {
-			return nil, err
+		row := quetzalwire.RowWrite{Table: string(v.Key.Table), Key: v.Key.Key, Delete: v.Row == nil}
+		if v.Row != nil {
+			var err error
+			if row.Value, err = quetzalcodec.EncodeRow(v.Row); err != nil {
+				return nil, err
+			}
 		}
-		req.Writes = append(req.Writes, quetzalwire.RowWrite{Table: string(v.Key.Table), Key: v.Key.Key, Value: text})
+		req.Writes = append(req.Writes, row)
 	}
 	var reply quetzalwire.TransactionReply
 	if err := c.call(ctx, http.MethodPost, "/transactions", req, &reply); err != nil {
@@ -143,9 +146,12 @@
 }
 
 func (c *Client) scan(
-	ctx context.Context, tables []quetzalfleet.TableName, after quetzalunit.Revision,
+	ctx context.Context, tables []quetzalfleet.TableName, after quetzalunit.Revision, limit int,
 ) (quetzalfleet.StoreResult, error) {
 	query := url.Values{"After": {strconv.FormatInt(int64(after), 10)}}
+	if limit > 0 {
+		query.Set("Limit", strconv.Itoa(limit))
+	}
 	for _, table := range tables {
 		query.Add("Table", string(table))
 	}
--- a/quetzalcore/quetzalsystem/change.go
+++ b/quetzalcore/quetzalsystem/change.go
@@ -96,7 +96,7 @@
 		Conditions: []quetzalfleet.Condition{{Key: key, Revision: w.Rows[key].Revision}},
 		Writes: []quetzalfleet.Write{
 			{Key: key, Row: row},
-			{Key: changeKey(id), Row: quetzalfleet.ChangeRow{ID: id, Subject: string(table) + "/" + name}},
+			{Key: changeKey(id), Row: quetzalfleet.ChangeRow{ID: id, Subject: string(table) + "/" + name, At: w.Now}},
 		},
 	}
 }
@@ -119,7 +119,7 @@
 	})
 	t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: head, Revision: w.HeadRevision})
 	t.Writes = append(t.Writes, quetzalfleet.Write{Key: head, Row: quetzalfleet.HeadRow{Version: version}})
-	t.Writes[1].Row = quetzalfleet.ChangeRow{ID: a.ID, Subject: string(a.Path), Version: version}
+	t.Writes[1].Row = quetzalfleet.ChangeRow{ID: a.ID, Subject: string(a.Path), Version: version, At: w.Now}
 	return t, nil
 }
 
--- a/quetzalcore/quetzalsystem/claim.go
+++ b/quetzalcore/quetzalsystem/claim.go
@@ -82,6 +82,7 @@
 ) quetzalfleet.ClaimRow {
 	return quetzalfleet.ClaimRow{
 		Request: r.ID, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, State: s, Sum: r.Sum, Answer: a,
+		At: w.Now,
 	}
 }
 
--- a/quetzalcore/quetzalsystem/doc.go
+++ b/quetzalcore/quetzalsystem/doc.go
@@ -9,6 +9,7 @@
 //	line.go      lanes of a queue and fair sharing between teams
 //	claim.go     claims of requests whose id the caller chose
 //	job.go       requests that are accepted with status 202
+//	sweep.go     deletion of old claims, jobs and changes
 //	dispatch.go  choice of a host and start of attempts
 //	forward.go   requests handed to a zone with hosts of their pool
 //	attempt.go   end of attempts, retry
--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -49,7 +49,7 @@
 		{Key: jobKey(r.ID), Row: quetzalfleet.JobRow{JobSpec: quetzalfleet.JobSpec{
 			Request: r.ID, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, State: s,
 			Queue: w.Queues.At(r.Queue).ID, Team: w.Teams.At(r.Team).ID, Class: r.Class, Urgent: r.Urgent,
-			Idempotent: r.Idempotent, Deadline: r.Deadline, Sum: r.Sum,
+			Idempotent: r.Idempotent, Deadline: r.Deadline, Sum: r.Sum, At: w.Now,
 		}}},
 		{Key: claimKey(r.ID), Row: claim},
 	}
@@ -276,9 +276,10 @@
 func takeJob(w *quetzalfleet.World, row quetzalfleet.Row) {
 	job := w.Jobs.At(row)
 	next := job.JobSpec
+	next.At = w.Now
 	next.Entry, next.Incarnation, next.State = w.Self.Entry, w.Self.Incarnation, quetzalfleet.JobAccepted
 	claim := quetzalfleet.ClaimRow{
-		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Sum: job.Sum,
+		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Sum: job.Sum, At: w.Now,
 	}
 	if job.State == quetzalfleet.JobSent && !job.Idempotent {
 		next.State, claim.State = quetzalfleet.JobEnded, quetzalfleet.ClaimUnknown
--- a/quetzalcore/quetzalsystem/lone_test.go
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -227,6 +227,31 @@
 	require.Equal(t, trial.Result(first).(quetzalfleet.Changed).Version, trial.Entry("b-entry1").World.Head)
 }
 
+// Old rows of claims, jobs and changes are deleted, young ones stay.
+func TestOldRowsAreSwept(t *testing.T) {
+	trial := quetzaltrial.New(1)
+	trial.Retention = 10 * time.Minute
+	require.NoError(t, trial.Build(smallFleet()))
+	for n := range 1200 {
+		in := request(fmt.Sprint("old", n), false)
+		in.Async = n%4 == 0
+		trial.After(time.Duration(n)*10*time.Millisecond, func() { trial.Submit(quetzaltrial.EntryName("a", n%3), in) })
+	}
+	trial.Run(9 * time.Minute)
+	tables := []string{string(quetzalfleet.TableClaims), string(quetzalfleet.TableJobs), string(quetzalfleet.TableChanges)}
+	before, _ := trial.Platform.Tables.Scan(tables, 0, 0)
+	require.Greater(t, len(before), 1200)
+	trial.Submit("a-entry0", request("young", false))
+	trial.Run(5 * time.Minute)
+	after, _ := trial.Platform.Tables.Scan(tables, 0, 0)
+	require.Len(t, after, 1)
+	require.Equal(t, "young", after[0].Key)
+	trial.Submit("a-entry1", request("young", false))
+	trial.Run(time.Second)
+	require.Equal(t, 1, trial.RunsOf("young"))
+	require.Empty(t, trial.Judge())
+}
+
 // The same script and seed give the same course, whatever the order of maps.
 func TestTrialsRepeatThemselves(t *testing.T) {
 	course := func() string {
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -98,6 +98,24 @@
 		endClaimRead(w, p.Requests, result)
 	case quetzalfleet.ForClaimOutcome:
 		endClaimOutcome(w, p.Requests, result)
+	case quetzalfleet.ForHost:
+		endHostChange(w, p.Host, result)
+	case quetzalfleet.ForReboot:
+		w.PlanDirty = true
+	case quetzalfleet.ForWave:
+		endWaveChange(w, p.Wave, result)
+	case quetzalfleet.ForChange:
+		endChange(w, p.Change, result)
+	case quetzalfleet.ForChangeRead:
+		endChangeRead(w, p.Change, result)
+	default:
+		routeJob(w, call, result)
+	}
+}
+
+// routeJob hands an answer to the systems for jobs, results and old rows.
+func routeJob(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
+	switch p := call.Purpose.(type) {
 	case quetzalfleet.ForWork:
 		endWork(w, p.Request, result)
 	case quetzalfleet.ForJob:
@@ -110,18 +128,13 @@
 		endJobTakeover(w, p.Job, call, result)
 	case quetzalfleet.ForJobWork:
 		endJobWork(w, p.Request, result)
+	case quetzalfleet.ForSweepScan:
+		endSweepScan(w, result)
+	case quetzalfleet.ForSweep:
+		endSweep(w, call, result)
 	case quetzalfleet.ForResult:
 		endResult(w, p, result)
-	case quetzalfleet.ForHost:
-		endHostChange(w, p.Host, result)
-	case quetzalfleet.ForReboot:
-		w.PlanDirty = true
-	case quetzalfleet.ForWave:
-		endWaveChange(w, p.Wave, result)
-	case quetzalfleet.ForChange:
-		endChange(w, p.Change, result)
-	case quetzalfleet.ForChangeRead:
-		endChangeRead(w, p.Change, result)
+	default:
 	}
 }
 
--- a/quetzalcore/quetzalsystem/tick.go
+++ b/quetzalcore/quetzalsystem/tick.go
@@ -24,6 +24,7 @@
 	w.Timers.Push(now.Add(w.Self.Poll), quetzalfleet.DutyDue{})
 	w.Timers.Push(now.Add(planPeriod), quetzalfleet.PlanDue{})
 	w.Timers.Push(now.Add(jobsPeriod), quetzalfleet.JobsDue{})
+	w.Timers.Push(now.Add(sweepPeriod), quetzalfleet.SweepDue{})
 }
 
 // Tick applies the inputs at an instant, runs every system and returns the
@@ -111,6 +112,10 @@
 	case quetzalfleet.PoolDue:
 		w.Pools.At(t.Pool).LookAgain = false
 		w.DirtyPools.Add(t.Pool)
+	case quetzalfleet.SweepDue:
+		sweep(w)
+	case quetzalfleet.SweepAgain:
+		lookForOldRows(w)
 	case quetzalfleet.JobsDue:
 		scanJobs(w)
 	case quetzalfleet.LeavingSignOver:
--- a/quetzalcore/quetzaltrial/judge.go
+++ b/quetzalcore/quetzaltrial/judge.go
@@ -161,7 +161,7 @@
 func (t *Trial) BelowBudget() []Breach {
 	var pools []quetzalfleet.PoolRow
 	var hosts []quetzalfleet.HostRow
-	rows, _ := t.Platform.Tables.Scan([]string{string(quetzalfleet.TablePools), string(quetzalfleet.TableHosts)}, 0)
+	rows, _ := t.Platform.Tables.Scan([]string{string(quetzalfleet.TablePools), string(quetzalfleet.TableHosts)}, 0, 0)
 	for _, row := range decodeRows(rows) {
 		switch v := row.Row.(type) {
 		case quetzalfleet.PoolRow:
@@ -187,7 +187,7 @@
 // Hosts returns the committed rows of the hosts.
 func (t *Trial) Hosts() []quetzalfleet.HostSpec {
 	var hosts []quetzalfleet.HostSpec
-	rows, _ := t.Platform.Tables.Scan([]string{string(quetzalfleet.TableHosts)}, 0)
+	rows, _ := t.Platform.Tables.Scan([]string{string(quetzalfleet.TableHosts)}, 0, 0)
 	for _, row := range decodeRows(rows) {
 		if h, ok := row.Row.(quetzalfleet.HostRow); ok {
 			hosts = append(hosts, h.HostSpec)
--- a/quetzalcore/quetzaltrial/platform.go
+++ b/quetzalcore/quetzaltrial/platform.go
@@ -53,7 +53,7 @@
 		for _, name := range c.Tables {
 			names = append(names, string(name))
 		}
-		rows, rev := t.Platform.Tables.Scan(names, c.After)
+		rows, rev := t.Platform.Tables.Scan(names, c.After, c.Limit)
 		return quetzalfleet.RowsRead{Revision: rev, Rows: decodeRows(rows)}
 	case quetzalfleet.PutObject:
 		t.Platform.Objects[c.Key] = c.Object
@@ -81,6 +81,10 @@
 	}
 	writes := make([]quetzalplatform.Write, 0, len(tx.Writes))
 	for _, w := range tx.Writes {
+		if w.Row == nil {
+			writes = append(writes, quetzalplatform.Write{RowID: rowID(w.Key), Delete: true})
+			continue
+		}
 		text, err := quetzalcodec.EncodeRow(w.Row)
 		if err != nil {
 			panic(err) // every row that a system writes can be encoded
--- a/quetzalcore/quetzaltrial/trial.go
+++ b/quetzalcore/quetzaltrial/trial.go
@@ -104,6 +104,8 @@
 	Decisions []EntryDecision
 	// Submitted lists the requests in the order in which they were sent.
 	Submitted []Submitted
+	// Retention is given to entries that are added from now on.
+	Retention time.Duration
 	// OnTick is called after every tick, for checks of invariants; nil for none.
 	OnTick func(*Entry)
 	// OnCommit is called after every transaction that was committed; nil for none.
@@ -200,6 +202,7 @@
 		Entry: id, Zone: zone, Incarnation: t.incarnation, PeerAddress: address,
 		Lease: 5 * time.Second, Poll: 1500 * time.Millisecond, Gossip: time.Second,
 		Seed: t.Seed*1000 + uint64(t.incarnation), Seeds: t.zonePeers(id, zone),
+		Retention: t.Retention,
 	}}
 	row := t.Entries.Insert(Entry{ID: id, Zone: zone, World: w})
 	t.entryByAddr.Put(address, row)
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -41,6 +41,9 @@
 // ChangeDoc records one accepted change, so that a repeated ChangeId is applied
 // once.
 type ChangeDoc struct {
+	// AtMs corresponds to the JSON schema field "AtMs".
+	AtMs int `json:"AtMs" yaml:"AtMs"`
+
 	// ChangeID corresponds to the JSON schema field "ChangeId".
 	ChangeID string `json:"ChangeId" yaml:"ChangeId"`
 
@@ -65,6 +68,9 @@
 	// Answer corresponds to the JSON schema field "Answer".
 	Answer string `json:"Answer" yaml:"Answer"`
 
+	// AtMs corresponds to the JSON schema field "AtMs".
+	AtMs int `json:"AtMs" yaml:"AtMs"`
+
 	// BodySum corresponds to the JSON schema field "BodySum".
 	BodySum string `json:"BodySum" yaml:"BodySum"`
 
@@ -161,6 +167,10 @@
 	// Mean time between reads of the platform's tables, in ms (default 1500).
 	PollMs *int `json:"PollMs,omitempty,omitzero" yaml:"PollMs,omitempty"`
 
+	// Age at which rows of claims, jobs and changes are deleted, in ms; at least 2
+	// days, twice the longest deadline (default 172800000).
+	RetentionMs *int `json:"RetentionMs,omitempty,omitzero" yaml:"RetentionMs,omitempty"`
+
 	// How long a planned stop keeps the listener open after /readyz turned 503, in ms
 	// (default 1000).
 	StopNoticeMs *int `json:"StopNoticeMs,omitempty,omitzero" yaml:"StopNoticeMs,omitempty"`
@@ -555,6 +565,9 @@
 
 // JobDoc is a request that was accepted with status 202; its work is an object.
 type JobDoc struct {
+	// AtMs corresponds to the JSON schema field "AtMs".
+	AtMs int `json:"AtMs" yaml:"AtMs"`
+
 	// BodySum corresponds to the JSON schema field "BodySum".
 	BodySum string `json:"BodySum" yaml:"BodySum"`
 
@@ -874,8 +887,11 @@
 	Table string `json:"Table" yaml:"Table"`
 }
 
-// RowWrite sets the JSON value of a row.
+// RowWrite sets the JSON value of a row, or deletes it.
 type RowWrite struct {
+	// Delete corresponds to the JSON schema field "Delete".
+	Delete bool `json:"Delete" yaml:"Delete"`
+
 	// Key corresponds to the JSON schema field "Key".
 	Key string `json:"Key" yaml:"Key"`
 
--- a/quetzalentry/serve.go
+++ b/quetzalentry/serve.go
@@ -88,7 +88,7 @@
 		Seeds: quetzalcodec.FromStrings[quetzalunit.Address](cfg.Peers),
 		Entry: quetzalunit.EntryID(cfg.Entry), Zone: quetzalunit.ZoneID(cfg.Zone), Incarnation: incarnation,
 		PeerAddress: quetzalunit.Address(cfg.PeerAddress), Lease: millis(*cfg.LeaseMs), Poll: millis(*cfg.PollMs),
-		Gossip: millis(*cfg.GossipMs), Seed: uint64(incarnation),
+		Gossip: millis(*cfg.GossipMs), Retention: millis(*cfg.RetentionMs), Seed: uint64(incarnation),
 	}
 }
 
--- a/quetzalstandin/platform.go
+++ b/quetzalstandin/platform.go
@@ -124,7 +124,7 @@
 	writes := make([]quetzalplatform.Write, 0, len(req.Writes))
 	for _, v := range req.Writes {
 		writes = append(writes, quetzalplatform.Write{
-			RowID: quetzalplatform.RowID{Table: v.Table, Key: v.Key}, Value: v.Value,
+			RowID: quetzalplatform.RowID{Table: v.Table, Key: v.Key}, Value: v.Value, Delete: v.Delete,
 		})
 	}
 	rev, conflicts := p.tables.Commit(conditions, writes)
@@ -162,7 +162,14 @@
 		http.Error(w, "After: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	rows, rev := p.tables.Scan(r.URL.Query()["Table"], quetzalunit.Revision(after))
+	limit := 0
+	if text := r.URL.Query().Get("Limit"); text != "" {
+		if limit, err = strconv.Atoi(text); err != nil {
+			http.Error(w, "Limit: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	rows, rev := p.tables.Scan(r.URL.Query()["Table"], quetzalunit.Revision(after), limit)
 	writeJSON(w, quetzalwire.ScanReply{Revision: int(rev), Rows: rowDocs(rows)})
 }
 
@@ -221,7 +228,7 @@
 func (p *platform) snapshot(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	rows, _ := p.tables.Scan([]string{"Pools", "Hosts"}, 0)
+	rows, _ := p.tables.Scan([]string{"Pools", "Hosts"}, 0, 0)
 	s := quetzalwire.PlatformSnapshot{Rows: rowDocs(rows), Hosts: make([]quetzalwire.ListedHost, 0, len(p.hosts))}
 	for _, h := range p.hosts {
 		s.Hosts = append(s.Hosts, h.listed)
