Grant guests by the hosts they know, not by the scan they have seen

The outage had begun before any scan confirmed the last rows of hosts, so that no guest could show a revision as high as theirs.

Ruled out: a lost message (the sponsors answered each second, without a grant).

Change: a guest lists the hosts it knows with their generations, and a sponsor compares them with its own.

--- a/quetzalcore/quetzalcodec/gossip.go
+++ b/quetzalcore/quetzalcodec/gossip.go
@@ -13,6 +13,7 @@
 		Address: string(m.Address), Guest: m.Guest, Stopping: m.Stopping,
 		Since: int(m.Since), Seen: int(m.Seen), SettingsVersion: int(m.SettingsVersion),
 		Confirmed: generationDocs(m.Confirmed), Leaving: generationDocs(m.Leaving),
+		Known: generationDocs(m.Known),
 	}
 	d.LongTeams = toStrings(m.LongTeams)
 	for _, l := range m.Loads {
@@ -38,6 +39,7 @@
 		Since: quetzalunit.Revision(d.Since), Seen: quetzalunit.Revision(d.Seen),
 		SettingsVersion: quetzalunit.Version(d.SettingsVersion),
 		Confirmed:       generations(d.Confirmed), Leaving: generations(d.Leaving),
+		Known: generations(d.Known),
 	}
 	m.LongTeams = FromStrings[quetzalunit.TeamID](d.LongTeams)
 	for _, l := range d.Loads {
--- a/quetzalcore/quetzalfleet/inputs.go
+++ b/quetzalcore/quetzalfleet/inputs.go
@@ -183,6 +183,8 @@
 	// Leaving lists hosts of which the sender saw a sign of leaving.
 	Leaving []HostGeneration
 	Loads   []PoolLoad
+	// Known lists the zone's hosts with the generations that a guest knows.
+	Known []HostGeneration
 	// LongTeams are the teams whose short requests often run long.
 	LongTeams []quetzalunit.TeamID
 }
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -111,6 +111,7 @@
 		Leaving:         leavingHosts(w),
 		Loads:           loads(w),
 		LongTeams:       longTeams(w),
+		Known:           knownHosts(w),
 	}})
 }
 
--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -66,13 +66,33 @@
 		p.Seen, p.Told, p.Loads = 0, 0, nil
 	}
 	p.Guest, p.Zone, p.Address, p.Incarnation, p.HeardAt = true, m.Zone, m.Address, m.Incarnation, w.Now
-	return knowsHosts(w, m.Seen)
+	return knowsHosts(w, m.Known)
 }
 
-// knowsHosts tells whether the rows up to a revision include those of the zone's hosts.
-func knowsHosts(w *quetzalfleet.World, seen quetzalunit.Revision) bool {
+// knownHosts lists the zone's hosts for the sponsors of a guest; an entry of the
+// roster lists none.
+func knownHosts(w *quetzalfleet.World) []quetzalfleet.HostGeneration {
+	if inRoster(w) {
+		return nil
+	}
+	var known []quetzalfleet.HostGeneration
+	for _, h := range w.Hosts.All() {
+		if h.Zone == w.Self.Zone {
+			known = append(known, quetzalfleet.HostGeneration{Host: h.ID, Generation: h.Generation})
+		}
+	}
+	return known
+}
+
+// knowsHosts tells whether a guest knows every host of the zone at least at the
+// generation that this entry does.
+func knowsHosts(w *quetzalfleet.World, known []quetzalfleet.HostGeneration) bool {
+	generations := make(map[quetzalunit.HostID]quetzalunit.Generation, len(known))
+	for _, k := range known {
+		generations[k.Host] = k.Generation
+	}
 	for _, h := range w.Hosts.All() {
-		if h.Zone == w.Self.Zone && h.Revision > seen {
+		if h.Zone == w.Self.Zone && generations[h.ID] < h.Generation {
 			return false
 		}
 	}
--- a/quetzalcore/quetzalsystem/lone_test.go
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -160,15 +160,16 @@
 	require.Equal(t, 1, l.w.Attempts.Len())
 }
 
-// A host that this entry has confirmed may move at any time, so that a guest which
+// The rows may be newer than what a scan has confirmed, as in an outage right after
+// a change. A host that this entry has confirmed may move at any time, so that a guest which
 // does not know of it yet must not serve.
 func TestGuestMayServeOnceItKnowsTheHosts(t *testing.T) {
 	l := newLone(t)
 	l.scan(append(fleetRows(), rosterRow(self))...)
 	l.scan(hostRow("host0", 2, quetzalfleet.HostLeaving))
-	ask := func(seen quetzalunit.Revision) bool {
+	ask := func(known ...quetzalfleet.HostGeneration) bool {
 		l.tick(time.Millisecond, quetzalfleet.PeerSaid{Message: quetzalfleet.Gossip{
-			From: "guest", Incarnation: 1, Zone: "a", Address: "guest:1", Guest: true, Seen: seen,
+			From: "guest", Incarnation: 1, Zone: "a", Address: "guest:1", Guest: true, Known: known,
 		}})
 		for _, c := range l.commands {
 			if a, ok := c.(quetzalfleet.AnswerGossip); ok {
@@ -178,9 +179,12 @@
 		require.Fail(t, "no reply")
 		return false
 	}
-	require.False(t, ask(0))
-	require.False(t, ask(l.revision-1))
-	require.True(t, ask(l.revision))
+	old, present := quetzalfleet.HostGeneration{Host: "host0", Generation: 1}, quetzalfleet.HostGeneration{Host: "host0", Generation: 2}
+	other := quetzalfleet.HostGeneration{Host: "host1", Generation: 1}
+	require.False(t, ask())
+	require.False(t, ask(old, other))
+	require.False(t, ask(present))
+	require.True(t, ask(present, other))
 }
 
 // A minion may go on for a while with a run whose attempt timed out.
--- a/quetzalcore/quetzalsystem/promise_test.go
+++ b/quetzalcore/quetzalsystem/promise_test.go
@@ -287,6 +287,9 @@
 // An entry that starts while the platform is out serves as a guest of its peers.
 func TestFreshEntryServesDuringAnOutage(t *testing.T) {
 	trial := newTrial(t, 1, smallFleet())
+	// The row of a host changes after the last scan that anybody made.
+	trial.Ask("a-entry0", quetzalfleet.MoveHost{ID: "m", Host: "a-host5", Pool: "editions"})
+	trial.Run(12 * time.Millisecond)
 	trial.Platform.Outage = true
 	trial.Run(time.Second)
 	trial.Kill("a-entry1")
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -382,6 +382,9 @@
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
 
+	// Known corresponds to the JSON schema field "Known".
+	Known []HostGeneration `json:"Known" yaml:"Known"`
+
 	// Leaving corresponds to the JSON schema field "Leaving".
 	Leaving []HostGeneration `json:"Leaving" yaml:"Leaving"`
 
