--- a/quetzalcore/quetzalsystem/lone_test.go
+++ b/quetzalcore/quetzalsystem/lone_test.go
@@ -274,3 +274,30 @@
 	second := course()
 	require.Equal(t, first, second)
 }
+
+// A peer that lags may tell older rows; the values in force stay.
+func TestOlderSettingsFromAPeerChangeNothing(t *testing.T) {
+	l := newLone(t)
+	setting := func(v quetzalunit.Version, limit quetzalunit.Requests) quetzalfleet.RevisedRow {
+		return row(quetzalfleet.TableSettings, "Fleet", quetzalfleet.SettingRow{
+			Path: "Fleet", Version: v, Values: quetzalfleet.SettingValues{QueueLimit: &limit},
+		})
+	}
+	l.scan(setting(1, 10))
+	l.scan(setting(2, 20))
+	old := setting(1, 10)
+	old.Revision = 1
+	l.tick(time.Millisecond, quetzalfleet.PeerSaid{Message: quetzalfleet.Gossip{
+		From: "f", Incarnation: 1, Zone: "a", Rows: []quetzalfleet.RevisedRow{old},
+	}})
+	l.tick(time.Millisecond, quetzalfleet.OperatorAsked{Caller: 1, Action: quetzalfleet.GetSetting{Path: "Fleet"}})
+	for _, c := range l.commands {
+		if a, ok := c.(quetzalfleet.AnswerOperator); ok {
+			view := a.Result.(quetzalfleet.SettingView)
+			require.EqualValues(t, 2, view.Node.Version)
+			require.EqualValues(t, 20, view.Effective.QueueLimit)
+			return
+		}
+	}
+	require.Fail(t, "no view")
+}
