--- /dev/null
+++ b/quetzalcore/quetzalcodec/workpeer.go
@@ -0,0 +1,97 @@
+package quetzalcodec
+
+import (
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwire"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// EncodeWorkMessage returns the wire form of a message between entries.
+func EncodeWorkMessage(m quetzalwork.PeerMessage) quetzalwire.WorkMessage {
+	switch m := m.(type) {
+	case quetzalwork.TellAccepted:
+		d := quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindAccepted, Pool: string(m.Pool)}
+		for i := range m.Jobs {
+			if a, ok := m.Jobs[i].Content.(quetzalwork.AcceptedJob); ok {
+				d.Rows = append(d.Rows, quetzalwire.WorkRowDoc{Job: string(m.Jobs[i].Job), Accepted: workJobDoc(&a)})
+			}
+		}
+		return d
+	case quetzalwork.TellCancelled:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindCancelled, Pool: string(m.Pool), Job: string(m.Job)}
+	case quetzalwork.AskState:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindState, Pool: string(m.Pool), Job: string(m.Job)}
+	case quetzalwork.AskPending:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindPending, Pool: string(m.Pool), Queue: string(m.Queue)}
+	case quetzalwork.TellDuty:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindDuty, Pool: string(m.Pool), Duty: poolDutyDoc(&m.Duty), Revision: int(m.Duty.Revision)}
+	case quetzalwork.AskEmpty:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindEmpty, Pool: string(m.Pool), Host: string(m.Host), Wave: string(m.Wave)}
+	case quetzalwork.TellTaken:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host)}
+	}
+	return quetzalwire.WorkMessage{}
+}
+
+// DecodeWorkMessage reads a message of another entry.
+func DecodeWorkMessage(d *quetzalwire.WorkMessage) (quetzalwork.PeerMessage, error) {
+	pool := quetzalunit.PoolID(d.Pool)
+	switch d.Kind {
+	case quetzalwire.WorkMessageKindAccepted:
+		m := quetzalwork.TellAccepted{Pool: pool}
+		for i := range d.Rows {
+			m.Jobs = append(m.Jobs, quetzalwork.JobRow{Job: quetzalunit.JobID(d.Rows[i].Job), Content: acceptedJob(&d.Rows[i].Accepted)})
+		}
+		return m, nil
+	case quetzalwire.WorkMessageKindCancelled:
+		return quetzalwork.TellCancelled{Pool: pool, Job: quetzalunit.JobID(d.Job)}, nil
+	case quetzalwire.WorkMessageKindState:
+		return quetzalwork.AskState{Pool: pool, Job: quetzalunit.JobID(d.Job)}, nil
+	case quetzalwire.WorkMessageKindPending:
+		return quetzalwork.AskPending{Pool: pool, Queue: quetzalunit.QueueID(d.Queue)}, nil
+	case quetzalwire.WorkMessageKindDuty:
+		return quetzalwork.TellDuty{Pool: pool, Duty: poolDuty(&d.Duty, quetzalunit.Revision(d.Revision))}, nil
+	case quetzalwire.WorkMessageKindEmpty:
+		return quetzalwork.AskEmpty{Pool: pool, Host: quetzalunit.HostID(d.Host), Wave: quetzalunit.WaveID(d.Wave)}, nil
+	case quetzalwire.WorkMessageKindTaken:
+		return quetzalwork.TellTaken{Pool: pool, Host: quetzalunit.HostID(d.Host)}, nil
+	}
+	return nil, &FormatError{Field: "Kind", Value: string(d.Kind)}
+}
+
+// EncodeWorkReply returns the wire form of a reply.
+func EncodeWorkReply(r quetzalwork.PeerReply) quetzalwire.WorkReply {
+	switch r := r.(type) {
+	case quetzalwork.Heard:
+		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindHeard}
+	case quetzalwork.NotHolder:
+		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindNotHolder}
+	case quetzalwork.StateReply:
+		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindState, Known: r.Known, State: int(r.State)}
+	case quetzalwork.PendingReply:
+		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindPending, Pending: int(r.Pending)}
+	case quetzalwork.EmptyReply:
+		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindEmpty, Empty: r.Empty, Safe: r.Safe}
+	}
+	return quetzalwire.WorkReply{}
+}
+
+// DecodeWorkReply reads a reply of another entry.
+func DecodeWorkReply(d *quetzalwire.WorkReply) (quetzalwork.PeerReply, error) {
+	switch d.Kind {
+	case quetzalwire.WorkReplyKindHeard:
+		return quetzalwork.Heard{}, nil
+	case quetzalwire.WorkReplyKindNotHolder:
+		return quetzalwork.NotHolder{}, nil
+	case quetzalwire.WorkReplyKindState:
+		if d.State < int(quetzalwork.JobQueued) || d.State > int(quetzalwork.JobCancelled) {
+			return nil, &FormatError{Field: "State", Value: "out of range"}
+		}
+		return quetzalwork.StateReply{Known: d.Known, State: quetzalwork.JobState(d.State)}, nil
+	case quetzalwire.WorkReplyKindPending:
+		return quetzalwork.PendingReply{Pending: quetzalunit.Tasks(d.Pending)}, nil
+	case quetzalwire.WorkReplyKindEmpty:
+		return quetzalwork.EmptyReply{Empty: d.Empty, Safe: d.Safe}, nil
+	}
+	return nil, &FormatError{Field: "Kind", Value: string(d.Kind)}
+}
--- a/quetzalcore/quetzalpeer/client.go
+++ b/quetzalcore/quetzalpeer/client.go
@@ -49,7 +49,7 @@
 		return failed, err
 	}
 	var reply quetzalwire.GossipReply
-	if err := c.call(t.Address, "Gossip", m, &reply, gossipTimeout); err != nil {
+	if err := c.Call(t.Address, serviceName+".Gossip", m, &reply, gossipTimeout); err != nil {
 		return failed, err
 	}
 	return quetzalfleet.PeerAnswered{
@@ -65,7 +65,7 @@
 	}
 	var reply quetzalwire.JoinReply
 	answered := quetzalfleet.JoinAnswered{Request: a.Request}
-	if err := c.call(a.Address, "Join", m, &reply, a.Timeout+joinSlack); err != nil {
+	if err := c.Call(a.Address, serviceName+".Join", m, &reply, a.Timeout+joinSlack); err != nil {
 		return answered, err
 	}
 	outcome, err := quetzalcodec.JoinOutcome(&reply)
@@ -84,19 +84,21 @@
 	}
 	ended.Result = quetzalfleet.Broken{}
 	var reply quetzalwire.JoinReply
-	if err := c.call(f.Address, "Forward", quetzalcodec.EncodeForward(f), &reply, f.Timeout+2*joinSlack); err != nil {
+	if err := c.Call(f.Address, serviceName+".Forward", quetzalcodec.EncodeForward(f), &reply, f.Timeout+2*joinSlack); err != nil {
 		return ended, err
 	}
 	ended.Result = quetzalcodec.ForwardResult(&reply)
 	return ended, nil
 }
 
-func (c *Client) call(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
+// Call calls a method of a peer. After a failure the connection is opened anew, since one
+// that has gone silent shows no other sign.
+func (c *Client) Call(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
 	client, err := c.client(address)
 	if err != nil {
 		return err
 	}
-	done := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	done := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
--- a/quetzalcore/quetzalpeer/server.go
+++ b/quetzalcore/quetzalpeer/server.go
@@ -112,8 +112,14 @@
 // Serve accepts connections of peers. The function that it returns closes the
 // listener and every connection, and waits until they are served no more.
 func (s *Server) Serve(l net.Listener) (func(), error) {
+	return ServeCalls(l, serviceName, calls{s})
+}
+
+// ServeCalls serves the methods of a receiver under a name. The function that it returns
+// closes the listener and every connection, and waits until they are served no more.
+func ServeCalls(l net.Listener, name string, receiver any) (func(), error) {
 	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, calls{s}); err != nil {
+	if err := server.RegisterName(name, receiver); err != nil {
 		return nil, eris.Wrap(err, "register peer calls")
 	}
 	var open connections
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/ask.go
@@ -0,0 +1,240 @@
+package quetzalscheduler
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// peerTimeout bounds the wait for another entry's reply.
+	peerTimeout = 600 * time.Millisecond
+	// pendingValid is how long a count of pending jobs may be shown again.
+	pendingValid = 1500 * time.Millisecond
+	// askRetries bounds the reads of the store for one question.
+	askRetries = 6
+)
+
+func askJob(w *quetzalwork.World, in *quetzalwork.JobAsked) {
+	queue, rest, ok := routeAsk(w, in.Caller, in.Host, in.Path)
+	if !ok {
+		return
+	}
+	a := quetzalwork.Ask{Caller: in.Caller, Queue: queue, Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(timeoutOr(in.Timeout) - answerSlack)}
+	if rest == "" {
+		a.Kind = quetzalwork.AskKindPending
+		askPending(w, addAsk(w, &a))
+		return
+	}
+	a.Job = quetzalunit.JobID(rest)
+	askState(w, addAsk(w, &a))
+}
+
+// routeAsk finds the queue of a question, or answers it when there is none.
+func routeAsk(w *quetzalwork.World, caller quetzalunit.Caller, host, path string) (quetzalwork.Row, string, bool) {
+	if !w.Fleet.Known {
+		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.JobRefused{RetryAfter: w.Jitter(refusalDelay), Reason: "NoConfiguration"}})
+		return 0, "", false
+	}
+	queue, rest := route(w, host, path)
+	if queue == 0 {
+		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.NoSuchQueue{}})
+		return 0, "", false
+	}
+	if rest != "" && !validJobID(rest) {
+		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.NoSuchJob{}})
+		return 0, "", false
+	}
+	return queue, rest, true
+}
+
+func addAsk(w *quetzalwork.World, a *quetzalwork.Ask) quetzalwork.Row {
+	row := w.Asks.Insert(*a)
+	w.Timers.Push(a.Deadline, quetzalwork.AskDue{Ask: row})
+	return row
+}
+
+func answerAsk(w *quetzalwork.World, row quetzalwork.Row, answer quetzalwork.Answer) {
+	if a := w.Asks.At(row); a != nil {
+		w.Emit(quetzalwork.AnswerCaller{Caller: a.Caller, Answer: answer})
+		w.Asks.Delete(row)
+	}
+}
+
+func expireAsk(w *quetzalwork.World, row quetzalwork.Row) {
+	if a := w.Asks.At(row); a != nil {
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Text: "A question has no answer in time.", Job: a.Job, Pool: w.Pools.At(a.Pool).ID, Reason: "StoreSilent", Routine: true})
+		answerAsk(w, row, quetzalwork.Unsettled{Reason: "StoreSilent"})
+	}
+}
+
+// askState answers from the dispatcher, here or at a peer, and from the store when it is silent.
+func askState(w *quetzalwork.World, row quetzalwork.Row) {
+	a := w.Asks.At(row)
+	p := w.Pools.At(a.Pool)
+	if p.Held {
+		if j := w.Jobs.At(w.JobByID.Get(a.Job)); j != nil && j.Pool == a.Pool {
+			answerAsk(w, row, quetzalwork.StateIs{State: shownState(j)})
+			return
+		}
+		lookUp(w, row)
+		return
+	}
+	if holder := w.Members.At(w.MemberByID.Get(p.Duty.Holder)); holder == nil || !isLive(w, holder) {
+		lookUp(w, row)
+		return
+	}
+	w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.AskState{Pool: p.ID, Job: a.Job, Ask: row}, Timeout: peerTimeout})
+}
+
+// shownState is the state that callers may see: an outcome only once it is stored.
+func shownState(j *quetzalwork.Job) quetzalwork.JobState {
+	switch {
+	case j.Stored.Final():
+		return j.Stored
+	case j.Cancelled:
+		return quetzalwork.JobCancelled
+	case j.Started:
+		return quetzalwork.JobRunning
+	default:
+		return quetzalwork.JobQueued
+	}
+}
+
+func lookUp(w *quetzalwork.World, row quetzalwork.Row) {
+	a := w.Asks.At(row)
+	a.Tries++
+	if a.Tries > askRetries {
+		answerAsk(w, row, quetzalwork.Unsettled{Reason: "StoreSilent"})
+		return
+	}
+	w.Emit(quetzalwork.LookUpJob{Pool: w.Pools.At(a.Pool).ID, Job: a.Job, Ask: row, Timeout: storeTimeout})
+}
+
+func hearLookUp(w *quetzalwork.World, in *quetzalwork.JobLookedUp) {
+	a := w.Asks.At(in.Ask)
+	if a == nil {
+		return
+	}
+	if in.Result != quetzalwork.StoreDone {
+		if in.Result == quetzalwork.StoreUnknown {
+			lookUp(w, in.Ask)
+			return
+		}
+		answerAsk(w, in.Ask, quetzalwork.Unsettled{Reason: "StoreUnavailable"})
+		return
+	}
+	exists, state := storedState(in.Rows)
+	switch {
+	case !exists:
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Text: "The store has no such job.", Job: a.Job, Reason: "NoSuchJob"})
+		answerAsk(w, in.Ask, quetzalwork.NoSuchJob{})
+	case a.Kind != quetzalwork.AskKindCancel:
+		answerAsk(w, in.Ask, quetzalwork.StateIs{State: state})
+	case state.Final():
+		answerAsk(w, in.Ask, quetzalwork.Cancelled{})
+	default:
+		storeCancel(w, in.Ask)
+	}
+}
+
+// storedState is what the stored rows of a job say of it.
+func storedState(rows []quetzalwork.JobRow) (exists bool, state quetzalwork.JobState) {
+	cancelled := false
+	for i := range rows {
+		switch c := rows[i].Content.(type) {
+		case quetzalwork.AcceptedJob:
+			exists = true
+		case quetzalwork.JobCancellation:
+			cancelled = true
+		case quetzalwork.JobProgress:
+			state = c.Progress.State
+		}
+	}
+	if cancelled && !state.Final() {
+		state = quetzalwork.JobCancelled
+	}
+	return exists, state
+}
+
+func askPending(w *quetzalwork.World, row quetzalwork.Row) {
+	a := w.Asks.At(row)
+	p, q := w.Pools.At(a.Pool), w.Queues.At(a.Queue)
+	switch {
+	case p.Held && p.Loaded:
+		answerAsk(w, row, quetzalwork.PendingIs{Pending: countPending(w, a.Pool, q.ID)})
+	case q.PendingAt != 0 && w.Now.Sub(q.PendingAt) < pendingValid:
+		answerAsk(w, row, quetzalwork.PendingIs{Pending: q.Pending})
+	case p.Duty.Holder == "" || p.Held:
+		w.After(submitRetry, quetzalwork.AskDue{Ask: row})
+	default:
+		w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.AskPending{Pool: p.ID, Queue: q.ID, Ask: row}, Timeout: peerTimeout})
+	}
+}
+
+// countPending counts the jobs of a queue of which no task has started.
+func countPending(w *quetzalwork.World, pool quetzalwork.Row, queue quetzalunit.QueueID) quetzalunit.Tasks {
+	var n quetzalunit.Tasks
+	for _, j := range w.Jobs.All() {
+		if j.Pool == pool && j.Queue == queue && !j.Started && !j.Cancelled && !j.State.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+func askCancel(w *quetzalwork.World, in *quetzalwork.CancelAsked) {
+	queue, rest, ok := routeAsk(w, in.Caller, in.Host, in.Path)
+	if !ok {
+		return
+	}
+	if rest == "" {
+		w.Emit(quetzalwork.AnswerCaller{Caller: in.Caller, Answer: quetzalwork.BadJob{Problem: "the path names no job"}})
+		return
+	}
+	row := addAsk(w, &quetzalwork.Ask{
+		Caller: in.Caller, Kind: quetzalwork.AskKindCancel, Job: quetzalunit.JobID(rest), Queue: queue,
+		Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(timeoutOr(in.Timeout) - answerSlack),
+	})
+	if j := w.Jobs.At(w.JobByID.Get(quetzalunit.JobID(rest))); j != nil {
+		if j.Stored.Final() || j.Cancelled {
+			answerAsk(w, row, quetzalwork.Cancelled{})
+			return
+		}
+		storeCancel(w, row)
+		return
+	}
+	lookUp(w, row)
+}
+
+func storeCancel(w *quetzalwork.World, row quetzalwork.Row) {
+	a := w.Asks.At(row)
+	w.Emit(quetzalwork.StoreCancel{Pool: w.Pools.At(a.Pool).ID, Job: a.Job, Ask: row, Timeout: storeTimeout})
+}
+
+func hearCancelStored(w *quetzalwork.World, in *quetzalwork.CancelStored) {
+	a := w.Asks.At(in.Ask)
+	if a == nil {
+		return
+	}
+	switch in.Result {
+	case quetzalwork.StoreDone:
+		p := w.Pools.At(a.Pool)
+		job, pool := a.Job, a.Pool
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Text: "A cancellation is stored.", Job: job, Pool: p.ID, Reason: "Cancelled", Routine: true})
+		answerAsk(w, in.Ask, quetzalwork.Cancelled{})
+		if p.Held {
+			addJobRow(w, pool, &quetzalwork.JobRow{Job: job, Content: quetzalwork.JobCancellation{}}, false)
+		} else if p.Duty.Holder != "" {
+			w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.TellCancelled{Pool: p.ID, Job: job}, Timeout: peerTimeout})
+		}
+	case quetzalwork.StoreUnknown:
+		a.Tries++
+		if a.Tries <= askRetries {
+			storeCancel(w, in.Ask)
+		}
+	default:
+		answerAsk(w, in.Ask, quetzalwork.Unsettled{Reason: "StoreUnavailable"})
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -0,0 +1,135 @@
+package quetzalscheduler
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// conductPeriod is the time between two looks at the waves.
+	conductPeriod = 200 * time.Millisecond
+	// hostsPeriod is the time between two reads of the list of hosts while a wave runs.
+	hostsPeriod = 600 * time.Millisecond
+	// orderRight is how long after a confirmed renewal orders to hosts may be given: less than
+	// the time after which others take this entry for dead.
+	orderRight = 2 * time.Second
+	// cordonTime is how long a wish to empty a minion holds.
+	cordonTime = 1200 * time.Millisecond
+)
+
+// beginConductor makes this process the one that gives orders to hosts.
+func beginConductor(w *quetzalwork.World, revision quetzalunit.Revision) {
+	c := &w.Conductor
+	c.Held, c.Token, c.TakenAt = true, quetzalunit.FencingToken(revision), w.Now
+	c.HostsAt, c.Reading, c.WavesLoaded = 0, false, false
+	for _, wave := range w.Waves.All() {
+		wave.Steps = make([]quetzalwork.WaveStep, len(wave.Hosts))
+		wave.Saying = quetzalwork.WaveUnsaid
+	}
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry gives the orders to hosts.", Version: int64(c.Token)})
+	w.Emit(quetzalwork.ReadWaves{})
+}
+
+func dropConductor(w *quetzalwork.World, reason string) {
+	w.Conductor.Held = false
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry no longer gives orders to hosts.", Version: int64(w.Conductor.Token), Reason: reason})
+}
+
+// mayOrder tells whether this process may order hosts: it holds the duty, its row was renewed
+// a short time ago, and orders of its predecessor are over.
+func mayOrder(w *quetzalwork.World) bool {
+	c := &w.Conductor
+	return c.Held && w.Now.Sub(w.Membership.RenewedAt) < orderRight && w.Now.Sub(c.TakenAt) > w.Bounds.OrderLease && c.HostsAt > c.TakenAt
+}
+
+func conduct(w *quetzalwork.World) {
+	w.After(conductPeriod, quetzalwork.ConductorDue{})
+	c := &w.Conductor
+	if !c.Held || w.Stopping {
+		return
+	}
+	open := false
+	for _, wave := range w.Waves.All() {
+		open = open || wave.Said != quetzalwork.WaveCompleted
+	}
+	if !open {
+		return
+	}
+	if !c.Reading && (c.HostsAt == 0 || w.Now.Sub(c.HostsAt) > hostsPeriod) {
+		c.Reading = true
+		w.Emit(quetzalwork.ListHosts{})
+	}
+	if !c.WavesLoaded {
+		return
+	}
+	for row := range w.Waves.All() {
+		conductWave(w, row)
+	}
+}
+
+func hearHosts(w *quetzalwork.World, in *quetzalwork.HostsListed) {
+	c := &w.Conductor
+	c.Reading = false
+	if !in.OK {
+		return
+	}
+	c.HostsAt = w.Now
+	listed := make(map[quetzalunit.HostID]bool, len(in.Hosts))
+	for _, h := range in.Hosts {
+		listed[h.ID] = true
+		row := w.HostByID.Get(h.ID)
+		if row == 0 {
+			row = w.Hosts.Insert(quetzalwork.Host{})
+			w.HostByID.Put(h.ID, row)
+		}
+		*w.Hosts.At(row) = h
+	}
+	for row, h := range w.Hosts.All() {
+		if !listed[h.ID] {
+			w.HostByID.Delete(h.ID)
+			w.Hosts.Delete(row)
+		}
+	}
+}
+
+// emptyHost cordons a host's minion and tells whether it runs nothing.
+func emptyHost(w *quetzalwork.World, m *quetzalwork.AskEmpty) quetzalwork.PeerReply {
+	p := w.Pools.At(w.PoolByID.Get(m.Pool))
+	if p == nil || !p.Held || !p.Loaded || w.MinionList.AnsweredAt < p.TakenAt {
+		return quetzalwork.NotHolder{}
+	}
+	reply := quetzalwork.EmptyReply{Empty: true, Safe: true}
+	for _, row := range p.Minions {
+		minion := w.Minions.At(row)
+		if minion.Host != m.Host {
+			continue
+		}
+		minion.CordonedUntil = w.Now.Add(cordonTime)
+		if !minion.Heard || len(minion.Runs) > 0 || len(minion.Ends) > 0 {
+			reply.Empty = false
+		}
+		if !minion.Heard {
+			reply.Safe = false
+		}
+		for _, run := range minion.Runs {
+			if w.Steps.At(w.Tasks.At(w.Runs.At(run).Task).Step).Spec.Lasting {
+				reply.Safe = false
+			}
+		}
+	}
+	return reply
+}
+
+// loseHost ends the runs of a host that an order has taken away.
+func loseHost(w *quetzalwork.World, host quetzalunit.HostID) {
+	for row, m := range w.Minions.All() {
+		if m.Host == host {
+			loseRuns(w, row, "Taken")
+			m.Ends = slices.DeleteFunc(m.Ends, func(quetzalwork.PendingEnd) bool { return true })
+			m.Listed = false
+		}
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -0,0 +1,286 @@
+package quetzalscheduler
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// beginJob unfolds a job whose specification has become known.
+func beginJob(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	if j.Cancelled {
+		j.State = quetzalwork.JobCancelled
+		j.Spec = nil
+		return
+	}
+	j.Objective = j.AcceptedAt.Add(objectiveSpan(w, j))
+	if j.Spec.Repeats == 0 {
+		unfold(w, row, 0)
+		return
+	}
+	unfoldDue(w, row)
+}
+
+// objectiveSpan is the time in which a job is to be completed, worked out from its estimates.
+func objectiveSpan(w *quetzalwork.World, j *quetzalwork.Job) time.Duration {
+	q := w.Queues.At(w.QueueByID.Get(j.Queue))
+	if q == nil {
+		return 0
+	}
+	return time.Duration(q.Stretch*float64(longestChain(j.Spec.Steps))) + q.Target
+}
+
+// longestChain is the estimated run time of the longest chain of steps.
+func longestChain(steps []quetzalwork.StepSpec) time.Duration {
+	return slices.Max(chainsFrom(steps))
+}
+
+// chainsFrom returns, for each step, the estimated run time of the longest chain from it on.
+func chainsFrom(steps []quetzalwork.StepSpec) []time.Duration {
+	chains := make([]time.Duration, len(steps))
+	for i := len(steps) - 1; i >= 0; i-- {
+		chains[i] += steps[i].Estimate
+		for _, before := range steps[i].After {
+			chains[before] = max(chains[before], chains[i])
+		}
+	}
+	return chains
+}
+
+// unfoldDue unfolds the occurrences of a job whose time has come.
+func unfoldDue(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	if j == nil || j.Spec == nil || j.State.Final() {
+		return
+	}
+	for j.Unfolded < j.Spec.Repeats {
+		due := j.Spec.FirstAt.Add(time.Duration(j.Unfolded) * j.Spec.Interval).Add(-w.WallClock)
+		if due > w.Now {
+			w.Timers.Push(due, quetzalwork.OccurrenceDue{Job: row})
+			return
+		}
+		unfold(w, row, j.Unfolded)
+		if j.State.Final() {
+			return
+		}
+	}
+}
+
+// unfold creates the steps and tasks of an occurrence, less what is stored as done.
+func unfold(w *quetzalwork.World, row quetzalwork.Row, k quetzalunit.Occurrence) {
+	j := w.Jobs.At(row)
+	j.Unfolded = k + 1
+	chains := chainsFrom(j.Spec.Steps)
+	for i := range j.Spec.Steps {
+		spec := &j.Spec.Steps[i]
+		s := quetzalwork.Step{Job: row, Occurrence: k, Index: quetzalunit.StepIndex(i), Spec: spec, Waiting: spec.Count, Chain: chains[i]}
+		stepRow := w.Steps.Insert(s)
+		w.StepByKey.Put(quetzalwork.StepKey{Job: row, Occurrence: k, Step: s.Index}, stepRow)
+		step := w.Steps.At(stepRow)
+		step.Tasks = make([]quetzalwork.Row, spec.Count)
+		for n := range spec.Count {
+			step.Tasks[n] = w.Tasks.Insert(quetzalwork.Task{Step: stepRow, Index: quetzalunit.TaskIndex(n), AwaySince: w.Now})
+		}
+		j.Steps = append(j.Steps, stepRow)
+	}
+	for _, f := range j.Progress.Failures {
+		if t := w.Tasks.At(taskOf(w, row, f.TaskRef)); t != nil {
+			t.Failures = f.Failures
+		}
+	}
+	for _, ref := range slices.Clone(j.Progress.Done) {
+		if ref.Occurrence == k {
+			if task := taskOf(w, row, ref); task != 0 {
+				finishTask(w, task)
+			}
+		}
+	}
+	openSteps(w, row, k)
+}
+
+// taskOf finds a task of a job; zero when its occurrence is not unfolded.
+func taskOf(w *quetzalwork.World, job quetzalwork.Row, ref quetzalwork.TaskRef) quetzalwork.Row {
+	s := w.Steps.At(w.StepByKey.Get(quetzalwork.StepKey{Job: job, Occurrence: ref.Occurrence, Step: ref.Step}))
+	if s == nil || int(ref.Task) >= len(s.Tasks) {
+		return 0
+	}
+	return s.Tasks[ref.Task]
+}
+
+// refOf names a task within its job.
+func refOf(w *quetzalwork.World, t *quetzalwork.Task) quetzalwork.TaskRef {
+	s := w.Steps.At(t.Step)
+	return quetzalwork.TaskRef{Occurrence: s.Occurrence, Step: s.Index, Task: t.Index}
+}
+
+// nameOf names a task across the fleet.
+func nameOf(w *quetzalwork.World, t *quetzalwork.Task) quetzalwork.TaskName {
+	return quetzalwork.TaskName{Job: w.Jobs.At(w.Steps.At(t.Step).Job).ID, TaskRef: refOf(w, t)}
+}
+
+// openSteps opens the steps of an occurrence whose predecessors are done.
+func openSteps(w *quetzalwork.World, row quetzalwork.Row, k quetzalunit.Occurrence) {
+	j := w.Jobs.At(row)
+	finished := true
+	for _, stepRow := range j.Steps {
+		s := w.Steps.At(stepRow)
+		if s == nil || s.Occurrence != k {
+			continue
+		}
+		finished = finished && s.Done == s.Spec.Count
+		if s.Open || !predecessorsDone(w, row, s) {
+			continue
+		}
+		s.Open, s.OpenAt = true, w.Now
+		listStep(w, stepRow)
+	}
+	if finished {
+		finishOccurrence(w, row, k)
+	}
+}
+
+func predecessorsDone(w *quetzalwork.World, job quetzalwork.Row, s *quetzalwork.Step) bool {
+	for _, before := range s.Spec.After {
+		b := w.Steps.At(w.StepByKey.Get(quetzalwork.StepKey{Job: job, Occurrence: s.Occurrence, Step: before}))
+		if b == nil || b.Done < b.Spec.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// listStep puts a step among its pool's ready ones.
+func listStep(w *quetzalwork.World, stepRow quetzalwork.Row) {
+	s := w.Steps.At(stepRow)
+	p := w.Pools.At(w.Jobs.At(s.Job).Pool)
+	p.Dirty = true
+	if !s.Listed && s.Open && s.Waiting > 0 {
+		s.Listed = true
+		p.Ready = append(p.Ready, stepRow)
+	}
+}
+
+// finishTask counts a task as done. Its runs, if any, have ended or are stopped by the caller.
+func finishTask(w *quetzalwork.World, taskRow quetzalwork.Row) {
+	t := w.Tasks.At(taskRow)
+	if t.State == quetzalwork.TaskDone {
+		return
+	}
+	s := w.Steps.At(t.Step)
+	if t.State == quetzalwork.TaskWaiting {
+		s.Waiting--
+	}
+	t.State = quetzalwork.TaskDone
+	s.Done++
+	if s.Done == s.Spec.Count && s.Open {
+		openSteps(w, s.Job, s.Occurrence)
+	}
+}
+
+// finishOccurrence counts an occurrence of which every task is done.
+func finishOccurrence(w *quetzalwork.World, row quetzalwork.Row, k quetzalunit.Occurrence) {
+	j := w.Jobs.At(row)
+	j.Finished++
+	for _, stepRow := range j.Steps {
+		if s := w.Steps.At(stepRow); s != nil && s.Occurrence == k {
+			s.Open = true
+		}
+	}
+	if j.Finished == max(1, j.Spec.Repeats) {
+		finishJob(w, row, quetzalwork.JobCompleted)
+	}
+}
+
+// finishJob gives a job its outcome and stops what still runs for it.
+func finishJob(w *quetzalwork.World, row quetzalwork.Row, state quetzalwork.JobState) {
+	j := w.Jobs.At(row)
+	if j.State.Final() {
+		return
+	}
+	j.State = state
+	j.Progress.State = state
+	late := j.Objective != 0 && w.Now > j.Objective
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartJob, Text: "A job has its outcome.", Job: j.ID, Pool: w.Pools.At(j.Pool).ID,
+		Age: w.Now.Sub(j.AcceptedAt), Reason: stateName(state), Routine: true,
+	})
+	w.Emit(quetzalwork.ObserveJob{Queue: j.Queue, State: state, Total: w.Now.Sub(j.AcceptedAt), Late: late})
+	if state != quetzalwork.JobCancelled && j.Stored != state {
+		touchProgress(w, row)
+	}
+	reason := quetzalwork.StopDuplicate
+	if state == quetzalwork.JobCancelled {
+		reason = quetzalwork.StopCancelled
+	}
+	for _, stepRow := range j.Steps {
+		s := w.Steps.At(stepRow)
+		if s == nil {
+			continue
+		}
+		for _, taskRow := range s.Tasks {
+			for _, run := range slices.Clone(w.Tasks.At(taskRow).Runs) {
+				stopRun(w, run, reason)
+			}
+		}
+	}
+	settleJob(w, row)
+}
+
+func stateName(s quetzalwork.JobState) string {
+	return [...]string{"Queued", "Running", "Completed", "Failed", "Cancelled"}[s]
+}
+
+// cancelJob applies a stored cancellation.
+func cancelJob(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	if j.Cancelled || j.Stored.Final() {
+		return
+	}
+	j.Cancelled = true
+	finishJob(w, row, quetzalwork.JobCancelled)
+}
+
+// settleJob forgets the steps of a job with an outcome of which nothing runs any more.
+func settleJob(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	if j == nil || !j.State.Final() {
+		return
+	}
+	for _, stepRow := range j.Steps {
+		for _, taskRow := range w.Steps.At(stepRow).Tasks {
+			if len(w.Tasks.At(taskRow).Runs) > 0 {
+				return
+			}
+		}
+	}
+	deleteSteps(w, row)
+	j.Spec = nil
+	j.Progress.Done, j.Progress.Failures = nil, nil
+}
+
+func deleteSteps(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	for _, stepRow := range j.Steps {
+		s := w.Steps.At(stepRow)
+		for _, taskRow := range s.Tasks {
+			for _, run := range slices.Clone(w.Tasks.At(taskRow).Runs) {
+				removeRun(w, run)
+			}
+			w.Tasks.Delete(taskRow)
+		}
+		w.StepByKey.Delete(quetzalwork.StepKey{Job: row, Occurrence: s.Occurrence, Step: s.Index})
+		w.Steps.Delete(stepRow)
+	}
+	j.Steps = nil
+}
+
+// deleteJob forgets a job of a pool that this process no longer dispatches.
+func deleteJob(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	deleteSteps(w, row)
+	w.JobByID.Delete(j.ID)
+	w.Jobs.Delete(row)
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/load.go
@@ -0,0 +1,145 @@
+package quetzalscheduler
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// poolReadPeriod is the time between two reads of what changed in a pool's rows; they find
+	// jobs of which no entry could tell.
+	poolReadPeriod = time.Second
+	// poolReadRetry is the pause after a read without an answer.
+	poolReadRetry = 150 * time.Millisecond
+)
+
+// readPool reads the next rows of a pool's jobs.
+func readPool(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.FencingToken) {
+	p := w.Pools.At(row)
+	if !p.Held || p.Token != token || p.LoadCall {
+		return
+	}
+	p.LoadCall = true
+	w.Emit(quetzalwork.ReadPool{Pool: p.ID, Token: token, Full: !p.Loaded || p.LoadFrom != "", From: p.LoadFrom, After: p.Seen})
+}
+
+func hearPoolRows(w *quetzalwork.World, in *quetzalwork.PoolRead) {
+	row := poolRow(w, in.Pool)
+	p := w.Pools.At(row)
+	if !p.Held || p.Token != in.Token {
+		return
+	}
+	p.LoadCall = false
+	switch in.Result {
+	case quetzalwork.StoreDone:
+		for i := range in.Rows {
+			addJobRow(w, row, &in.Rows[i], !p.Loaded)
+		}
+		endPoolRead(w, row, in)
+	case quetzalwork.StoreCompacted:
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: "The history of the pool's rows is gone; they are read in full.", Pool: p.ID})
+		p.LoadFrom, p.Seen = "", 0
+		p.LoadCall = true
+		w.Emit(quetzalwork.ReadPool{Pool: p.ID, Token: p.Token, Full: true})
+	default:
+		w.After(poolReadRetry, quetzalwork.PoolReadDue{Pool: row, Token: p.Token})
+	}
+}
+
+func endPoolRead(w *quetzalwork.World, row quetzalwork.Row, in *quetzalwork.PoolRead) {
+	p := w.Pools.At(row)
+	if in.Full && p.LoadFrom == "" || !in.Full {
+		// What changes during a load is read again from its beginning.
+		p.Seen = in.Seen
+	}
+	p.LoadFrom = ""
+	if in.More {
+		p.LoadFrom = in.From
+		readPool(w, row, p.Token)
+		return
+	}
+	if !p.Loaded {
+		p.Loaded = true
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "The pool's jobs are loaded.", Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(p.TakenAt)})
+		w.MinionList.Seen = 0
+		listMinions(w)
+		p.Dirty = true
+	}
+	w.After(w.Jitter(poolReadPeriod), quetzalwork.PoolReadDue{Pool: row, Token: p.Token})
+}
+
+// addJobRow applies a stored row of a job. Old rows were stored before this process
+// dispatched the pool.
+func addJobRow(w *quetzalwork.World, pool quetzalwork.Row, r *quetzalwork.JobRow, old bool) {
+	row := w.JobByID.Get(r.Job)
+	if row == 0 {
+		row = w.Jobs.Insert(quetzalwork.Job{ID: r.Job, Pool: pool, AcceptedAt: w.Now, Old: old})
+		w.JobByID.Put(r.Job, row)
+	}
+	j := w.Jobs.At(row)
+	switch c := r.Content.(type) {
+	case quetzalwork.AcceptedJob:
+		if j.Spec == nil && !j.State.Final() {
+			j.Queue, j.Spec, j.Old = c.Queue, c.Spec, old
+			beginJob(w, row)
+		}
+	case quetzalwork.JobCancellation:
+		cancelJob(w, row)
+	case quetzalwork.JobProgress:
+		mergeProgress(w, row, r.Revision, &c.Progress)
+	}
+}
+
+// mergeProgress adds stored progress to what is known. Ends only add up, so that the order
+// of writers does not matter.
+func mergeProgress(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, stored *quetzalwork.Progress) {
+	j := w.Jobs.At(row)
+	if revision <= j.StoredRevision {
+		return
+	}
+	j.StoredRevision = revision
+	if stored.State.Final() {
+		j.Stored = stored.State
+		finishJob(w, row, stored.State)
+		return
+	}
+	known := make(map[quetzalwork.TaskRef]bool, len(j.Progress.Done))
+	for _, ref := range j.Progress.Done {
+		known[ref] = true
+	}
+	for _, ref := range stored.Done {
+		if !known[ref] {
+			j.Started = true
+			j.Progress.Done = append(j.Progress.Done, ref)
+			if task := taskOf(w, row, ref); task != 0 {
+				finishTask(w, task)
+			}
+		}
+	}
+	for _, f := range stored.Failures {
+		raiseFailures(w, row, f)
+	}
+}
+
+// raiseFailures applies a stored count of failed runs.
+func raiseFailures(w *quetzalwork.World, row quetzalwork.Row, f quetzalwork.TaskFailures) {
+	j := w.Jobs.At(row)
+	j.Started = true
+	setFailures(j, f.TaskRef, f.Failures)
+	if t := w.Tasks.At(taskOf(w, row, f.TaskRef)); t != nil {
+		t.Failures = max(t.Failures, f.Failures)
+	}
+}
+
+// setFailures raises the count of failed runs in a job's progress.
+func setFailures(j *quetzalwork.Job, ref quetzalwork.TaskRef, n quetzalunit.Failures) {
+	for i := range j.Progress.Failures {
+		if f := &j.Progress.Failures[i]; f.TaskRef == ref {
+			f.Failures = max(f.Failures, n)
+			return
+		}
+	}
+	j.Progress.Failures = append(j.Progress.Failures, quetzalwork.TaskFailures{TaskRef: ref, Failures: n})
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -0,0 +1,310 @@
+package quetzalscheduler
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// renewPeriod is the mean time between two renewals of an entry's row, and between two
+	// reads of all rows.
+	renewPeriod = 900 * time.Millisecond
+	// deathAfter is the time without a renewal after which an entry is taken for dead: two
+	// renewals and a slow answer.
+	deathAfter = 2600 * time.Millisecond
+	// readGap is the longest time between two reads over which the silence of an entry counts;
+	// while the store is away nobody can renew.
+	readGap = 2 * time.Second
+	// suspendAfter is the time without a confirmed renewal after which a dispatcher extends
+	// no lease; until then it goes on without the store.
+	suspendAfter = 6 * time.Second
+	// settleTime is the time after its start in which an entry takes no duty, so that entries
+	// that start together share the duties.
+	settleTime = 700 * time.Millisecond
+	// candidateTime is how long the first candidate for a free duty goes before the others.
+	candidateTime = 1500 * time.Millisecond
+	// dutyRetry is the pause after a takeover without success.
+	dutyRetry = 400 * time.Millisecond
+	// leaseSlack is added to the lease of runs for clocks that are up to 2 % slow.
+	leaseSlack = 1.03
+)
+
+// conductorDuty names the duty that gives orders to hosts, among those of the pools.
+const conductorDuty quetzalunit.PoolID = "(hosts)"
+
+func tendMembership(w *quetzalwork.World) {
+	m := &w.Membership
+	if !m.Renewing {
+		m.Renewing = true
+		m.Beat++
+		w.Emit(quetzalwork.RenewMember{SentAt: w.Now, Member: quetzalwork.Member{
+			Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, Zone: w.Self.Zone,
+			Beat: m.Beat, Stopping: w.Stopping,
+		}})
+	}
+	if !m.Reading {
+		m.Reading = true
+		w.Emit(quetzalwork.ReadMembers{SentAt: w.Now})
+	}
+	tendDuties(w)
+	w.After(w.Jitter(renewPeriod), quetzalwork.MembershipDue{})
+}
+
+func hearRenewal(w *quetzalwork.World, in *quetzalwork.MemberRenewed) {
+	w.Membership.Renewing = false
+	if in.Result == quetzalwork.StoreDone {
+		w.Membership.RenewedAt = max(w.Membership.RenewedAt, in.SentAt)
+	}
+}
+
+func hearMembers(w *quetzalwork.World, in *quetzalwork.MembersRead) {
+	m := &w.Membership
+	m.Reading = false
+	if reachable := in.Result == quetzalwork.StoreDone; reachable != m.Reachable {
+		m.Reachable = reachable
+		text := "The store does not answer."
+		if reachable {
+			text = "The store answers."
+		}
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: text, Age: w.Now.Sub(m.ReadAt)})
+	}
+	if in.Result != quetzalwork.StoreDone {
+		return
+	}
+	gap := w.Now.Sub(m.ReadAt) > readGap
+	m.ReadAt = w.Now
+	m.Reads++
+	for _, old := range w.Members.All() {
+		old.Listed = false
+	}
+	for i := range in.Members {
+		seeMember(w, &in.Members[i], gap)
+	}
+	for id, duty := range in.Duties {
+		seeDuty(w, id, duty)
+	}
+	emitRelays(w)
+	tendDuties(w)
+}
+
+// seeMember applies a member's row. A gap before this read excuses a row that did not change.
+func seeMember(w *quetzalwork.World, seen *quetzalwork.Member, gap bool) {
+	row := w.MemberByID.Get(seen.Entry)
+	if row == 0 {
+		row = w.Members.Insert(quetzalwork.Member{Entry: seen.Entry, Beat: -1})
+		w.MemberByID.Put(seen.Entry, row)
+	}
+	m := w.Members.At(row)
+	changed := m.Beat != seen.Beat || m.Incarnation != seen.Incarnation
+	at := m.ChangedAt
+	*m = *seen
+	m.Listed, m.ChangedAt = true, at
+	if changed || gap {
+		m.ChangedAt = w.Now
+	}
+}
+
+func isLive(w *quetzalwork.World, m *quetzalwork.Member) bool {
+	return m.Listed && w.Now.Sub(m.ChangedAt) < deathAfter
+}
+
+// emitRelays names the live members through which the store may be reached.
+func emitRelays(w *quetzalwork.World) {
+	var near, far []quetzalunit.Address
+	for _, m := range w.Members.All() {
+		if m.Entry == w.Self.Entry || m.Stopping || !isLive(w, m) {
+			continue
+		}
+		if m.Zone == w.Self.Zone {
+			near = append(near, m.Address)
+			continue
+		}
+		far = append(far, m.Address)
+	}
+	w.Emit(quetzalwork.Relays{Addresses: append(near, far...)})
+}
+
+// seeDuty applies a duty's row unless a newer one is known.
+func seeDuty(w *quetzalwork.World, id quetzalunit.PoolID, seen quetzalwork.Duty) {
+	d := dutyOf(w, id)
+	if seen.Revision <= d.Revision {
+		return
+	}
+	seen.Taking, seen.RetryAt = d.Taking, d.RetryAt
+	*d = seen
+	mine := seen.Holder == w.Self.Entry && seen.Incarnation == w.Self.Incarnation
+	if id == conductorDuty {
+		c := &w.Conductor
+		if c.Held && (!mine || seen.Revision != quetzalunit.Revision(c.Token)) {
+			dropConductor(w, "Superseded")
+		}
+		if mine && !c.Held {
+			beginConductor(w, seen.Revision)
+		}
+		return
+	}
+	row := poolRow(w, id)
+	p := w.Pools.At(row)
+	if p.Held && (!mine || seen.Revision != quetzalunit.Revision(p.Token)) {
+		dropPool(w, row, "Superseded")
+	}
+	if mine && !p.Held && !w.Stopping {
+		// The answer to the takeover was lost.
+		beginPool(w, row, seen.Revision, true)
+	}
+}
+
+func dutyOf(w *quetzalwork.World, id quetzalunit.PoolID) *quetzalwork.Duty {
+	if id == conductorDuty {
+		return &w.Conductor.Duty
+	}
+	return &w.Pools.At(poolRow(w, id)).Duty
+}
+
+// duties returns the duties of the fleet in a fixed order.
+func duties(w *quetzalwork.World) []quetzalunit.PoolID {
+	ids := []quetzalunit.PoolID{conductorDuty}
+	for _, p := range w.Pools.All() {
+		ids = append(ids, p.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// tendDuties takes over the duties that are free and fall to this entry.
+func tendDuties(w *quetzalwork.World) {
+	m := &w.Membership
+	if w.Stopping || !w.Fleet.Known || m.Reads == 0 || w.Now.Sub(w.StartedAt) < settleTime || w.Now.Sub(m.ReadAt) > readGap {
+		return
+	}
+	load := make(map[quetzalunit.EntryID]int)
+	ids := duties(w)
+	var free []quetzalunit.PoolID
+	for _, id := range ids {
+		d := dutyOf(w, id)
+		holder := w.Members.At(w.MemberByID.Get(d.Holder))
+		if d.Holder != "" && holder != nil && holder.Incarnation == d.Incarnation && isLive(w, holder) {
+			load[d.Holder]++
+			d.FreeSince = 0
+			continue
+		}
+		if d.FreeSince == 0 {
+			d.FreeSince = w.Now
+		}
+		free = append(free, id)
+	}
+	for _, id := range free {
+		entry := candidate(w, id, load)
+		load[entry]++
+		d := dutyOf(w, id)
+		turn := entry == w.Self.Entry || w.Now.Sub(d.FreeSince) > candidateTime
+		if !turn || d.Taking || w.Now < d.RetryAt {
+			continue
+		}
+		d.Taking = true
+		w.Emit(quetzalwork.WriteDuty{Pool: id, Expected: d.Revision, SentAt: w.Now, Holder: quetzalwork.Duty{
+			Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
+		}})
+	}
+}
+
+// candidate returns the live entry with the fewest duties, the same at every entry.
+func candidate(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int) quetzalunit.EntryID {
+	var best quetzalunit.EntryID
+	var bestWeight uint64
+	for _, m := range w.Members.All() {
+		if m.Stopping || !isLive(w, m) {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(strings.Join([]string{string(id), string(m.Entry)}, "/"))) // never fails
+		weight := h.Sum64()
+		if best == "" || load[m.Entry] < load[best] || load[m.Entry] == load[best] && weight > bestWeight {
+			best, bestWeight = m.Entry, weight
+		}
+	}
+	return best
+}
+
+func hearDuty(w *quetzalwork.World, in *quetzalwork.DutyWritten) {
+	d := dutyOf(w, in.Pool)
+	d.Taking = false
+	if in.Result != quetzalwork.StoreDone {
+		d.RetryAt = w.Now.Add(w.Jitter(dutyRetry))
+		return
+	}
+	taken := quetzalwork.Duty{Revision: in.Revision}
+	if !in.Release {
+		taken.Holder, taken.Incarnation, taken.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
+	}
+	if in.Revision > d.Revision {
+		hadHolder := d.Holder != ""
+		first := d.Revision == 0
+		*d = taken
+		if !in.Release && in.Pool == conductorDuty {
+			beginConductor(w, in.Revision)
+		} else if !in.Release {
+			row := poolRow(w, in.Pool)
+			beginPool(w, row, in.Revision, hadHolder)
+			if first {
+				w.Pools.At(row).PredecessorGone = w.Now
+			}
+		}
+	}
+	tellDuty(w, in.Pool, taken)
+}
+
+// tellDuty announces a duty to every live entry.
+func tellDuty(w *quetzalwork.World, id quetzalunit.PoolID, d quetzalwork.Duty) {
+	for _, m := range w.Members.All() {
+		if m.Entry != w.Self.Entry && isLive(w, m) {
+			w.Emit(quetzalwork.AskPeer{Address: m.Address, Message: quetzalwork.TellDuty{Pool: id, Duty: d}, Timeout: peerTimeout})
+		}
+	}
+}
+
+// beginPool makes this process the dispatcher of a pool. A predecessor that may live can
+// extend leases for suspendAfter; one that gave the duty back extends none.
+func beginPool(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, mayLive bool) {
+	p := w.Pools.At(row)
+	p.Held, p.Token, p.TakenAt = true, quetzalunit.FencingToken(revision), w.Now
+	p.Loaded, p.LoadFrom, p.LoadCall, p.Seen = false, "", false, 0
+	p.Images = make(map[quetzalunit.QueueID]*quetzalwork.RunTimes)
+	after := time.Duration(float64(leaseTime) * leaseSlack)
+	if mayLive {
+		after += suspendAfter
+	}
+	p.PredecessorGone = w.Now.Add(after)
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry dispatches the pool.", Pool: p.ID, Version: int64(p.Token)})
+	readPool(w, row, p.Token)
+	w.MinionList.Seen = 0
+	w.Timers.Push(w.Now.Add(watchPeriod), quetzalwork.WatchdogDue{Pool: row, Token: p.Token})
+}
+
+// dropPool ends this process's dispatch of a pool and forgets what it knew of it.
+func dropPool(w *quetzalwork.World, row quetzalwork.Row, reason string) {
+	p := w.Pools.At(row)
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry no longer dispatches the pool.", Pool: p.ID, Version: int64(p.Token), Reason: reason})
+	for jobRow, j := range w.Jobs.All() {
+		if j.Pool == row {
+			deleteJob(w, jobRow)
+		}
+	}
+	for _, minionRow := range p.Minions {
+		if m := w.Minions.At(minionRow); m != nil {
+			forgetMinion(w, minionRow)
+		}
+	}
+	p.Held, p.Loaded, p.Minions, p.Ready, p.Committing = false, false, nil, nil, false
+	p.DirtyJobs.Take()
+}
+
+// extends tells whether this process may extend leases and start runs.
+func extends(w *quetzalwork.World) bool {
+	return w.Now.Sub(w.Membership.RenewedAt) < suspendAfter
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -0,0 +1,99 @@
+package quetzalscheduler
+
+import (
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// hearPeer replies to a message of another entry.
+func hearPeer(w *quetzalwork.World, in *quetzalwork.PeerAsked) {
+	w.Emit(quetzalwork.AnswerPeer{Caller: in.Caller, Reply: replyTo(w, in.Message)})
+}
+
+func replyTo(w *quetzalwork.World, message quetzalwork.PeerMessage) quetzalwork.PeerReply {
+	switch m := message.(type) {
+	case quetzalwork.TellAccepted:
+		row := poolRow(w, m.Pool)
+		if !w.Pools.At(row).Held {
+			return quetzalwork.NotHolder{}
+		}
+		for i := range m.Jobs {
+			addJobRow(w, row, &m.Jobs[i], false)
+		}
+	case quetzalwork.TellCancelled:
+		row := poolRow(w, m.Pool)
+		if !w.Pools.At(row).Held {
+			return quetzalwork.NotHolder{}
+		}
+		addJobRow(w, row, &quetzalwork.JobRow{Job: m.Job, Content: quetzalwork.JobCancellation{}}, false)
+	case quetzalwork.AskState:
+		row := poolRow(w, m.Pool)
+		j := w.Jobs.At(w.JobByID.Get(m.Job))
+		if !w.Pools.At(row).Held {
+			return quetzalwork.NotHolder{}
+		}
+		if j == nil || j.Pool != row {
+			return quetzalwork.StateReply{}
+		}
+		return quetzalwork.StateReply{Known: true, State: shownState(j)}
+	case quetzalwork.AskPending:
+		row := poolRow(w, m.Pool)
+		if p := w.Pools.At(row); !p.Held || !p.Loaded {
+			return quetzalwork.NotHolder{}
+		}
+		return quetzalwork.PendingReply{Pending: countPending(w, row, m.Queue)}
+	case quetzalwork.TellDuty:
+		seeDuty(w, m.Pool, m.Duty)
+		if m.Duty.Holder == "" {
+			tendDuties(w)
+		}
+	case quetzalwork.AskEmpty:
+		return emptyHost(w, &m)
+	case quetzalwork.TellTaken:
+		loseHost(w, m.Host)
+	}
+	return quetzalwork.Heard{}
+}
+
+// hearReply applies the reply to a message; nil when there was none.
+func hearReply(w *quetzalwork.World, in *quetzalwork.PeerAnswered) {
+	switch m := in.Message.(type) {
+	case quetzalwork.AskState:
+		if w.Asks.At(m.Ask) == nil {
+			return
+		}
+		if r, ok := in.Reply.(quetzalwork.StateReply); ok && r.Known {
+			answerAsk(w, m.Ask, quetzalwork.StateIs{State: r.State})
+			return
+		}
+		lookUp(w, m.Ask)
+	case quetzalwork.AskPending:
+		hearPending(w, &m, in.Reply)
+	case quetzalwork.AskEmpty:
+		hearEmpty(w, &m, in.Reply)
+	case quetzalwork.TellAccepted, quetzalwork.TellCancelled, quetzalwork.TellDuty, quetzalwork.TellTaken:
+		if in.Reply == nil {
+			w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "An entry did not hear a message.", Reason: string(in.Address), Routine: true})
+		}
+	}
+}
+
+func hearPending(w *quetzalwork.World, m *quetzalwork.AskPending, reply quetzalwork.PeerReply) {
+	a := w.Asks.At(m.Ask)
+	if a == nil {
+		return
+	}
+	q := w.Queues.At(a.Queue)
+	if r, ok := reply.(quetzalwork.PendingReply); ok {
+		q.Pending, q.PendingAt = r.Pending, w.Now
+		answerAsk(w, m.Ask, quetzalwork.PendingIs{Pending: r.Pending})
+		return
+	}
+	a.Tries++
+	if a.Tries > askRetries {
+		answerAsk(w, m.Ask, quetzalwork.Unsettled{Reason: "NoDispatcher"})
+		return
+	}
+	if w.Pools.At(a.Pool).Duty.Address != "" {
+		askPending(w, m.Ask)
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -0,0 +1,184 @@
+package quetzalscheduler
+
+import (
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// place.go chooses the minion of each task: the one that leaves the least room idle, so that
+// large tasks find room later; near the step's data; not slow, not where the task has failed.
+
+const (
+	// remotePenalty is added to the score of a minion away from the step's data.
+	remotePenalty = 4.0
+	// avoidPenalty is added to the score of the minion of a task's last failure.
+	avoidPenalty = 8.0
+	// slowPenalty is added to the score for each multiple by which a minion is slow.
+	slowPenalty = 2.0
+	// slowLimit is the slowness below which minions count as alike.
+	slowLimit = 1.4
+)
+
+// place places the waiting tasks of the pools in which something has changed.
+func place(w *quetzalwork.World) {
+	for row, p := range w.Pools.All() {
+		if !p.Dirty || !p.Held || !p.Loaded {
+			continue
+		}
+		p.Dirty = false
+		if extends(w) {
+			placePool(w, row)
+		}
+	}
+}
+
+func placePool(w *quetzalwork.World, poolRow quetzalwork.Row) {
+	p := w.Pools.At(poolRow)
+	holdOld := holdsOldWork(w, p)
+	var wake quetzalunit.Instant
+	if holdOld {
+		wake = p.PredecessorGone
+	}
+	for _, r := range rankSteps(w, p) {
+		s := w.Steps.At(r.row)
+		if s == nil {
+			continue
+		}
+		if holdOld && w.Jobs.At(s.Job).Old {
+			continue
+		}
+		if at := placeStep(w, p, r.row); at != 0 && (wake == 0 || at < wake) {
+			wake = at
+		}
+		if !p.Held {
+			return
+		}
+	}
+	if wake > w.Now && (p.PlaceAt == 0 || wake < p.PlaceAt) {
+		p.PlaceAt = wake
+		w.Timers.Push(wake, quetzalwork.PlacementDue{Pool: poolRow})
+	}
+}
+
+// holdsOldWork tells whether a minion that has not answered since the takeover may run tasks
+// that a predecessor started.
+func holdsOldWork(w *quetzalwork.World, p *quetzalwork.Pool) bool {
+	if w.Now >= p.PredecessorGone {
+		return false
+	}
+	return w.MinionList.AnsweredAt < p.TakenAt || slices.ContainsFunc(p.Minions, func(row quetzalwork.Row) bool {
+		return !w.Minions.At(row).Heard
+	})
+}
+
+// placeStep places what it can of a step. It returns the instant of the next try, zero when
+// nothing but an event helps.
+func placeStep(w *quetzalwork.World, p *quetzalwork.Pool, stepRow quetzalwork.Row) quetzalunit.Instant {
+	s := w.Steps.At(stepRow)
+	if needsAdvice(w, s) {
+		return askAdvice(w, p, stepRow)
+	}
+	if s.Spec.Gang {
+		return placeGang(w, p, stepRow)
+	}
+	var wake quetzalunit.Instant
+	for _, taskRow := range s.Tasks {
+		t := w.Tasks.At(taskRow)
+		if t.State != quetzalwork.TaskWaiting {
+			continue
+		}
+		if t.NotBefore > w.Now {
+			if wake == 0 || t.NotBefore < wake {
+				wake = t.NotBefore
+			}
+			continue
+		}
+		minion := choose(w, p, s, t, nil)
+		if minion == 0 {
+			break
+		}
+		startRun(w, taskRow, minion, ticketFor(w, s, minion), 0)
+	}
+	return wake
+}
+
+// choose returns the best minion for a task of a step, zero when none has room. Reserved is
+// what the members of a gang that are placed before this one will occupy.
+func choose(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, t *quetzalwork.Task, reserved map[quetzalwork.Row]quetzalunit.Tasks) quetzalwork.Row {
+	var best quetzalwork.Row
+	var bestScore float64
+	needs := needsOf(s.Spec)
+	for _, row := range p.Minions {
+		m := w.Minions.At(row)
+		if !usable(w, m) || !allows(s, m) {
+			continue
+		}
+		free := m.Free()
+		for range reserved[row] {
+			free = free.Minus(needs)
+		}
+		if !needs.Fits(free) || s.Spec.MaxPerMinion > 0 && s.OnMinion[row]+reserved[row] >= s.Spec.MaxPerMinion {
+			continue
+		}
+		if score := scoreOf(w, s, t, row, free); best == 0 || score < bestScore {
+			best, bestScore = row, score
+		}
+	}
+	return best
+}
+
+// usable tells whether a minion takes new work.
+func usable(w *quetzalwork.World, m *quetzalwork.Minion) bool {
+	return m.Listed && m.Heard && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
+}
+
+// allows tells whether a step may run on a minion at all.
+func allows(s *quetzalwork.Step, m *quetzalwork.Minion) bool {
+	if s.Spec.Label != "" && !slices.Contains(m.Labels, s.Spec.Label) {
+		return false
+	}
+	if s.Advice.Tickets != nil {
+		_, ok := s.Advice.Tickets[m.ID]
+		return ok
+	}
+	return true
+}
+
+// scoreOf rates a minion for a task: lower is better.
+func scoreOf(w *quetzalwork.World, s *quetzalwork.Step, t *quetzalwork.Task, row quetzalwork.Row, free quetzalunit.Resources) float64 {
+	m := w.Minions.At(row)
+	score := freeShare(m, free)
+	if s.Spec.Lasting {
+		// Lasting tasks spread: what shares a minion disturbs, and falls together.
+		score = float64(len(m.Runs)) - score
+		for _, run := range m.Runs {
+			if other := w.Steps.At(w.Tasks.At(w.Runs.At(run).Task).Step); other.Spec.Lasting {
+				score++
+			}
+		}
+	}
+	if s.Spec.DataRack != "" && s.Spec.DataRack != m.Rack {
+		score += remotePenalty
+	}
+	if t.Avoid == row {
+		score += avoidPenalty
+	}
+	if m.Slowness > slowLimit {
+		score += slowPenalty * m.Slowness
+	}
+	return score + float64(m.Streak)
+}
+
+// freeShare is the larger of a minion's free shares of cores and memory.
+func freeShare(m *quetzalwork.Minion, free quetzalunit.Resources) float64 {
+	share := 0.0
+	if m.Room.Cores > 0 {
+		share = float64(free.Cores) / float64(m.Room.Cores)
+	}
+	if m.Room.Memory > 0 {
+		share = max(share, float64(free.Memory)/float64(m.Room.Memory))
+	}
+	return share
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -0,0 +1,149 @@
+package quetzalscheduler
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// progressBatch bounds the rows of one transaction.
+	progressBatch = 60
+	// progressPause is the time between two transactions of a pool, in which ends gather.
+	progressPause = 25 * time.Millisecond
+	// progressRetry is the pause after a transaction without success.
+	progressRetry = 80 * time.Millisecond
+)
+
+// touchProgress marks a job's progress as changed.
+func touchProgress(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	j.Changes++
+	w.Pools.At(j.Pool).DirtyJobs.Add(row)
+}
+
+// storeProgress begins the transactions that store the progress of changed jobs.
+func storeProgress(w *quetzalwork.World) {
+	for poolRow, p := range w.Pools.All() {
+		if !p.Held || p.Committing || p.DirtyJobs.Len() == 0 || !p.Loaded {
+			continue
+		}
+		if w.Now < p.CommitNotBefore {
+			w.Timers.Push(p.CommitNotBefore, quetzalwork.CommitDue{Pool: poolRow})
+			continue
+		}
+		c := quetzalwork.StoreProgress{Pool: p.ID}
+		rows := p.DirtyJobs.Take()
+		for i, row := range rows {
+			if len(c.Rows) == progressBatch {
+				for _, later := range rows[i:] {
+					p.DirtyJobs.Add(later)
+				}
+				break
+			}
+			if j := w.Jobs.At(row); j != nil && j.Changes > j.StoredChanges {
+				j.StoringChanges, j.StoringState = j.Changes, j.Progress.State
+				c.Jobs = append(c.Jobs, row)
+				c.Rows = append(c.Rows, progressRow(j))
+			}
+		}
+		if len(c.Rows) > 0 {
+			p.Committing = true
+			w.Emit(c)
+		}
+	}
+}
+
+// progressRow is the row to store. An outcome needs no details.
+func progressRow(j *quetzalwork.Job) quetzalwork.JobRow {
+	progress := quetzalwork.Progress{State: j.Progress.State}
+	if !progress.State.Final() {
+		progress.State = quetzalwork.JobRunning
+		progress.Done = slices.Clone(j.Progress.Done)
+		progress.Failures = slices.Clone(j.Progress.Failures)
+	}
+	return quetzalwork.JobRow{Job: j.ID, Revision: j.StoredRevision, Content: quetzalwork.JobProgress{Progress: progress}}
+}
+
+func hearProgressStored(w *quetzalwork.World, in *quetzalwork.ProgressStored) {
+	poolRow := poolRow(w, in.Pool)
+	p := w.Pools.At(poolRow)
+	p.Committing = false
+	if !p.Held {
+		return
+	}
+	if in.Result == quetzalwork.StoreDone {
+		p.CommitNotBefore = w.Now.Add(progressPause)
+		for _, row := range in.Jobs {
+			if j := w.Jobs.At(row); j != nil {
+				endProgress(j, in.Revision)
+			}
+		}
+		noteEnds(w, p)
+		return
+	}
+	// A transaction without an answer may have been carried out: the next one then meets
+	// rows with a newer revision and merges them.
+	p.CommitNotBefore = w.Now.Add(progressRetry)
+	if in.Result == quetzalwork.StoreConflict {
+		p.CommitNotBefore = w.Now
+		mergeCurrent(w, poolRow, in.Current)
+	}
+	for _, row := range in.Jobs {
+		if j := w.Jobs.At(row); j != nil && j.Changes > j.StoredChanges {
+			p.DirtyJobs.Add(row)
+		}
+	}
+	noteEnds(w, p)
+}
+
+func endProgress(j *quetzalwork.Job, revision quetzalunit.Revision) {
+	j.StoredRevision = max(j.StoredRevision, revision)
+	j.StoredChanges = max(j.StoredChanges, j.StoringChanges)
+	if j.StoringState.Final() {
+		j.Stored = j.StoringState
+	}
+}
+
+// mergeCurrent merges the rows that a conflict returned. What this process knows beyond them
+// is stored by the next transaction.
+func mergeCurrent(w *quetzalwork.World, poolRow quetzalwork.Row, rows []quetzalwork.JobRow) {
+	for i := range rows {
+		row := w.JobByID.Get(rows[i].Job)
+		j := w.Jobs.At(row)
+		progress, ok := rows[i].Content.(quetzalwork.JobProgress)
+		if j == nil || !ok || j.Pool != poolRow {
+			continue
+		}
+		mergeProgress(w, row, rows[i].Revision, &progress.Progress)
+		if j.Stored.Final() {
+			j.StoredChanges = j.Changes
+		}
+	}
+}
+
+// noteEnds takes note of the ends whose job's progress is stored.
+func noteEnds(w *quetzalwork.World, p *quetzalwork.Pool) {
+	for _, row := range p.Minions {
+		m := w.Minions.At(row)
+		if m == nil || len(m.Ends) == 0 {
+			continue
+		}
+		n := 0
+		for n < len(m.Ends) && isNoted(w, &m.Ends[n]) {
+			m.Noted = m.Ends[n].Number
+			n++
+		}
+		if n > 0 {
+			m.Ends = slices.Delete(m.Ends, 0, n)
+			planHold(w, row, 0)
+		}
+	}
+}
+
+func isNoted(w *quetzalwork.World, e *quetzalwork.PendingEnd) bool {
+	j := w.Jobs.At(e.Job)
+	return j == nil || j.Cancelled || j.StoredChanges >= e.Changes
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -0,0 +1,130 @@
+package quetzalscheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// rank.go answers the load in which a queue asks for several times what its pool holds: what
+// can still meet its objective goes before what cannot, so that the pool's room is not spent
+// on work that is late anyway. Among the former the one with the least time left goes first.
+
+const (
+	// marginShare and marginTime are kept of a job's time for what its estimate leaves out:
+	// stragglers, and the way of orders and ends.
+	marginShare = 0.15
+	marginTime  = 100 * time.Millisecond
+	// learnWeight is the weight of a new measurement in a running mean.
+	learnWeight = 0.1
+	// slowWeight is the weight of a new measurement in a minion's slowness.
+	slowWeight = 0.2
+	// stragglerLimit bounds what one run can add to a mean, in multiples of the estimate.
+	stragglerLimit = 4.0
+)
+
+// rank orders ready steps: lower goes first.
+type rank struct {
+	row quetzalwork.Row
+	// lasting work goes first: each second that it is away is lost.
+	lasting bool
+	// hopeless jobs cannot meet their objective and go last.
+	hopeless bool
+	priority quetzalunit.Priority
+	// due is the latest instant at which the step has to begin.
+	due quetzalunit.Instant
+}
+
+func compareRanks(a, b rank) int {
+	return cmp.Or(
+		compareFlags(b.lasting, a.lasting),
+		compareFlags(a.hopeless, b.hopeless),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.due, b.due),
+	)
+}
+
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// rankSteps returns the ready steps of a pool in the order of placement, and drops from the
+// pool's list those that have nothing to place.
+func rankSteps(w *quetzalwork.World, p *quetzalwork.Pool) []rank {
+	ranks := make([]rank, 0, len(p.Ready))
+	p.Ready = slices.DeleteFunc(p.Ready, func(row quetzalwork.Row) bool {
+		s := w.Steps.At(row)
+		if s == nil {
+			return true
+		}
+		if s.Waiting == 0 || w.Jobs.At(s.Job).State.Final() {
+			s.Listed = false
+			return true
+		}
+		ranks = append(ranks, rankOf(w, p, row))
+		return false
+	})
+	slices.SortStableFunc(ranks, compareRanks)
+	return ranks
+}
+
+func rankOf(w *quetzalwork.World, p *quetzalwork.Pool, row quetzalwork.Row) rank {
+	s := w.Steps.At(row)
+	j := w.Jobs.At(s.Job)
+	r := rank{row: row, lasting: s.Spec.Lasting}
+	if q := w.Queues.At(w.QueueByID.Get(j.Queue)); q != nil {
+		r.priority = q.Priority
+	}
+	chain := expectedSpan(p, j.Queue, s.Chain)
+	r.due = j.Objective.Add(-chain)
+	margin := marginTime + time.Duration(marginShare*float64(chain))
+	r.hopeless = !s.Spec.Lasting && w.Now.Add(margin) > r.due
+	return r
+}
+
+// expectedSpan corrects an estimate by what the queue's runs have taken so far.
+func expectedSpan(p *quetzalwork.Pool, queue quetzalunit.QueueID, estimate time.Duration) time.Duration {
+	if t := p.Images[queue]; t != nil {
+		return time.Duration(t.Ratio * float64(estimate))
+	}
+	return estimate
+}
+
+// learnRunTime learns from a run that is done.
+func learnRunTime(w *quetzalwork.World, minionRow, runRow quetzalwork.Row) {
+	r := w.Runs.At(runRow)
+	if r == nil || r.StartedAt == 0 {
+		return
+	}
+	s := w.Steps.At(w.Tasks.At(r.Task).Step)
+	m := w.Minions.At(minionRow)
+	m.Streak, m.Rests = 0, 0
+	took := w.Now.Sub(r.StartedAt)
+	s.RunTime = (s.RunTime*time.Duration(s.Measured) + took) / time.Duration(s.Measured+1)
+	s.Measured++
+	if s.Measured > 1 && s.RunTime > 0 {
+		m.Slowness += slowWeight * (min(stragglerLimit, float64(took)/float64(s.RunTime)) - m.Slowness)
+	}
+	if s.Spec.Estimate <= 0 {
+		return
+	}
+	j := w.Jobs.At(s.Job)
+	p := w.Pools.At(j.Pool)
+	t := p.Images[j.Queue]
+	if t == nil {
+		t = &quetzalwork.RunTimes{Ratio: 1}
+		p.Images[j.Queue] = t
+	}
+	t.Ratio += learnWeight * (min(stragglerLimit, float64(took)/float64(s.Spec.Estimate)) - t.Ratio)
+	t.Count++
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -0,0 +1,409 @@
+package quetzalscheduler
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// runBits is the part of a run number that counts a dispatcher's starts of a task; above
+	// it stands the fencing token, so that no two dispatchers use one number.
+	runBits = 10
+	// failurePause is the pause before a failed task starts again.
+	failurePause = 50 * time.Millisecond
+	// roomPause is how long a minion gets no new work after a rejection for want of room.
+	roomPause = 250 * time.Millisecond
+	// restStreak is the number of consecutive failures after which a minion rests.
+	restStreak = 3
+	// restTime is a minion's first rest; it doubles with each further one.
+	restTime = 1500 * time.Millisecond
+	// restDoublings bounds the doubling.
+	restDoublings = 3
+	// restShare is the largest part of a pool that rests at once.
+	restShare = 0.34
+)
+
+// startRun starts a task on a minion. A zero number takes the next one.
+func startRun(w *quetzalwork.World, taskRow, minionRow quetzalwork.Row, ticket quetzalunit.Ticket, number quetzalunit.RunNumber) quetzalunit.RunNumber {
+	t, m := w.Tasks.At(taskRow), w.Minions.At(minionRow)
+	s := w.Steps.At(t.Step)
+	j := w.Jobs.At(s.Job)
+	p := w.Pools.At(m.PoolRow)
+	if number == 0 {
+		t.Starts++
+		number = quetzalunit.RunNumber(p.Token)<<runBits | t.Starts
+	}
+	lease := leaseFor(w, m)
+	row := addRun(w, taskRow, minionRow, quetzalwork.Run{
+		Number: number, State: quetzalwork.RunStarting, StartedAt: w.Now, StartDeadline: lease, Pace: 100,
+	})
+	w.Emit(quetzalwork.StartRun{
+		Run: row, Target: targetOf(w, m), Task: nameOf(w, t), Number: number, Text: j.Spec.Text, Lease: lease,
+		Checkpoint: t.Checkpoint, Ticket: ticket,
+	})
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartPlacement, Text: "A task is placed.", Job: j.ID, Task: refOf(w, t), Run: number, Minion: m.ID,
+		Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(s.OpenAt), Routine: true,
+	})
+	planHold(w, minionRow, 0)
+	return number
+}
+
+// needsOf is what a task of a step occupies. Filling tasks use the cores that others leave.
+func needsOf(spec *quetzalwork.StepSpec) quetzalunit.Resources {
+	needs := spec.Needs
+	if spec.Fills {
+		needs.Cores = 0
+	}
+	return needs
+}
+
+// addRun adds an active run of a task.
+func addRun(w *quetzalwork.World, taskRow, minionRow quetzalwork.Row, r quetzalwork.Run) quetzalwork.Row {
+	t, m := w.Tasks.At(taskRow), w.Minions.At(minionRow)
+	s := w.Steps.At(t.Step)
+	r.Task, r.Minion, r.Needs, r.ChangedAt = taskRow, minionRow, needsOf(s.Spec), w.Now
+	row := w.Runs.Insert(r)
+	w.RunByKey.Put(quetzalwork.RunKey{Task: taskRow, Number: r.Number}, row)
+	if t.State == quetzalwork.TaskWaiting {
+		s.Waiting--
+		t.State = quetzalwork.TaskActive
+	}
+	t.Runs = append(t.Runs, row)
+	m.Runs = append(m.Runs, row)
+	m.Used = m.Used.Plus(r.Needs)
+	if s.Spec.MaxPerMinion > 0 {
+		if s.OnMinion == nil {
+			s.OnMinion = make(map[quetzalwork.Row]quetzalunit.Tasks)
+		}
+		s.OnMinion[minionRow]++
+	}
+	return row
+}
+
+// removeRun removes a run. Its task waits again if it is not done and has no other run.
+func removeRun(w *quetzalwork.World, row quetzalwork.Row) {
+	r := w.Runs.At(row)
+	t := w.Tasks.At(r.Task)
+	s := w.Steps.At(t.Step)
+	isRow := func(x quetzalwork.Row) bool { return x == row }
+	t.Runs = slices.DeleteFunc(t.Runs, isRow)
+	if m := w.Minions.At(r.Minion); m != nil {
+		m.Runs = slices.DeleteFunc(m.Runs, isRow)
+		m.Used = m.Used.Minus(r.Needs)
+		w.Pools.At(m.PoolRow).Dirty = true
+	}
+	if s.Spec.MaxPerMinion > 0 {
+		s.OnMinion[r.Minion]--
+	}
+	w.RunByKey.Delete(quetzalwork.RunKey{Task: r.Task, Number: r.Number})
+	w.Runs.Delete(row)
+	if t.State == quetzalwork.TaskActive && len(t.Runs) == 0 {
+		t.State = quetzalwork.TaskWaiting
+		t.AwaySince = w.Now
+		s.Waiting++
+		listStep(w, t.Step)
+	}
+}
+
+// endRun applies the end of a run that needs no place in the job's progress.
+func endRun(w *quetzalwork.World, row quetzalwork.Row, end quetzalwork.RunEnd, saved quetzalunit.Checkpoint, reason string) {
+	r := w.Runs.At(row)
+	t := w.Tasks.At(r.Task)
+	job := w.Steps.At(t.Step).Job
+	if saved != "" {
+		t.Checkpoint = saved
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Text: "A run is over without a result.", Job: w.Jobs.At(job).ID, Task: refOf(w, t), Run: r.Number,
+		Minion: w.Minions.At(r.Minion).ID, Age: w.Now.Sub(r.StartedAt), Reason: reason + endName(end), Routine: true,
+	})
+	removeRun(w, row)
+	settleJob(w, job)
+}
+
+func endName(e quetzalwork.RunEnd) string {
+	return [...]string{"Done", "Failed", "Stopped", "Lapsed", "Broken", "Alone"}[e]
+}
+
+// hearEnd applies an end that a minion lists. It tells whether the job is known; the end of
+// an unknown job is not taken note of until strangeTime has passed.
+func hearEnd(w *quetzalwork.World, minionRow quetzalwork.Row, e *quetzalwork.ListedEnd) bool {
+	m := w.Minions.At(minionRow)
+	jobRow := w.JobByID.Get(e.Task.Job)
+	j := w.Jobs.At(jobRow)
+	if (j == nil || j.Spec == nil && !j.State.Final()) && !isStrangeForLong(w, m) {
+		return false
+	}
+	m.Known = e.Number
+	pending := quetzalwork.PendingEnd{Number: e.Number}
+	if j != nil {
+		applyEnd(w, minionRow, jobRow, e)
+		if e.End == quetzalwork.EndDone || e.End == quetzalwork.EndFailed {
+			pending.Job, pending.Changes = jobRow, j.Changes
+		}
+	}
+	m.Ends = append(m.Ends, pending)
+	return true
+}
+
+func applyEnd(w *quetzalwork.World, minionRow, jobRow quetzalwork.Row, e *quetzalwork.ListedEnd) {
+	taskRow := taskOf(w, jobRow, e.Task.TaskRef)
+	if taskRow == 0 {
+		return
+	}
+	runRow := w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: e.Run})
+	switch e.End {
+	case quetzalwork.EndDone:
+		learnRunTime(w, minionRow, runRow)
+		completeTask(w, jobRow, taskRow, runRow, e)
+	case quetzalwork.EndFailed:
+		failTask(w, minionRow, jobRow, taskRow, e)
+		if r := w.Runs.At(runRow); r != nil {
+			endRun(w, runRow, e.End, e.Checkpoint, "")
+		}
+	default:
+		if r := w.Runs.At(runRow); r != nil {
+			endRun(w, runRow, e.End, e.Checkpoint, "")
+		} else if e.Checkpoint != "" && len(w.Tasks.At(taskRow).Runs) == 0 {
+			w.Tasks.At(taskRow).Checkpoint = e.Checkpoint
+		}
+	}
+}
+
+// completeTask counts a task as done, or every task of a gang.
+func completeTask(w *quetzalwork.World, jobRow, taskRow, runRow quetzalwork.Row, e *quetzalwork.ListedEnd) {
+	j, t := w.Jobs.At(jobRow), w.Tasks.At(taskRow)
+	s := w.Steps.At(t.Step)
+	j.Started = true
+	done := []quetzalwork.Row{taskRow}
+	if s.Spec.Gang {
+		done = slices.Clone(s.Tasks)
+	}
+	if w.Runs.At(runRow) != nil {
+		removeRun(w, runRow)
+	}
+	changed := false
+	var others []quetzalwork.Row
+	for _, row := range done {
+		d := w.Tasks.At(row)
+		others = append(others, d.Runs...)
+		if d.State != quetzalwork.TaskDone {
+			changed = true
+			j.Progress.Done = append(j.Progress.Done, refOf(w, d))
+		}
+	}
+	if !s.Spec.Gang {
+		for _, row := range others {
+			stopRun(w, row, quetzalwork.StopDuplicate)
+		}
+	}
+	if changed {
+		touchProgress(w, jobRow)
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Text: "A task is done.", Job: j.ID, Task: e.Task.TaskRef, Run: e.Run, Reason: "Done", Routine: true,
+	})
+	for _, row := range done {
+		if w.Tasks.At(row) != nil {
+			finishTask(w, row)
+		}
+	}
+	settleJob(w, jobRow)
+}
+
+// failTask counts a failed run, and fails the job when its attempts are used up.
+func failTask(w *quetzalwork.World, minionRow, jobRow, taskRow quetzalwork.Row, e *quetzalwork.ListedEnd) {
+	j, t := w.Jobs.At(jobRow), w.Tasks.At(taskRow)
+	s := w.Steps.At(t.Step)
+	j.Started = true
+	if t.State == quetzalwork.TaskDone || j.State.Final() {
+		return
+	}
+	t.Failures++
+	t.Avoid, t.NotBefore = minionRow, w.Now.Add(failurePause)
+	if t.Failures == 1 {
+		countFailure(w, minionRow)
+	}
+	q := w.Queues.At(w.QueueByID.Get(j.Queue))
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Text: "A run has failed.", Job: j.ID, Task: e.Task.TaskRef, Run: e.Run,
+		Minion: w.Minions.At(minionRow).ID, Version: int64(t.Failures), Reason: "Failed",
+	})
+	if s.Spec.Lasting {
+		return
+	}
+	setFailures(j, e.Task.TaskRef, t.Failures)
+	touchProgress(w, jobRow)
+	if q != nil && q.MaxAttempts > 0 && t.Failures >= q.MaxAttempts {
+		finishJob(w, jobRow, quetzalwork.JobFailed)
+	}
+}
+
+// countFailure counts a failure of a minion and lets it rest after several in a row.
+func countFailure(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Minions.At(row)
+	m.Streak++
+	if m.Streak < restStreak || w.Now < m.RestUntil {
+		return
+	}
+	p := w.Pools.At(m.PoolRow)
+	resting := 1
+	for _, other := range p.Minions {
+		if w.Now < w.Minions.At(other).RestUntil {
+			resting++
+		}
+	}
+	if float64(resting) > restShare*float64(len(p.Minions)) {
+		return
+	}
+	rest := restTime << min(m.Rests, restDoublings)
+	m.Rests++
+	m.Streak = restStreak - 1
+	m.RestUntil = w.Now.Add(rest)
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion gets no new work for a while.", Minion: m.ID, Pool: m.Pool, Age: rest, Reason: "Failures"})
+	w.Timers.Push(m.RestUntil, quetzalwork.PlacementDue{Pool: m.PoolRow})
+}
+
+// seeRun applies a run that a minion lists. It returns the run's row, zero when it is none of
+// a known task, and tells whether its job is known.
+func seeRun(w *quetzalwork.World, minionRow quetzalwork.Row, l *quetzalwork.ListedRun) (quetzalwork.Row, bool) {
+	m := w.Minions.At(minionRow)
+	jobRow := w.JobByID.Get(l.Task.Job)
+	j := w.Jobs.At(jobRow)
+	if j == nil || j.Spec == nil && !j.State.Final() {
+		if isStrangeForLong(w, m) {
+			stopStranger(w, m, l)
+		}
+		return 0, false
+	}
+	taskRow := taskOf(w, jobRow, l.Task.TaskRef)
+	if taskRow == 0 || w.Tasks.At(taskRow).State == quetzalwork.TaskDone && w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: l.Number}) == 0 {
+		stopStranger(w, m, l)
+		return 0, true
+	}
+	row := w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: l.Number})
+	if row == 0 {
+		t := w.Tasks.At(taskRow)
+		if len(t.Runs) > 0 && !w.Steps.At(t.Step).Spec.Speculative {
+			stopStranger(w, m, l)
+			return 0, true
+		}
+		row = addRun(w, taskRow, minionRow, quetzalwork.Run{
+			Number: l.Number, State: quetzalwork.RunWorking, StartedAt: w.Now, AnsweredAt: w.Now, Pace: 100,
+		})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "A run of an earlier dispatcher goes on.", Job: j.ID, Task: l.Task.TaskRef, Run: l.Number, Minion: m.ID, Routine: true})
+	}
+	updateRun(w, row, l)
+	if j.State.Final() {
+		stopRun(w, row, quetzalwork.StopCancelled)
+	}
+	return row, true
+}
+
+func updateRun(w *quetzalwork.World, row quetzalwork.Row, l *quetzalwork.ListedRun) {
+	r := w.Runs.At(row)
+	t := w.Tasks.At(r.Task)
+	s := w.Steps.At(t.Step)
+	w.Jobs.At(s.Job).Started = true
+	if r.State != quetzalwork.RunWorking {
+		r.State, r.AnsweredAt = quetzalwork.RunWorking, w.Now
+	}
+	r.Listed = true
+	if l.Percent != r.Percent {
+		r.Percent, r.ChangedAt = l.Percent, w.Now
+	}
+	r.Reading = l.Reading
+	if l.Checkpoint != "" {
+		t.Checkpoint = l.Checkpoint
+	}
+	if s.Spec.Gang {
+		s.GangRun = r.Number
+	}
+}
+
+// stopStranger stops a run that has no place in the tables.
+func stopStranger(w *quetzalwork.World, m *quetzalwork.Minion, l *quetzalwork.ListedRun) {
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "A run that nothing needs is stopped.", Job: l.Task.Job, Task: l.Task.TaskRef, Run: l.Number, Minion: m.ID, Routine: true})
+	w.Emit(quetzalwork.StopRun{Target: targetOf(w, m), Task: l.Task, Number: l.Number})
+}
+
+// stopRun orders a run to stop. It stays active until its end is listed.
+func stopRun(w *quetzalwork.World, row quetzalwork.Row, reason quetzalwork.StopReason) {
+	r := w.Runs.At(row)
+	if r.Stop == quetzalwork.StopNone {
+		r.Stop = reason
+	}
+	if r.StopCall || r.StopAnsweredAt != 0 {
+		return
+	}
+	m := w.Minions.At(r.Minion)
+	r.StopCall, r.StopSentAt = true, w.Now
+	w.Emit(quetzalwork.StopRun{Run: row, Target: targetOf(w, m), Task: nameOf(w, w.Tasks.At(r.Task)), Number: r.Number})
+}
+
+func hearStop(w *quetzalwork.World, in *quetzalwork.StopAnswered) {
+	r := w.Runs.At(in.Run)
+	if r == nil {
+		return
+	}
+	r.StopCall = false
+	switch in.Result.(type) {
+	case quetzalwork.OrderTaken:
+		r.StopAnsweredAt = w.Now
+		planHold(w, r.Minion, 0)
+	case quetzalwork.OrderFenced:
+		dropPool(w, w.Minions.At(r.Minion).PoolRow, "Fenced")
+	default:
+		// The watchdog sends the order again.
+	}
+}
+
+// hearStart applies the answer to a start.
+func hearStart(w *quetzalwork.World, in *quetzalwork.RunAnswered) {
+	r := w.Runs.At(in.Run)
+	if r == nil || r.State != quetzalwork.RunStarting {
+		return
+	}
+	m := w.Minions.At(r.Minion)
+	r.AnsweredAt = w.Now
+	switch in.Result.(type) {
+	case quetzalwork.OrderTaken:
+		r.State = quetzalwork.RunWorking
+		w.Jobs.At(w.Steps.At(w.Tasks.At(r.Task).Step).Job).Started = true
+	case quetzalwork.OrderFenced:
+		dropPool(w, m.PoolRow, "Fenced")
+	case quetzalwork.OrderUnanswered:
+		r.State = quetzalwork.RunUnknown
+		stopRun(w, in.Run, quetzalwork.StopUnanswered)
+		planHold(w, r.Minion, 0)
+	case quetzalwork.OrderNoRoom:
+		m.FullUntil = w.Now.Add(roomPause)
+		w.Timers.Push(m.FullUntil, quetzalwork.PlacementDue{Pool: m.PoolRow})
+		rejectRun(w, in.Run, "NoRoom")
+	case quetzalwork.OrderNoTicket:
+		w.Steps.At(w.Tasks.At(r.Task).Step).Advice.Until = 0
+		rejectRun(w, in.Run, "NoTicket")
+	case quetzalwork.OrderRefused:
+		countFailure(w, r.Minion)
+		m.FullUntil = w.Now.Add(roomPause)
+		w.Timers.Push(m.FullUntil, quetzalwork.PlacementDue{Pool: m.PoolRow})
+		rejectRun(w, in.Run, "Refused")
+	case quetzalwork.OrderAstray:
+		m.Misses++
+		planHold(w, r.Minion, missPause)
+		rejectRun(w, in.Run, "Astray")
+	case quetzalwork.OrderOutdated, quetzalwork.OrderLate, quetzalwork.OrderInvalid:
+		rejectRun(w, in.Run, "Rejected")
+	}
+}
+
+// rejectRun ends a run that its minion has not started and never will.
+func rejectRun(w *quetzalwork.World, row quetzalwork.Row, reason string) {
+	t := w.Tasks.At(w.Runs.At(row).Task)
+	t.NotBefore = w.Now.Add(failurePause)
+	endRun(w, row, quetzalwork.EndStopped, "", reason)
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -0,0 +1,147 @@
+package quetzalscheduler
+
+import (
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// systems run in this order in every tick.
+var systems = [...]func(*quetzalwork.World){
+	storeSubmissions,
+	place,
+	storeProgress,
+	holdMinions,
+	finishStop,
+}
+
+// Start sets the timers of a new World. It is called once, before the first tick.
+func Start(w *quetzalwork.World, now quetzalunit.Instant) {
+	w.Now, w.StartedAt = now, now
+	w.Timers.Push(now, quetzalwork.MembershipDue{})
+	w.Timers.Push(now, quetzalwork.FleetWatchDue{})
+	w.Timers.Push(now, quetzalwork.MinionListDue{})
+	w.Timers.Push(now.Add(conductPeriod), quetzalwork.ConductorDue{})
+}
+
+// Tick applies the inputs at an instant, runs every system and returns the commands to
+// perform.
+func Tick(w *quetzalwork.World, now quetzalunit.Instant, inputs []quetzalwork.Input) []quetzalwork.Command {
+	w.Now = max(w.Now, now)
+	for _, in := range inputs {
+		apply(w, in)
+	}
+	for {
+		t, ok := w.Timers.PopDue(w.Now)
+		if !ok {
+			break
+		}
+		fire(w, t)
+	}
+	for _, system := range systems {
+		system(w)
+	}
+	return w.TakeCommands()
+}
+
+// NextTick returns the instant at which a tick is needed without an input.
+func NextTick(w *quetzalwork.World) (quetzalunit.Instant, bool) {
+	return w.Timers.Next()
+}
+
+func apply(w *quetzalwork.World, in quetzalwork.Input) {
+	switch in := in.(type) {
+	case quetzalwork.JobSubmitted:
+		submitJob(w, &in)
+	case quetzalwork.JobAsked:
+		askJob(w, &in)
+	case quetzalwork.CancelAsked:
+		askCancel(w, &in)
+	case quetzalwork.PeerAsked:
+		hearPeer(w, &in)
+	case quetzalwork.PeerAnswered:
+		hearReply(w, &in)
+	case quetzalwork.StopAsked:
+		beginStop(w)
+	case quetzalwork.BoundsChanged:
+		w.Bounds = in.Bounds
+	case quetzalwork.FleetWatched:
+		hearFleet(w, &in)
+	case quetzalwork.MembersRead:
+		hearMembers(w, &in)
+	case quetzalwork.MemberRenewed:
+		hearRenewal(w, &in)
+	case quetzalwork.DutyWritten:
+		hearDuty(w, &in)
+	case quetzalwork.MinionsListed:
+		hearMinionList(w, &in)
+	case quetzalwork.PoolRead:
+		hearPoolRows(w, &in)
+	case quetzalwork.JobsStored:
+		hearJobsStored(w, &in)
+	case quetzalwork.ProgressStored:
+		hearProgressStored(w, &in)
+	case quetzalwork.CancelStored:
+		hearCancelStored(w, &in)
+	case quetzalwork.JobLookedUp:
+		hearLookUp(w, &in)
+	default:
+		applyOrderAnswer(w, in)
+	}
+}
+
+// applyOrderAnswer applies the inputs of minions, hosts and the advisor.
+func applyOrderAnswer(w *quetzalwork.World, in quetzalwork.Input) {
+	switch in := in.(type) {
+	case quetzalwork.MinionHeld:
+		hearMinion(w, &in)
+	case quetzalwork.RunAnswered:
+		hearStart(w, &in)
+	case quetzalwork.StopAnswered:
+		hearStop(w, &in)
+	case quetzalwork.PaceAnswered:
+		hearPace(w, &in)
+	case quetzalwork.AdviceGiven:
+		hearAdvice(w, &in)
+	case quetzalwork.HostsListed:
+		hearHosts(w, &in)
+	case quetzalwork.HostOrdered:
+		hearHostOrder(w, &in)
+	case quetzalwork.WavesRead:
+		hearWaves(w, &in)
+	case quetzalwork.WaveSaid:
+		hearWaveSaid(w, &in)
+	default:
+		// Every other input is applied by apply.
+	}
+}
+
+func fire(w *quetzalwork.World, t quetzalwork.Timer) {
+	switch t := t.(type) {
+	case quetzalwork.MembershipDue:
+		tendMembership(w)
+	case quetzalwork.FleetWatchDue:
+		watchFleet(w)
+	case quetzalwork.MinionListDue:
+		listMinions(w)
+	case quetzalwork.PoolReadDue:
+		readPool(w, t.Pool, t.Token)
+	case quetzalwork.HoldDue:
+		holdDue(w, t.Minion)
+	case quetzalwork.PlacementDue:
+		if p := w.Pools.At(t.Pool); p != nil {
+			p.PlaceAt, p.Dirty = 0, true
+		}
+	case quetzalwork.CommitDue, quetzalwork.SubmitDue:
+		// The systems of this tick look after what waits.
+	case quetzalwork.SubmissionDue:
+		expireSubmission(w, t.Submission)
+	case quetzalwork.AskDue:
+		expireAsk(w, t.Ask)
+	case quetzalwork.OccurrenceDue:
+		unfoldDue(w, t.Job)
+	case quetzalwork.WatchdogDue:
+		watchRuns(w, t.Pool, t.Token)
+	case quetzalwork.ConductorDue:
+		conduct(w)
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -0,0 +1,243 @@
+package quetzalscheduler
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// waveSlack is kept of a wave's time for hosts whose turn takes longer.
+	waveSlack = 0.8
+	// emptyLeast is the least time in which a minion may empty itself.
+	emptyLeast = time.Second
+	// emptyMost is the longest: work that is thrown away costs less than a host that idles.
+	emptyMost = 3 * time.Second
+	// orderRetry is the pause after an order to a host without success.
+	orderRetry = 300 * time.Millisecond
+)
+
+// addWave adds a wave that the operators ask for.
+func addWave(w *quetzalwork.World, plan *quetzalwork.WavePlan) {
+	if w.WaveByID.Get(plan.ID) != 0 {
+		return
+	}
+	row := w.Waves.Insert(quetzalwork.Wave{WavePlan: *plan, SeenAt: w.Now, Steps: make([]quetzalwork.WaveStep, len(plan.Hosts))})
+	w.WaveByID.Put(plan.ID, row)
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Text: "A maintenance wave is asked for.", Reason: string(plan.ID), Version: int64(len(plan.Hosts)), Age: plan.Within})
+}
+
+func hearWaves(w *quetzalwork.World, in *quetzalwork.WavesRead) {
+	if in.Result != quetzalwork.StoreDone {
+		if w.Conductor.Held {
+			w.Emit(quetzalwork.ReadWaves{})
+		}
+		return
+	}
+	w.Conductor.WavesLoaded = true
+	for id, state := range in.States {
+		if wave := w.Waves.At(w.WaveByID.Get(id)); wave != nil {
+			wave.Said = state
+		}
+	}
+}
+
+func hearWaveSaid(w *quetzalwork.World, in *quetzalwork.WaveSaid) {
+	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
+	if wave == nil {
+		return
+	}
+	wave.Saying = quetzalwork.WaveUnsaid
+	if in.Result == quetzalwork.StoreDone {
+		wave.Said = in.State
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Text: "The state of a wave is stored.", Reason: string(in.Wave) + string(in.State), Age: w.Now.Sub(wave.SeenAt)})
+	}
+}
+
+// conductWave takes the hosts of a wave through their maintenance, as many at once as it allows.
+func conductWave(w *quetzalwork.World, row quetzalwork.Row) {
+	wave := w.Waves.At(row)
+	if wave.Said == quetzalwork.WaveCompleted || w.Conductor.HostsAt <= w.Conductor.TakenAt {
+		return
+	}
+	active, done := 0, 0
+	for i := range wave.Steps {
+		step := &wave.Steps[i]
+		seeWaveHost(w, wave, i)
+		switch step.State {
+		case quetzalwork.StepWaiting:
+		case quetzalwork.StepDone:
+			done++
+		case quetzalwork.StepEmptying, quetzalwork.StepOrdered, quetzalwork.StepAway:
+			active++
+		}
+	}
+	switch {
+	case done == len(wave.Steps):
+		sayWave(w, wave, quetzalwork.WaveCompleted)
+		return
+	case wave.Said == quetzalwork.WaveUnsaid:
+		sayWave(w, wave, quetzalwork.WaveRunning)
+	}
+	for i := range wave.Steps {
+		step := &wave.Steps[i]
+		if step.State == quetzalwork.StepWaiting && active < max(1, wave.Cap) && mayOrder(w) {
+			step.State, step.Since = quetzalwork.StepEmptying, w.Now
+			active++
+		}
+		if step.State == quetzalwork.StepEmptying {
+			emptyStep(w, wave, i)
+		}
+	}
+}
+
+func sayWave(w *quetzalwork.World, wave *quetzalwork.Wave, state quetzalwork.WaveState) {
+	if wave.Saying == quetzalwork.WaveUnsaid {
+		wave.Saying = state
+		w.Emit(quetzalwork.SayWave{Wave: wave.ID, State: state})
+	}
+}
+
+// seeWaveHost follows the list of hosts: a host that is gone needs no maintenance, one that is
+// up again after it was away has had it.
+func seeWaveHost(w *quetzalwork.World, wave *quetzalwork.Wave, i int) {
+	step := &wave.Steps[i]
+	h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i]))
+	switch {
+	case step.State == quetzalwork.StepDone:
+	case h == nil:
+		step.State = quetzalwork.StepDone
+	case step.State == quetzalwork.StepAway:
+		if h.State == quetzalwork.HostInMaintenance && !step.Told {
+			step.Told = true
+			tellTaken(w, h)
+		}
+		if h.State != quetzalwork.HostInMaintenance && w.Conductor.HostsAt.Sub(step.Since) > w.Bounds.MaintenanceTime {
+			step.State = quetzalwork.StepDone
+		}
+	case h.State == quetzalwork.HostInMaintenance && step.State == quetzalwork.StepWaiting:
+		// A predecessor's order, or an order without an answer, is being carried out.
+		step.State, step.Since = quetzalwork.StepOrdered, w.Now
+		orderMaintenance(w, wave, i)
+	case step.State == quetzalwork.StepOrdered && !step.Asking && w.Now >= step.RetryAt:
+		orderMaintenance(w, wave, i)
+	}
+}
+
+// emptyStep asks the dispatcher to empty a host, and orders its maintenance once it is empty,
+// or once the wave can wait no longer and nothing that must last is left.
+func emptyStep(w *quetzalwork.World, wave *quetzalwork.Wave, i int) {
+	step := &wave.Steps[i]
+	h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i]))
+	if h == nil || step.Asking || w.Now < step.RetryAt {
+		return
+	}
+	step.RetryAt = w.Now.Add(conductPeriod)
+	pool := w.Pools.At(w.PoolByID.Get(h.Pool))
+	if pool == nil || h.State != quetzalwork.HostUp {
+		return
+	}
+	ask := quetzalwork.AskEmpty{Pool: h.Pool, Host: h.ID, Wave: wave.ID}
+	switch {
+	case pool.Spare:
+		beginMaintenance(w, wave, i)
+	case pool.Held:
+		hearEmpty(w, &ask, emptyHost(w, &ask))
+	case pool.Duty.Address != "":
+		step.Asking = true
+		w.Emit(quetzalwork.AskPeer{Address: pool.Duty.Address, Message: ask, Timeout: peerTimeout})
+	}
+}
+
+// emptyTime is how long a host of a wave may take to empty itself.
+func emptyTime(w *quetzalwork.World, wave *quetzalwork.Wave) time.Duration {
+	turns := (len(wave.Hosts) + max(1, wave.Cap) - 1) / max(1, wave.Cap)
+	turn := time.Duration(waveSlack * float64(wave.Within) / float64(max(1, turns)))
+	return min(emptyMost, max(emptyLeast, turn-w.Bounds.MaintenanceTime))
+}
+
+func hearEmpty(w *quetzalwork.World, m *quetzalwork.AskEmpty, reply quetzalwork.PeerReply) {
+	wave := w.Waves.At(w.WaveByID.Get(m.Wave))
+	if wave == nil {
+		return
+	}
+	for i := range wave.Hosts {
+		step := &wave.Steps[i]
+		if wave.Hosts[i] != m.Host || step.State != quetzalwork.StepEmptying {
+			continue
+		}
+		step.Asking = false
+		r, ok := reply.(quetzalwork.EmptyReply)
+		if !ok {
+			return
+		}
+		step.Safe = r.Safe
+		if r.Empty || r.Safe && w.Now.Sub(step.Since) > emptyTime(w, wave) {
+			beginMaintenance(w, wave, i)
+		}
+	}
+}
+
+func beginMaintenance(w *quetzalwork.World, wave *quetzalwork.Wave, i int) {
+	wave.Steps[i].State = quetzalwork.StepOrdered
+	orderMaintenance(w, wave, i)
+}
+
+func orderMaintenance(w *quetzalwork.World, wave *quetzalwork.Wave, i int) {
+	step := &wave.Steps[i]
+	if !mayOrder(w) {
+		return
+	}
+	step.Asking = true
+	w.Emit(quetzalwork.OrderHost{
+		Order: quetzalwork.OrderMaintain, Host: wave.Hosts[i], Wave: wave.ID, Token: w.Conductor.Token,
+		Until: w.Membership.RenewedAt.Add(orderRight),
+	})
+}
+
+func hearHostOrder(w *quetzalwork.World, in *quetzalwork.HostOrdered) {
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Text: "An order to a host was answered.", Host: in.Host, Version: int64(w.Conductor.Token), Reason: hostResultName(in.Result)})
+	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
+	if wave == nil || in.Order != quetzalwork.OrderMaintain {
+		return
+	}
+	for i := range wave.Hosts {
+		step := &wave.Steps[i]
+		if wave.Hosts[i] != in.Host || step.State != quetzalwork.StepOrdered {
+			continue
+		}
+		step.Asking = false
+		step.RetryAt = w.Now.Add(orderRetry)
+		switch in.Result {
+		case quetzalwork.HostTaken:
+			step.State, step.Since = quetzalwork.StepAway, w.Now
+		case quetzalwork.HostInvalid:
+			step.State = quetzalwork.StepDone
+		case quetzalwork.HostFenced:
+			dropConductor(w, "Fenced")
+		case quetzalwork.HostBusy, quetzalwork.HostRefused:
+			// Nothing was done: the host is emptied again before the next order.
+			step.State, step.Since = quetzalwork.StepEmptying, w.Now
+		case quetzalwork.HostUnknown:
+			// The order is repeated; it has no effect once it was carried out.
+		}
+	}
+}
+
+func hostResultName(r quetzalwork.HostResult) string {
+	return [...]string{"Taken", "Busy", "Fenced", "Invalid", "Refused", "Unknown"}[r]
+}
+
+// tellTaken tells the dispatcher that nothing runs any more on a host that is in maintenance.
+// The answer to the order does not show it: it is the same when the order was carried out
+// before, and a later minion may be at work.
+func tellTaken(w *quetzalwork.World, h *quetzalwork.Host) {
+	p := w.Pools.At(w.PoolByID.Get(h.Pool))
+	switch {
+	case p == nil:
+	case p.Held:
+		loseHost(w, h.ID)
+	case p.Duty.Address != "":
+		w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.TellTaken{Pool: h.Pool, Host: h.ID}, Timeout: peerTimeout})
+	}
+}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -662,6 +662,27 @@
 const ListedHostStateLeaving ListedHostState = "Leaving"
 const ListedHostStateLive ListedHostState = "Live"
 
+// MemberDoc is the row of an entry; Beat grows with each renewal.
+type MemberDoc struct {
+	// Address corresponds to the JSON schema field "Address".
+	Address string `json:"Address" yaml:"Address"`
+
+	// Beat corresponds to the JSON schema field "Beat".
+	Beat int `json:"Beat" yaml:"Beat"`
+
+	// Entry corresponds to the JSON schema field "Entry".
+	Entry string `json:"Entry" yaml:"Entry"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
+
+	// Stopping corresponds to the JSON schema field "Stopping".
+	Stopping bool `json:"Stopping" yaml:"Stopping"`
+
+	// Zone corresponds to the JSON schema field "Zone".
+	Zone string `json:"Zone" yaml:"Zone"`
+}
+
 // MinionFaults are the faults that a stand-in minion simulates.
 type MinionFaults struct {
 	// BlackHole corresponds to the JSON schema field "BlackHole".
@@ -745,6 +766,19 @@
 	Spare bool `json:"Spare" yaml:"Spare"`
 }
 
+// PoolDutyDoc names the entry that dispatches a pool; an empty holder has given
+// the duty back.
+type PoolDutyDoc struct {
+	// Address corresponds to the JSON schema field "Address".
+	Address string `json:"Address" yaml:"Address"`
+
+	// Holder corresponds to the JSON schema field "Holder".
+	Holder string `json:"Holder" yaml:"Holder"`
+
+	// Incarnation corresponds to the JSON schema field "Incarnation".
+	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
+}
+
 // PoolList lists pools.
 type PoolList struct {
 	// Pools corresponds to the JSON schema field "Pools".
@@ -832,6 +866,37 @@
 	Rows []RowCondition `json:"Rows" yaml:"Rows"`
 }
 
+// RelayMessage is a call of the store that an entry makes for another one.
+type RelayMessage struct {
+	// Body corresponds to the JSON schema field "Body".
+	Body string `json:"Body" yaml:"Body"`
+
+	// Method corresponds to the JSON schema field "Method".
+	Method string `json:"Method" yaml:"Method"`
+
+	// Path corresponds to the JSON schema field "Path".
+	Path string `json:"Path" yaml:"Path"`
+
+	// WaitMs corresponds to the JSON schema field "WaitMs".
+	WaitMs int `json:"WaitMs" yaml:"WaitMs"`
+}
+
+// RelayReply is the store's answer to a relayed call. Sent tells that the call may
+// have been carried out.
+type RelayReply struct {
+	// Answered corresponds to the JSON schema field "Answered".
+	Answered bool `json:"Answered" yaml:"Answered"`
+
+	// Body corresponds to the JSON schema field "Body".
+	Body string `json:"Body" yaml:"Body"`
+
+	// Sent corresponds to the JSON schema field "Sent".
+	Sent bool `json:"Sent" yaml:"Sent"`
+
+	// Status corresponds to the JSON schema field "Status".
+	Status int `json:"Status" yaml:"Status"`
+}
+
 // RenewalDoc is the heartbeat row of a zone's duties.
 type RenewalDoc struct {
 	// Count corresponds to the JSON schema field "Count".
@@ -1224,6 +1289,174 @@
 	Wave WaveDoc `json:"Wave" yaml:"Wave"`
 }
 
+// WorkCancelDoc marks a job as cancelled.
+type WorkCancelDoc struct {
+	// Entry corresponds to the JSON schema field "Entry".
+	Entry string `json:"Entry" yaml:"Entry"`
+}
+
+// WorkJobDoc is an accepted job of tasks; times of day are in milliseconds since
+// 1970.
+type WorkJobDoc struct {
+	// FirstAtMs corresponds to the JSON schema field "FirstAtMs".
+	FirstAtMs int `json:"FirstAtMs" yaml:"FirstAtMs"`
+
+	// IntervalMs corresponds to the JSON schema field "IntervalMs".
+	IntervalMs int `json:"IntervalMs" yaml:"IntervalMs"`
+
+	// Queue corresponds to the JSON schema field "Queue".
+	Queue string `json:"Queue" yaml:"Queue"`
+
+	// Repeats corresponds to the JSON schema field "Repeats".
+	Repeats int `json:"Repeats" yaml:"Repeats"`
+
+	// Steps corresponds to the JSON schema field "Steps".
+	Steps []WorkStepDoc `json:"Steps" yaml:"Steps"`
+
+	// Text corresponds to the JSON schema field "Text".
+	Text string `json:"Text" yaml:"Text"`
+}
+
+// WorkMessage is what one entry tells or asks another about the work of a pool.
+type WorkMessage struct {
+	// Duty corresponds to the JSON schema field "Duty".
+	Duty PoolDutyDoc `json:"Duty" yaml:"Duty"`
+
+	// Host corresponds to the JSON schema field "Host".
+	Host string `json:"Host" yaml:"Host"`
+
+	// Job corresponds to the JSON schema field "Job".
+	Job string `json:"Job" yaml:"Job"`
+
+	// Kind corresponds to the JSON schema field "Kind".
+	Kind WorkMessageKind `json:"Kind" yaml:"Kind"`
+
+	// Pool corresponds to the JSON schema field "Pool".
+	Pool string `json:"Pool" yaml:"Pool"`
+
+	// Queue corresponds to the JSON schema field "Queue".
+	Queue string `json:"Queue" yaml:"Queue"`
+
+	// Revision corresponds to the JSON schema field "Revision".
+	Revision int `json:"Revision" yaml:"Revision"`
+
+	// Rows corresponds to the JSON schema field "Rows".
+	Rows []WorkRowDoc `json:"Rows" yaml:"Rows"`
+
+	// Wave corresponds to the JSON schema field "Wave".
+	Wave string `json:"Wave" yaml:"Wave"`
+}
+
+type WorkMessageKind string
+
+const WorkMessageKindAccepted WorkMessageKind = "Accepted"
+const WorkMessageKindCancelled WorkMessageKind = "Cancelled"
+const WorkMessageKindDuty WorkMessageKind = "Duty"
+const WorkMessageKindEmpty WorkMessageKind = "Empty"
+const WorkMessageKindPending WorkMessageKind = "Pending"
+const WorkMessageKindState WorkMessageKind = "State"
+const WorkMessageKindTaken WorkMessageKind = "Taken"
+
+// WorkProgressDoc has the ends of a job's tasks. Done has rows of occurrence, step
+// and task; Failures has the count behind these.
+type WorkProgressDoc struct {
+	// Done corresponds to the JSON schema field "Done".
+	Done [][]int `json:"Done,omitempty,omitzero" yaml:"Done,omitempty"`
+
+	// Failures corresponds to the JSON schema field "Failures".
+	Failures [][]int `json:"Failures,omitempty,omitzero" yaml:"Failures,omitempty"`
+
+	// State corresponds to the JSON schema field "State".
+	State WorkProgressDocState `json:"State" yaml:"State"`
+}
+
+type WorkProgressDocState string
+
+const WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
+const WorkProgressDocStateFailed WorkProgressDocState = "Failed"
+const WorkProgressDocStateRunning WorkProgressDocState = "Running"
+
+// WorkReply is the reply to a WorkMessage.
+type WorkReply struct {
+	// Empty corresponds to the JSON schema field "Empty".
+	Empty bool `json:"Empty" yaml:"Empty"`
+
+	// Kind corresponds to the JSON schema field "Kind".
+	Kind WorkReplyKind `json:"Kind" yaml:"Kind"`
+
+	// Known corresponds to the JSON schema field "Known".
+	Known bool `json:"Known" yaml:"Known"`
+
+	// Pending corresponds to the JSON schema field "Pending".
+	Pending int `json:"Pending" yaml:"Pending"`
+
+	// Safe corresponds to the JSON schema field "Safe".
+	Safe bool `json:"Safe" yaml:"Safe"`
+
+	// State corresponds to the JSON schema field "State".
+	State int `json:"State" yaml:"State"`
+}
+
+type WorkReplyKind string
+
+const WorkReplyKindEmpty WorkReplyKind = "Empty"
+const WorkReplyKindHeard WorkReplyKind = "Heard"
+const WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
+const WorkReplyKindPending WorkReplyKind = "Pending"
+const WorkReplyKindState WorkReplyKind = "State"
+
+// WorkRowDoc is a row of a job in a message between entries.
+type WorkRowDoc struct {
+	// Accepted corresponds to the JSON schema field "Accepted".
+	Accepted WorkJobDoc `json:"Accepted" yaml:"Accepted"`
+
+	// Job corresponds to the JSON schema field "Job".
+	Job string `json:"Job" yaml:"Job"`
+}
+
+// WorkStepDoc is a step of a stored job; a value of zero is left out.
+type WorkStepDoc struct {
+	// Accelerators corresponds to the JSON schema field "Accelerators".
+	Accelerators int `json:"Accelerators" yaml:"Accelerators"`
+
+	// After corresponds to the JSON schema field "After".
+	After []int `json:"After" yaml:"After"`
+
+	// Count corresponds to the JSON schema field "Count".
+	Count int `json:"Count" yaml:"Count"`
+
+	// DataRack corresponds to the JSON schema field "DataRack".
+	DataRack string `json:"DataRack" yaml:"DataRack"`
+
+	// EstimateMs corresponds to the JSON schema field "EstimateMs".
+	EstimateMs int `json:"EstimateMs" yaml:"EstimateMs"`
+
+	// Sum of the flags of the step: 1 gang, 2 same rack, 4 checkpoints, 8
+	// speculative, 16 lasting, 32 fills.
+	Flags int `json:"Flags" yaml:"Flags"`
+
+	// Image corresponds to the JSON schema field "Image".
+	Image string `json:"Image" yaml:"Image"`
+
+	// Label corresponds to the JSON schema field "Label".
+	Label string `json:"Label" yaml:"Label"`
+
+	// MaxPerMinion corresponds to the JSON schema field "MaxPerMinion".
+	MaxPerMinion int `json:"MaxPerMinion" yaml:"MaxPerMinion"`
+
+	// MayMiss corresponds to the JSON schema field "MayMiss".
+	MayMiss int `json:"MayMiss" yaml:"MayMiss"`
+
+	// MemoryMB corresponds to the JSON schema field "MemoryMB".
+	MemoryMB int `json:"MemoryMB" yaml:"MemoryMB"`
+
+	// MilliCores corresponds to the JSON schema field "MilliCores".
+	MilliCores int `json:"MilliCores" yaml:"MilliCores"`
+
+	// TailTargetMs corresponds to the JSON schema field "TailTargetMs".
+	TailTargetMs int `json:"TailTargetMs" yaml:"TailTargetMs"`
+}
+
 // ZoneBudget is the share of a pool's availability budget that one zone holds.
 type ZoneBudget struct {
 	// MinHosts corresponds to the JSON schema field "MinHosts".
--- /dev/null
+++ b/quetzalcore/quetzalwork/peer.go
@@ -0,0 +1,82 @@
+package quetzalwork
+
+import "quetzalstair/quetzalcore/quetzalunit"
+
+// PeerMessage is what one entry tells or asks another.
+type PeerMessage interface{ implementsPeerMessage() }
+
+type (
+	// TellAccepted tells the dispatcher of stored jobs.
+	TellAccepted struct {
+		Pool quetzalunit.PoolID
+		Jobs []JobRow
+	}
+	// TellCancelled tells the dispatcher of a stored cancellation.
+	TellCancelled struct {
+		Pool quetzalunit.PoolID
+		Job  quetzalunit.JobID
+	}
+	// AskState asks the dispatcher for the state of a job.
+	AskState struct {
+		Pool quetzalunit.PoolID
+		Job  quetzalunit.JobID
+		Ask  Row
+	}
+	// AskPending asks the dispatcher for the pending jobs of a queue.
+	AskPending struct {
+		Pool  quetzalunit.PoolID
+		Queue quetzalunit.QueueID
+		Ask   Row
+	}
+	// TellDuty tells that a duty was taken, or given back when the holder is empty.
+	TellDuty struct {
+		Pool quetzalunit.PoolID
+		Duty Duty
+	}
+	// AskEmpty asks the dispatcher to empty a host's minion. The wish lapses unless it is
+	// repeated.
+	AskEmpty struct {
+		Pool quetzalunit.PoolID
+		Host quetzalunit.HostID
+		Wave quetzalunit.WaveID
+	}
+	// TellTaken tells the dispatcher that an order has ended all that ran on a host.
+	TellTaken struct {
+		Pool quetzalunit.PoolID
+		Host quetzalunit.HostID
+	}
+)
+
+func (TellAccepted) implementsPeerMessage()  {}
+func (TellCancelled) implementsPeerMessage() {}
+func (AskState) implementsPeerMessage()      {}
+func (AskPending) implementsPeerMessage()    {}
+func (TellDuty) implementsPeerMessage()      {}
+func (AskEmpty) implementsPeerMessage()      {}
+func (TellTaken) implementsPeerMessage()     {}
+
+// PeerReply is the reply to a PeerMessage.
+type PeerReply interface{ implementsPeerReply() }
+
+type (
+	// Heard tells that the message was taken.
+	Heard struct{}
+	// NotHolder tells that the entry does not dispatch the pool, or does not know it yet.
+	NotHolder struct{}
+	// StateReply is the state of a job; Known is false when the dispatcher has no such job.
+	StateReply struct {
+		Known bool
+		State JobState
+	}
+	// PendingReply is the number of pending jobs.
+	PendingReply struct{ Pending quetzalunit.Tasks }
+	// EmptyReply tells whether the host's minion runs nothing, or at least nothing that
+	// must last.
+	EmptyReply struct{ Empty, Safe bool }
+)
+
+func (Heard) implementsPeerReply()        {}
+func (NotHolder) implementsPeerReply()    {}
+func (StateReply) implementsPeerReply()   {}
+func (PendingReply) implementsPeerReply() {}
+func (EmptyReply) implementsPeerReply()   {}
--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalinbox"
 	"quetzalstair/quetzalcore/quetzalmetric"
 	"quetzalstair/quetzalcore/quetzalpeer"
 	"quetzalstair/quetzalcore/quetzalstore"
@@ -28,53 +29,11 @@
 // wake is the message that makes the actor tick.
 type wake struct{}
 
-// inbox collects inputs until the next tick. It is safe for concurrent use.
-type inbox struct {
-	mu     sync.Mutex
-	inputs []quetzalfleet.Input
-	// awake tells that a wake message is under way.
-	awake bool
-	send  func()
-}
-
-// post adds an input and wakes the actor.
-func (b *inbox) post(in quetzalfleet.Input) {
-	b.mu.Lock()
-	b.inputs = append(b.inputs, in)
-	send := !b.awake
-	b.awake = true
-	b.mu.Unlock()
-	if send {
-		b.send()
-	}
-}
-
-// wake wakes the actor without an input.
-func (b *inbox) wake() {
-	b.mu.Lock()
-	send := !b.awake
-	b.awake = true
-	b.mu.Unlock()
-	if send {
-		b.send()
-	}
-}
-
-// take returns the inputs in the order of their arrival.
-func (b *inbox) take(spare []quetzalfleet.Input) []quetzalfleet.Input {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	inputs := b.inputs
-	b.inputs = spare[:0]
-	b.awake = false
-	return inputs
-}
-
 // engine is the actor that owns the World.
 type engine struct {
 	// world is touched by the actor alone.
 	world quetzalfleet.World
-	inbox inbox
+	inbox quetzalinbox.Inbox[quetzalfleet.Input]
 	// timer wakes the actor at the World's next instant.
 	timer   *time.Timer
 	armedAt quetzalunit.Instant
@@ -110,10 +69,10 @@
 	e.finished = make(chan struct{})
 	system := actor.NewActorSystem(actor.WithLoggerFactory(libraryLogger))
 	pid := system.Root.Spawn(actor.PropsFromFunc(e.receive))
-	e.inbox.send = func() { system.Root.Send(pid, wake{}) }
-	e.timer = time.AfterFunc(time.Hour, e.inbox.wake)
+	e.inbox.Send = func() { system.Root.Send(pid, wake{}) }
+	e.timer = time.AfterFunc(time.Hour, e.inbox.Wake)
 	quetzalsystem.Start(&e.world, quetzalunit.InstantOf(time.Now()))
-	e.inbox.wake()
+	e.inbox.Wake()
 	return func() {
 		e.timer.Stop()
 		_ = system.Root.StopFuture(pid).Wait()
@@ -142,7 +101,7 @@
 // tick takes all waiting inputs, ticks the World once and performs the commands.
 func (e *engine) tick() {
 	begin := time.Now()
-	inputs := e.inbox.take(e.spare)
+	inputs := e.inbox.Take(e.spare)
 	for _, in := range inputs {
 		if end, ok := in.(quetzalfleet.AttemptEnded); ok {
 			e.endAttempt(end.Attempt)
--- a/quetzalentry/perform.go
+++ b/quetzalentry/perform.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancels[c.Attempt] = cancel
 	e.work.Go(func() {
-		e.inbox.post(quetzalfleet.AttemptEnded{Attempt: c.Attempt, Result: e.upstream.Send(ctx, c)})
+		e.inbox.Post(quetzalfleet.AttemptEnded{Attempt: c.Attempt, Result: e.upstream.Send(ctx, c)})
 	})
 }
 
@@ -56,7 +56,7 @@
 		if err != nil {
 			e.log.debug("The platform did not answer.", err)
 		}
-		e.inbox.post(quetzalfleet.StoreAnswered{Call: call, Result: result})
+		e.inbox.Post(quetzalfleet.StoreAnswered{Call: call, Result: result})
 	})
 }
 
@@ -65,7 +65,7 @@
 	if err != nil {
 		e.log.debug("The peer "+string(c.Peer)+" did not answer.", err)
 	}
-	e.inbox.post(answered)
+	e.inbox.Post(answered)
 }
 
 func (e *engine) forward(c *quetzalfleet.ForwardAttempt) {
@@ -73,7 +73,7 @@
 	if err != nil {
 		e.log.debug("The entry at "+string(c.Address)+" did not answer for request "+string(c.ID)+".", err)
 	}
-	e.inbox.post(ended)
+	e.inbox.Post(ended)
 }
 
 func (e *engine) askPeer(c *quetzalfleet.AskPeer) {
@@ -81,7 +81,7 @@
 	if err != nil {
 		e.log.debug("The holder of request "+string(c.ID)+" did not answer.", err)
 	}
-	e.inbox.post(answered)
+	e.inbox.Post(answered)
 }
 
 // updateGauges publishes what the World holds, at most once in a gaugePeriod.
--- a/quetzalentry/serve.go
+++ b/quetzalentry/serve.go
@@ -107,7 +107,7 @@
 	e.store, closeStore = quetzalstore.New(cfg.PlatformURL)
 	e.peers, closePeers = quetzalpeer.New()
 	e.upstream, closeUpstream = quetzalupstream.New()
-	e.server = &quetzalpeer.Server{Post: e.inbox.post, Entry: quetzalunit.EntryID(cfg.Entry), Joins: &e.callers}
+	e.server = &quetzalpeer.Server{Post: e.inbox.Post, Entry: quetzalunit.EntryID(cfg.Entry), Joins: &e.callers}
 	return func() {
 		closeUpstream()
 		closePeers()
@@ -151,12 +151,12 @@
 	e := s.engine
 	s.stopping = make(chan struct{})
 	callers := &quetzalfront.Callers{
-		Post: e.inbox.post, Waiting: &e.callers, Ready: s.ready, MaxBody: int64(*cfg.MaxBodyBytes),
+		Post: e.inbox.Post, Waiting: &e.callers, Ready: s.ready, MaxBody: int64(*cfg.MaxBodyBytes),
 		DefaultTimeout: millis(*cfg.DefaultTimeoutMs),
 		MintPrefix:     quetzalsystem.MintMark + cfg.Entry + "~" + strconv.FormatInt(int64(incarnation), 36) + "~",
 	}
 	operators := &quetzalfront.Operators{
-		Post: e.inbox.post, Waiting: &e.operators, Token: cfg.OperatorToken, Version: version, Metrics: e.metrics.Handler(),
+		Post: e.inbox.Post, Waiting: &e.operators, Token: cfg.OperatorToken, Version: version, Metrics: e.metrics.Handler(),
 	}
 	s.callers = newServer(callers.Handler())
 	admin := newServer(operators.Handler())
@@ -199,7 +199,7 @@
 	notice := time.NewTimer(millis(*cfg.StopNoticeMs))
 	defer notice.Stop()
 	<-notice.C
-	s.engine.inbox.post(quetzalfleet.StopAsked{})
+	s.engine.inbox.Post(quetzalfleet.StopAsked{})
 	limit := time.NewTimer(millis(*cfg.StopTimeoutMs))
 	defer limit.Stop()
 	select {
