--- /dev/null
+++ b/quetzalcore/quetzalscheduler/view.go
@@ -0,0 +1,52 @@
+package quetzalscheduler
+
+import (
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// Backlog is what waits and runs in a pool that this entry dispatches.
+type Backlog struct {
+	Pool             quetzalunit.PoolID
+	Waiting, Running quetzalunit.Tasks
+	// Minions is the number of those that take new work.
+	Minions int
+}
+
+// Backlogs returns the backlog of each pool that this entry dispatches.
+func Backlogs(w *quetzalwork.World) []Backlog {
+	var list []Backlog
+	for _, p := range w.Pools.All() {
+		if !p.Held {
+			continue
+		}
+		b := Backlog{Pool: p.ID}
+		for _, row := range p.Ready {
+			if s := w.Steps.At(row); s != nil {
+				b.Waiting += s.Waiting
+			}
+		}
+		for _, row := range p.Minions {
+			m := w.Minions.At(row)
+			b.Running += quetzalunit.Tasks(len(m.Runs))
+			if usable(w, m) {
+				b.Minions++
+			}
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+// Released tells whether a stopping entry has given its duties back.
+func Released(w *quetzalwork.World) bool {
+	if !w.Stopping || w.Conductor.Held {
+		return false
+	}
+	for _, p := range w.Pools.All() {
+		if p.Held {
+			return false
+		}
+	}
+	return true
+}
