--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -80,7 +80,7 @@
 		if len(n) != refLength+1 {
 			return quetzalwork.JobProgress{}, &FormatError{Field: "Failures", Value: "row of the wrong length"}
 		}
-		p.Failures = append(p.Failures, quetzalwork.TaskFailures{TaskRef: taskRef(n), Failures: quetzalunit.Failures(n[refLength])})
+		p.Failures = append(p.Failures, quetzalwork.TaskFailure{TaskRef: taskRef(n), Run: quetzalunit.RunNumber(n[refLength])})
 	}
 	return quetzalwork.JobProgress{Progress: p}, nil
 }
@@ -108,7 +108,7 @@
 		d.Done = append(d.Done, refNumbers(r))
 	}
 	for _, f := range p.Failures {
-		d.Failures = append(d.Failures, append(refNumbers(f.TaskRef), int(f.Failures)))
+		d.Failures = append(d.Failures, append(refNumbers(f.TaskRef), int(f.Run)))
 	}
 	return d
 }
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -88,7 +88,7 @@
 	}
 	for _, f := range j.Progress.Failures {
 		if t := w.Tasks.At(taskOf(w, row, f.TaskRef)); t != nil {
-			t.Failures = f.Failures
+			t.Failures++
 		}
 	}
 	for _, ref := range slices.Clone(j.Progress.Done) {
--- a/quetzalcore/quetzalscheduler/load.go
+++ b/quetzalcore/quetzalscheduler/load.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -119,27 +120,20 @@
 		}
 	}
 	for _, f := range stored.Failures {
-		raiseFailures(w, row, f)
+		j.Started = true
+		addFailure(w, row, f)
 	}
 }
 
-// raiseFailures applies a stored count of failed runs.
-func raiseFailures(w *quetzalwork.World, row quetzalwork.Row, f quetzalwork.TaskFailures) {
+// addFailure counts a failed run of a task, unless it is counted already.
+func addFailure(w *quetzalwork.World, row quetzalwork.Row, f quetzalwork.TaskFailure) bool {
 	j := w.Jobs.At(row)
-	j.Started = true
-	setFailures(j, f.TaskRef, f.Failures)
-	if t := w.Tasks.At(taskOf(w, row, f.TaskRef)); t != nil {
-		t.Failures = max(t.Failures, f.Failures)
+	if slices.Contains(j.Progress.Failures, f) {
+		return false
 	}
-}
-
-// setFailures raises the count of failed runs in a job's progress.
-func setFailures(j *quetzalwork.Job, ref quetzalwork.TaskRef, n quetzalunit.Failures) {
-	for i := range j.Progress.Failures {
-		if f := &j.Progress.Failures[i]; f.TaskRef == ref {
-			f.Failures = max(f.Failures, n)
-			return
-		}
+	j.Progress.Failures = append(j.Progress.Failures, f)
+	if t := w.Tasks.At(taskOf(w, row, f.TaskRef)); t != nil {
+		t.Failures++
 	}
-	j.Progress.Failures = append(j.Progress.Failures, quetzalwork.TaskFailures{TaskRef: ref, Failures: n})
+	return true
 }
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -47,14 +47,19 @@
 			Beat: m.Beat, Stopping: w.Stopping,
 		}})
 	}
-	if !m.Reading {
-		m.Reading = true
-		w.Emit(quetzalwork.ReadMembers{SentAt: w.Now})
-	}
+	readMembers(w)
 	tendDuties(w)
 	w.After(w.Jitter(renewPeriod), quetzalwork.MembershipDue{})
 }
 
+// readMembers reads the rows of members and duties.
+func readMembers(w *quetzalwork.World) {
+	if !w.Membership.Reading {
+		w.Membership.Reading = true
+		w.Emit(quetzalwork.ReadMembers{SentAt: w.Now})
+	}
+}
+
 func hearRenewal(w *quetzalwork.World, in *quetzalwork.MemberRenewed) {
 	w.Membership.Renewing = false
 	if in.Result == quetzalwork.StoreDone {
@@ -77,7 +82,7 @@
 		return
 	}
 	gap := w.Now.Sub(m.ReadAt) > readGap
-	m.ReadAt = w.Now
+	m.ReadAt, m.ReadSentAt = w.Now, in.SentAt
 	m.Reads++
 	for _, old := range w.Members.All() {
 		old.Listed = false
@@ -243,14 +248,13 @@
 		taken.Holder, taken.Incarnation, taken.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
 	}
 	if in.Revision > d.Revision {
-		hadHolder := d.Holder != ""
-		first := d.Revision == 0
+		mayLive, first := holderMayLive(w, d), d.Revision == 0
 		*d = taken
 		if !in.Release && in.Pool == conductorDuty {
 			beginConductor(w, in.Revision)
 		} else if !in.Release {
 			row := poolRow(w, in.Pool)
-			beginPool(w, row, in.Revision, hadHolder)
+			beginPool(w, row, in.Revision, mayLive)
 			if first {
 				w.Pools.At(row).PredecessorGone = w.Now
 			}
@@ -259,6 +263,13 @@
 	tellDuty(w, in.Pool, taken)
 }
 
+// holderMayLive tells whether the holder of a duty may still act: it has not given the duty
+// back, and no later process has used its name.
+func holderMayLive(w *quetzalwork.World, d *quetzalwork.Duty) bool {
+	holder := w.Members.At(w.MemberByID.Get(d.Holder))
+	return d.Holder != "" && (holder == nil || holder.Incarnation == d.Incarnation)
+}
+
 // tellDuty announces a duty to every live entry.
 func tellDuty(w *quetzalwork.World, id quetzalunit.PoolID, d quetzalwork.Duty) {
 	for _, m := range w.Members.All() {
@@ -282,7 +293,10 @@
 	p.PredecessorGone = w.Now.Add(after)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry dispatches the pool.", Pool: p.ID, Version: int64(p.Token)})
 	readPool(w, row, p.Token)
-	w.MinionList.Seen = 0
+	for _, minion := range p.Minions {
+		resetMinion(w, minion)
+		planHold(w, minion, 0)
+	}
 	w.Timers.Push(w.Now.Add(watchPeriod), quetzalwork.WatchdogDue{Pool: row, Token: p.Token})
 }
 
@@ -296,11 +310,9 @@
 		}
 	}
 	for _, minionRow := range p.Minions {
-		if m := w.Minions.At(minionRow); m != nil {
-			forgetMinion(w, minionRow)
-		}
+		resetMinion(w, minionRow)
 	}
-	p.Held, p.Loaded, p.Minions, p.Ready, p.Committing = false, false, nil, nil, false
+	p.Held, p.Loaded, p.Ready, p.Committing = false, false, nil, false
 	p.DirtyJobs.Take()
 }
 
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -15,6 +15,11 @@
 	// listPeriod is the time between two reads of the list of minions; a draining minion is to
 	// get no new work after two seconds.
 	listPeriod = 450 * time.Millisecond
+	// idleListPeriod is the same at an entry that dispatches no pool.
+	idleListPeriod = 2500 * time.Millisecond
+	// rememberTime is how long a minion that left the list is remembered for a takeover: a
+	// predecessor cannot keep work on it alive for longer.
+	rememberTime = 16 * time.Second
 	// holdWait is how long a minion may wait for an end before it answers.
 	holdWait = 1200 * time.Millisecond
 	// holdPause is the least time between two holds of a minion.
@@ -32,20 +37,11 @@
 	strangeTime = 4 * time.Second
 )
 
-// listMinions reads what changed in the list of minions, if this entry needs it.
+// listMinions reads what changed in the list of minions.
 func listMinions(w *quetzalwork.World) {
 	if w.MinionList.Reading {
 		return
 	}
-	needed := w.Conductor.Held
-	for _, p := range w.Pools.All() {
-		needed = needed || p.Held
-	}
-	if !needed {
-		w.MinionList.Seen = 0
-		w.After(listPeriod, quetzalwork.MinionListDue{})
-		return
-	}
 	w.MinionList.Reading = true
 	w.Emit(quetzalwork.ListMinions{After: w.MinionList.Seen})
 }
@@ -53,7 +49,7 @@
 func hearMinionList(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
 	l := &w.MinionList
 	l.Reading = false
-	w.After(listPeriod, quetzalwork.MinionListDue{})
+	w.After(listPause(w), quetzalwork.MinionListDue{})
 	if in.Result == quetzalwork.StoreCompacted {
 		l.Seen = 0
 	}
@@ -62,39 +58,78 @@
 	}
 	l.AnsweredAt = w.Now
 	if in.Full {
-		for _, m := range w.Minions.All() {
-			m.Listed = false
-		}
+		unlistMinions(w, in.Entries)
 	}
 	for i := range in.Entries {
 		seeMinion(w, &in.Entries[i])
 	}
 	for _, id := range in.Removed {
-		if m := w.Minions.At(w.MinionByID.Get(id)); m != nil && m.Listed {
-			m.Listed = false
-			w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion left the list.", Minion: id, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt)})
-		}
+		removeMinion(w, w.MinionByID.Get(id))
 	}
 	l.Seen = in.Seen
+	for row, m := range w.Minions.All() {
+		if p := w.Pools.At(m.PoolRow); !m.Listed && !p.Held && w.Now.Sub(m.RemovedAt) > rememberTime {
+			forgetMinion(w, row)
+		}
+	}
+}
+
+// listPause is the time to the next read of the list. An entry without a pool keeps the list
+// for a takeover: a minion that a predecessor uses may have left the list meanwhile.
+func listPause(w *quetzalwork.World) time.Duration {
+	for _, p := range w.Pools.All() {
+		if p.Held {
+			return listPeriod
+		}
+	}
+	return idleListPeriod
+}
+
+// unlistMinions removes the minions that a whole list does not have.
+func unlistMinions(w *quetzalwork.World, entries []quetzalwork.MinionEntry) {
+	listed := make(map[quetzalunit.MinionID]bool, len(entries))
+	for i := range entries {
+		listed[entries[i].ID] = true
+	}
+	for row, m := range w.Minions.All() {
+		if !listed[m.ID] {
+			removeMinion(w, row)
+		}
+	}
+}
+
+// removeMinion marks a minion that has left the list. It gets no new work.
+func removeMinion(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Minions.At(row)
+	if m == nil || !m.Listed {
+		return
+	}
+	m.Listed, m.RemovedAt = false, w.Now
+	if p := w.Pools.At(m.PoolRow); p.Held {
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion left the list.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt)})
+		planHold(w, row, 0)
+	}
 }
 
 // seeMinion applies an entry of the list of minions.
 func seeMinion(w *quetzalwork.World, e *quetzalwork.MinionEntry) {
-	pool := w.PoolByID.Get(e.Pool)
+	pool := poolRow(w, e.Pool)
 	p := w.Pools.At(pool)
 	row := w.MinionByID.Get(e.ID)
-	if p == nil || !p.Held {
-		if row != 0 {
-			forgetMinion(w, row)
-		}
-		return
+	if m := w.Minions.At(row); m != nil && m.PoolRow != pool {
+		// The id names a minion of another pool from now on.
+		loseRuns(w, row, "Moved")
+		forgetMinion(w, row)
+		row = 0
 	}
 	if row == 0 {
 		row = w.Minions.Insert(quetzalwork.Minion{MinionEntry: *e, PoolRow: pool, Listed: true, Slowness: 1})
 		w.MinionByID.Put(e.ID, row)
 		p.Minions = append(p.Minions, row)
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "A minion joined the pool.", Minion: e.ID, Pool: e.Pool, Host: e.Host, Version: int64(e.Life)})
-		planHold(w, row, 0)
+		if p.Held {
+			w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "A minion joined the pool.", Minion: e.ID, Pool: e.Pool, Host: e.Host, Version: int64(e.Life)})
+			planHold(w, row, 0)
+		}
 	}
 	m := w.Minions.At(row)
 	if m.Life != 0 && e.Life != 0 && e.Life > m.Life {
@@ -103,6 +138,8 @@
 	life := max(m.Life, e.Life)
 	if e.Draining && !m.Draining {
 		m.DrainUntil = w.Now.Add(e.Remaining)
+	}
+	if e.Draining && !m.Draining && p.Held {
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion drains.", Minion: e.ID, Pool: e.Pool, Age: e.Remaining})
 	}
 	m.MinionEntry = *e
@@ -257,11 +294,22 @@
 		planHold(w, row, notePause)
 	case len(m.Runs) > 0:
 		planHold(w, row, 0)
-	case !m.Listed:
+	case !m.Listed && w.Now.Sub(m.RemovedAt) > rememberTime:
 		forgetMinion(w, row)
 	}
 }
 
+// resetMinion forgets what a minion has told another holder of its pool's duty.
+func resetMinion(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Minions.At(row)
+	for _, run := range slices.Clone(m.Runs) {
+		removeRun(w, run)
+	}
+	*m = quetzalwork.Minion{
+		MinionEntry: m.MinionEntry, PoolRow: m.PoolRow, Listed: m.Listed, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowness: 1,
+	}
+}
+
 // hearLists applies what a minion lists.
 func hearLists(w *quetzalwork.World, in *quetzalwork.MinionHeld, clock quetzalunit.MinionTime) {
 	m := w.Minions.At(in.Minion)
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// progressBatch bounds the rows of one transaction.
-	progressBatch = 60
+	// progressBatch bounds the rows of one transaction: the store takes 100 entries, and each row
+	// is two, its condition and its value.
+	progressBatch = 45
 	// progressPause is the time between two transactions of a pool, in which ends gather.
 	progressPause = 25 * time.Millisecond
 	// progressRetry is the pause after a transaction without success.
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -223,8 +223,12 @@
 	if t.State == quetzalwork.TaskDone || j.State.Final() {
 		return
 	}
-	t.Failures++
 	t.Avoid, t.NotBefore = minionRow, w.Now.Add(failurePause)
+	if s.Spec.Lasting {
+		t.Failures++
+	} else if !addFailure(w, jobRow, quetzalwork.TaskFailure{TaskRef: e.Task.TaskRef, Run: e.Run}) {
+		return
+	}
 	if t.Failures == 1 {
 		countFailure(w, minionRow)
 	}
@@ -236,7 +240,6 @@
 	if s.Spec.Lasting {
 		return
 	}
-	setFailures(j, e.Task.TaskRef, t.Failures)
 	touchProgress(w, jobRow)
 	if q != nil && q.MaxAttempts > 0 && t.Failures >= q.MaxAttempts {
 		finishJob(w, jobRow, quetzalwork.JobFailed)
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	// submitBatch bounds the jobs of one transaction; the store takes at most 100 rows and 1 MB.
+	// submitBatch bounds the jobs of one transaction: the store takes 1 MB and 100 entries, and
+	// each job is two, its condition and its value.
 	submitBatch = 40
 	// submitCalls bounds the transactions in flight for one pool; the store carries out those
 	// of one pool one after the other.
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -39,6 +39,7 @@
 		}
 		if m.Misses > 0 && m.Heard && len(m.Runs) > 0 && w.Now > lapsesAt(m) {
 			lapseMinion(w, row)
+			m = w.Minions.At(row)
 		}
 		for _, run := range slices.Clone(m.Runs) {
 			watchRun(w, p, run)
@@ -48,9 +49,14 @@
 	}
 }
 
-// lapseMinion ends the runs of a silent minion whose lease is over.
+// lapseMinion ends the runs of a silent minion whose lease is over. A successor may have
+// renewed the lease: only a read that was sent afterwards shows that there was none.
 func lapseMinion(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
+	if w.Membership.ReadSentAt <= lapsesAt(m) {
+		readMembers(w)
+		return
+	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The lease of a silent minion is over.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt), Reason: "Lapsed"})
 	m.GoneSince = w.Now
 	loseRuns(w, row, "Silent")
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1358,7 +1358,7 @@
 const WorkMessageKindTaken WorkMessageKind = "Taken"
 
 // WorkProgressDoc has the ends of a job's tasks. Done has rows of occurrence, step
-// and task; Failures has the count behind these.
+// and task; Failures has the number of the failed run behind these.
 type WorkProgressDoc struct {
 	// Done corresponds to the JSON schema field "Done".
 	Done [][]int `json:"Done,omitempty,omitzero" yaml:"Done,omitempty"`
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -158,6 +158,9 @@
 	RenewedAt quetzalunit.Instant
 	// ReadAt is the instant of the last successful read.
 	ReadAt quetzalunit.Instant
+	// ReadSentAt is when the last successful read was sent: until then this process held the
+	// duties that it holds.
+	ReadSentAt quetzalunit.Instant
 	// Reads counts the successful reads.
 	Reads int
 	// Renewing and Reading tell that a call is in flight.
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -104,7 +104,8 @@
 type Progress struct {
 	State    JobState
 	Done     []TaskRef
-	Failures []TaskFailures
+	// Failures has each failed run once, so that one that is heard of twice counts once.
+	Failures []TaskFailure
 }
 
 // TaskRef names a task within its job.
@@ -114,10 +115,10 @@
 	Task       quetzalunit.TaskIndex
 }
 
-// TaskFailures counts the failed runs of a task.
-type TaskFailures struct {
+// TaskFailure is a failed run of a task.
+type TaskFailure struct {
 	TaskRef
-	Failures quetzalunit.Failures
+	Run quetzalunit.RunNumber
 }
 
 // StepKey finds a step of an occurrence.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -30,6 +30,8 @@
 	PoolRow Row
 	// Listed tells that the list has it; one that was removed gets no new work.
 	Listed bool
+	// RemovedAt is when it left the list.
+	RemovedAt quetzalunit.Instant
 	// DrainUntil is when a draining minion may end.
 	DrainUntil quetzalunit.Instant
 
