--- a/quetzalcore/quetzalscheduler/conduct.go
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -42,7 +42,13 @@
 // a short time ago, and orders of its predecessor are over.
 func mayOrder(w *quetzalwork.World) bool {
 	c := &w.Conductor
-	return c.Held && w.Now.Sub(w.Membership.RenewedAt) < orderRight && w.Now.Sub(c.TakenAt) > w.Bounds.OrderLease && c.HostsAt > c.TakenAt
+	return c.Held && w.Now < orderUntil(w) && w.Now.Sub(c.TakenAt) > w.Bounds.OrderLease && c.HostsAt > c.TakenAt
+}
+
+// orderUntil is when the right to order hosts ends: others may take this entry for dead some
+// time after its last renewal, and only a read shows that none has done so before.
+func orderUntil(w *quetzalwork.World) quetzalunit.Instant {
+	return min(w.Membership.RenewedAt, w.Membership.ReadSentAt).Add(orderRight)
 }
 
 func conduct(w *quetzalwork.World) {
--- a/quetzalcore/quetzalscheduler/load.go
+++ b/quetzalcore/quetzalscheduler/load.go
@@ -23,7 +23,7 @@
 		return
 	}
 	p.LoadCall = true
-	w.Emit(quetzalwork.ReadPool{Pool: p.ID, Token: token, Full: !p.Loaded || p.LoadFrom != "", From: p.LoadFrom, After: p.Seen})
+	w.Emit(quetzalwork.ReadPool{Pool: p.ID, Token: token, Full: !p.Loaded || p.LoadFrom != "", From: p.LoadFrom, After: p.Seen, SentAt: w.Now})
 }
 
 func hearPoolRows(w *quetzalwork.World, in *quetzalwork.PoolRead) {
@@ -43,9 +43,9 @@
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: "The history of the pool's rows is gone; they are read in full.", Pool: p.ID})
 		p.LoadFrom, p.Seen = "", 0
 		p.LoadCall = true
-		w.Emit(quetzalwork.ReadPool{Pool: p.ID, Token: p.Token, Full: true})
+		w.Emit(quetzalwork.ReadPool{Pool: p.ID, Token: p.Token, Full: true, SentAt: w.Now})
 	default:
-		w.After(poolReadRetry, quetzalwork.PoolReadDue{Pool: row, Token: p.Token})
+		planRead(w, row, poolReadRetry)
 	}
 }
 
@@ -61,6 +61,12 @@
 		readPool(w, row, p.Token)
 		return
 	}
+	if in.Full && !p.Loaded {
+		p.RowsSentAt = p.TakenAt
+	} else {
+		p.RowsSentAt = in.SentAt
+	}
+	p.Dirty = p.Dirty || !p.OldKnown
 	if !p.Loaded {
 		p.Loaded = true
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "The pool's jobs are loaded.", Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(p.TakenAt)})
@@ -68,7 +74,21 @@
 		listMinions(w)
 		p.Dirty = true
 	}
-	w.After(w.Jitter(poolReadPeriod), quetzalwork.PoolReadDue{Pool: row, Token: p.Token})
+	planRead(w, row, w.Jitter(poolReadPeriod))
+}
+
+// planRead sets the instant of the next read of a pool's rows.
+func planRead(w *quetzalwork.World, row quetzalwork.Row, delay time.Duration) {
+	p := w.Pools.At(row)
+	p.ReadDueAt = w.Now.Add(delay)
+	w.Timers.Push(p.ReadDueAt, quetzalwork.PoolReadDue{Pool: row, Token: p.Token})
+}
+
+// readDue reads a pool's rows unless they were read since the timer was set.
+func readDue(w *quetzalwork.World, t quetzalwork.PoolReadDue) {
+	if w.Now >= w.Pools.At(t.Pool).ReadDueAt {
+		readPool(w, t.Pool, t.Token)
+	}
 }
 
 // addJobRow applies a stored row of a job. Old rows were stored before this process
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -20,8 +20,8 @@
 	// readGap is the longest time between two reads over which the silence of an entry counts;
 	// while the store is away nobody can renew.
 	readGap = 2 * time.Second
-	// suspendAfter is the time without a confirmed renewal after which a dispatcher extends
-	// no lease; until then it goes on without the store.
+	// suspendAfter is the time without a read that confirms its duty after which a dispatcher
+	// extends no lease; until then it goes on without the store.
 	suspendAfter = 6 * time.Second
 	// settleTime is the time after its start in which an entry takes no duty, so that entries
 	// that start together share the duties.
@@ -284,7 +284,7 @@
 func beginPool(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, mayLive bool) {
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.TakenAt = true, quetzalunit.FencingToken(revision), w.Now
-	p.Loaded, p.LoadFrom, p.LoadCall, p.Seen = false, "", false, 0
+	p.Loaded, p.LoadFrom, p.LoadCall, p.Seen, p.OldKnown = false, "", false, 0, false
 	p.Images = make(map[quetzalunit.QueueID]*quetzalwork.RunTimes)
 	after := time.Duration(float64(leaseTime) * leaseSlack)
 	if mayLive {
@@ -316,7 +316,9 @@
 	p.DirtyJobs.Take()
 }
 
-// extends tells whether this process may extend leases and start runs.
+// extends tells whether this process may extend leases and start runs: a read of the duties
+// has confirmed a short time ago that it holds those that it holds. A renewal of its own row
+// does not show that, since it succeeds after a takeover, too.
 func extends(w *quetzalwork.World) bool {
-	return w.Now.Sub(w.Membership.RenewedAt) < suspendAfter
+	return w.Now.Sub(w.Membership.ReadSentAt) < suspendAfter
 }
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -324,6 +324,9 @@
 	if !m.Heard || m.Misses > 0 {
 		p.Dirty = true
 	}
+	if !m.Heard {
+		m.HeardAt = w.Now
+	}
 	m.Heard, m.Misses, m.GoneSince = true, 0, 0
 	m.Clock, m.ClockAt, m.AnsweredAt = clock, w.Now, w.Now
 	m.Lease = max(m.Lease, clock)
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -36,7 +36,7 @@
 
 func placePool(w *quetzalwork.World, poolRow quetzalwork.Row) {
 	p := w.Pools.At(poolRow)
-	holdOld := holdsOldWork(w, p)
+	holdOld := !knowsOldWork(w, poolRow)
 	var wake quetzalunit.Instant
 	if holdOld {
 		wake = p.PredecessorGone
@@ -62,15 +62,35 @@
 	}
 }
 
-// holdsOldWork tells whether a minion that has not answered since the takeover may run tasks
-// that a predecessor started.
-func holdsOldWork(w *quetzalwork.World, p *quetzalwork.Pool) bool {
-	if w.Now >= p.PredecessorGone {
+// knowsOldWork tells whether all that predecessors started is known. What runs on a minion is
+// known once it has answered this process's token, or once no predecessor can have kept
+// anything alive there; what ended before, and was taken note of, stands in rows that are read
+// after that.
+func knowsOldWork(w *quetzalwork.World, row quetzalwork.Row) bool {
+	p := w.Pools.At(row)
+	if p.OldKnown {
+		return true
+	}
+	quiet := p.TakenAt
+	if w.MinionList.AnsweredAt < p.TakenAt {
+		quiet = p.PredecessorGone
+	}
+	for _, minion := range p.Minions {
+		if m := w.Minions.At(minion); m.Heard {
+			quiet = max(quiet, m.HeardAt)
+		} else {
+			quiet = max(quiet, p.PredecessorGone)
+		}
+	}
+	if w.Now <= quiet {
 		return false
 	}
-	return w.MinionList.AnsweredAt < p.TakenAt || slices.ContainsFunc(p.Minions, func(row quetzalwork.Row) bool {
-		return !w.Minions.At(row).Heard
-	})
+	if p.RowsSentAt <= quiet {
+		readPool(w, row, p.Token)
+		return false
+	}
+	p.OldKnown = true
+	return true
 }
 
 // placeStep places what it can of a step. It returns the instant of the next try, zero when
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -124,7 +124,7 @@
 	case quetzalwork.MinionListDue:
 		listMinions(w)
 	case quetzalwork.PoolReadDue:
-		readPool(w, t.Pool, t.Token)
+		readDue(w, t)
 	case quetzalwork.HoldDue:
 		holdDue(w, t.Minion)
 	case quetzalwork.PlacementDue:
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -191,7 +191,7 @@
 	step.Asking = true
 	w.Emit(quetzalwork.OrderHost{
 		Order: quetzalwork.OrderMaintain, Host: wave.Hosts[i], Wave: wave.ID, Token: w.Conductor.Token,
-		Until: w.Membership.RenewedAt.Add(orderRight),
+		Until: orderUntil(w),
 	})
 }
 
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -66,11 +66,12 @@
 	ListMinions struct{ After quetzalunit.Revision }
 	// ReadPool reads the rows of a pool's jobs: all from a key, or what changed after a revision.
 	ReadPool struct {
-		Pool  quetzalunit.PoolID
-		Token quetzalunit.FencingToken
-		Full  bool
-		From  string
-		After quetzalunit.Revision
+		Pool   quetzalunit.PoolID
+		Token  quetzalunit.FencingToken
+		Full   bool
+		From   string
+		After  quetzalunit.Revision
+		SentAt quetzalunit.Instant
 	}
 	// StoreJobs stores jobs, all or none, if none is there yet.
 	StoreJobs struct {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -85,6 +85,12 @@
 	LoadCall bool
 	// Seen is the revision up to which the stored rows are known.
 	Seen quetzalunit.Revision
+	// ReadDueAt is the instant of the next read of what changed.
+	ReadDueAt quetzalunit.Instant
+	// RowsSentAt is when the last successful read of the stored rows was sent.
+	RowsSentAt quetzalunit.Instant
+	// OldKnown tells that all that predecessors started and stored is known.
+	OldKnown bool
 	// PredecessorGone is the instant after which nothing that a predecessor started on a
 	// silent minion runs any more.
 	PredecessorGone quetzalunit.Instant
@@ -108,8 +114,6 @@
 	PlaceAt quetzalunit.Instant
 	// Images are the learned run times.
 	Images map[quetzalunit.QueueID]*RunTimes
-	// Unheard counts minions that have not answered since the takeover.
-	Unheard int
 }
 
 // RunTimes are the learned run times of the tasks of a queue.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -100,6 +100,7 @@
 		Full, More bool
 		From       string
 		Seen       quetzalunit.Revision
+		SentAt     quetzalunit.Instant
 	}
 	// JobsStored is the end of StoreJobs.
 	JobsStored struct {
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -102,8 +102,8 @@
 
 // Progress has the ends of a job's tasks that a restart must know.
 type Progress struct {
-	State    JobState
-	Done     []TaskRef
+	State JobState
+	Done  []TaskRef
 	// Failures has each failed run once, so that one that is heard of twice counts once.
 	Failures []TaskFailure
 }
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -40,8 +40,9 @@
 	// Runs are its active runs.
 	Runs []Row
 
-	// Heard tells that it has answered this process's token.
-	Heard bool
+	// Heard tells that it has answered this process's token, for the first time at HeardAt.
+	Heard   bool
+	HeardAt quetzalunit.Instant
 	// Clock is what its clock showed at ClockAt.
 	Clock   quetzalunit.MinionTime
 	ClockAt quetzalunit.Instant
