--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -115,7 +115,7 @@
 
 func workJobDoc(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
 	d := quetzalwire.WorkJobDoc{
-		Queue: string(a.Queue), Text: a.Spec.Text, Repeats: int(a.Spec.Repeats),
+		Queue: string(a.Queue), Duty: int(a.Duty), Text: a.Spec.Text, Repeats: int(a.Spec.Repeats),
 		FirstAtMs: int(a.Spec.FirstAt.Milliseconds()), IntervalMs: int(a.Spec.Interval.Milliseconds()),
 	}
 	for i := range a.Spec.Steps {
@@ -152,7 +152,7 @@
 	for i := range d.Steps {
 		spec.Steps = append(spec.Steps, stepSpec(&d.Steps[i]))
 	}
-	return quetzalwork.AcceptedJob{Queue: quetzalunit.QueueID(d.Queue), Spec: spec}
+	return quetzalwork.AcceptedJob{Queue: quetzalunit.QueueID(d.Queue), Spec: spec, Duty: quetzalunit.Revision(d.Duty)}
 }
 
 func stepSpec(d *quetzalwire.WorkStepDoc) quetzalwork.StepSpec {
--- a/quetzalcore/quetzalscheduler/ask.go
+++ b/quetzalcore/quetzalscheduler/ask.go
@@ -225,7 +225,7 @@
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Text: "A cancellation is stored.", Job: job, Pool: p.ID, Reason: "Cancelled", Routine: true})
 		answerAsk(w, in.Ask, quetzalwork.Cancelled{})
 		if p.Held {
-			addJobRow(w, pool, &quetzalwork.JobRow{Job: job, Content: quetzalwork.JobCancellation{}}, false)
+			addJobRow(w, pool, &quetzalwork.JobRow{Job: job, Content: quetzalwork.JobCancellation{}})
 		} else if p.Duty.Holder != "" {
 			w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.TellCancelled{Pool: p.ID, Job: job}, Timeout: peerTimeout})
 		}
--- a/quetzalcore/quetzalscheduler/load.go
+++ b/quetzalcore/quetzalscheduler/load.go
@@ -36,7 +36,10 @@
 	switch in.Result {
 	case quetzalwork.StoreDone:
 		for i := range in.Rows {
-			addJobRow(w, row, &in.Rows[i], !p.Loaded)
+			addJobRow(w, row, &in.Rows[i])
+			if !p.Held {
+				return
+			}
 		}
 		endPoolRead(w, row, in)
 	case quetzalwork.StoreCompacted:
@@ -91,19 +94,26 @@
 	}
 }
 
-// addJobRow applies a stored row of a job. Old rows were stored before this process
-// dispatched the pool.
-func addJobRow(w *quetzalwork.World, pool quetzalwork.Row, r *quetzalwork.JobRow, old bool) {
+// addJobRow applies a stored row of a job. A job that was stored under a later duty shows
+// that this process no longer dispatches the pool.
+func addJobRow(w *quetzalwork.World, pool quetzalwork.Row, r *quetzalwork.JobRow) {
+	if !w.Pools.At(pool).Held {
+		return
+	}
+	if a, ok := r.Content.(quetzalwork.AcceptedJob); ok && a.Duty > quetzalunit.Revision(w.Pools.At(pool).Token) {
+		dropPool(w, pool, "Superseded")
+		return
+	}
 	row := w.JobByID.Get(r.Job)
 	if row == 0 {
-		row = w.Jobs.Insert(quetzalwork.Job{ID: r.Job, Pool: pool, AcceptedAt: w.Now, Old: old})
+		row = w.Jobs.Insert(quetzalwork.Job{ID: r.Job, Pool: pool, AcceptedAt: w.Now})
 		w.JobByID.Put(r.Job, row)
 	}
 	j := w.Jobs.At(row)
 	switch c := r.Content.(type) {
 	case quetzalwork.AcceptedJob:
 		if j.Spec == nil && !j.State.Final() {
-			j.Queue, j.Spec, j.Old = c.Queue, c.Spec, old
+			j.Queue, j.Spec, j.Duty = c.Queue, c.Spec, c.Duty
 			beginJob(w, row)
 		}
 	case quetzalwork.JobCancellation:
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -56,7 +56,7 @@
 func readMembers(w *quetzalwork.World) {
 	if !w.Membership.Reading {
 		w.Membership.Reading = true
-		w.Emit(quetzalwork.ReadMembers{SentAt: w.Now})
+		w.Emit(quetzalwork.ReadMembers{After: w.Membership.Seen, SentAt: w.Now})
 	}
 }
 
@@ -70,7 +70,7 @@
 func hearMembers(w *quetzalwork.World, in *quetzalwork.MembersRead) {
 	m := &w.Membership
 	m.Reading = false
-	if reachable := in.Result == quetzalwork.StoreDone; reachable != m.Reachable {
+	if reachable := in.Result == quetzalwork.StoreDone || in.Result == quetzalwork.StoreCompacted; reachable != m.Reachable {
 		m.Reachable = reachable
 		text := "The store does not answer."
 		if reachable {
@@ -78,17 +78,26 @@
 		}
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: text, Age: w.Now.Sub(m.ReadAt)})
 	}
+	if in.Result == quetzalwork.StoreCompacted {
+		m.Seen = 0
+		readMembers(w)
+	}
 	if in.Result != quetzalwork.StoreDone {
 		return
 	}
+	m.Seen = in.Seen
+	// While the store does not answer nobody can renew: silence counts from now on.
 	gap := w.Now.Sub(m.ReadAt) > readGap
 	m.ReadAt, m.ReadSentAt = w.Now, in.SentAt
 	m.Reads++
 	for _, old := range w.Members.All() {
-		old.Listed = false
+		old.Listed = old.Listed && !in.Full
+		if gap {
+			old.ChangedAt = w.Now
+		}
 	}
 	for i := range in.Members {
-		seeMember(w, &in.Members[i], gap)
+		seeMember(w, &in.Members[i])
 	}
 	for id, duty := range in.Duties {
 		seeDuty(w, id, duty)
@@ -97,8 +106,8 @@
 	tendDuties(w)
 }
 
-// seeMember applies a member's row. A gap before this read excuses a row that did not change.
-func seeMember(w *quetzalwork.World, seen *quetzalwork.Member, gap bool) {
+// seeMember applies a member's row.
+func seeMember(w *quetzalwork.World, seen *quetzalwork.Member) {
 	row := w.MemberByID.Get(seen.Entry)
 	if row == 0 {
 		row = w.Members.Insert(quetzalwork.Member{Entry: seen.Entry, Beat: -1})
@@ -109,7 +118,7 @@
 	at := m.ChangedAt
 	*m = *seen
 	m.Listed, m.ChangedAt = true, at
-	if changed || gap {
+	if changed {
 		m.ChangedAt = w.Now
 	}
 }
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -123,7 +123,7 @@
 		row = 0
 	}
 	if row == 0 {
-		row = w.Minions.Insert(quetzalwork.Minion{MinionEntry: *e, PoolRow: pool, Listed: true, Slowness: 1})
+		row = w.Minions.Insert(quetzalwork.Minion{MinionEntry: *e, PoolRow: pool, JoinedAt: w.Now, Listed: true, Slowness: 1})
 		w.MinionByID.Put(e.ID, row)
 		p.Minions = append(p.Minions, row)
 		if p.Held {
@@ -306,7 +306,7 @@
 		removeRun(w, run)
 	}
 	*m = quetzalwork.Minion{
-		MinionEntry: m.MinionEntry, PoolRow: m.PoolRow, Listed: m.Listed, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowness: 1,
+		MinionEntry: m.MinionEntry, PoolRow: m.PoolRow, JoinedAt: m.JoinedAt, Listed: m.Listed, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowness: 1,
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -17,14 +17,14 @@
 			return quetzalwork.NotHolder{}
 		}
 		for i := range m.Jobs {
-			addJobRow(w, row, &m.Jobs[i], false)
+			addJobRow(w, row, &m.Jobs[i])
 		}
 	case quetzalwork.TellCancelled:
 		row := poolRow(w, m.Pool)
 		if !w.Pools.At(row).Held {
 			return quetzalwork.NotHolder{}
 		}
-		addJobRow(w, row, &quetzalwork.JobRow{Job: m.Job, Content: quetzalwork.JobCancellation{}}, false)
+		addJobRow(w, row, &quetzalwork.JobRow{Job: m.Job, Content: quetzalwork.JobCancellation{}})
 	case quetzalwork.AskState:
 		row := poolRow(w, m.Pool)
 		j := w.Jobs.At(w.JobByID.Get(m.Job))
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -46,7 +46,7 @@
 		if s == nil {
 			continue
 		}
-		if holdOld && w.Jobs.At(s.Job).Old {
+		if holdOld && w.Jobs.At(s.Job).Duty < quetzalunit.Revision(p.Token) {
 			continue
 		}
 		if at := placeStep(w, p, r.row); at != 0 && (wake == 0 || at < wake) {
@@ -151,7 +151,8 @@
 
 // usable tells whether a minion takes new work.
 func usable(w *quetzalwork.World, m *quetzalwork.Minion) bool {
-	return m.Listed && m.Heard && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
+	// A read of the duties after it joined shows that no successor has used it before.
+	return m.Listed && m.Heard && w.Membership.ReadSentAt > m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
 }
 
 // allows tells whether a step may run on a minion at all.
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -114,7 +114,7 @@
 }
 
 func storeBatch(w *quetzalwork.World, p *quetzalwork.Pool) {
-	c := quetzalwork.StoreJobs{Pool: p.ID, Timeout: storeTimeout}
+	c := quetzalwork.StoreJobs{Pool: p.ID, Duty: p.Duty.Revision, Timeout: storeTimeout}
 	inBatch := make(map[quetzalunit.JobID]bool)
 	var later []quetzalwork.Row
 	for _, row := range p.Submissions.Take() {
@@ -130,7 +130,7 @@
 		s.Tries++
 		inBatch[s.Job] = true
 		c.Submissions = append(c.Submissions, row)
-		c.Jobs = append(c.Jobs, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec}})
+		c.Jobs = append(c.Jobs, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec, Duty: c.Duty}})
 	}
 	for _, row := range later {
 		p.Submissions.Add(row)
@@ -150,6 +150,9 @@
 		p.SubmitNotBefore = w.Now.Add(submitRetry)
 		w.Timers.Push(p.SubmitNotBefore, quetzalwork.SubmitDue{Pool: poolRow})
 	}
+	if in.Duty != nil {
+		seeDuty(w, in.Pool, *in.Duty)
+	}
 	existing := make(map[quetzalunit.JobID]bool, len(in.Existing))
 	for _, id := range in.Existing {
 		existing[id] = true
@@ -163,7 +166,9 @@
 		s.Storing = false
 		switch {
 		case in.Result == quetzalwork.StoreDone || existing[s.Job]:
-			stored = append(stored, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec}})
+			if !existing[s.Job] {
+				stored = append(stored, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec, Duty: in.StoredUnder}})
+			}
 			endSubmission(w, row, quetzalwork.JobAccepted{}, "Stored")
 		case in.Result == quetzalwork.StoreConflict:
 			p.Submissions.Add(row)
@@ -210,7 +215,7 @@
 	p := w.Pools.At(poolRow)
 	if p.Held {
 		for i := range rows {
-			addJobRow(w, poolRow, &rows[i], false)
+			addJobRow(w, poolRow, &rows[i])
 		}
 		return
 	}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1298,6 +1298,9 @@
 // WorkJobDoc is an accepted job of tasks; times of day are in milliseconds since
 // 1970.
 type WorkJobDoc struct {
+	// Revision of the pool's duty when the job was stored.
+	Duty int `json:"Duty" yaml:"Duty"`
+
 	// FirstAtMs corresponds to the JSON schema field "FirstAtMs".
 	FirstAtMs int `json:"FirstAtMs" yaml:"FirstAtMs"`
 
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -47,8 +47,11 @@
 		After quetzalunit.Revision
 		Wait  time.Duration
 	}
-	// ReadMembers reads the rows of members and duties.
-	ReadMembers struct{ SentAt quetzalunit.Instant }
+	// ReadMembers reads the rows of members and duties: all, or what changed after a revision.
+	ReadMembers struct {
+		After  quetzalunit.Revision
+		SentAt quetzalunit.Instant
+	}
 	// RenewMember writes this entry's row.
 	RenewMember struct {
 		Member Member
@@ -73,9 +76,11 @@
 		After  quetzalunit.Revision
 		SentAt quetzalunit.Instant
 	}
-	// StoreJobs stores jobs, all or none, if none is there yet.
+	// StoreJobs stores jobs, all or none, if none is there yet and the pool's duty has the
+	// revision that is known here.
 	StoreJobs struct {
 		Pool        quetzalunit.PoolID
+		Duty        quetzalunit.Revision
 		Submissions []Row
 		Jobs        []JobRow
 		Timeout     time.Duration
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -167,6 +167,8 @@
 	ReadSentAt quetzalunit.Instant
 	// Reads counts the successful reads.
 	Reads int
+	// Seen is the revision up to which the rows are known.
+	Seen quetzalunit.Revision
 	// Renewing and Reading tell that a call is in flight.
 	Renewing, Reading bool
 	// Reachable tells that the last call was answered.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -65,7 +65,10 @@
 		Result  StoreResult
 		Members []Member
 		Duties  map[quetzalunit.PoolID]Duty
-		SentAt  quetzalunit.Instant
+		// Full tells that the rows are all there are; otherwise they are those that changed.
+		Full   bool
+		Seen   quetzalunit.Revision
+		SentAt quetzalunit.Instant
 	}
 	// MemberRenewed is the end of RenewMember.
 	MemberRenewed struct {
@@ -104,11 +107,15 @@
 	}
 	// JobsStored is the end of StoreJobs.
 	JobsStored struct {
-		Result      StoreResult
-		Pool        quetzalunit.PoolID
+		Result StoreResult
+		Pool   quetzalunit.PoolID
+		// StoredUnder is the revision of the duty that the transaction named.
+		StoredUnder quetzalunit.Revision
 		Submissions []Row
 		// Existing has the jobs that the store had before.
 		Existing []quetzalunit.JobID
+		// Duty is the pool's present duty after a conflict, nil when it did not change.
+		Duty *Duty
 	}
 	// ProgressStored is the end of StoreProgress.
 	ProgressStored struct {
@@ -318,6 +325,9 @@
 	AcceptedJob struct {
 		Queue quetzalunit.QueueID
 		Spec  *JobSpec
+		// Duty is the revision of the pool's duty when the job was stored. A dispatcher with
+		// a lower token never starts the job.
+		Duty quetzalunit.Revision
 	}
 	// JobCancellation marks the job as cancelled.
 	JobCancellation struct{}
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -83,8 +83,9 @@
 	Started bool
 	// Cancelled tells that a cancellation is stored.
 	Cancelled bool
-	// Old tells that a predecessor may have started tasks of the job.
-	Old bool
+	// Duty is the revision of the pool's duty when the job was stored: below this process's
+	// token, a predecessor may have started its tasks.
+	Duty quetzalunit.Revision
 	// Steps are the rows of steps whose occurrence has been unfolded.
 	Steps []Row
 	// Unfolded is the number of occurrences in Steps, Finished that of completed ones.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -28,6 +28,8 @@
 type Minion struct {
 	MinionEntry
 	PoolRow Row
+	// JoinedAt is when this process first saw it.
+	JoinedAt quetzalunit.Instant
 	// Listed tells that the list has it; one that was removed gets no new work.
 	Listed bool
 	// RemovedAt is when it left the list.
