--- /dev/null
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -0,0 +1,414 @@
+package quetzalscheduler_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// store is a virtual table service.
+type store struct {
+	revision quetzalunit.Revision
+	duties   map[quetzalunit.PoolID]quetzalwork.Duty
+	members  map[quetzalunit.EntryID]stampedMember
+	rows     map[string]quetzalwork.JobRow
+	list     map[quetzalunit.MinionID]stampedEntry
+}
+
+type stampedMember struct {
+	quetzalwork.Member
+	at quetzalunit.Revision
+}
+
+type stampedEntry struct {
+	quetzalwork.MinionEntry
+	at   quetzalunit.Revision
+	gone bool
+}
+
+// perform carries out a store command of an entry.
+func (s *store) perform(e *entry, c quetzalwork.Command, post func(quetzalwork.Input)) {
+	f := e.f
+	timeout := 1200 * time.Millisecond
+	if watch, ok := c.(quetzalwork.WatchFleet); ok && watch.After > 0 {
+		f.after(watch.Wait, func() { post(quetzalwork.FleetWatched{Seen: watch.After}) })
+		return
+	}
+	f.call(e.zone, storeZone, timeout, func() func() {
+		if f.storeDown {
+			return nil
+		}
+		in := s.serve(e, c)
+		if f.rng.Float64() < f.loseAnswers {
+			return nil
+		}
+		return func() { post(in) }
+	}, func() { post(lostAnswer(c)) })
+}
+
+// lostAnswer is the input after a store command without an answer.
+func lostAnswer(c quetzalwork.Command) quetzalwork.Input {
+	const r = quetzalwork.StoreUnknown
+	switch c := c.(type) {
+	case quetzalwork.WatchFleet:
+		return quetzalwork.FleetWatched{Result: r}
+	case quetzalwork.ReadMembers:
+		return quetzalwork.MembersRead{Result: r}
+	case quetzalwork.RenewMember:
+		return quetzalwork.MemberRenewed{Result: r}
+	case quetzalwork.WriteDuty:
+		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release}
+	case quetzalwork.ListMinions:
+		return quetzalwork.MinionsListed{Result: r}
+	case quetzalwork.ReadPool:
+		return quetzalwork.PoolRead{Result: r, Pool: c.Pool, Token: c.Token}
+	case quetzalwork.StoreJobs:
+		return quetzalwork.JobsStored{Result: r, Pool: c.Pool, Submissions: c.Submissions}
+	case quetzalwork.StoreProgress:
+		return quetzalwork.ProgressStored{Result: r, Pool: c.Pool, Jobs: c.Jobs}
+	case quetzalwork.StoreCancel:
+		return quetzalwork.CancelStored{Result: r, Ask: c.Ask}
+	case quetzalwork.LookUpJob:
+		return quetzalwork.JobLookedUp{Result: r, Ask: c.Ask}
+	case quetzalwork.ReadWaves:
+		return quetzalwork.WavesRead{Result: r}
+	case quetzalwork.SayWave:
+		return quetzalwork.WaveSaid{Result: r, Wave: c.Wave}
+	}
+	panic(fmt.Sprintf("unexpected command %T", c))
+}
+
+func (s *store) serve(e *entry, c quetzalwork.Command) quetzalwork.Input {
+	switch c := c.(type) {
+	case quetzalwork.WatchFleet:
+		cfg := e.config
+		return quetzalwork.FleetWatched{Config: &cfg, Seen: 1}
+	case quetzalwork.ReadMembers:
+		in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: c.After == 0, Seen: s.revision, Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
+		for _, m := range s.members {
+			if m.at > c.After {
+				in.Members = append(in.Members, m.Member)
+			}
+		}
+		slices.SortFunc(in.Members, func(a, b quetzalwork.Member) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+		for id, d := range s.duties {
+			if d.Revision > c.After {
+				in.Duties[id] = d
+			}
+		}
+		return in
+	case quetzalwork.RenewMember:
+		s.revision++
+		s.members[c.Member.Entry] = stampedMember{c.Member, s.revision}
+		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
+	case quetzalwork.WriteDuty:
+		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
+		if s.duties[c.Pool].Revision == c.Expected {
+			s.revision++
+			d := c.Holder
+			d.Revision = s.revision
+			s.duties[c.Pool] = d
+			in.Result, in.Revision = quetzalwork.StoreDone, s.revision
+		}
+		return in
+	case quetzalwork.ListMinions:
+		in := quetzalwork.MinionsListed{Full: c.After == 0, Seen: s.revision}
+		for id, m := range s.list {
+			if m.gone && m.at > c.After {
+				in.Removed = append(in.Removed, id)
+			} else if m.at > c.After {
+				in.Entries = append(in.Entries, m.MinionEntry)
+			}
+		}
+		slices.Sort(in.Removed)
+		slices.SortFunc(in.Entries, func(a, b quetzalwork.MinionEntry) int { return strings.Compare(string(a.ID), string(b.ID)) })
+		return in
+	default:
+		return s.serveJobs(c)
+	}
+}
+
+func (s *store) serveJobs(c quetzalwork.Command) quetzalwork.Input {
+	switch c := c.(type) {
+	case quetzalwork.ReadPool:
+		in := quetzalwork.PoolRead{Pool: c.Pool, Token: c.Token, Full: c.Full, Seen: s.revision, SentAt: c.SentAt}
+		in.Rows = s.find(func(r *quetzalwork.JobRow) bool { return c.Full || r.Revision > c.After })
+		return in
+	case quetzalwork.StoreJobs:
+		in := quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, StoredUnder: c.Duty}
+		if d := s.duties[c.Pool]; d.Revision != c.Duty {
+			in.Result, in.Duty = quetzalwork.StoreConflict, &d
+		}
+		for i := range c.Jobs {
+			if _, ok := s.rows[rowKey(&c.Jobs[i])]; ok {
+				in.Result = quetzalwork.StoreConflict
+				in.Existing = append(in.Existing, c.Jobs[i].Job)
+			}
+		}
+		if in.Result == quetzalwork.StoreDone {
+			s.write(c.Jobs)
+		}
+		return in
+	case quetzalwork.StoreProgress:
+		in := quetzalwork.ProgressStored{Pool: c.Pool, Jobs: c.Jobs}
+		for i := range c.Rows {
+			if old := s.rows[rowKey(&c.Rows[i])]; old.Revision != c.Rows[i].Revision {
+				in.Result = quetzalwork.StoreConflict
+				in.Current = append(in.Current, old)
+			}
+		}
+		if in.Result == quetzalwork.StoreDone {
+			s.write(c.Rows)
+			in.Revision = s.revision
+		}
+		return in
+	case quetzalwork.StoreCancel:
+		s.write([]quetzalwork.JobRow{{Job: c.Job, Content: quetzalwork.JobCancellation{}}})
+		return quetzalwork.CancelStored{Ask: c.Ask}
+	case quetzalwork.LookUpJob:
+		return quetzalwork.JobLookedUp{Ask: c.Ask, Rows: s.find(func(r *quetzalwork.JobRow) bool { return r.Job == c.Job })}
+	case quetzalwork.ReadWaves:
+		return quetzalwork.WavesRead{}
+	}
+	panic(fmt.Sprintf("unexpected command %T", c))
+}
+
+func (s *store) write(rows []quetzalwork.JobRow) {
+	s.revision++
+	for _, r := range rows {
+		r.Revision = s.revision
+		s.rows[rowKey(&r)] = r
+	}
+}
+
+func (s *store) find(want func(*quetzalwork.JobRow) bool) []quetzalwork.JobRow {
+	var rows []quetzalwork.JobRow
+	for _, r := range s.rows {
+		if want(&r) {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b quetzalwork.JobRow) int { return strings.Compare(rowKey(&a), rowKey(&b)) })
+	return rows
+}
+
+// minion is a virtual minion that guards its room.
+type minion struct {
+	f      *fleet
+	entry  quetzalwork.MinionEntry
+	zone   quetzalunit.ZoneID
+	up     bool
+	token  quetzalunit.FencingToken
+	lease  quetzalunit.MinionTime
+	runs   map[quetzalwork.TaskName]*fakeRun
+	ends   []quetzalwork.ListedEnd
+	lastN  quetzalunit.EndNumber
+	closed map[quetzalwork.TaskName]quetzalunit.RunNumber
+	// failing fails all that it starts; slow multiplies run times.
+	failing bool
+	slow    float64
+	waiting []func()
+}
+
+type fakeRun struct {
+	number quetzalunit.RunNumber
+	needs  quetzalunit.Resources
+	record *record
+}
+
+func (f *fleet) addMinion(zone quetzalunit.ZoneID, rack int) *minion {
+	id := quetzalunit.MinionID(fmt.Sprint("m", len(f.minions)))
+	m := &minion{
+		f: f, zone: zone, up: true, slow: 1, runs: make(map[quetzalwork.TaskName]*fakeRun), closed: make(map[quetzalwork.TaskName]quetzalunit.RunNumber),
+		entry: quetzalwork.MinionEntry{
+			ID: id, Pool: testPool, Address: quetzalunit.Address(id), Zone: zone, Room: quetzalunit.Resources{Cores: 8000, Memory: 16000},
+			Rack: quetzalunit.RackID(fmt.Sprint("r", rack)), Life: 1, Host: quetzalunit.HostID(id),
+		},
+	}
+	f.minions[id] = m
+	f.order = append(f.order, m)
+	m.list(false)
+	return m
+}
+
+// list writes the minion's entry, or removes it.
+func (m *minion) list(gone bool) {
+	m.f.store.revision++
+	m.f.store.list[m.entry.ID] = stampedEntry{m.entry, m.f.store.revision, gone}
+}
+
+// names returns the tasks that run, in a fixed order.
+func (m *minion) names() []quetzalwork.TaskName {
+	names := slices.Collect(maps.Keys(m.runs))
+	slices.SortFunc(names, func(a, b quetzalwork.TaskName) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+	return names
+}
+
+func (m *minion) clock() quetzalunit.MinionTime {
+	return quetzalunit.MinionTime(m.f.now.Milliseconds() - 5000)
+}
+
+// kill ends the minion and all that runs on it.
+func (m *minion) kill() {
+	m.up = false
+	for name := range m.runs {
+		m.f.judge.ended(m.runs[name].record, "gone")
+	}
+	clear(m.runs)
+}
+
+// extend sets the lease and plans the lapse of what runs.
+func (m *minion) extend(to quetzalunit.MinionTime) {
+	if to <= m.lease {
+		return
+	}
+	if m.clock() > m.lease {
+		m.f.judge.lapsed(m.entry.ID)
+	}
+	m.lease = to
+	m.f.after(time.Duration(to-m.clock()+1)*time.Millisecond, func() {
+		if m.up && m.clock() > m.lease {
+			for _, name := range m.names() {
+				m.end(name, quetzalwork.EndLapsed)
+			}
+		}
+	})
+}
+
+func (m *minion) start(c quetzalwork.StartRun) quetzalwork.OrderResult {
+	if c.Target.Token < m.token {
+		return quetzalwork.OrderFenced{}
+	}
+	m.token = c.Target.Token
+	clock := m.clock()
+	if r := m.runs[c.Task]; r != nil && r.number == c.Number {
+		return quetzalwork.OrderTaken{Clock: clock}
+	}
+	if c.Number <= m.closed[c.Task] || m.runs[c.Task] != nil {
+		return quetzalwork.OrderOutdated{Clock: clock}
+	}
+	if c.Lease <= clock {
+		return quetzalwork.OrderLate{Clock: clock}
+	}
+	m.extend(c.Lease)
+	needs := m.f.judge.step(c.Task).Needs
+	used := needs
+	for _, r := range m.runs {
+		used = used.Plus(r.needs)
+	}
+	if !used.Fits(m.entry.Room) {
+		return quetzalwork.OrderNoRoom{Clock: clock}
+	}
+	run := &fakeRun{number: c.Number, needs: needs, record: m.f.judge.started(c.Task, c.Number, m.entry.ID)}
+	m.runs[c.Task] = run
+	spec := m.f.judge.step(c.Task)
+	if spec.Lasting {
+		return quetzalwork.OrderTaken{Clock: clock}
+	}
+	took := time.Duration(float64(spec.Estimate) * m.slow * (0.5 + m.f.rng.Float64()))
+	m.f.after(took, func() {
+		if m.up && m.runs[c.Task] == run {
+			end := quetzalwork.EndDone
+			if m.failing {
+				end = quetzalwork.EndFailed
+			}
+			m.end(c.Task, end)
+		}
+	})
+	return quetzalwork.OrderTaken{Clock: clock}
+}
+
+func (m *minion) stop(c quetzalwork.StopRun) quetzalwork.OrderResult {
+	if c.Target.Token < m.token {
+		return quetzalwork.OrderFenced{}
+	}
+	m.token = c.Target.Token
+	if r := m.runs[c.Task]; r != nil && r.number == c.Number {
+		m.f.after(200*time.Millisecond, func() {
+			if m.up && m.runs[c.Task] == r {
+				m.end(c.Task, quetzalwork.EndStopped)
+			}
+		})
+	} else {
+		m.closed[c.Task] = max(m.closed[c.Task], c.Number)
+	}
+	return quetzalwork.OrderTaken{Clock: m.clock()}
+}
+
+func (m *minion) end(name quetzalwork.TaskName, how quetzalwork.RunEnd) {
+	r := m.runs[name]
+	delete(m.runs, name)
+	m.closed[name] = max(m.closed[name], r.number)
+	m.lastN++
+	m.ends = append(m.ends, quetzalwork.ListedEnd{Number: m.lastN, Task: name, Run: r.number, End: how})
+	r.record.end, r.record.number = how, m.lastN
+	m.f.judge.ended(r.record, "")
+	waiting := m.waiting
+	m.waiting = nil
+	for _, answer := range waiting {
+		answer()
+	}
+}
+
+// hold serves a hold. The answer waits for an end if it may.
+func (m *minion) hold(from quetzalunit.ZoneID, c quetzalwork.HoldMinion, post func(quetzalwork.Input)) func() {
+	if !m.up {
+		return nil
+	}
+	in := quetzalwork.MinionHeld{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
+	if c.Target.Token < m.token {
+		in.Result = quetzalwork.OrderFenced{}
+		return func() { post(in) }
+	}
+	m.token = c.Target.Token
+	if m.clock() > m.lease {
+		m.f.judge.lapsed(m.entry.ID)
+	}
+	m.extend(c.Lease)
+	m.ends = slices.DeleteFunc(m.ends, func(e quetzalwork.ListedEnd) bool {
+		if e.Number <= c.Noted {
+			m.f.judge.noted(m.entry.ID, e.Number)
+			return true
+		}
+		return false
+	})
+	answer := func() {
+		in.Result, in.Life = quetzalwork.OrderTaken{Clock: m.clock()}, m.entry.Life
+		in.Ends = slices.Clone(m.ends)
+		for _, name := range m.names() {
+			in.Running = append(in.Running, quetzalwork.ListedRun{Task: name, Number: m.runs[name].number, Percent: 100})
+		}
+	}
+	if c.Wait == 0 || len(m.ends) > 0 {
+		answer()
+		return func() { post(in) }
+	}
+	sent := false
+	send := func() {
+		if !sent && m.up {
+			sent = true
+			answer()
+			m.f.after(m.f.delay(), func() {
+				if !m.f.reaches(from, m.zone) {
+					in.Result, in.Running, in.Ends = quetzalwork.OrderUnanswered{}, nil, nil
+				}
+				post(in)
+			})
+		}
+	}
+	m.waiting = append(m.waiting, send)
+	m.f.after(c.Wait, send)
+	m.f.after(c.Wait+600*time.Millisecond, func() {
+		if !sent {
+			sent = true
+			in.Result = quetzalwork.OrderUnanswered{}
+			post(in)
+		}
+	})
+	return func() {}
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/fleet_test.go
@@ -0,0 +1,328 @@
+package quetzalscheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalscheduler"
+	"quetzalstair/quetzalcore/quetzaltable"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// fleet is a virtual fleet on a virtual clock: a store, minions and entries, whose messages
+// take time, are lost behind cuts and may be carried out late. What minions start is judged
+// as it happens.
+type fleet struct {
+	now     quetzalunit.Instant
+	events  quetzaltable.Timers[func()]
+	rng     *rand.Rand
+	store   *store
+	entries []*entry
+	minions map[quetzalunit.MinionID]*minion
+	// order has the minions as they were added.
+	order []*minion
+	// cutZones are cut off from all others and from the store.
+	cutZones map[quetzalunit.ZoneID]bool
+	// storeDown answers nothing; loseAnswers is the share of store answers that get lost, and
+	// lateOrders that of orders to minions which are carried out late without an answer.
+	storeDown               bool
+	loseAnswers, lateOrders float64
+	judge                   judge
+	// answers are what callers got, by job.
+	answers map[quetzalunit.JobID][]quetzalwork.Answer
+	callers map[quetzalunit.Caller]quetzalunit.JobID
+	lastID  int
+}
+
+// storeZone is where the store is; it is never cut itself.
+const storeZone quetzalunit.ZoneID = ""
+
+const (
+	testQueue = "proofs"
+	testPool  = "desk"
+)
+
+type entry struct {
+	f     *fleet
+	id    quetzalunit.EntryID
+	zone  quetzalunit.ZoneID
+	world *quetzalwork.World
+	boot  int
+	up    bool
+	// frozenUntil holds inputs back.
+	frozenUntil quetzalunit.Instant
+	inputs      []quetzalwork.Input
+	wakeAt      quetzalunit.Instant
+	replies     map[quetzalunit.Caller]func(quetzalwork.PeerReply)
+	lastCaller  quetzalunit.Caller
+	config      quetzalwork.FleetConfig
+}
+
+func newFleet(seed uint64, zones []quetzalunit.ZoneID, entries, minions int, cfg quetzalwork.FleetConfig) *fleet {
+	f := &fleet{
+		now: quetzalunit.InstantOf(time.Unix(1000, 0)), rng: rand.New(rand.NewPCG(seed, 1)),
+		minions: make(map[quetzalunit.MinionID]*minion), cutZones: make(map[quetzalunit.ZoneID]bool),
+		answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.Caller]quetzalunit.JobID),
+	}
+	f.judge.f = f
+	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), members: make(map[quetzalunit.EntryID]stampedMember), rows: make(map[string]quetzalwork.JobRow), list: make(map[quetzalunit.MinionID]stampedEntry)}
+	for i := range minions {
+		f.addMinion(zones[i%len(zones)], i/2)
+	}
+	for i := range entries {
+		e := &entry{f: f, id: quetzalunit.EntryID(fmt.Sprint("e", i)), zone: zones[i%len(zones)], config: cfg}
+		f.entries = append(f.entries, e)
+		e.start()
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.events.Push(f.now.Add(d), do)
+}
+
+// run advances the clock.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for {
+		at, ok := f.events.Next()
+		if !ok || at > end {
+			break
+		}
+		f.now = max(f.now, at)
+		do, _ := f.events.PopDue(f.now)
+		do()
+	}
+	f.now = end
+}
+
+func (f *fleet) delay() time.Duration {
+	return time.Millisecond/2 + time.Duration(f.rng.Int64N(int64(2*time.Millisecond)))
+}
+
+func (f *fleet) reaches(a, b quetzalunit.ZoneID) bool {
+	return a == b || !f.cutZones[a] && !f.cutZones[b]
+}
+
+// call sends a request from a zone to another, and its reply back. Without a reply in time,
+// lost is called.
+func (f *fleet) call(from, to quetzalunit.ZoneID, timeout time.Duration, serve func() func(), lost func()) {
+	answered := false
+	f.after(f.delay(), func() {
+		if !f.reaches(from, to) {
+			return
+		}
+		reply := serve()
+		if reply == nil {
+			return
+		}
+		f.after(f.delay(), func() {
+			if f.reaches(from, to) && !answered {
+				answered = true
+				reply()
+			}
+		})
+	})
+	f.after(timeout, func() {
+		if !answered {
+			answered = true
+			lost()
+		}
+	})
+}
+
+func (e *entry) start() {
+	e.boot++
+	e.up = true
+	e.inputs, e.wakeAt = nil, 0
+	e.replies = make(map[quetzalunit.Caller]func(quetzalwork.PeerReply))
+	e.world = &quetzalwork.World{
+		Self: quetzalwork.Identity{
+			Entry: e.id, Zone: e.zone, Incarnation: quetzalunit.Incarnation(e.f.now), PeerAddress: quetzalunit.Address(e.id), Seed: uint64(e.boot),
+		},
+		Bounds: quetzalwork.Bounds{LongestLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, OrderLease: 3 * time.Second, MaintenanceTime: 2 * time.Second},
+	}
+	quetzalscheduler.Start(e.world, e.f.now)
+	e.wake(e.f.now)
+}
+
+func (e *entry) kill() {
+	e.up = false
+}
+
+// post hands an input to the entry if it is still the process that asked.
+func (e *entry) post(boot int, in quetzalwork.Input) {
+	if !e.up || e.boot != boot {
+		return
+	}
+	e.inputs = append(e.inputs, in)
+	e.wake(e.f.now)
+}
+
+// wake plans a tick.
+func (e *entry) wake(at quetzalunit.Instant) {
+	at = max(at, e.f.now, e.frozenUntil)
+	if e.wakeAt != 0 && e.wakeAt <= at {
+		return
+	}
+	e.wakeAt = at
+	boot := e.boot
+	e.f.events.Push(at, func() {
+		if e.up && e.boot == boot && e.wakeAt == at {
+			e.tick()
+		}
+	})
+}
+
+func (e *entry) tick() {
+	if e.f.now < e.frozenUntil {
+		e.wakeAt = 0
+		e.wake(e.frozenUntil)
+		return
+	}
+	e.wakeAt = 0
+	inputs := e.inputs
+	e.inputs = nil
+	for _, c := range quetzalscheduler.Tick(e.world, e.f.now, inputs) {
+		e.perform(c)
+	}
+	if at, ok := quetzalscheduler.NextTick(e.world); ok {
+		e.wake(at)
+	}
+}
+
+// perform carries out a command.
+func (e *entry) perform(c quetzalwork.Command) {
+	f, boot := e.f, e.boot
+	post := func(in quetzalwork.Input) { e.post(boot, in) }
+	switch c := c.(type) {
+	case quetzalwork.AnswerCaller:
+		id := f.callers[c.Caller]
+		f.answers[id] = append(f.answers[id], c.Answer)
+		f.judge.answered(id, c.Answer)
+	case quetzalwork.AnswerPeer:
+		if reply := e.replies[c.Caller]; reply != nil {
+			delete(e.replies, c.Caller)
+			reply(c.Reply)
+		}
+	case quetzalwork.AskPeer:
+		e.askPeer(c, post)
+	case quetzalwork.HoldMinion:
+		m := f.minions[c.Target.Minion]
+		none := quetzalwork.MinionHeld{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, Result: quetzalwork.OrderUnanswered{}}
+		f.call(e.zone, m.zone, c.Wait+600*time.Millisecond, func() func() { return m.hold(e.zone, c, post) }, func() { post(none) })
+	case quetzalwork.StartRun:
+		m := f.minions[c.Target.Minion]
+		e.order(m, func() quetzalwork.OrderResult { return m.start(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.RunAnswered{Run: c.Run, Result: r}) })
+	case quetzalwork.StopRun:
+		m := f.minions[c.Target.Minion]
+		e.order(m, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.StopAnswered{Run: c.Run, Result: r}) })
+	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.Relays, quetzalwork.ObserveJob, quetzalwork.AskAdvice, quetzalwork.ListHosts, quetzalwork.OrderHost:
+	default:
+		f.store.perform(e, c, post)
+	}
+}
+
+func (e *entry) askPeer(c quetzalwork.AskPeer, post func(quetzalwork.Input)) {
+	f := e.f
+	i := slices.IndexFunc(f.entries, func(p *entry) bool { return quetzalunit.Address(p.id) == c.Address })
+	peer := f.entries[i]
+	f.call(e.zone, peer.zone, c.Timeout, func() func() {
+		if !peer.up {
+			return nil
+		}
+		peer.lastCaller++
+		peer.replies[peer.lastCaller] = func(r quetzalwork.PeerReply) {
+			f.after(f.delay(), func() {
+				if f.reaches(e.zone, peer.zone) {
+					post(quetzalwork.PeerAnswered{Message: c.Message, Address: c.Address, Reply: r})
+				}
+			})
+		}
+		peer.post(peer.boot, quetzalwork.PeerAsked{Caller: peer.lastCaller, Message: c.Message})
+		return func() {}
+	}, func() { post(quetzalwork.PeerAnswered{Message: c.Message, Address: c.Address}) })
+}
+
+// order sends an order to a minion. Some are carried out late, without an answer.
+func (e *entry) order(m *minion, serve func() quetzalwork.OrderResult, answer func(quetzalwork.OrderResult)) {
+	f := e.f
+	if f.rng.Float64() < f.lateOrders {
+		f.after(2*time.Second+time.Duration(f.rng.Int64N(int64(6*time.Second))), func() {
+			if m.up {
+				serve()
+			}
+		})
+		f.after(900*time.Millisecond, func() { answer(quetzalwork.OrderUnanswered{}) })
+		return
+	}
+	f.call(e.zone, m.zone, 900*time.Millisecond, func() func() {
+		if !m.up {
+			return nil
+		}
+		r := serve()
+		return func() { answer(r) }
+	}, func() { answer(quetzalwork.OrderUnanswered{}) })
+}
+
+// submit sends a job to an entry and returns its id.
+func (f *fleet) submit(e *entry, steps ...quetzalwork.StepSpec) quetzalunit.JobID {
+	f.lastID++
+	id := quetzalunit.JobID(fmt.Sprintf("%016x", f.lastID))
+	f.send(e, id, &quetzalwork.JobSpec{Text: "text", Steps: steps})
+	return id
+}
+
+// send submits a job, again after each answer that settles nothing.
+func (f *fleet) send(e *entry, id quetzalunit.JobID, spec *quetzalwork.JobSpec) {
+	caller := quetzalunit.Caller(len(f.callers) + 1)
+	f.callers[caller] = id
+	f.judge.submitted(id, spec)
+	e.post(e.boot, quetzalwork.JobSubmitted{Caller: caller, Host: "host", Path: "/proofs/" + string(id), Spec: spec, Timeout: 3 * time.Second})
+}
+
+// state asks an entry for the state of a job.
+func (f *fleet) state(e *entry, id quetzalunit.JobID) quetzalwork.Answer {
+	caller := quetzalunit.Caller(len(f.callers) + 1)
+	key := quetzalunit.JobID(fmt.Sprint("ask", caller))
+	f.callers[caller] = key
+	e.post(e.boot, quetzalwork.JobAsked{Caller: caller, Host: "host", Path: "/proofs/" + string(id), Timeout: 3 * time.Second})
+	f.run(3500 * time.Millisecond)
+	if a := f.answers[key]; len(a) > 0 {
+		return a[0]
+	}
+	return nil
+}
+
+// holder returns the entry that dispatches the pool, nil without one.
+func (f *fleet) holder() *entry {
+	for _, e := range f.entries {
+		if p := e.world.Pools.At(e.world.PoolByID.Get(testPool)); e.up && p != nil && p.Held {
+			return e
+		}
+	}
+	return nil
+}
+
+func testConfig() quetzalwork.FleetConfig {
+	return quetzalwork.FleetConfig{
+		Version: 1, MaxBody: 1 << 18,
+		Queues: []quetzalwork.QueueSpec{{ID: testQueue, Host: "host", Path: "/proofs/", Pool: testPool, MaxAttempts: 3, Stretch: 2, Target: time.Second}},
+		Pools:  []quetzalwork.PoolSpec{{ID: testPool, Guards: true}},
+	}
+}
+
+func testStep(count quetzalunit.Tasks, after ...quetzalunit.StepIndex) quetzalwork.StepSpec {
+	return quetzalwork.StepSpec{
+		Count: count, Needs: quetzalunit.Resources{Cores: 2000, Memory: 1000}, Estimate: 500 * time.Millisecond, After: after,
+	}
+}
+
+// rowKey is where the virtual store keeps a row of a job.
+func rowKey(r *quetzalwork.JobRow) string {
+	return strings.Join([]string{string(r.Job), fmt.Sprintf("%T", r.Content)}, "/")
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/judge_test.go
@@ -0,0 +1,180 @@
+package quetzalscheduler_test
+
+import (
+	"fmt"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// judge checks the promises as minions start and end runs.
+type judge struct {
+	f     *fleet
+	specs map[quetzalunit.JobID]*quetzalwork.JobSpec
+	// records has every run of each task, in the order of their starts.
+	records map[quetzalwork.TaskName][]*record
+	// accepted and refused are the jobs that got such an answer.
+	accepted, refused map[quetzalunit.JobID]bool
+	broken            []string
+}
+
+// record is a run that a minion started.
+type record struct {
+	task      quetzalwork.TaskName
+	run       quetzalunit.RunNumber
+	minion    quetzalunit.MinionID
+	startedAt quetzalunit.Instant
+	endedAt   quetzalunit.Instant
+	over      bool
+	end       quetzalwork.RunEnd
+	number    quetzalunit.EndNumber
+	// noted tells that the end was taken note of while the lease held.
+	noted bool
+	// lapsed tells that the minion's lease was over after the run ended.
+	lapsed bool
+}
+
+func (j *judge) submitted(id quetzalunit.JobID, spec *quetzalwork.JobSpec) {
+	if j.specs == nil {
+		j.specs = make(map[quetzalunit.JobID]*quetzalwork.JobSpec)
+		j.records = make(map[quetzalwork.TaskName][]*record)
+		j.accepted = make(map[quetzalunit.JobID]bool)
+		j.refused = make(map[quetzalunit.JobID]bool)
+	}
+	j.specs[id] = spec
+}
+
+func (j *judge) step(t quetzalwork.TaskName) *quetzalwork.StepSpec {
+	return &j.specs[t.Job].Steps[t.Step]
+}
+
+func (j *judge) fault(format string, args ...any) {
+	j.broken = append(j.broken, fmt.Sprintf("%v: ", j.f.now)+fmt.Sprintf(format, args...))
+}
+
+func (j *judge) answered(id quetzalunit.JobID, a quetzalwork.Answer) {
+	switch a.(type) {
+	case quetzalwork.JobAccepted:
+		j.accepted[id] = true
+	case quetzalwork.JobRefused:
+		j.refused[id] = true
+	default:
+	}
+}
+
+// started records a start and checks the rules that it may break.
+func (j *judge) started(t quetzalwork.TaskName, run quetzalunit.RunNumber, m quetzalunit.MinionID) *record {
+	r := &record{task: t, run: run, minion: m, startedAt: j.f.now}
+	failed := 0
+	for _, other := range j.records[t] {
+		if !other.over && !j.step(t).Speculative {
+			j.fault("TWICE: %v run %d on %s beside run %d on %s", t, run, m, other.run, other.minion)
+		}
+		if other.over && other.end == quetzalwork.EndDone && other.noted {
+			j.fault("TWICE: %v run %d on %s after run %d was done and noted", t, run, m, other.run)
+		}
+		if other.over && other.end == quetzalwork.EndFailed {
+			failed++
+		}
+	}
+	if failed >= 3 {
+		j.fault("BUDGET: %v run %d after %d failures", t, run, failed)
+	}
+	for _, before := range j.step(t).After {
+		for n := range j.specs[t.Job].Steps[before].Count {
+			if !j.isDone(quetzalwork.TaskName{Job: t.Job, TaskRef: quetzalwork.TaskRef{Step: before, Task: quetzalunit.TaskIndex(n)}}) {
+				j.fault("ORDER: %v before step %d is done", t, before)
+			}
+		}
+	}
+	j.records[t] = append(j.records[t], r)
+	return r
+}
+
+func (j *judge) isDone(t quetzalwork.TaskName) bool {
+	for _, r := range j.records[t] {
+		if r.over && r.end == quetzalwork.EndDone {
+			return true
+		}
+	}
+	return false
+}
+
+// ended records the end of a run; gone marks one that went with its minion.
+func (j *judge) ended(r *record, gone string) {
+	r.over, r.endedAt = true, j.f.now
+	if gone != "" {
+		r.end = quetzalwork.EndLapsed
+	}
+}
+
+// lapsed records that the lease of a minion was over.
+func (j *judge) lapsed(m quetzalunit.MinionID) {
+	for _, records := range j.records {
+		for _, r := range records {
+			r.lapsed = r.lapsed || r.minion == m && r.over
+		}
+	}
+}
+
+// noted records that an end was taken note of, and whether a later start preceded that.
+func (j *judge) noted(m quetzalunit.MinionID, n quetzalunit.EndNumber) {
+	for t, records := range j.records {
+		for i, r := range records {
+			if r.minion != m || r.number != n || !r.over || r.end != quetzalwork.EndDone {
+				continue
+			}
+			if r.lapsed {
+				continue
+			}
+			r.noted = true
+			for _, later := range records[i+1:] {
+				if later.startedAt > r.endedAt && !j.step(t).Speculative {
+					j.fault("TWICE: %v run %d was started after run %d had ended, which was noted", t, later.run, r.run)
+				}
+			}
+		}
+	}
+}
+
+// unfinished returns the accepted jobs with a task that is not done.
+func (j *judge) unfinished() []quetzalunit.JobID {
+	var ids []quetzalunit.JobID
+	for id := range j.accepted {
+		done := true
+		for s := range j.specs[id].Steps {
+			for n := range j.specs[id].Steps[s].Count {
+				done = done && j.isDone(quetzalwork.TaskName{Job: id, TaskRef: quetzalwork.TaskRef{Step: quetzalunit.StepIndex(s), Task: quetzalunit.TaskIndex(n)}})
+			}
+		}
+		if !done {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// explain tells what the dispatcher knows of a job.
+func (f *fleet) explain(id quetzalunit.JobID) string {
+	h := f.holder()
+	if h == nil {
+		return "nobody dispatches the pool"
+	}
+	w := h.world
+	p := w.Pools.At(w.PoolByID.Get(testPool))
+	text := fmt.Sprintf("%s: loaded %t old known %t ready %d gone in %v\n", h.id, p.Loaded, p.OldKnown, len(p.Ready), p.PredecessorGone.Sub(w.Now))
+	for _, row := range p.Minions {
+		m := w.Minions.At(row)
+		text += fmt.Sprintf("%s listed %t heard %t misses %d runs %d used %v rest %v\n", m.ID, m.Listed, m.Heard, m.Misses, len(m.Runs), m.Used, m.RestUntil.Sub(w.Now))
+	}
+	j := w.Jobs.At(w.JobByID.Get(id))
+	if j == nil {
+		return text + "the job is not known"
+	}
+	text += fmt.Sprintf("job %v stored %v progress %v\n", j.State, j.Stored, j.Progress)
+	for _, row := range j.Steps {
+		s := w.Steps.At(row)
+		text += fmt.Sprintf("step %d open %t listed %t done %d waiting %d\n", s.Index, s.Open, s.Listed, s.Done, s.Waiting)
+	}
+	return text
+}
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -104,6 +104,10 @@
 	}
 	emitRelays(w)
 	tendDuties(w)
+	for _, p := range w.Pools.All() {
+		// The read permits what may have waited for it: new minions, and leases after an outage.
+		p.Dirty = p.Dirty || len(p.Ready) > 0
+	}
 }
 
 // seeMember applies a member's row.
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -57,6 +57,9 @@
 		return
 	}
 	l.AnsweredAt = w.Now
+	if l.WatchedSince == 0 {
+		l.WatchedSince = w.Now
+	}
 	if in.Full {
 		unlistMinions(w, in.Entries)
 	}
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -24,13 +24,11 @@
 // place places the waiting tasks of the pools in which something has changed.
 func place(w *quetzalwork.World) {
 	for row, p := range w.Pools.All() {
-		if !p.Dirty || !p.Held || !p.Loaded {
+		if !p.Dirty || !p.Held || !p.Loaded || !extends(w) {
 			continue
 		}
 		p.Dirty = false
-		if extends(w) {
-			placePool(w, row)
-		}
+		placePool(w, row)
 	}
 }
 
@@ -72,7 +70,7 @@
 		return true
 	}
 	quiet := p.TakenAt
-	if w.MinionList.AnsweredAt < p.TakenAt {
+	if l := &w.MinionList; l.AnsweredAt < p.TakenAt || p.TakenAt.Sub(l.WatchedSince) < rememberTime {
 		quiet = p.PredecessorGone
 	}
 	for _, minion := range p.Minions {
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/promise_test.go
@@ -0,0 +1,273 @@
+package quetzalscheduler_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+var threeZones = []quetzalunit.ZoneID{"a", "b", "c"}
+
+// settled runs the fleet until every accepted job has ended, and checks the promises.
+func settled(t require.TestingT, f *fleet, d time.Duration) {
+	f.run(d)
+	require.Empty(t, f.judge.broken)
+	require.Empty(t, f.judge.unfinished())
+}
+
+func TestJobsRunOnceAndAreCompleted(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	f.run(3 * time.Second)
+	var ids []quetzalunit.JobID
+	for i := range 20 {
+		ids = append(ids, f.submit(f.entries[i%3], testStep(4), testStep(2, 0)))
+		f.run(50 * time.Millisecond)
+	}
+	settled(t, f, 20*time.Second)
+	require.Len(t, f.judge.accepted, 20)
+	for i, id := range ids[:3] {
+		require.Equal(t, quetzalwork.StateIs{State: quetzalwork.JobCompleted}, f.state(f.entries[i], id))
+	}
+}
+
+func TestSuccessorFinishesTheWorkOfAKilledDispatcher(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, threeZones, 3, 6, testConfig())
+		f.run(3 * time.Second)
+		for i := range 10 {
+			f.submit(f.entries[i%3], testStep(4), testStep(2, 0))
+		}
+		f.run(time.Duration(200+100*seed) * time.Millisecond)
+		f.holder().kill()
+		settled(t, f, 40*time.Second)
+	}
+}
+
+// The dispatcher is cut off with a zone whose minions it still reaches, while its successor
+// reaches the others.
+func TestDispatcherCutOffWithItsZoneStartsNothingTwice(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newFleet(seed, threeZones, 6, 9, testConfig())
+		f.run(3 * time.Second)
+		holder := f.holder()
+		f.cutZones[holder.zone] = true
+		for i := range 60 {
+			f.submit(f.entries[i%6], testStep(3), testStep(2, 0))
+			f.run(100 * time.Millisecond)
+		}
+		delete(f.cutZones, holder.zone)
+		settled(t, f, 40*time.Second)
+	}
+}
+
+// Minions leave the list before the takeover, and run on behind the cut.
+func TestMinionsThatLeftTheListBeforeATakeoverAreWaitedFor(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, threeZones, 6, 9, testConfig())
+		f.run(3 * time.Second)
+		holder := f.holder()
+		for range 8 {
+			f.submit(holder, testStep(6), testStep(2, 0))
+		}
+		f.run(300 * time.Millisecond)
+		f.cutZones[holder.zone] = true
+		for _, m := range f.order {
+			if m.zone == holder.zone {
+				m.list(true)
+			}
+		}
+		f.run(8 * time.Second)
+		delete(f.cutZones, holder.zone)
+		for _, m := range f.order {
+			m.list(false)
+		}
+		settled(t, f, 40*time.Second)
+	}
+}
+
+func TestFailedRunCountsOnceAcrossATakeover(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 2, testConfig())
+	f.run(3 * time.Second)
+	for _, m := range f.order {
+		m.failing = true
+	}
+	id := f.submit(f.entries[0], testStep(1))
+	for len(f.judge.records) == 0 || !f.judge.records[quetzalwork.TaskName{Job: id}][0].over {
+		f.run(time.Millisecond)
+	}
+	// The failure is stored, but its end is not taken note of by the minion.
+	f.run(12 * time.Millisecond)
+	for _, m := range f.order {
+		m.failing = false
+	}
+	f.holder().kill()
+	settled(t, f, 40*time.Second)
+	require.Less(t, len(f.judge.records[quetzalwork.TaskName{Job: id}]), 4)
+}
+
+func TestOutageOfTheStoreLosesNothing(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(seed, threeZones, 3, 6, testConfig())
+		f.run(3 * time.Second)
+		for i := range 10 {
+			f.submit(f.entries[i%3], testStep(6), testStep(2, 0))
+		}
+		f.run(400 * time.Millisecond)
+		f.storeDown = true
+		f.run(time.Duration(2+2*seed) * time.Second)
+		f.storeDown = false
+		settled(t, f, 40*time.Second)
+	}
+}
+
+func TestCancelledJobStops(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	f.run(3 * time.Second)
+	step := testStep(4)
+	step.Lasting = true
+	id := f.submit(f.entries[0], step)
+	f.run(time.Second)
+	f.callers[900] = "cancel"
+	e := f.entries[1]
+	e.post(e.boot, quetzalwork.CancelAsked{Caller: 900, Host: "host", Path: "/proofs/" + string(id), Timeout: 3 * time.Second})
+	f.run(1500 * time.Millisecond)
+	require.Equal(t, []quetzalwork.Answer{quetzalwork.Cancelled{}}, f.answers["cancel"])
+	for _, m := range f.order {
+		require.Empty(t, m.runs)
+	}
+	require.Equal(t, quetzalwork.StateIs{State: quetzalwork.JobCancelled}, f.state(f.entries[2], id))
+}
+
+func TestRefusedJobNeverRuns(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	f.run(3 * time.Second)
+	f.storeDown = true
+	id := f.submit(f.entries[0], testStep(2))
+	f.run(10 * time.Second)
+	require.IsType(t, quetzalwork.Unsettled{}, f.answers[id][0], "the transaction may have been carried out")
+	require.Empty(t, f.judge.records)
+}
+
+func TestBadSubmissionsGetAClearAnswer(t *testing.T) {
+	f := newFleet(1, threeZones, 1, 1, testConfig())
+	f.run(3 * time.Second)
+	self := testStep(1)
+	self.After = []quetzalunit.StepIndex{0}
+	for _, test := range []struct {
+		path string
+		spec *quetzalwork.JobSpec
+		want quetzalwork.Answer
+	}{
+		{"/proofs/0123456789abcdef", nil, quetzalwork.BadJob{Problem: "the body cannot be read"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{}, quetzalwork.BadJob{Problem: "the job has no steps"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{{}}}, quetzalwork.BadJob{Problem: "step 0 has no tasks"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{self}}, quetzalwork.BadJob{Problem: "step 0 waits for step 0, which is not before it"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Text: string(make([]byte, 4001)), Steps: []quetzalwork.StepSpec{testStep(1)}}, quetzalwork.BadJob{Problem: "the text is longer than 4000 bytes"}},
+		{"/proofs/xyz", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}}, quetzalwork.BadJob{Problem: "the path names no job"}},
+		{"/nothing/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}}, quetzalwork.NoSuchQueue{}},
+	} {
+		caller := quetzalunit.Caller(1000 + len(f.callers))
+		key := quetzalunit.JobID(test.path + time.Duration(caller).String())
+		f.callers[caller] = key
+		e := f.entries[0]
+		e.post(e.boot, quetzalwork.JobSubmitted{Caller: caller, Host: "host", Path: test.path, Spec: test.spec})
+		f.run(100 * time.Millisecond)
+		require.Equal(t, []quetzalwork.Answer{test.want}, f.answers[key])
+	}
+}
+
+// TestPromisesUnderRandomFaults plays random faults and checks every promise.
+func TestPromisesUnderRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		f := newFleet(seed, threeZones, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(3, 9).Draw(t, "minions"), testConfig())
+		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
+		f.run(3 * time.Second)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		faults := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 6).Draw(t, "faults")
+		for i, fault := range faults {
+			for range 12 {
+				f.submit(f.entries[rng.IntN(len(f.entries))], testStep(quetzalunit.Tasks(1+rng.IntN(4))), testStep(2, 0))
+				f.run(time.Duration(rng.IntN(200)) * time.Millisecond)
+			}
+			strike(f, rng, fault, i)
+		}
+		f.loseAnswers, f.lateOrders, f.storeDown = 0, 0, false
+		clear(f.cutZones)
+		for _, e := range f.entries {
+			if !e.up {
+				e.start()
+			}
+		}
+		f.run(60 * time.Second)
+		if len(f.judge.broken) > 0 {
+			t.Fatalf("faults %v: %v", faults, f.judge.broken)
+		}
+		if ids := f.judge.unfinished(); len(ids) > 0 {
+			t.Fatalf("faults %v: unfinished jobs %v\n%s", faults, ids, f.explain(ids[0]))
+		}
+	})
+}
+
+// strike begins a fault, which ends by itself.
+func strike(f *fleet, rng *rand.Rand, fault, i int) {
+	e := f.entries[rng.IntN(len(f.entries))]
+	if h := f.holder(); h != nil && rng.IntN(2) == 0 {
+		e = h
+	}
+	d := time.Duration(500+rng.IntN(8000)) * time.Millisecond
+	switch fault {
+	case 0:
+		e.kill()
+		f.after(d, func() {
+			if !e.up {
+				e.start()
+			}
+		})
+	case 1:
+		e.frozenUntil = f.now.Add(d)
+	case 2:
+		f.cutZones[e.zone] = true
+		f.after(d, func() { delete(f.cutZones, e.zone) })
+	case 3:
+		f.storeDown = true
+		f.after(d, func() { f.storeDown = false })
+	case 4:
+		f.loseAnswers = 0.3
+		f.after(d, func() { f.loseAnswers = 0 })
+	case 5:
+		e.post(e.boot, quetzalwork.StopAsked{})
+		f.after(3*time.Second, func() {
+			if e.up {
+				e.kill()
+				f.after(500*time.Millisecond, e.start)
+			}
+		})
+	case 6:
+		for _, m := range f.order {
+			if m.up && m.zone == e.zone {
+				m.kill()
+				f.after(d, func() { m.list(true) })
+				f.addMinion(m.zone, 90+i)
+				break
+			}
+		}
+	case 7:
+		for _, m := range f.order {
+			if m.zone == e.zone {
+				m.list(true)
+				f.after(d, func() {
+					if m.up {
+						m.list(false)
+					}
+				})
+			}
+		}
+	}
+}
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -181,4 +181,7 @@
 	Reading bool
 	// AnsweredAt is the instant of the last answer.
 	AnsweredAt quetzalunit.Instant
+	// WatchedSince is the instant of the first answer: minions that left the list before are
+	// not known.
+	WatchedSince quetzalunit.Instant
 }
