--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -22,7 +22,7 @@
 	readGap = 2 * time.Second
 	// suspendAfter is the time without a read that confirms its duty after which a dispatcher
 	// extends no lease; until then it goes on without the store.
-	suspendAfter = 6 * time.Second
+	suspendAfter = 5 * time.Second
 	// settleTime is the time after its start in which an entry takes no duty, so that entries
 	// that start together share the duties.
 	settleTime = 700 * time.Millisecond
@@ -30,8 +30,8 @@
 	candidateTime = 1500 * time.Millisecond
 	// dutyRetry is the pause after a takeover without success.
 	dutyRetry = 400 * time.Millisecond
-	// leaseSlack is added to the lease of runs for clocks that are up to 2 % slow.
-	leaseSlack = 1.03
+	// leaseEnd is the time in which a lease that is not extended is over on the slowest clock.
+	leaseEnd = leaseTime*103/100 + lapseSlack
 )
 
 // conductorDuty names the duty that gives orders to hosts, among those of the pools.
@@ -107,6 +107,9 @@
 	for _, p := range w.Pools.All() {
 		// The read permits what may have waited for it: new minions, and leases after an outage.
 		p.Dirty = p.Dirty || len(p.Ready) > 0
+		if p.Held && !p.OldKnown && in.SentAt > p.TakenAt {
+			watchPredecessor(w, p)
+		}
 	}
 }
 
@@ -119,11 +122,11 @@
 	}
 	m := w.Members.At(row)
 	changed := m.Beat != seen.Beat || m.Incarnation != seen.Incarnation
-	at := m.ChangedAt
+	at, renewed := m.ChangedAt, m.RenewedAt
 	*m = *seen
-	m.Listed, m.ChangedAt = true, at
+	m.Listed, m.ChangedAt, m.RenewedAt = true, at, renewed
 	if changed {
-		m.ChangedAt = w.Now
+		m.ChangedAt, m.RenewedAt = w.Now, w.Now
 	}
 }
 
@@ -173,7 +176,7 @@
 	}
 	if mine && !p.Held && !w.Stopping {
 		// The answer to the takeover was lost.
-		beginPool(w, row, seen.Revision, true)
+		beginPool(w, row, seen.Revision, quetzalwork.Duty{}, true)
 	}
 }
 
@@ -261,13 +264,14 @@
 		taken.Holder, taken.Incarnation, taken.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
 	}
 	if in.Revision > d.Revision {
+		predecessor := *d
 		mayLive, first := holderMayLive(w, d), d.Revision == 0
 		*d = taken
 		if !in.Release && in.Pool == conductorDuty {
 			beginConductor(w, in.Revision)
 		} else if !in.Release {
 			row := poolRow(w, in.Pool)
-			beginPool(w, row, in.Revision, mayLive)
+			beginPool(w, row, in.Revision, predecessor, mayLive)
 			if first {
 				w.Pools.At(row).PredecessorGone = w.Now
 			}
@@ -294,16 +298,17 @@
 
 // beginPool makes this process the dispatcher of a pool. A predecessor that may live can
 // extend leases for suspendAfter; one that gave the duty back extends none.
-func beginPool(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, mayLive bool) {
+func beginPool(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, predecessor quetzalwork.Duty, mayLive bool) {
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.TakenAt = true, quetzalunit.FencingToken(revision), w.Now
 	p.Loaded, p.LoadFrom, p.LoadCall, p.Seen, p.OldKnown = false, "", false, 0, false
 	p.Images = make(map[quetzalunit.QueueID]*quetzalwork.RunTimes)
-	after := time.Duration(float64(leaseTime) * leaseSlack)
+	p.Predecessor = quetzalwork.Duty{}
+	p.PredecessorGone = w.Now.Add(leaseEnd)
 	if mayLive {
-		after += suspendAfter
+		p.Predecessor = predecessor
+		p.PredecessorGone = w.Now.Add(suspendAfter + leaseEnd)
 	}
-	p.PredecessorGone = w.Now.Add(after)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry dispatches the pool.", Pool: p.ID, Version: int64(p.Token)})
 	readPool(w, row, p.Token)
 	for _, minion := range p.Minions {
@@ -313,6 +318,20 @@
 	w.Timers.Push(w.Now.Add(watchPeriod), quetzalwork.WatchdogDue{Pool: row, Token: p.Token})
 }
 
+// watchPredecessor brings the end of a predecessor's work forward: one whose row has not been
+// renewed since then extends leases for suspendAfter at most, and one whose name a later
+// process uses extends none. Only rows that were read after the takeover show that.
+func watchPredecessor(w *quetzalwork.World, p *quetzalwork.Pool) {
+	m := w.Members.At(w.MemberByID.Get(p.Predecessor.Holder))
+	switch {
+	case m == nil:
+	case m.Incarnation != p.Predecessor.Incarnation:
+		p.PredecessorGone = min(p.PredecessorGone, w.Now.Add(leaseEnd))
+	default:
+		p.PredecessorGone = min(p.TakenAt, m.RenewedAt).Add(suspendAfter + leaseEnd)
+	}
+}
+
 // dropPool ends this process's dispatch of a pool and forgets what it knew of it.
 func dropPool(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	p := w.Pools.At(row)
@@ -331,7 +350,8 @@
 
 // extends tells whether this process may extend leases and start runs: a read of the duties
 // has confirmed a short time ago that it holds those that it holds. A renewal of its own row
-// does not show that, since it succeeds after a takeover, too.
+// does not show that, since it succeeds after a takeover, too; but it must have succeeded, so
+// that a successor can tell from the row since when this process extends nothing.
 func extends(w *quetzalwork.World) bool {
-	return w.Now.Sub(w.Membership.ReadSentAt) < suspendAfter
+	return w.Now.Sub(min(w.Membership.ReadSentAt, w.Membership.RenewedAt)) < suspendAfter
 }
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -21,7 +21,7 @@
 	// predecessor cannot keep work on it alive for longer.
 	rememberTime = 16 * time.Second
 	// holdWait is how long a minion may wait for an end before it answers.
-	holdWait = 1200 * time.Millisecond
+	holdWait = 800 * time.Millisecond
 	// holdPause is the least time between two holds of a minion.
 	holdPause = 15 * time.Millisecond
 	// notePause is the pause before the next hold while ends wait to be stored.
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -91,6 +91,8 @@
 	RowsSentAt quetzalunit.Instant
 	// OldKnown tells that all that predecessors started and stored is known.
 	OldKnown bool
+	// Predecessor held the duty before and may live; its holder is empty otherwise.
+	Predecessor Duty
 	// PredecessorGone is the instant after which nothing that a predecessor started on a
 	// silent minion runs any more.
 	PredecessorGone quetzalunit.Instant
@@ -151,6 +153,8 @@
 	Stopping    bool
 	// ChangedAt is the instant of the first of the uninterrupted reads that show this row.
 	ChangedAt quetzalunit.Instant
+	// RenewedAt is the instant of the first read that shows this row.
+	RenewedAt quetzalunit.Instant
 	// Listed tells that the last read had the row.
 	Listed bool
 }
