--- a/quetzalcore/quetzalcodec/workpeer.go
+++ b/quetzalcore/quetzalcodec/workpeer.go
@@ -27,6 +27,8 @@
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindDuty, Pool: string(m.Pool), Duty: poolDutyDoc(&m.Duty), Revision: int(m.Duty.Revision)}
 	case quetzalwork.AskEmpty:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindEmpty, Pool: string(m.Pool), Host: string(m.Host), Wave: string(m.Wave)}
+	case quetzalwork.AskLoad:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindLoad, Pool: string(m.Pool)}
 	case quetzalwork.TellTaken:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host)}
 	}
@@ -53,6 +55,8 @@
 		return quetzalwork.TellDuty{Pool: pool, Duty: poolDuty(&d.Duty, quetzalunit.Revision(d.Revision))}, nil
 	case quetzalwire.WorkMessageKindEmpty:
 		return quetzalwork.AskEmpty{Pool: pool, Host: quetzalunit.HostID(d.Host), Wave: quetzalunit.WaveID(d.Wave)}, nil
+	case quetzalwire.WorkMessageKindLoad:
+		return quetzalwork.AskLoad{Pool: pool}, nil
 	case quetzalwire.WorkMessageKindTaken:
 		return quetzalwork.TellTaken{Pool: pool, Host: quetzalunit.HostID(d.Host)}, nil
 	}
@@ -70,6 +74,14 @@
 		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindState, Known: r.Known, State: int(r.State)}
 	case quetzalwork.PendingReply:
 		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindPending, Pending: int(r.Pending)}
+	case quetzalwork.LoadReply:
+		d := quetzalwire.WorkReply{
+			Kind: quetzalwire.WorkReplyKindLoad, WantedMilliCores: int(r.Load.Wanted), UsableMilliCores: int(r.Load.Usable), Hosts: r.Load.Hosts,
+		}
+		for _, h := range r.Load.Idle {
+			d.Idle = append(d.Idle, quetzalwire.IdleHostDoc{Host: string(h.Host), IdleMs: int(h.Since.Milliseconds())})
+		}
+		return d
 	case quetzalwork.EmptyReply:
 		return quetzalwire.WorkReply{Kind: quetzalwire.WorkReplyKindEmpty, Empty: r.Empty, Safe: r.Safe}
 	}
@@ -90,6 +102,14 @@
 		return quetzalwork.StateReply{Known: d.Known, State: quetzalwork.JobState(d.State)}, nil
 	case quetzalwire.WorkReplyKindPending:
 		return quetzalwork.PendingReply{Pending: quetzalunit.Tasks(d.Pending)}, nil
+	case quetzalwire.WorkReplyKindLoad:
+		l := quetzalwork.PoolLoad{
+			Wanted: quetzalunit.MilliCores(d.WantedMilliCores), Usable: quetzalunit.MilliCores(d.UsableMilliCores), Hosts: d.Hosts,
+		}
+		for _, h := range d.Idle {
+			l.Idle = append(l.Idle, quetzalwork.IdleHost{Host: quetzalunit.HostID(h.Host), Since: span(h.IdleMs)})
+		}
+		return quetzalwork.LoadReply{Load: l}, nil
 	case quetzalwire.WorkReplyKindEmpty:
 		return quetzalwork.EmptyReply{Empty: d.Empty, Safe: d.Safe}, nil
 	}
--- a/quetzalcore/quetzalscheduler/conduct.go
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -1,7 +1,6 @@
 package quetzalscheduler
 
 import (
-	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -11,13 +10,13 @@
 const (
 	// conductPeriod is the time between two looks at the waves.
 	conductPeriod = 200 * time.Millisecond
-	// hostsPeriod is the time between two reads of the list of hosts while a wave runs.
+	// hostsPeriod is the time between two reads of the list of hosts.
 	hostsPeriod = 600 * time.Millisecond
 	// orderRight is how long after a confirmed renewal orders to hosts may be given: less than
 	// the time after which others take this entry for dead.
 	orderRight = 2 * time.Second
 	// cordonTime is how long a wish to empty a minion holds.
-	cordonTime = 1200 * time.Millisecond
+	cordonTime = 2500 * time.Millisecond
 )
 
 // beginConductor makes this process the one that gives orders to hosts.
@@ -35,6 +34,9 @@
 
 func dropConductor(w *quetzalwork.World, reason string) {
 	w.Conductor.Held = false
+	for row := range w.Moves.All() {
+		endMove(w, row)
+	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry no longer gives orders to hosts.", Version: int64(w.Conductor.Token), Reason: reason})
 }
 
@@ -57,23 +59,16 @@
 	if !c.Held || w.Stopping {
 		return
 	}
-	open := false
-	for _, wave := range w.Waves.All() {
-		open = open || wave.Said != quetzalwork.WaveCompleted
-	}
-	if !open {
-		return
-	}
 	if !c.Reading && (c.HostsAt == 0 || w.Now.Sub(c.HostsAt) > hostsPeriod) {
 		c.Reading = true
 		w.Emit(quetzalwork.ListHosts{})
 	}
-	if !c.WavesLoaded {
-		return
-	}
-	for row := range w.Waves.All() {
-		conductWave(w, row)
+	if c.WavesLoaded {
+		for row := range w.Waves.All() {
+			conductWave(w, row)
+		}
 	}
+	balance(w)
 }
 
 func hearHosts(w *quetzalwork.World, in *quetzalwork.HostsListed) {
@@ -130,12 +125,11 @@
 }
 
 // loseHost ends the runs of a host that an order has taken away.
-func loseHost(w *quetzalwork.World, host quetzalunit.HostID) {
+func loseHost(w *quetzalwork.World, pool quetzalunit.PoolID, host quetzalunit.HostID) {
 	for row, m := range w.Minions.All() {
-		if m.Host == host {
+		if m.Host == host && m.Pool == pool && w.Pools.At(m.PoolRow).Held {
 			loseRuns(w, row, "Taken")
-			m.Ends = slices.DeleteFunc(m.Ends, func(quetzalwork.PendingEnd) bool { return true })
-			m.Listed = false
+			m.Ends, m.Taken = nil, true
 		}
 	}
 }
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -17,6 +17,9 @@
 		return
 	}
 	j.Objective = j.AcceptedAt.Add(objectiveSpan(w, j))
+	if p := w.Pools.At(j.Pool); p.Loaded {
+		countOffered(w, row)
+	}
 	if j.Spec.Repeats == 0 {
 		unfold(w, row, 0)
 		return
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -155,7 +155,7 @@
 	m := w.Minions.At(row)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion has started anew.", Minion: m.ID, Pool: m.Pool, Version: int64(life)})
 	loseRuns(w, row, "Restarted")
-	m.Life, m.Known, m.Noted, m.Ends = life, 0, 0, nil
+	m.Life, m.Known, m.Noted, m.Ends, m.Taken = life, 0, 0, nil, false
 	m.Clock, m.ClockAt, m.Lease, m.Heard = 0, 0, 0, false
 	planHold(w, row, 0)
 }
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -0,0 +1,432 @@
+package quetzalscheduler
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// move.go answers the load in which the queues rise by turns: each in its time asks for several
+// times its mean, more than its pool holds, while the others are nearly idle. Hosts follow the
+// demand: first those that stand idle in other pools beyond what these keep for their own next
+// rise, then those of the spare pools, which cost rent from then on.
+
+const (
+	// loadPeriod is the age at which a pool's load is asked for again.
+	loadPeriod = 180 * time.Millisecond
+	// loadValid is the age up to which a load is acted on.
+	loadValid = time.Second
+	// drainTime is the time in which the waiting work of a pool is to be started.
+	drainTime = 700 * time.Millisecond
+	// offeredTime is the time over which the work that arrives is averaged, and offeredShare
+	// what a pool wants for each core of it, so that rising work does not queue up.
+	offeredTime  = 1200 * time.Millisecond
+	offeredShare = 1.15
+	// keepShare is the part of its share of the fleet that a pool keeps even while idle: these
+	// hosts serve its next rise until others have arrived. Pools share the fleet by what they
+	// have wanted on average over meanTime.
+	keepShare = 0.6
+	meanTime  = 60 * time.Second
+	// keepLeast is the number of hosts that a pool keeps in any case.
+	keepLeast = 2
+	// lightShare is the share of its cores up to which a host counts as light, lightLasting and
+	// lightBound how many lasting tasks and tasks without saved progress it may run.
+	lightShare   = 0.3
+	lightLasting = 1
+	lightBound   = 2
+	// rentTime is how long an idle host beyond the kept ones is paid for before it is sent
+	// back to the spare pool: about the price of the two moves.
+	rentTime = 6 * time.Second
+	// moveRetry is the pause after an order to move without success, moveTries bounds the tries.
+	moveRetry = 250 * time.Millisecond
+	moveTries = 8
+	// joinTime is added to a move's own time until the new minion takes work.
+	joinTime = 1500 * time.Millisecond
+)
+
+// loadOf works out what a pool needs and what it could give away.
+func loadOf(w *quetzalwork.World, row quetzalwork.Row) quetzalwork.PoolLoad {
+	p := w.Pools.At(row)
+	l := quetzalwork.PoolLoad{}
+	var lasting quetzalunit.MilliCores
+	for _, r := range p.Ready {
+		s := w.Steps.At(r)
+		if s == nil || s.Waiting == 0 || w.Jobs.At(s.Job).State.Final() {
+			continue
+		}
+		if rankOf(w, p, r).hopeless {
+			continue
+		}
+		l.Wanted += wantedBy(w, p, s)
+	}
+	for _, minionRow := range p.Minions {
+		m := w.Minions.At(minionRow)
+		l.Wanted += m.Used.Cores
+		for _, run := range m.Runs {
+			if r := w.Runs.At(run); w.Steps.At(w.Tasks.At(r.Task).Step).Spec.Lasting {
+				lasting += r.Needs.Cores
+			}
+		}
+		if !usable(w, m) {
+			continue
+		}
+		l.Usable += m.Room.Cores
+		l.Hosts++
+		if m.Host == "" {
+			continue
+		}
+		if len(m.Runs) == 0 && len(m.Ends) == 0 {
+			l.Idle = append(l.Idle, quetzalwork.IdleHost{Host: m.Host, Since: w.Now.Sub(max(m.IdleSince, m.JoinedAt))})
+		} else if isLight(w, m) {
+			l.Idle = append(l.Idle, quetzalwork.IdleHost{Host: m.Host})
+		}
+	}
+	l.Wanted = max(l.Wanted, lasting+quetzalunit.MilliCores(offeredShare*offeredAt(w, p)))
+	slices.SortStableFunc(l.Idle, func(a, b quetzalwork.IdleHost) int { return int(b.Since - a.Since) })
+	return l
+}
+
+// isLight tells whether a minion runs so little that it can soon be empty: what saves its
+// progress, lasting tasks, and few others.
+func isLight(w *quetzalwork.World, m *quetzalwork.Minion) bool {
+	if float64(m.Used.Cores) > lightShare*float64(m.Room.Cores) {
+		return false
+	}
+	lasting, bound := 0, 0
+	for _, run := range m.Runs {
+		spec := w.Steps.At(w.Tasks.At(w.Runs.At(run).Task).Step).Spec
+		switch {
+		case spec.Lasting:
+			lasting++
+		case !spec.Checkpoints:
+			bound++
+		}
+	}
+	return lasting <= lightLasting && bound <= lightBound
+}
+
+// countOffered adds the work of a job that has arrived to the mean of what is offered.
+func countOffered(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	p := w.Pools.At(j.Pool)
+	work := 0.0
+	for i := range j.Spec.Steps {
+		if s := &j.Spec.Steps[i]; !s.Lasting {
+			work += float64(s.Count) * float64(s.Needs.Cores) * correctedSpan(p, j.Queue, s.Estimate).Seconds()
+		}
+	}
+	p.Offered = offeredAt(w, p) + work/offeredTime.Seconds()
+	p.OfferedAt = w.Now
+}
+
+// offeredAt is the mean work that arrives, in thousandths of the cores that it keeps busy.
+func offeredAt(w *quetzalwork.World, p *quetzalwork.Pool) float64 {
+	return p.Offered * math.Exp(-float64(w.Now.Sub(p.OfferedAt))/float64(offeredTime))
+}
+
+// wantedBy is what a step's waiting tasks could use so that they are started within drainTime.
+func wantedBy(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step) quetzalunit.MilliCores {
+	all := needsOf(s.Spec).Cores * quetzalunit.MilliCores(s.Waiting)
+	if s.Spec.Lasting || s.Spec.Gang {
+		return all
+	}
+	span := expectedSpan(p, w.Jobs.At(s.Job).Queue, s)
+	return min(all, quetzalunit.MilliCores(float64(all)*float64(span)/float64(drainTime)))
+}
+
+// askLoads asks the dispatchers for the loads of their pools.
+func askLoads(w *quetzalwork.World) {
+	for row, p := range w.Pools.All() {
+		if p.Spare || p.LoadAsked || w.Now.Sub(p.LoadAt) < loadPeriod {
+			continue
+		}
+		if p.Held && p.Loaded {
+			hearLoad(w, p.ID, quetzalwork.LoadReply{Load: loadOf(w, row)})
+		} else if !p.Held && p.Duty.Address != "" {
+			p.LoadAsked = true
+			w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.AskLoad{Pool: p.ID}, Timeout: peerTimeout})
+		}
+	}
+}
+
+func hearLoad(w *quetzalwork.World, id quetzalunit.PoolID, reply quetzalwork.PeerReply) {
+	p := w.Pools.At(poolRow(w, id))
+	p.LoadAsked = false
+	r, ok := reply.(quetzalwork.LoadReply)
+	if !ok {
+		return
+	}
+	if p.LoadAt == 0 {
+		// Nothing is known of its demand yet but what its operators gave it.
+		p.MeanWanted = float64(r.Load.Usable)
+	} else {
+		passed := math.Exp(-float64(w.Now.Sub(p.LoadAt)) / float64(meanTime))
+		p.MeanWanted = passed*p.MeanWanted + (1-passed)*float64(r.Load.Wanted)
+	}
+	p.Load, p.LoadAt = r.Load, w.Now
+}
+
+// balance moves hosts to where work waits, and back to the spare pools.
+func balance(w *quetzalwork.World) {
+	tendMoves(w)
+	askLoads(w)
+	if !mayOrder(w) {
+		return
+	}
+	pools := loadedPools(w)
+	for _, p := range pools {
+		for range missingHosts(w, p) {
+			host, from := source(w, p, pools)
+			if host == "" {
+				logShortage(w, p)
+				break
+			}
+			beginMove(w, host, from, p.ID, "Demand")
+		}
+	}
+	returnIdle(w, pools)
+}
+
+// logShortage reports a pool that gets no host for its work.
+func logShortage(w *quetzalwork.World, p *quetzalwork.Pool) {
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartHost, Text: "No host can be given to the pool.", Pool: p.ID, Version: int64(missingHosts(w, p)), Age: w.Now.Sub(p.LoadAt),
+		Reason: fmt.Sprintf("Wanted%dUsable%dHosts%d", p.Load.Wanted, p.Load.Usable, p.Load.Hosts), Routine: true,
+	})
+}
+
+// loadedPools returns the pools whose load is known, those that miss most first.
+func loadedPools(w *quetzalwork.World) []*quetzalwork.Pool {
+	var pools []*quetzalwork.Pool
+	for _, p := range w.Pools.All() {
+		if !p.Spare && p.LoadAt != 0 && w.Now.Sub(p.LoadAt) < loadValid {
+			pools = append(pools, p)
+		}
+	}
+	slices.SortStableFunc(pools, func(a, b *quetzalwork.Pool) int {
+		return int((b.Load.Wanted - b.Load.Usable) - (a.Load.Wanted - a.Load.Usable))
+	})
+	return pools
+}
+
+// missingHosts is the number of hosts that a pool's work could use beyond those it has or is
+// about to get.
+func missingHosts(w *quetzalwork.World, p *quetzalwork.Pool) int {
+	size := hostSize(w)
+	if size == 0 {
+		return 0
+	}
+	have := p.Load.Usable
+	for _, m := range w.Moves.All() {
+		if m.To == p.ID {
+			have += size
+		}
+	}
+	if p.Load.Wanted <= have {
+		return 0
+	}
+	return int((p.Load.Wanted - have + size - 1) / size)
+}
+
+// hostSize is the mean size of the fleet's hosts.
+func hostSize(w *quetzalwork.World) quetzalunit.MilliCores {
+	var sum quetzalunit.MilliCores
+	for _, h := range w.Hosts.All() {
+		sum += h.Room.Cores
+	}
+	return sum / quetzalunit.MilliCores(max(1, w.Hosts.Len()))
+}
+
+// source returns a host for a pool: an idle one beyond what its pool keeps, else a spare one.
+func source(w *quetzalwork.World, to *quetzalwork.Pool, pools []*quetzalwork.Pool) (quetzalunit.HostID, quetzalunit.PoolID) {
+	for i := len(pools) - 1; i >= 0; i-- {
+		p := pools[i]
+		if p == to || keeps(w, p) {
+			continue
+		}
+		for _, idle := range p.Load.Idle {
+			if movable(w, idle.Host, p.ID) {
+				return idle.Host, p.ID
+			}
+		}
+	}
+	for _, h := range w.Hosts.All() {
+		if p := w.Pools.At(w.PoolByID.Get(h.Pool)); p != nil && p.Spare && movable(w, h.ID, h.Pool) {
+			return h.ID, h.Pool
+		}
+	}
+	return "", ""
+}
+
+// keeps tells whether a pool needs all the hosts that it has.
+func keeps(w *quetzalwork.World, p *quetzalwork.Pool) bool {
+	size := hostSize(w)
+	leaving := 0
+	for _, m := range w.Moves.All() {
+		if m.From == p.ID && !m.Taken {
+			leaving++
+		}
+	}
+	left := p.Load.Hosts - leaving - 1
+	return left < keepLeast || quetzalunit.MilliCores(left)*size < p.Load.Wanted || float64(left) < keepShare*fairHosts(w, p)
+}
+
+// fairHosts is a pool's share of the fleet's hosts by its mean demand.
+func fairHosts(w *quetzalwork.World, p *quetzalwork.Pool) float64 {
+	sum := 0.0
+	for _, other := range w.Pools.All() {
+		sum += other.MeanWanted
+	}
+	if sum == 0 {
+		return 0
+	}
+	return float64(w.Hosts.Len()) * p.MeanWanted / sum
+}
+
+// movable tells whether a host is up, in its pool, and not part of a move or a wave's turn.
+func movable(w *quetzalwork.World, id quetzalunit.HostID, pool quetzalunit.PoolID) bool {
+	h := w.Hosts.At(w.HostByID.Get(id))
+	if h == nil || h.State != quetzalwork.HostUp || h.Pool != pool || w.MoveByHost.Get(id) != 0 {
+		return false
+	}
+	for _, wave := range w.Waves.All() {
+		if i := slices.Index(wave.Hosts, id); i >= 0 && wave.Said != quetzalwork.WaveCompleted {
+			if s := wave.Steps[i].State; s != quetzalwork.StepWaiting && s != quetzalwork.StepDone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// returnIdle sends hosts that have been idle for long back to a spare pool.
+func returnIdle(w *quetzalwork.World, pools []*quetzalwork.Pool) {
+	var spare quetzalunit.PoolID
+	for _, p := range w.Pools.All() {
+		if p.Spare {
+			spare = p.ID
+		}
+	}
+	if spare == "" {
+		return
+	}
+	for _, p := range pools {
+		for _, idle := range p.Load.Idle {
+			if idle.Since < rentTime || keeps(w, p) {
+				break
+			}
+			if movable(w, idle.Host, p.ID) {
+				beginMove(w, idle.Host, p.ID, spare, "Idle")
+			}
+		}
+	}
+}
+
+func beginMove(w *quetzalwork.World, host quetzalunit.HostID, from, to quetzalunit.PoolID, reason string) {
+	row := w.Moves.Insert(quetzalwork.Move{Host: host, From: from, To: to, Since: w.Now})
+	w.MoveByHost.Put(host, row)
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Text: "A host moves to another pool.", Host: host, Pool: to, Version: int64(w.Conductor.Token), Reason: reason})
+	tendMove(w, row)
+}
+
+func endMove(w *quetzalwork.World, row quetzalwork.Row) {
+	w.MoveByHost.Delete(w.Moves.At(row).Host)
+	w.Moves.Delete(row)
+}
+
+func tendMoves(w *quetzalwork.World) {
+	for row := range w.Moves.All() {
+		tendMove(w, row)
+	}
+}
+
+// tendMove takes a move on: the host's minion is emptied, then the order is given, then the
+// move is kept until the new minion has joined.
+func tendMove(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Moves.At(row)
+	switch {
+	case m.Taken:
+		if w.Now.Sub(m.Since) > w.Bounds.MoveTime+joinTime {
+			endMove(w, row)
+		}
+	case m.Asking || w.Now < m.RetryAt:
+	case m.Tries >= moveTries:
+		endMove(w, row)
+	case m.Ordered || w.Pools.At(poolRow(w, m.From)).Spare:
+		orderMove(w, row)
+	default:
+		m.Tries++
+		m.RetryAt = w.Now.Add(moveRetry)
+		askEmptied(w, row)
+	}
+}
+
+// askEmptied asks the dispatcher of the host's pool to empty its minion.
+func askEmptied(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Moves.At(row)
+	p := w.Pools.At(poolRow(w, m.From))
+	ask := quetzalwork.AskEmpty{Pool: m.From, Host: m.Host}
+	if p.Held {
+		hearEmptied(w, &ask, emptyHost(w, &ask))
+		return
+	}
+	if p.Duty.Address != "" {
+		m.Asking = true
+		w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: ask, Timeout: peerTimeout})
+	}
+}
+
+func hearEmptied(w *quetzalwork.World, ask *quetzalwork.AskEmpty, reply quetzalwork.PeerReply) {
+	row := w.MoveByHost.Get(ask.Host)
+	m := w.Moves.At(row)
+	if m == nil || m.Ordered || ask.Wave != "" {
+		return
+	}
+	m.Asking = false
+	if r, ok := reply.(quetzalwork.EmptyReply); ok && r.Empty {
+		m.Tries = 0
+		orderMove(w, row)
+	}
+}
+
+func orderMove(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Moves.At(row)
+	if !mayOrder(w) {
+		return
+	}
+	m.Ordered, m.Asking = true, true
+	m.Tries++
+	w.Emit(quetzalwork.OrderHost{
+		Order: quetzalwork.OrderMove, Host: m.Host, Pool: m.To, Token: w.Conductor.Token, Until: orderUntil(w),
+	})
+}
+
+// hearMove applies the answer to an order to move.
+func hearMove(w *quetzalwork.World, in *quetzalwork.HostOrdered) {
+	row := w.MoveByHost.Get(in.Host)
+	m := w.Moves.At(row)
+	if m == nil || !m.Ordered {
+		return
+	}
+	m.Asking = false
+	m.RetryAt = w.Now.Add(moveRetry)
+	switch in.Result {
+	case quetzalwork.HostTaken:
+		m.Taken, m.Since = true, w.Now
+		if p := w.Pools.At(poolRow(w, m.From)); p.Held {
+			loseHost(w, m.From, m.Host)
+		} else if p.Duty.Address != "" {
+			w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.TellTaken{Pool: m.From, Host: m.Host}, Timeout: peerTimeout})
+		}
+	case quetzalwork.HostFenced:
+		dropConductor(w, "Fenced")
+	case quetzalwork.HostUnknown:
+		// The order is repeated; it has no effect once it was carried out.
+	case quetzalwork.HostBusy, quetzalwork.HostInvalid, quetzalwork.HostRefused:
+		endMove(w, row)
+	}
+}
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -49,7 +49,13 @@
 	case quetzalwork.AskEmpty:
 		return emptyHost(w, &m)
 	case quetzalwork.TellTaken:
-		loseHost(w, m.Host)
+		loseHost(w, m.Pool, m.Host)
+	case quetzalwork.AskLoad:
+		row := poolRow(w, m.Pool)
+		if p := w.Pools.At(row); !p.Held || !p.Loaded {
+			return quetzalwork.NotHolder{}
+		}
+		return quetzalwork.LoadReply{Load: loadOf(w, row)}
 	}
 	return quetzalwork.Heard{}
 }
@@ -70,6 +76,9 @@
 		hearPending(w, &m, in.Reply)
 	case quetzalwork.AskEmpty:
 		hearEmpty(w, &m, in.Reply)
+		hearEmptied(w, &m, in.Reply)
+	case quetzalwork.AskLoad:
+		hearLoad(w, m.Pool, in.Reply)
 	case quetzalwork.TellAccepted, quetzalwork.TellCancelled, quetzalwork.TellDuty, quetzalwork.TellTaken:
 		if in.Reply == nil {
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "An entry did not hear a message.", Reason: string(in.Address), Routine: true})
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -15,6 +15,10 @@
 	remotePenalty = 4.0
 	// avoidPenalty is added to the score of the minion of a task's last failure.
 	avoidPenalty = 8.0
+	// sharePenalty is added to the score of a minion without lasting tasks for a lasting one,
+	// rackPenalty for each task of the same step in the minion's rack.
+	sharePenalty = 1.0
+	rackPenalty  = 0.7
 	// slowPenalty is added to the score for each multiple by which a minion is slow.
 	slowPenalty = 2.0
 	// slowLimit is the slowness below which minions count as alike.
@@ -150,7 +154,7 @@
 // usable tells whether a minion takes new work.
 func usable(w *quetzalwork.World, m *quetzalwork.Minion) bool {
 	// A read of the duties after it joined shows that no successor has used it before.
-	return m.Listed && m.Heard && w.Membership.ReadSentAt > m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
+	return m.Listed && m.Heard && !m.Taken && w.Membership.ReadSentAt > m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
 }
 
 // allows tells whether a step may run on a minion at all.
@@ -170,13 +174,7 @@
 	m := w.Minions.At(row)
 	score := freeShare(m, free)
 	if s.Spec.Lasting {
-		// Lasting tasks spread: what shares a minion disturbs, and falls together.
-		score = float64(len(m.Runs)) - score
-		for _, run := range m.Runs {
-			if other := w.Steps.At(w.Tasks.At(w.Runs.At(run).Task).Step); other.Spec.Lasting {
-				score++
-			}
-		}
+		score = lastingScore(w, s, m, score)
 	}
 	if s.Spec.DataRack != "" && s.Spec.DataRack != m.Rack {
 		score += remotePenalty
@@ -190,6 +188,33 @@
 	return score + float64(m.Streak)
 }
 
+// lastingScore rates a minion for a lasting task. Those that serve their own users spread, for
+// what shares a minion disturbs them. The others share a few minions, so that the rest can be
+// moved to where work waits, but not many of one step a rack.
+func lastingScore(w *quetzalwork.World, s *quetzalwork.Step, m *quetzalwork.Minion, free float64) float64 {
+	lasting := 0
+	for _, run := range m.Runs {
+		if other := w.Steps.At(w.Tasks.At(w.Runs.At(run).Task).Step); other.Spec.Lasting {
+			lasting++
+		}
+	}
+	if s.Spec.TailTarget > 0 || s.Spec.Fills {
+		return float64(len(m.Runs)+lasting) - free
+	}
+	score := free
+	if lasting == 0 {
+		score += sharePenalty
+	}
+	for _, row := range s.Tasks {
+		for _, run := range w.Tasks.At(row).Runs {
+			if w.Minions.At(w.Runs.At(run).Minion).Rack == m.Rack {
+				score += rackPenalty
+			}
+		}
+	}
+	return score
+}
+
 // freeShare is the larger of a minion's free shares of cores and memory.
 func freeShare(m *quetzalwork.Minion, free quetzalunit.Resources) float64 {
 	share := 0.0
--- a/quetzalcore/quetzalscheduler/rank.go
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -19,7 +20,11 @@
 	marginShare = 0.15
 	marginTime  = 100 * time.Millisecond
 	// learnWeight is the weight of a new measurement in a running mean.
-	learnWeight = 0.1
+	learnWeight = 0.02
+	// estimateWeight is the weight of an estimate against the queue's mean, and meanTrusted
+	// the number of runs from which that mean is used.
+	estimateWeight = 0.4
+	meanTrusted    = 10
 	// slowWeight is the weight of a new measurement in a minion's slowness.
 	slowWeight = 0.2
 	// stragglerLimit bounds what one run can add to a mean, in multiples of the estimate.
@@ -85,19 +90,57 @@
 	if q := w.Queues.At(w.QueueByID.Get(j.Queue)); q != nil {
 		r.priority = q.Priority
 	}
-	chain := expectedSpan(p, j.Queue, s.Chain)
+	chain := remainingChain(w, p, j, s)
 	r.due = j.Objective.Add(-chain)
 	margin := marginTime + time.Duration(marginShare*float64(chain))
 	r.hopeless = !s.Spec.Lasting && w.Now.Add(margin) > r.due
 	return r
 }
 
-// expectedSpan corrects an estimate by what the queue's runs have taken so far.
-func expectedSpan(p *quetzalwork.Pool, queue quetzalunit.QueueID, estimate time.Duration) time.Duration {
-	if t := p.Images[queue]; t != nil {
-		return time.Duration(t.Ratio * float64(estimate))
+// expectedSpan is the expected run time of a task of a step: the mean of those that are done,
+// or else its estimate, which is often far off, corrected towards the mean of the queue.
+func expectedSpan(p *quetzalwork.Pool, queue quetzalunit.QueueID, s *quetzalwork.Step) time.Duration {
+	if s.Measured > 0 {
+		return s.RunTime
 	}
-	return estimate
+	return correctedSpan(p, queue, s.Spec.Estimate)
+}
+
+func correctedSpan(p *quetzalwork.Pool, queue quetzalunit.QueueID, estimate time.Duration) time.Duration {
+	t := p.Images[queue]
+	if t == nil || t.Count < meanTrusted || estimate <= 0 {
+		return estimate
+	}
+	return time.Duration(math.Pow(float64(estimate), estimateWeight) * math.Pow(float64(t.Mean), 1-estimateWeight))
+}
+
+// remainingChain is the expected run time of the longest chain of steps from one on.
+func remainingChain(w *quetzalwork.World, p *quetzalwork.Pool, j *quetzalwork.Job, s *quetzalwork.Step) time.Duration {
+	var rest time.Duration
+	for _, row := range j.Steps {
+		next := w.Steps.At(row)
+		if next.Occurrence == s.Occurrence && slices.Contains(next.Spec.After, s.Index) {
+			rest = max(rest, remainingChain(w, p, j, next))
+		}
+	}
+	return expectedSpan(p, j.Queue, s) + rest
+}
+
+// refreshObjective works out anew when a job counts as late, from what its steps have taken.
+func refreshObjective(w *quetzalwork.World, row quetzalwork.Row) {
+	j := w.Jobs.At(row)
+	p := w.Pools.At(j.Pool)
+	q := w.Queues.At(w.QueueByID.Get(j.Queue))
+	if q == nil || j.Spec == nil {
+		return
+	}
+	var chain time.Duration
+	for _, stepRow := range j.Steps {
+		if s := w.Steps.At(stepRow); len(s.Spec.After) == 0 {
+			chain = max(chain, remainingChain(w, p, j, s))
+		}
+	}
+	j.Objective = j.AcceptedAt.Add(time.Duration(q.Stretch*float64(chain)) + q.Target)
 }
 
 // learnRunTime learns from a run that is done.
@@ -115,16 +158,17 @@
 	if s.Measured > 1 && s.RunTime > 0 {
 		m.Slowness += slowWeight * (min(stragglerLimit, float64(took)/float64(s.RunTime)) - m.Slowness)
 	}
-	if s.Spec.Estimate <= 0 {
-		return
-	}
 	j := w.Jobs.At(s.Job)
 	p := w.Pools.At(j.Pool)
 	t := p.Images[j.Queue]
 	if t == nil {
-		t = &quetzalwork.RunTimes{Ratio: 1}
+		t = &quetzalwork.RunTimes{}
 		p.Images[j.Queue] = t
 	}
-	t.Ratio += learnWeight * (min(stragglerLimit, float64(took)/float64(s.Spec.Estimate)) - t.Ratio)
 	t.Count++
+	weight := max(learnWeight, 1/float64(t.Count))
+	t.Mean += time.Duration(weight * float64(took-t.Mean))
+	if s.Measured == 1 {
+		refreshObjective(w, s.Job)
+	}
 }
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -94,6 +94,7 @@
 	if m := w.Minions.At(r.Minion); m != nil {
 		m.Runs = slices.DeleteFunc(m.Runs, isRow)
 		m.Used = m.Used.Minus(r.Needs)
+		m.IdleSince = w.Now
 		w.Pools.At(m.PoolRow).Dirty = true
 	}
 	if s.Spec.MaxPerMinion > 0 {
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -100,7 +100,7 @@
 	if len(t.Runs) > 1 || t.State != quetzalwork.TaskActive || !extends(w) {
 		return
 	}
-	usual := time.Duration(copyGuess * float64(expectedSpan(p, w.Jobs.At(s.Job).Queue, s.Spec.Estimate)))
+	usual := time.Duration(copyGuess * float64(expectedSpan(p, w.Jobs.At(s.Job).Queue, s)))
 	if s.Measured >= copyMeasured {
 		usual = time.Duration(copyFactor * float64(s.RunTime))
 	}
@@ -132,7 +132,11 @@
 		r := w.Runs.At(run)
 		t := w.Tasks.At(r.Task)
 		s := w.Steps.At(t.Step)
-		if !s.Spec.Lasting || r.Stop != quetzalwork.StopNone || r.State != quetzalwork.RunWorking {
+		if r.Stop != quetzalwork.StopNone || r.State != quetzalwork.RunWorking {
+			continue
+		}
+		if !s.Spec.Lasting {
+			evacuateSaved(w, p, run)
 			continue
 		}
 		if away(w, s, r.Task) >= max(s.Spec.MayMiss, leastMiss(s)) || choose(w, p, s, t, nil) == 0 {
@@ -146,6 +150,21 @@
 	}
 }
 
+// evacuateSaved stops a run that resumes elsewhere from its checkpoint.
+func evacuateSaved(w *quetzalwork.World, p *quetzalwork.Pool, row quetzalwork.Row) {
+	r := w.Runs.At(row)
+	t := w.Tasks.At(r.Task)
+	s := w.Steps.At(t.Step)
+	if !s.Spec.Checkpoints || s.Spec.Gang || needsAdvice(w, s) || choose(w, p, s, t, nil) == 0 {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartPlacement, Text: "A run moves to another minion.", Job: w.Jobs.At(s.Job).ID, Task: refOf(w, t), Run: r.Number,
+		Minion: w.Minions.At(r.Minion).ID, Reason: "Evacuation", Routine: true,
+	})
+	stopRun(w, row, quetzalwork.StopEvacuate)
+}
+
 // leastMiss is how many tasks of a step without a budget may be away at once.
 func leastMiss(s *quetzalwork.Step) quetzalunit.Tasks {
 	if s.Spec.MayMiss > 0 {
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -81,7 +81,7 @@
 	}
 	for i := range wave.Steps {
 		step := &wave.Steps[i]
-		if step.State == quetzalwork.StepWaiting && active < max(1, wave.Cap) && mayOrder(w) {
+		if step.State == quetzalwork.StepWaiting && active < max(1, wave.Cap) && mayOrder(w) && w.MoveByHost.Get(wave.Hosts[i]) == 0 {
 			step.State, step.Since = quetzalwork.StepEmptying, w.Now
 			active++
 		}
@@ -197,8 +197,12 @@
 
 func hearHostOrder(w *quetzalwork.World, in *quetzalwork.HostOrdered) {
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Text: "An order to a host was answered.", Host: in.Host, Version: int64(w.Conductor.Token), Reason: hostResultName(in.Result)})
+	if in.Order == quetzalwork.OrderMove {
+		hearMove(w, in)
+		return
+	}
 	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
-	if wave == nil || in.Order != quetzalwork.OrderMaintain {
+	if wave == nil {
 		return
 	}
 	for i := range wave.Hosts {
@@ -236,7 +240,7 @@
 	switch {
 	case p == nil:
 	case p.Held:
-		loseHost(w, h.ID)
+		loseHost(w, h.Pool, h.ID)
 	case p.Duty.Address != "":
 		w.Emit(quetzalwork.AskPeer{Address: p.Duty.Address, Message: quetzalwork.TellTaken{Pool: h.Pool, Host: h.ID}, Timeout: peerTimeout})
 	}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -566,6 +566,15 @@
 	Hosts []HostStatus `json:"Hosts" yaml:"Hosts"`
 }
 
+// IdleHostDoc is a host whose minion runs nothing.
+type IdleHostDoc struct {
+	// Host corresponds to the JSON schema field "Host".
+	Host string `json:"Host" yaml:"Host"`
+
+	// IdleMs corresponds to the JSON schema field "IdleMs".
+	IdleMs int `json:"IdleMs" yaml:"IdleMs"`
+}
+
 // JobDoc is a request that was accepted with status 202; its work is an object.
 type JobDoc struct {
 	// AtMs corresponds to the JSON schema field "AtMs".
@@ -1356,6 +1365,7 @@
 const WorkMessageKindCancelled WorkMessageKind = "Cancelled"
 const WorkMessageKindDuty WorkMessageKind = "Duty"
 const WorkMessageKindEmpty WorkMessageKind = "Empty"
+const WorkMessageKindLoad WorkMessageKind = "Load"
 const WorkMessageKindPending WorkMessageKind = "Pending"
 const WorkMessageKindState WorkMessageKind = "State"
 const WorkMessageKindTaken WorkMessageKind = "Taken"
@@ -1384,6 +1394,12 @@
 	// Empty corresponds to the JSON schema field "Empty".
 	Empty bool `json:"Empty" yaml:"Empty"`
 
+	// Hosts corresponds to the JSON schema field "Hosts".
+	Hosts int `json:"Hosts" yaml:"Hosts"`
+
+	// Idle corresponds to the JSON schema field "Idle".
+	Idle []IdleHostDoc `json:"Idle" yaml:"Idle"`
+
 	// Kind corresponds to the JSON schema field "Kind".
 	Kind WorkReplyKind `json:"Kind" yaml:"Kind"`
 
@@ -1398,12 +1414,19 @@
 
 	// State corresponds to the JSON schema field "State".
 	State int `json:"State" yaml:"State"`
+
+	// UsableMilliCores corresponds to the JSON schema field "UsableMilliCores".
+	UsableMilliCores int `json:"UsableMilliCores" yaml:"UsableMilliCores"`
+
+	// WantedMilliCores corresponds to the JSON schema field "WantedMilliCores".
+	WantedMilliCores int `json:"WantedMilliCores" yaml:"WantedMilliCores"`
 }
 
 type WorkReplyKind string
 
 const WorkReplyKindEmpty WorkReplyKind = "Empty"
 const WorkReplyKindHeard WorkReplyKind = "Heard"
+const WorkReplyKindLoad WorkReplyKind = "Load"
 const WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
 const WorkReplyKindPending WorkReplyKind = "Pending"
 const WorkReplyKindState WorkReplyKind = "State"
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -114,14 +114,21 @@
 	Dirty bool
 	// PlaceAt is the instant of the timer set for placement, zero without one.
 	PlaceAt quetzalunit.Instant
+	// Load is what its dispatcher last said of it, at LoadAt; LoadAsked tells that a question is
+	// in flight. MeanWanted is what it has wanted on average. The conductor keeps them.
+	Load       PoolLoad
+	LoadAt     quetzalunit.Instant
+	LoadAsked  bool
+	MeanWanted float64
+	// Offered is the mean work that arrives, in cores that it would keep busy, at OfferedAt.
+	Offered   float64
+	OfferedAt quetzalunit.Instant
 	// Images are the learned run times.
 	Images map[quetzalunit.QueueID]*RunTimes
 }
 
 // RunTimes are the learned run times of the tasks of a queue.
 type RunTimes struct {
-	// Ratio is the mean of the measured time over the estimate.
-	Ratio float64
 	// Mean is the mean measured time, of Count runs.
 	Mean  time.Duration
 	Count int
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -77,6 +77,10 @@
 	FullUntil quetzalunit.Instant
 	// Slowness is the mean of run time over what is usual; 1 is usual.
 	Slowness float64
+	// IdleSince is when it last ran something.
+	IdleSince quetzalunit.Instant
+	// Taken tells that an order has taken its host away: this life gets no new work.
+	Taken bool
 	// CordonedUntil ends a wish to empty it for an order to its host; zero without.
 	CordonedUntil quetzalunit.Instant
 }
@@ -212,6 +216,19 @@
 	Since, RetryAt quetzalunit.Instant
 }
 
+// Move takes a host to another pool.
+type Move struct {
+	Host     quetzalunit.HostID
+	From, To quetzalunit.PoolID
+	// Ordered tells that the order was given; Asking that a question to the dispatcher, or the
+	// order, is in flight.
+	Ordered, Asking bool
+	// Taken tells that the order was taken, at Since.
+	Taken          bool
+	Since, RetryAt quetzalunit.Instant
+	Tries          int
+}
+
 // Conductor is the state of the duty that gives orders to hosts.
 type Conductor struct {
 	Duty Duty
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -1,6 +1,10 @@
 package quetzalwork
 
-import "quetzalstair/quetzalcore/quetzalunit"
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+)
 
 // PeerMessage is what one entry tells or asks another.
 type PeerMessage interface{ implementsPeerMessage() }
@@ -40,6 +44,8 @@
 		Host quetzalunit.HostID
 		Wave quetzalunit.WaveID
 	}
+	// AskLoad asks the dispatcher what a pool needs and what it could give away.
+	AskLoad struct{ Pool quetzalunit.PoolID }
 	// TellTaken tells the dispatcher that an order has ended all that ran on a host.
 	TellTaken struct {
 		Pool quetzalunit.PoolID
@@ -54,6 +60,7 @@
 func (TellDuty) implementsPeerMessage()      {}
 func (AskEmpty) implementsPeerMessage()      {}
 func (TellTaken) implementsPeerMessage()     {}
+func (AskLoad) implementsPeerMessage()       {}
 
 // PeerReply is the reply to a PeerMessage.
 type PeerReply interface{ implementsPeerReply() }
@@ -73,6 +80,8 @@
 	// EmptyReply tells whether the host's minion runs nothing, or at least nothing that
 	// must last.
 	EmptyReply struct{ Empty, Safe bool }
+	// LoadReply is the load of a pool.
+	LoadReply struct{ Load PoolLoad }
 )
 
 func (Heard) implementsPeerReply()        {}
@@ -80,3 +89,21 @@
 func (StateReply) implementsPeerReply()   {}
 func (PendingReply) implementsPeerReply() {}
 func (EmptyReply) implementsPeerReply()   {}
+func (LoadReply) implementsPeerReply()    {}
+
+// PoolLoad is what a pool needs and what it could give away.
+type PoolLoad struct {
+	// Wanted is what the pool's work could use now, Usable what its minions offer.
+	Wanted, Usable quetzalunit.MilliCores
+	// Idle are hosts whose minions run nothing, longest idle first, and behind them those that
+	// can soon be emptied, with a span of zero.
+	Idle []IdleHost
+	// Hosts is the number of hosts with a usable minion.
+	Hosts int
+}
+
+// IdleHost is a host whose minion runs nothing, or little.
+type IdleHost struct {
+	Host  quetzalunit.HostID
+	Since time.Duration
+}
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -65,6 +65,7 @@
 	Minions     quetzaltable.Table[Minion]
 	Waves       quetzaltable.Table[Wave]
 	Hosts       quetzaltable.Table[Host]
+	Moves       quetzaltable.Table[Move]
 
 	PoolByID     quetzaltable.Index[quetzalunit.PoolID]
 	QueueByID    quetzaltable.Index[quetzalunit.QueueID]
@@ -75,6 +76,7 @@
 	MinionByID   quetzaltable.Index[quetzalunit.MinionID]
 	WaveByID     quetzaltable.Index[quetzalunit.WaveID]
 	HostByID     quetzaltable.Index[quetzalunit.HostID]
+	MoveByHost   quetzaltable.Index[quetzalunit.HostID]
 	SubmissionOf quetzaltable.Index[quetzalunit.Caller]
 
 	// Timers wakes the systems.
