--- a/quetzalcore/quetzalscheduler/conduct.go
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -9,7 +9,7 @@
 
 const (
 	// conductPeriod is the time between two looks at the waves.
-	conductPeriod = 200 * time.Millisecond
+	conductPeriod = 120 * time.Millisecond
 	// hostsPeriod is the time between two reads of the list of hosts.
 	hostsPeriod = 600 * time.Millisecond
 	// orderRight is how long after a confirmed renewal orders to hosts may be given: less than
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -17,14 +17,14 @@
 
 const (
 	// loadPeriod is the age at which a pool's load is asked for again.
-	loadPeriod = 180 * time.Millisecond
+	loadPeriod = 100 * time.Millisecond
 	// loadValid is the age up to which a load is acted on.
 	loadValid = time.Second
 	// drainTime is the time in which the waiting work of a pool is to be started.
 	drainTime = 700 * time.Millisecond
 	// offeredTime is the time over which the work that arrives is averaged, and offeredShare
 	// what a pool wants for each core of it, so that rising work does not queue up.
-	offeredTime  = 1200 * time.Millisecond
+	offeredTime  = 600 * time.Millisecond
 	offeredShare = 1.15
 	// keepShare is the part of its share of the fleet that a pool keeps even while idle: these
 	// hosts serve its next rise until others have arrived. Pools share the fleet by what they
