--- a/quetzalcore/quetzalscheduler/judge_test.go
+++ b/quetzalcore/quetzalscheduler/judge_test.go
@@ -137,10 +137,26 @@
 	}
 }
 
+// running counts the runs of a job that are not over.
+func (j *judge) running(id quetzalunit.JobID) int {
+	n := 0
+	for t, records := range j.records {
+		for _, r := range records {
+			if t.Job == id && !r.over {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // unfinished returns the accepted jobs with a task that is not done.
 func (j *judge) unfinished() []quetzalunit.JobID {
 	var ids []quetzalunit.JobID
 	for id := range j.accepted {
+		if j.specs[id].Steps[0].Lasting {
+			continue
+		}
 		done := true
 		for s := range j.specs[id].Steps {
 			for n := range j.specs[id].Steps[s].Count {
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -255,6 +255,9 @@
 func hearDuty(w *quetzalwork.World, in *quetzalwork.DutyWritten) {
 	d := dutyOf(w, in.Pool)
 	d.Taking = false
+	if in.Release {
+		hearRelease(w, in)
+	}
 	if in.Result != quetzalwork.StoreDone {
 		d.RetryAt = w.Now.Add(w.Jitter(dutyRetry))
 		return
--- a/quetzalcore/quetzalscheduler/promise_test.go
+++ b/quetzalcore/quetzalscheduler/promise_test.go
@@ -191,6 +191,9 @@
 		f.run(3 * time.Second)
 		rng := rand.New(rand.NewPCG(seed, 2))
 		faults := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 6).Draw(t, "faults")
+		lasting := testStep(3)
+		lasting.Lasting, lasting.MayMiss, lasting.MaxPerMinion = true, 1, 2
+		last := f.submit(f.entries[0], lasting)
 		for i, fault := range faults {
 			for range 12 {
 				f.submit(f.entries[rng.IntN(len(f.entries))], testStep(quetzalunit.Tasks(1+rng.IntN(4))), testStep(2, 0))
@@ -209,6 +212,9 @@
 		if len(f.judge.broken) > 0 {
 			t.Fatalf("faults %v: %v", faults, f.judge.broken)
 		}
+		if f.judge.accepted[last] && f.judge.running(last) < 3 {
+			t.Fatalf("faults %v: %d lasting tasks run\n%s", faults, f.judge.running(last), f.explain(last))
+		}
 		if ids := f.judge.unfinished(); len(ids) > 0 {
 			t.Fatalf("faults %v: unfinished jobs %v\n%s", faults, ids, f.explain(ids[0]))
 		}
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
@@ -10,6 +11,9 @@
 // duties back; their successors then learn the rest from the minions.
 const flushTime = 250 * time.Millisecond
 
+// releaseRetry is the pause after a release without success.
+const releaseRetry = 150 * time.Millisecond
+
 func beginStop(w *quetzalwork.World) {
 	if w.Stopping {
 		return
@@ -19,6 +23,27 @@
 	w.After(flushTime, quetzalwork.MembershipDue{})
 }
 
+// release gives a duty back.
+func release(w *quetzalwork.World, id quetzalunit.PoolID) {
+	w.Releases++
+	w.Emit(quetzalwork.WriteDuty{Pool: id, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now})
+}
+
+// hearRelease gives a duty back again if that had no effect: as long as its row names this
+// entry, nobody takes it over before this entry's own row is found to be silent.
+func hearRelease(w *quetzalwork.World, in *quetzalwork.DutyWritten) {
+	if in.Result > quetzalwork.StoreConflict && dutyOf(w, in.Pool).Holder == w.Self.Entry {
+		w.After(releaseRetry, quetzalwork.ReleaseDue{Pool: in.Pool})
+		return
+	}
+	w.Releases--
+}
+
+func retryRelease(w *quetzalwork.World, id quetzalunit.PoolID) {
+	w.Releases--
+	release(w, id)
+}
+
 // finishStop gives the duties of a stopping entry back.
 func finishStop(w *quetzalwork.World) {
 	if !w.Stopping {
@@ -27,12 +52,12 @@
 	flushed := w.Now.Sub(w.StopAt) >= flushTime
 	for row, p := range w.Pools.All() {
 		if p.Held && (flushed || !p.Committing && p.DirtyJobs.Len() == 0) {
-			w.Emit(quetzalwork.WriteDuty{Pool: p.ID, Expected: p.Duty.Revision, Release: true, SentAt: w.Now})
+			release(w, p.ID)
 			dropPool(w, row, "Stop")
 		}
 	}
 	if w.Conductor.Held {
-		w.Emit(quetzalwork.WriteDuty{Pool: conductorDuty, Expected: w.Conductor.Duty.Revision, Release: true, SentAt: w.Now})
+		release(w, conductorDuty)
 		dropConductor(w, "Stop")
 	}
 }
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -141,6 +141,8 @@
 		unfoldDue(w, t.Job)
 	case quetzalwork.WatchdogDue:
 		watchRuns(w, t.Pool, t.Token)
+	case quetzalwork.ReleaseDue:
+		retryRelease(w, t.Pool)
 	case quetzalwork.ConductorDue:
 		conduct(w)
 	}
--- a/quetzalcore/quetzalscheduler/view.go
+++ b/quetzalcore/quetzalscheduler/view.go
@@ -40,7 +40,7 @@
 
 // Released tells whether a stopping entry has given its duties back.
 func Released(w *quetzalwork.World) bool {
-	if !w.Stopping || w.Conductor.Held {
+	if !w.Stopping || w.Conductor.Held || w.Releases > 0 {
 		return false
 	}
 	for _, p := range w.Pools.All() {
--- a/quetzalcore/quetzalwork/front.go
+++ b/quetzalcore/quetzalwork/front.go
@@ -78,6 +78,8 @@
 		Pool  Row
 		Token quetzalunit.FencingToken
 	}
+	// ReleaseDue gives a duty back again.
+	ReleaseDue struct{ Pool quetzalunit.PoolID }
 	// ConductorDue looks after waves and moves.
 	ConductorDue struct{}
 )
@@ -94,6 +96,7 @@
 func (AskDue) implementsTimer()        {}
 func (OccurrenceDue) implementsTimer() {}
 func (WatchdogDue) implementsTimer()   {}
+func (ReleaseDue) implementsTimer()    {}
 func (ConductorDue) implementsTimer()  {}
 
 // Part is the part of the scheduler that decided.
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -93,6 +93,8 @@
 	// Stopping tells that a planned stop has begun, at StopAt.
 	Stopping bool
 	StopAt   quetzalunit.Instant
+	// Releases counts the duties that are being given back.
+	Releases int
 
 	commands []Command
 	rand     *rand.Rand
