--- a/quetzalcore/quetzalscheduler/conduct.go
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -15,13 +15,22 @@
 	// orderRight is how long after a confirmed renewal orders to hosts may be given: less than
 	// the time after which others take this entry for dead.
 	orderRight = 2 * time.Second
+	// orderOver is the time after which an order that was sent within its right is answered or
+	// its connection reset.
+	orderOver = 1800 * time.Millisecond
 	// cordonTime is how long a wish to empty a minion holds.
 	cordonTime = 2500 * time.Millisecond
 )
 
 // beginConductor makes this process the one that gives orders to hosts.
-func beginConductor(w *quetzalwork.World, revision quetzalunit.Revision) {
+// After a predecessor that gave the duty back, hosts get no order for the time in which orders
+// of two holders count as taking turns; one that fell silent has lost its right by itself.
+func beginConductor(w *quetzalwork.World, revision quetzalunit.Revision, predecessor quetzalwork.Duty) {
 	c := &w.Conductor
+	c.OrdersFrom = w.Now.Add(w.Bounds.OrderLease)
+	if m := w.Members.At(w.MemberByID.Get(predecessor.Holder)); m != nil && m.Incarnation == predecessor.Incarnation {
+		c.OrdersFrom = m.RenewedAt.Add(orderRight + orderOver)
+	}
 	c.Held, c.Token, c.TakenAt = true, quetzalunit.FencingToken(revision), w.Now
 	c.HostsAt, c.Reading, c.WavesLoaded = 0, false, false
 	for _, wave := range w.Waves.All() {
@@ -44,7 +53,7 @@
 // a short time ago, and orders of its predecessor are over.
 func mayOrder(w *quetzalwork.World) bool {
 	c := &w.Conductor
-	return c.Held && w.Now < orderUntil(w) && w.Now.Sub(c.TakenAt) > w.Bounds.OrderLease && c.HostsAt > c.TakenAt
+	return c.Held && w.Now < orderUntil(w) && w.Now > c.OrdersFrom && c.HostsAt > c.TakenAt
 }
 
 // orderUntil is when the right to order hosts ends: others may take this entry for dead some
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -165,7 +165,7 @@
 			dropConductor(w, "Superseded")
 		}
 		if mine && !c.Held {
-			beginConductor(w, seen.Revision)
+			beginConductor(w, seen.Revision, quetzalwork.Duty{})
 		}
 		return
 	}
@@ -271,7 +271,7 @@
 		mayLive, first := holderMayLive(w, d), d.Revision == 0
 		*d = taken
 		if !in.Release && in.Pool == conductorDuty {
-			beginConductor(w, in.Revision)
+			beginConductor(w, in.Revision, predecessor)
 		} else if !in.Release {
 			row := poolRow(w, in.Pool)
 			beginPool(w, row, in.Revision, predecessor, mayLive)
--- a/quetzalcore/quetzalscheduler/rank.go
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -126,6 +126,27 @@
 	return expectedSpan(p, j.Queue, s) + rest
 }
 
+// longestFrom is the run time of the longest chain of tasks from a step on, as far as it is
+// known. A straggler makes it longer, and with it the objective: the rest of its job has time.
+func longestFrom(w *quetzalwork.World, p *quetzalwork.Pool, j *quetzalwork.Job, s *quetzalwork.Step) time.Duration {
+	var rest time.Duration
+	for _, row := range j.Steps {
+		next := w.Steps.At(row)
+		if next.Occurrence == s.Occurrence && slices.Contains(next.Spec.After, s.Index) {
+			rest = max(rest, longestFrom(w, p, j, next))
+		}
+	}
+	return max(expectedSpan(p, j.Queue, s), s.Longest) + rest
+}
+
+// lengthen notes how long a run of a step has taken so far.
+func lengthen(w *quetzalwork.World, s *quetzalwork.Step, took time.Duration) {
+	if took > s.Longest {
+		s.Longest = took
+		refreshObjective(w, s.Job)
+	}
+}
+
 // refreshObjective works out anew when a job counts as late, from what its steps have taken.
 func refreshObjective(w *quetzalwork.World, row quetzalwork.Row) {
 	j := w.Jobs.At(row)
@@ -137,7 +158,7 @@
 	var chain time.Duration
 	for _, stepRow := range j.Steps {
 		if s := w.Steps.At(stepRow); len(s.Spec.After) == 0 {
-			chain = max(chain, remainingChain(w, p, j, s))
+			chain = max(chain, longestFrom(w, p, j, s))
 		}
 	}
 	j.Objective = j.AcceptedAt.Add(time.Duration(q.Stretch*float64(chain)) + q.Target)
@@ -168,7 +189,5 @@
 	t.Count++
 	weight := max(learnWeight, 1/float64(t.Count))
 	t.Mean += time.Duration(weight * float64(took-t.Mean))
-	if s.Measured == 1 {
-		refreshObjective(w, s.Job)
-	}
+	lengthen(w, s, took)
 }
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -19,6 +19,8 @@
 	// of it is started.
 	copyFactor = 1.7
 	copySlack  = 150 * time.Millisecond
+	// longerBy is by how much a run must exceed the longest of its step to count anew.
+	longerBy = 300 * time.Millisecond
 	// copyMeasured is the number of measured runs of a step from which its mean is trusted.
 	copyMeasured = 2
 	// copyGuess multiplies the estimate of a step without measured runs.
@@ -72,6 +74,11 @@
 		return
 	}
 	s := w.Steps.At(w.Tasks.At(r.Task).Step)
+	if r.State == quetzalwork.RunWorking && !s.Spec.Lasting {
+		if took := w.Now.Sub(r.StartedAt); took > s.Longest+longerBy {
+			lengthen(w, s, took)
+		}
+	}
 	if r.State == quetzalwork.RunWorking && s.Spec.Speculative && !s.Spec.Gang {
 		copyStraggler(w, p, row)
 	}
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -151,6 +151,8 @@
 	// RunTime is the mean run time of its Measured runs.
 	RunTime  time.Duration
 	Measured int
+	// Longest is the longest run time so far, of runs that are done or at work.
+	Longest time.Duration
 	// GangRun is the run number that a gang shares.
 	GangRun quetzalunit.RunNumber
 	// Advice is what the advisor said of the step.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -236,6 +236,8 @@
 	// Token is this process's fencing token; TakenAt when it took over.
 	Token   quetzalunit.FencingToken
 	TakenAt quetzalunit.Instant
+	// OrdersFrom is when the orders of a predecessor are over.
+	OrdersFrom quetzalunit.Instant
 	// HostsAt is when the hosts were last read; Reading true while a read is in flight.
 	HostsAt quetzalunit.Instant
 	Reading bool
