--- a/quetzalcore/quetzalcodec/workpeer.go
+++ b/quetzalcore/quetzalcodec/workpeer.go
@@ -27,6 +27,8 @@
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindDuty, Pool: string(m.Pool), Duty: poolDutyDoc(&m.Duty), Revision: int(m.Duty.Revision)}
 	case quetzalwork.AskEmpty:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindEmpty, Pool: string(m.Pool), Host: string(m.Host), Wave: string(m.Wave)}
+	case quetzalwork.TellDropped:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindDropped, Pool: string(m.Pool), Revision: int(m.Token)}
 	case quetzalwork.AskLoad:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindLoad, Pool: string(m.Pool)}
 	case quetzalwork.TellTaken:
@@ -55,6 +57,8 @@
 		return quetzalwork.TellDuty{Pool: pool, Duty: poolDuty(&d.Duty, quetzalunit.Revision(d.Revision))}, nil
 	case quetzalwire.WorkMessageKindEmpty:
 		return quetzalwork.AskEmpty{Pool: pool, Host: quetzalunit.HostID(d.Host), Wave: quetzalunit.WaveID(d.Wave)}, nil
+	case quetzalwire.WorkMessageKindDropped:
+		return quetzalwork.TellDropped{Pool: pool, Token: quetzalunit.FencingToken(d.Revision)}, nil
 	case quetzalwire.WorkMessageKindLoad:
 		return quetzalwork.AskLoad{Pool: pool}, nil
 	case quetzalwire.WorkMessageKindTaken:
--- a/quetzalcore/quetzallink/link.go
+++ b/quetzalcore/quetzallink/link.go
@@ -1,6 +1,7 @@
 package quetzallink
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -30,7 +31,13 @@
 func (c *Client) Ask(a *quetzalwork.AskPeer) (quetzalwork.PeerReply, error) {
 	var reply quetzalwire.WorkReply
 	m := quetzalcodec.EncodeWorkMessage(a.Message)
-	if err := c.Peers.Call(a.Address, serviceName+".Tell", &m, &reply, a.Timeout); err != nil {
+	err := c.Peers.Call(a.Address, serviceName+".Tell", &m, &reply, a.Timeout)
+	var timeout *quetzalpeer.TimeoutError
+	if err != nil && !errors.As(err, &timeout) {
+		// Every message may be heard twice; the peer may have started anew.
+		err = c.Peers.Call(a.Address, serviceName+".Tell", &m, &reply, a.Timeout)
+	}
+	if err != nil {
 		return nil, eris.Wrap(err, "ask entry")
 	}
 	return quetzalcodec.DecodeWorkReply(&reply)
--- a/quetzalcore/quetzalpeer/client.go
+++ b/quetzalcore/quetzalpeer/client.go
@@ -1,6 +1,7 @@
 package quetzalpeer
 
 import (
+	"errors"
 	"net"
 	"net/rpc"
 	"sync"
@@ -94,6 +95,15 @@
 // Call calls a method of a peer. After a failure the connection is opened anew, since one
 // that has gone silent shows no other sign.
 func (c *Client) Call(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
+	err := c.callOnce(address, method, args, reply, timeout)
+	if errors.Is(err, rpc.ErrShutdown) {
+		// The connection was closed before the call was sent, by a peer that has started anew.
+		err = c.callOnce(address, method, args, reply, timeout)
+	}
+	return err
+}
+
+func (c *Client) callOnce(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
 	client, err := c.client(address)
 	if err != nil {
 		return err
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -26,6 +26,8 @@
 	// settleTime is the time after its start in which an entry takes no duty, so that entries
 	// that start together share the duties.
 	settleTime = 700 * time.Millisecond
+	// settledBeat is the renewal from which on an entry has settled.
+	settledBeat quetzalunit.Beat = 2
 	// candidateTime is how long the first candidate for a free duty goes before the others.
 	candidateTime = 1500 * time.Millisecond
 	// dutyRetry is the pause after a takeover without success.
@@ -157,7 +159,11 @@
 		return
 	}
 	seen.Taking, seen.RetryAt = d.Taking, d.RetryAt
+	predecessor := *d
 	*d = seen
+	if seen.Holder == "" {
+		markStopping(w, &predecessor)
+	}
 	mine := seen.Holder == w.Self.Entry && seen.Incarnation == w.Self.Incarnation
 	if id == conductorDuty {
 		c := &w.Conductor
@@ -165,7 +171,7 @@
 			dropConductor(w, "Superseded")
 		}
 		if mine && !c.Held {
-			beginConductor(w, seen.Revision, quetzalwork.Duty{})
+			beginConductor(w, seen.Revision, predecessor)
 		}
 		return
 	}
@@ -180,6 +186,14 @@
 	}
 }
 
+// markStopping marks an entry that has given a duty back: it is about to stop, and its row may
+// not say so yet.
+func markStopping(w *quetzalwork.World, d *quetzalwork.Duty) {
+	if m := w.Members.At(w.MemberByID.Get(d.Holder)); m != nil && m.Incarnation == d.Incarnation {
+		m.Stopping = true
+	}
+}
+
 func dutyOf(w *quetzalwork.World, id quetzalunit.PoolID) *quetzalwork.Duty {
 	if id == conductorDuty {
 		return &w.Conductor.Duty
@@ -223,6 +237,11 @@
 		entry := candidate(w, id, load)
 		load[entry]++
 		d := dutyOf(w, id)
+		if d.FreeSince == w.Now {
+			w.Log(quetzalwork.Decision{
+				Part: quetzalwork.PartDuty, Text: "A duty has no holder; it falls to an entry.", Pool: id, Version: int64(d.Revision), Reason: string(entry), Routine: true,
+			})
+		}
 		turn := entry == w.Self.Entry || w.Now.Sub(d.FreeSince) > candidateTime
 		if !turn || d.Taking || w.Now < d.RetryAt {
 			continue
@@ -234,12 +253,21 @@
 	}
 }
 
-// candidate returns the live entry with the fewest duties, the same at every entry.
+// candidate returns the live entry with the fewest duties, the same at every entry. One that
+// has just started is chosen only if all have, since it takes no duty yet.
 func candidate(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int) quetzalunit.EntryID {
+	best := candidateSince(w, id, load, settledBeat)
+	if best == "" {
+		best = candidateSince(w, id, load, 0)
+	}
+	return best
+}
+
+func candidateSince(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int, least quetzalunit.Beat) quetzalunit.EntryID {
 	var best quetzalunit.EntryID
 	var bestWeight uint64
 	for _, m := range w.Members.All() {
-		if m.Stopping || !isLive(w, m) {
+		if m.Stopping || !isLive(w, m) || m.Beat < least {
 			continue
 		}
 		h := fnv.New64a()
@@ -335,10 +363,23 @@
 	}
 }
 
+// hearDropped brings the end of the predecessor's work forward once it says that it is over.
+func hearDropped(w *quetzalwork.World, m *quetzalwork.TellDropped) {
+	p := w.Pools.At(poolRow(w, m.Pool))
+	if p.Held && p.Predecessor.Holder != "" && p.Predecessor.Revision == quetzalunit.Revision(m.Token) {
+		p.Predecessor = quetzalwork.Duty{}
+		p.PredecessorGone = min(p.PredecessorGone, w.Now.Add(leaseEnd))
+		p.Dirty = true
+	}
+}
+
 // dropPool ends this process's dispatch of a pool and forgets what it knew of it.
 func dropPool(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	p := w.Pools.At(row)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry no longer dispatches the pool.", Pool: p.ID, Version: int64(p.Token), Reason: reason})
+	if d := &p.Duty; d.Holder != "" && d.Holder != w.Self.Entry {
+		w.Emit(quetzalwork.AskPeer{Address: d.Address, Message: quetzalwork.TellDropped{Pool: p.ID, Token: p.Token}, Timeout: peerTimeout})
+	}
 	for jobRow, j := range w.Jobs.All() {
 		if j.Pool == row {
 			deleteJob(w, jobRow)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -128,6 +128,7 @@
 	if row == 0 {
 		row = w.Minions.Insert(quetzalwork.Minion{MinionEntry: *e, PoolRow: pool, JoinedAt: w.Now, Listed: true, Slowness: 1})
 		w.MinionByID.Put(e.ID, row)
+		endEarlierMinions(w, e)
 		p.Minions = append(p.Minions, row)
 		if p.Held {
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "A minion joined the pool.", Minion: e.ID, Pool: e.Pool, Host: e.Host, Version: int64(e.Life)})
@@ -150,6 +151,19 @@
 	p.Dirty = true
 }
 
+// endEarlierMinions ends the runs of minions that were on a host before: one runs there at a time.
+func endEarlierMinions(w *quetzalwork.World, e *quetzalwork.MinionEntry) {
+	if e.Host == "" || e.Life == 0 {
+		return
+	}
+	for row, m := range w.Minions.All() {
+		if m.Host == e.Host && m.ID != e.ID && m.Life < e.Life && !m.Over {
+			m.Over, m.Ends = true, nil
+			loseRuns(w, row, "Replaced")
+		}
+	}
+}
+
 // renewLife forgets what an earlier life of a minion ran and knew.
 func renewLife(w *quetzalwork.World, row quetzalwork.Row, life quetzalunit.Life) {
 	m := w.Minions.At(row)
@@ -289,6 +303,8 @@
 func planNextHold(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
 	switch {
+	case m.Over:
+		// A later minion runs on the host.
 	case m.Misses > 0 && !m.Listed && len(m.Runs) == 0 && (m.Heard || w.Now > w.Pools.At(m.PoolRow).PredecessorGone):
 		forgetMinion(w, row)
 	case m.Misses > 0:
@@ -309,7 +325,7 @@
 		removeRun(w, run)
 	}
 	*m = quetzalwork.Minion{
-		MinionEntry: m.MinionEntry, PoolRow: m.PoolRow, JoinedAt: m.JoinedAt, Listed: m.Listed, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowness: 1,
+		MinionEntry: m.MinionEntry, PoolRow: m.PoolRow, JoinedAt: m.JoinedAt, Listed: m.Listed, Over: m.Over, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowness: 1,
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -21,15 +21,15 @@
 	// loadValid is the age up to which a load is acted on.
 	loadValid = time.Second
 	// drainTime is the time in which the waiting work of a pool is to be started.
-	drainTime = 700 * time.Millisecond
+	drainTime = 400 * time.Millisecond
 	// offeredTime is the time over which the work that arrives is averaged, and offeredShare
 	// what a pool wants for each core of it, so that rising work does not queue up.
-	offeredTime  = 600 * time.Millisecond
-	offeredShare = 1.15
+	offeredTime  = 350 * time.Millisecond
+	offeredShare = 1.3
 	// keepShare is the part of its share of the fleet that a pool keeps even while idle: these
 	// hosts serve its next rise until others have arrived. Pools share the fleet by what they
 	// have wanted on average over meanTime.
-	keepShare = 0.6
+	keepShare = 0.4
 	meanTime  = 60 * time.Second
 	// keepLeast is the number of hosts that a pool keeps in any case.
 	keepLeast = 2
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -50,6 +50,8 @@
 		return emptyHost(w, &m)
 	case quetzalwork.TellTaken:
 		loseHost(w, m.Pool, m.Host)
+	case quetzalwork.TellDropped:
+		hearDropped(w, &m)
 	case quetzalwork.AskLoad:
 		row := poolRow(w, m.Pool)
 		if p := w.Pools.At(row); !p.Held || !p.Loaded {
@@ -79,7 +81,7 @@
 		hearEmptied(w, &m, in.Reply)
 	case quetzalwork.AskLoad:
 		hearLoad(w, m.Pool, in.Reply)
-	case quetzalwork.TellAccepted, quetzalwork.TellCancelled, quetzalwork.TellDuty, quetzalwork.TellTaken:
+	case quetzalwork.TellAccepted, quetzalwork.TellCancelled, quetzalwork.TellDuty, quetzalwork.TellTaken, quetzalwork.TellDropped:
 		if in.Reply == nil {
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "An entry did not hear a message.", Reason: string(in.Address), Routine: true})
 		}
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -78,9 +78,10 @@
 		quiet = p.PredecessorGone
 	}
 	for _, minion := range p.Minions {
-		if m := w.Minions.At(minion); m.Heard {
+		switch m := w.Minions.At(minion); {
+		case m.Heard:
 			quiet = max(quiet, m.HeardAt)
-		} else {
+		case !m.Over:
 			quiet = max(quiet, p.PredecessorGone)
 		}
 	}
@@ -154,7 +155,7 @@
 // usable tells whether a minion takes new work.
 func usable(w *quetzalwork.World, m *quetzalwork.Minion) bool {
 	// A read of the duties after it joined shows that no successor has used it before.
-	return m.Listed && m.Heard && !m.Taken && w.Membership.ReadSentAt > m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
+	return m.Listed && m.Heard && !m.Taken && !m.Over && w.Membership.ReadSentAt > m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
 }
 
 // allows tells whether a step may run on a minion at all.
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -20,6 +20,7 @@
 	}
 	w.Stopping, w.StopAt = true, w.Now
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartStop, Text: "A planned stop begins."})
+	tendMembership(w)
 	w.After(flushTime, quetzalwork.MembershipDue{})
 }
 
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -142,11 +142,15 @@
 		if r.Stop != quetzalwork.StopNone || r.State != quetzalwork.RunWorking {
 			continue
 		}
+		if !p.OldKnown && w.Jobs.At(s.Job).Duty < quetzalunit.Revision(p.Token) {
+			// It could not be placed again yet.
+			continue
+		}
 		if !s.Spec.Lasting {
 			evacuateSaved(w, p, run)
 			continue
 		}
-		if away(w, s, r.Task) >= max(s.Spec.MayMiss, leastMiss(s)) || choose(w, p, s, t, nil) == 0 {
+		if away(w, s, r.Task) >= max(s.Spec.MayMiss, leastMiss(s)) || !fitsElsewhere(w, p, s, r.Minion) {
 			continue
 		}
 		w.Log(quetzalwork.Decision{
@@ -157,6 +161,19 @@
 	}
 }
 
+// fitsElsewhere tells whether another minion could run a lasting task once room is free there;
+// such tasks are placed before all others.
+func fitsElsewhere(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, but quetzalwork.Row) bool {
+	for _, row := range p.Minions {
+		m := w.Minions.At(row)
+		full := s.Spec.MaxPerMinion > 0 && s.OnMinion[row] >= s.Spec.MaxPerMinion
+		if row != but && usable(w, m) && allows(s, m) && !full && needsOf(s.Spec).Fits(m.Room) {
+			return true
+		}
+	}
+	return false
+}
+
 // evacuateSaved stops a run that resumes elsewhere from its checkpoint.
 func evacuateSaved(w *quetzalwork.World, p *quetzalwork.Pool, row quetzalwork.Row) {
 	r := w.Runs.At(row)
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -1,8 +1,10 @@
 package quetzalscheduler
 
 import (
+	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
@@ -79,7 +81,7 @@
 	case wave.Said == quetzalwork.WaveUnsaid:
 		sayWave(w, wave, quetzalwork.WaveRunning)
 	}
-	for i := range wave.Steps {
+	for _, i := range waveOrder(w, wave) {
 		step := &wave.Steps[i]
 		if step.State == quetzalwork.StepWaiting && active < max(1, wave.Cap) && mayOrder(w) && w.MoveByHost.Get(wave.Hosts[i]) == 0 {
 			step.State, step.Since = quetzalwork.StepEmptying, w.Now
@@ -91,6 +93,32 @@
 	}
 }
 
+// waveOrder is the order in which a wave takes its hosts: spare ones, idle ones, the others.
+func waveOrder(w *quetzalwork.World, wave *quetzalwork.Wave) []int {
+	cost := make(map[quetzalunit.HostID]int, len(wave.Hosts))
+	for _, id := range wave.Hosts {
+		cost[id] = 2
+		if h := w.Hosts.At(w.HostByID.Get(id)); h != nil {
+			if p := w.Pools.At(w.PoolByID.Get(h.Pool)); p != nil && p.Spare {
+				cost[id] = 0
+			}
+		}
+	}
+	for _, p := range w.Pools.All() {
+		for _, idle := range p.Load.Idle {
+			if cost[idle.Host] == 2 {
+				cost[idle.Host] = 1
+			}
+		}
+	}
+	order := make([]int, len(wave.Hosts))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cost[wave.Hosts[a]] - cost[wave.Hosts[b]] })
+	return order
+}
+
 func sayWave(w *quetzalwork.World, wave *quetzalwork.Wave, state quetzalwork.WaveState) {
 	if wave.Saying == quetzalwork.WaveUnsaid {
 		wave.Saying = state
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1363,6 +1363,7 @@
 
 const WorkMessageKindAccepted WorkMessageKind = "Accepted"
 const WorkMessageKindCancelled WorkMessageKind = "Cancelled"
+const WorkMessageKindDropped WorkMessageKind = "Dropped"
 const WorkMessageKindDuty WorkMessageKind = "Duty"
 const WorkMessageKindEmpty WorkMessageKind = "Empty"
 const WorkMessageKindLoad WorkMessageKind = "Load"
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -79,6 +79,8 @@
 	Slowness float64
 	// IdleSince is when it last ran something.
 	IdleSince quetzalunit.Instant
+	// Over tells that a later minion runs on its host: nothing runs on this one any more.
+	Over bool
 	// Taken tells that an order has taken its host away: this life gets no new work.
 	Taken bool
 	// CordonedUntil ends a wish to empty it for an order to its host; zero without.
@@ -223,6 +225,8 @@
 	// Ordered tells that the order was given; Asking that a question to the dispatcher, or the
 	// order, is in flight.
 	Ordered, Asking bool
+	// Over tells that a later minion runs on its host: nothing runs on this one any more.
+	Over bool
 	// Taken tells that the order was taken, at Since.
 	Taken          bool
 	Since, RetryAt quetzalunit.Instant
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -44,6 +44,11 @@
 		Host quetzalunit.HostID
 		Wave quetzalunit.WaveID
 	}
+	// TellDropped tells the dispatcher that its predecessor with a token extends nothing more.
+	TellDropped struct {
+		Pool  quetzalunit.PoolID
+		Token quetzalunit.FencingToken
+	}
 	// AskLoad asks the dispatcher what a pool needs and what it could give away.
 	AskLoad struct{ Pool quetzalunit.PoolID }
 	// TellTaken tells the dispatcher that an order has ended all that ran on a host.
@@ -61,6 +66,7 @@
 func (AskEmpty) implementsPeerMessage()      {}
 func (TellTaken) implementsPeerMessage()     {}
 func (AskLoad) implementsPeerMessage()       {}
+func (TellDropped) implementsPeerMessage()   {}
 
 // PeerReply is the reply to a PeerMessage.
 type PeerReply interface{ implementsPeerReply() }
