--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -28,6 +28,9 @@
 	settleTime = 700 * time.Millisecond
 	// settledBeat is the renewal from which on an entry has settled.
 	settledBeat quetzalunit.Beat = 2
+	// sharePeriod is the time between two duties that an entry gives back to share the load, and
+	// the age from which on it does so.
+	sharePeriod = 1500 * time.Millisecond
 	// candidateTime is how long the first candidate for a free duty goes before the others.
 	candidateTime = 1500 * time.Millisecond
 	// dutyRetry is the pause after a takeover without success.
@@ -51,6 +54,7 @@
 	}
 	readMembers(w)
 	tendDuties(w)
+	shareDuties(w)
 	w.After(w.Jitter(renewPeriod), quetzalwork.MembershipDue{})
 }
 
@@ -222,8 +226,7 @@
 	var free []quetzalunit.PoolID
 	for _, id := range ids {
 		d := dutyOf(w, id)
-		holder := w.Members.At(w.MemberByID.Get(d.Holder))
-		if d.Holder != "" && holder != nil && holder.Incarnation == d.Incarnation && isLive(w, holder) {
+		if holderLives(w, d) {
 			load[d.Holder]++
 			d.FreeSince = 0
 			continue
@@ -231,6 +234,11 @@
 		if d.FreeSince == 0 {
 			d.FreeSince = w.Now
 		}
+		if d.Holder != "" && w.Members.At(w.MemberByID.Get(d.Holder)) == nil && w.Now.Sub(d.FreeSince) < deathAfter {
+			// The holder's own row may be about to appear.
+			load[d.Holder]++
+			continue
+		}
 		free = append(free, id)
 	}
 	for _, id := range free {
@@ -253,6 +261,43 @@
 	}
 }
 
+func holderLives(w *quetzalwork.World, d *quetzalwork.Duty) bool {
+	holder := w.Members.At(w.MemberByID.Get(d.Holder))
+	return d.Holder != "" && holder != nil && holder.Incarnation == d.Incarnation && isLive(w, holder)
+}
+
+// shareDuties gives a duty back that another entry would better have: one that holds two fewer.
+func shareDuties(w *quetzalwork.World) {
+	if w.Stopping || w.Releases > 0 || w.Now.Sub(w.Membership.SharedAt) < sharePeriod || w.Now.Sub(w.StartedAt) < sharePeriod {
+		return
+	}
+	load := make(map[quetzalunit.EntryID]int)
+	for _, id := range duties(w) {
+		d := dutyOf(w, id)
+		if !holderLives(w, d) {
+			return
+		}
+		load[d.Holder]++
+	}
+	least := load[w.Self.Entry]
+	for _, m := range w.Members.All() {
+		if !m.Stopping && isLive(w, m) && m.Beat >= settledBeat {
+			least = min(least, load[m.Entry])
+		}
+	}
+	if load[w.Self.Entry] < least+2 {
+		return
+	}
+	for row, p := range w.Pools.All() {
+		if p.Held && p.Loaded && !p.Committing && p.DirtyJobs.Len() == 0 {
+			w.Membership.SharedAt = w.Now
+			release(w, p.ID)
+			dropPool(w, row, "Shared")
+			return
+		}
+	}
+}
+
 // candidate returns the live entry with the fewest duties, the same at every entry. One that
 // has just started is chosen only if all have, since it takes no duty yet.
 func candidate(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int) quetzalunit.EntryID {
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -271,10 +271,28 @@
 			leaving++
 		}
 	}
+	leaving += waveTurns(w, p)
 	left := p.Load.Hosts - leaving - 1
 	return left < keepLeast || quetzalunit.MilliCores(left)*size < p.Load.Wanted || float64(left) < keepShare*fairHosts(w, p)
 }
 
+// waveTurns counts the hosts of a pool that waves are about to take.
+func waveTurns(w *quetzalwork.World, p *quetzalwork.Pool) int {
+	n := 0
+	for _, wave := range w.Waves.All() {
+		for i := range wave.Steps {
+			s := wave.Steps[i].State
+			if s != quetzalwork.StepEmptying && s != quetzalwork.StepOrdered {
+				continue
+			}
+			if h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i])); h != nil && h.Pool == p.ID {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // fairHosts is a pool's share of the fleet's hosts by its mean demand.
 func fairHosts(w *quetzalwork.World, p *quetzalwork.Pool) float64 {
 	sum := 0.0
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -11,6 +11,9 @@
 const (
 	// waveSlack is kept of a wave's time for hosts whose turn takes longer.
 	waveSlack = 0.8
+	// wavePatience is the share of its time in which a wave takes only hosts that their pools can
+	// do without.
+	wavePatience = 0.4
 	// emptyLeast is the least time in which a minion may empty itself.
 	emptyLeast = time.Second
 	// emptyMost is the longest: work that is thrown away costs less than a host that idles.
@@ -83,7 +86,7 @@
 	}
 	for _, i := range waveOrder(w, wave) {
 		step := &wave.Steps[i]
-		if step.State == quetzalwork.StepWaiting && active < max(1, wave.Cap) && mayOrder(w) && w.MoveByHost.Get(wave.Hosts[i]) == 0 {
+		if step.State == quetzalwork.StepWaiting && active < max(1, wave.Cap) && mayOrder(w) && mayTake(w, wave, i) {
 			step.State, step.Since = quetzalwork.StepEmptying, w.Now
 			active++
 		}
@@ -93,6 +96,20 @@
 	}
 }
 
+// mayTake tells whether a wave may take a host: its pool can do without it, or the wave can
+// wait no longer.
+func mayTake(w *quetzalwork.World, wave *quetzalwork.Wave, i int) bool {
+	h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i]))
+	if h == nil || w.MoveByHost.Get(wave.Hosts[i]) != 0 {
+		return false
+	}
+	p := w.Pools.At(w.PoolByID.Get(h.Pool))
+	if p == nil || p.Spare || w.Now.Sub(wave.SeenAt) > time.Duration(wavePatience*float64(wave.Within)) {
+		return true
+	}
+	return !keeps(w, p)
+}
+
 // waveOrder is the order in which a wave takes its hosts: spare ones, idle ones, the others.
 func waveOrder(w *quetzalwork.World, wave *quetzalwork.Wave) []int {
 	cost := make(map[quetzalunit.HostID]int, len(wave.Hosts))
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -180,6 +180,8 @@
 	Reads int
 	// Seen is the revision up to which the rows are known.
 	Seen quetzalunit.Revision
+	// SharedAt is when this entry last gave a duty back to share the load.
+	SharedAt quetzalunit.Instant
 	// Renewing and Reading tell that a call is in flight.
 	Renewing, Reading bool
 	// Reachable tells that the last call was answered.
