--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -197,6 +197,19 @@
 	}, eris.Wrap(err, "decode member")
 }
 
+// EncodeWaveHosts returns the JSON of the hosts of a wave that have had their maintenance.
+func EncodeWaveHosts(done []quetzalunit.HostID) ([]byte, error) {
+	text, err := json.Marshal(quetzalwire.WaveHostsDoc{Done: toStrings(done)})
+	return text, eris.Wrap(err, "encode hosts of a wave")
+}
+
+// DecodeWaveHosts reads the hosts of a wave that have had their maintenance.
+func DecodeWaveHosts(text []byte) ([]quetzalunit.HostID, error) {
+	var d quetzalwire.WaveHostsDoc
+	err := json.Unmarshal(text, &d)
+	return FromStrings[quetzalunit.HostID](d.Done), eris.Wrap(err, "decode hosts of a wave")
+}
+
 // EncodePoolDuty returns the JSON of a duty's row.
 func EncodePoolDuty(d *quetzalwork.Duty) ([]byte, error) {
 	text, err := json.Marshal(poolDutyDoc(d))
--- a/quetzalcore/quetzalscheduler/conduct.go
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -35,7 +35,7 @@
 	c.HostsAt, c.Reading, c.WavesLoaded = 0, false, false
 	for _, wave := range w.Waves.All() {
 		wave.Steps = make([]quetzalwork.WaveStep, len(wave.Hosts))
-		wave.Saying = quetzalwork.WaveUnsaid
+		wave.Saying, wave.Storing = quetzalwork.WaveUnsaid, false
 	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Text: "This entry gives the orders to hosts.", Version: int64(c.Token)})
 	w.Emit(quetzalwork.ReadWaves{})
@@ -114,7 +114,7 @@
 	reply := quetzalwork.EmptyReply{Empty: true, Safe: true}
 	for _, row := range p.Minions {
 		minion := w.Minions.At(row)
-		if minion.Host != m.Host {
+		if minion.Host != m.Host || minion.Over || minion.Taken {
 			continue
 		}
 		minion.CordonedUntil = w.Now.Add(cordonTime)
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -77,6 +77,8 @@
 		return quetzalwork.JobLookedUp{Result: r, Ask: c.Ask}
 	case quetzalwork.ReadWaves:
 		return quetzalwork.WavesRead{Result: r}
+	case quetzalwork.StoreWave:
+		return quetzalwork.WaveStored{Result: r, Wave: c.Wave}
 	case quetzalwork.SayWave:
 		return quetzalwork.WaveSaid{Result: r, Wave: c.Wave}
 	}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -157,10 +157,15 @@
 		return
 	}
 	for row, m := range w.Minions.All() {
-		if m.Host == e.Host && m.ID != e.ID && m.Life < e.Life && !m.Over {
-			m.Over, m.Ends = true, nil
-			loseRuns(w, row, "Replaced")
+		if m.Host != e.Host || m.ID == e.ID || m.Over {
+			continue
+		}
+		if m.Life > e.Life {
+			w.Minions.At(w.MinionByID.Get(e.ID)).Over = true
+			continue
 		}
+		m.Over, m.Ends = true, nil
+		loseRuns(w, row, "Replaced")
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -85,11 +85,41 @@
 			l.Idle = append(l.Idle, quetzalwork.IdleHost{Host: m.Host})
 		}
 	}
-	l.Wanted = max(l.Wanted, lasting+quetzalunit.MilliCores(offeredShare*offeredAt(w, p)))
+	l.Wanted = max(l.Wanted, spreadCores(w, p), lasting+quetzalunit.MilliCores(offeredShare*offeredAt(w, p)))
 	slices.SortStableFunc(l.Idle, func(a, b quetzalwork.IdleHost) int { return int(b.Since - a.Since) })
 	return l
 }
 
+// spreadCores is the size of the hosts over which the pool's lasting steps must spread, and of
+// one more, without which none of them could be emptied.
+func spreadCores(w *quetzalwork.World, p *quetzalwork.Pool) quetzalunit.MilliCores {
+	var hosts quetzalunit.Tasks
+	var size quetzalunit.MilliCores
+	seen := make(map[quetzalwork.Row]bool)
+	look := func(stepRow quetzalwork.Row) {
+		s := w.Steps.At(stepRow)
+		if s == nil || seen[stepRow] || !s.Spec.Lasting || s.Spec.MaxPerMinion == 0 {
+			return
+		}
+		seen[stepRow] = true
+		hosts = max(hosts, (s.Spec.Count+s.Spec.MaxPerMinion-1)/s.Spec.MaxPerMinion)
+	}
+	for _, row := range p.Ready {
+		look(row)
+	}
+	for _, row := range p.Minions {
+		m := w.Minions.At(row)
+		size = max(size, m.Room.Cores)
+		for _, run := range m.Runs {
+			look(w.Tasks.At(w.Runs.At(run).Task).Step)
+		}
+	}
+	if hosts == 0 {
+		return 0
+	}
+	return quetzalunit.MilliCores(hosts+1) * size
+}
+
 // isLight tells whether a minion runs so little that it can soon be empty: what saves its
 // progress, lasting tasks, and few others.
 func isLight(w *quetzalwork.World, m *quetzalwork.Minion) bool {
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -108,6 +108,8 @@
 		hearHostOrder(w, &in)
 	case quetzalwork.WavesRead:
 		hearWaves(w, &in)
+	case quetzalwork.WaveStored:
+		hearWaveStored(w, &in)
 	case quetzalwork.WaveSaid:
 		hearWaveSaid(w, &in)
 	default:
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -45,6 +46,45 @@
 			wave.Said = state
 		}
 	}
+	for id, done := range in.Done {
+		wave := w.Waves.At(w.WaveByID.Get(id))
+		if wave == nil {
+			continue
+		}
+		for i, host := range wave.Hosts {
+			if step := &wave.Steps[i]; slices.Contains(done, host) && step.State != quetzalwork.StepDone {
+				// It may still be away; it counts as active until it is up.
+				*step = quetzalwork.WaveStep{State: quetzalwork.StepAway, Told: true}
+			}
+		}
+	}
+}
+
+// storeWave stores which hosts of a wave have had their maintenance.
+func storeWave(w *quetzalwork.World, wave *quetzalwork.Wave) {
+	if wave.Storing {
+		wave.Unstored = true
+		return
+	}
+	wave.Storing, wave.Unstored = true, false
+	c := quetzalwork.StoreWave{Wave: wave.ID}
+	for i, host := range wave.Hosts {
+		if s := wave.Steps[i].State; s == quetzalwork.StepAway || s == quetzalwork.StepDone {
+			c.Done = append(c.Done, host)
+		}
+	}
+	w.Emit(c)
+}
+
+func hearWaveStored(w *quetzalwork.World, in *quetzalwork.WaveStored) {
+	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
+	if wave == nil {
+		return
+	}
+	wave.Storing = false
+	if wave.Unstored && w.Conductor.Held {
+		storeWave(w, wave)
+	}
 }
 
 func hearWaveSaid(w *quetzalwork.World, in *quetzalwork.WaveSaid) {
@@ -179,6 +219,12 @@
 	}
 	step.RetryAt = w.Now.Add(conductPeriod)
 	pool := w.Pools.At(w.PoolByID.Get(h.Pool))
+	if waited := w.Now.Sub(step.Since); waited > emptyMost {
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartHost, Text: "A host of a wave is not empty yet.", Host: h.ID, Pool: h.Pool, Age: waited,
+			Reason: fmt.Sprintf("State%dSafe%t", h.State, step.Safe), Routine: true,
+		})
+	}
 	if pool == nil || h.State != quetzalwork.HostUp {
 		return
 	}
@@ -260,6 +306,7 @@
 		switch in.Result {
 		case quetzalwork.HostTaken:
 			step.State, step.Since = quetzalwork.StepAway, w.Now
+			storeWave(w, wave)
 		case quetzalwork.HostInvalid:
 			step.State = quetzalwork.StepDone
 		case quetzalwork.HostFenced:
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1273,6 +1273,12 @@
 const WaveDocStatePaused WaveDocState = "Paused"
 const WaveDocStateRunning WaveDocState = "Running"
 
+// WaveHostsDoc has the hosts of a wave that have had their maintenance.
+type WaveHostsDoc struct {
+	// Done corresponds to the JSON schema field "Done".
+	Done []string `json:"Done" yaml:"Done"`
+}
+
 // WaveList lists waves.
 type WaveList struct {
 	// Waves corresponds to the JSON schema field "Waves".
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -108,6 +108,11 @@
 	}
 	// ReadWaves reads the stored states of the waves.
 	ReadWaves struct{}
+	// StoreWave stores which hosts of a wave have had their maintenance, for a later conductor.
+	StoreWave struct {
+		Wave quetzalunit.WaveID
+		Done []quetzalunit.HostID
+	}
 	// SayWave stores the state of a wave.
 	SayWave struct {
 		Wave  quetzalunit.WaveID
@@ -198,6 +203,7 @@
 func (StoreCancel) implementsCommand()   {}
 func (LookUpJob) implementsCommand()     {}
 func (ReadWaves) implementsCommand()     {}
+func (StoreWave) implementsCommand()     {}
 func (SayWave) implementsCommand()       {}
 func (HoldMinion) implementsCommand()    {}
 func (StartRun) implementsCommand()      {}
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -141,6 +141,13 @@
 	WavesRead struct {
 		Result StoreResult
 		States map[quetzalunit.WaveID]WaveState
+		// Done are the hosts that have had their maintenance.
+		Done map[quetzalunit.WaveID][]quetzalunit.HostID
+	}
+	// WaveStored is the end of StoreWave.
+	WaveStored struct {
+		Result StoreResult
+		Wave   quetzalunit.WaveID
 	}
 	// WaveSaid is the end of SayWave.
 	WaveSaid struct {
@@ -217,6 +224,7 @@
 func (CancelStored) implementsInput()   {}
 func (JobLookedUp) implementsInput()    {}
 func (WavesRead) implementsInput()      {}
+func (WaveStored) implementsInput()     {}
 func (WaveSaid) implementsInput()       {}
 func (MinionHeld) implementsInput()     {}
 func (RunAnswered) implementsInput()    {}
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -175,6 +175,9 @@
 	SeenAt quetzalunit.Instant
 	// Steps has the state of each host, in the order of Hosts.
 	Steps []WaveStep
+	// Storing tells that a transaction with the hosts that are done is in flight, and Unstored
+	// that more are done since.
+	Storing, Unstored bool
 	// Said is the state that the store has; Saying the one in flight, empty without.
 	Said, Saying WaveState
 }
