--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the workspace. `make demo` and `make test` need Go and nothing else.
-MODULES := quetzalcore quetzalentry quetzalctl quetzalload quetzalstandin quetzalproof
-PROGRAMS := quetzalentry quetzalctl quetzalload quetzalstandin
+MODULES := quetzalcore platform quetzalentry quetzalctl quetzalload quetzalstandin quetzalproof
+PROGRAMS := platform quetzalentry quetzalctl quetzalload quetzalstandin
 LINT_VERSION := v2.15.0
 FUMPT_VERSION := v0.12.0
 SCHEMA_VERSION := v0.24.1
--- a/quetzalcore/quetzalscheduler/ask.go
+++ b/quetzalcore/quetzalscheduler/ask.go
@@ -64,8 +64,8 @@
 
 func expireAsk(w *quetzalwork.World, row quetzalwork.Row) {
 	if a := w.Asks.At(row); a != nil {
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Text: "A question has no answer in time.", Job: a.Job, Pool: w.Pools.At(a.Pool).ID, Reason: "StoreSilent", Routine: true})
-		answerAsk(w, row, quetzalwork.Unsettled{Reason: "StoreSilent"})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Text: "A question has no answer in time.", Job: a.Job, Pool: w.Pools.At(a.Pool).ID, Reason: reasonSilent, Routine: true})
+		answerAsk(w, row, quetzalwork.Unsettled{Reason: reasonSilent})
 	}
 }
 
@@ -106,7 +106,7 @@
 	a := w.Asks.At(row)
 	a.Tries++
 	if a.Tries > askRetries {
-		answerAsk(w, row, quetzalwork.Unsettled{Reason: "StoreSilent"})
+		answerAsk(w, row, quetzalwork.Unsettled{Reason: reasonSilent})
 		return
 	}
 	w.Emit(quetzalwork.LookUpJob{Pool: w.Pools.At(a.Pool).ID, Job: a.Job, Ask: row, Timeout: storeTimeout})
@@ -122,7 +122,7 @@
 			lookUp(w, in.Ask)
 			return
 		}
-		answerAsk(w, in.Ask, quetzalwork.Unsettled{Reason: "StoreUnavailable"})
+		answerAsk(w, in.Ask, quetzalwork.Unsettled{Reason: reasonUnavailable})
 		return
 	}
 	exists, state := storedState(in.Rows)
@@ -235,6 +235,6 @@
 			storeCancel(w, in.Ask)
 		}
 	default:
-		answerAsk(w, in.Ask, quetzalwork.Unsettled{Reason: "StoreUnavailable"})
+		answerAsk(w, in.Ask, quetzalwork.Unsettled{Reason: reasonUnavailable})
 	}
 }
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/conduct_test.go
@@ -0,0 +1,170 @@
+package quetzalscheduler_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalscheduler"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// conductor is a World that gives orders to hosts, with a test in the place of everything else.
+type conductor struct {
+	t     *testing.T
+	w     *quetzalwork.World
+	now   quetzalunit.Instant
+	hosts []quetzalwork.Host
+	// orders are the orders given so far; said the states of waves that were stored.
+	orders []quetzalwork.OrderHost
+	said   []quetzalwork.WaveState
+	loads  map[quetzalunit.PoolID]quetzalwork.PoolLoad
+}
+
+func newConductor(t *testing.T, hosts []quetzalwork.Host, plan quetzalwork.WavePlan) *conductor {
+	t.Helper()
+	c := &conductor{t: t, w: &quetzalwork.World{}, now: quetzalunit.InstantOf(time.Unix(1000, 0)), hosts: hosts, loads: make(map[quetzalunit.PoolID]quetzalwork.PoolLoad)}
+	c.w.Self = quetzalwork.Identity{Entry: "e0", Incarnation: 1, PeerAddress: "e0"}
+	c.w.Bounds = quetzalwork.Bounds{MaintenanceTime: 2 * time.Second, MoveTime: time.Second, OrderLease: time.Second}
+	quetzalscheduler.Start(c.w, c.now)
+	cfg := quetzalwork.FleetConfig{Version: 1, Pools: []quetzalwork.PoolSpec{{ID: "busy"}, {ID: "calm"}, {ID: "off", Spare: true}}}
+	c.tick(quetzalwork.FleetWatched{Config: &cfg, Waves: []quetzalwork.WavePlan{plan}, Seen: 1})
+	return c
+}
+
+// tick performs what follows from inputs at the present instant.
+func (c *conductor) tick(inputs ...quetzalwork.Input) {
+	for {
+		var next []quetzalwork.Input
+		for _, cmd := range quetzalscheduler.Tick(c.w, c.now, inputs) {
+			next = append(next, c.perform(cmd)...)
+		}
+		if len(next) == 0 {
+			return
+		}
+		inputs = next
+	}
+}
+
+func (c *conductor) perform(cmd quetzalwork.Command) []quetzalwork.Input {
+	self := quetzalwork.Duty{Holder: "e0", Incarnation: 1, Address: "e0", Revision: 7}
+	switch cmd := cmd.(type) {
+	case quetzalwork.RenewMember:
+		return []quetzalwork.Input{quetzalwork.MemberRenewed{SentAt: cmd.SentAt}}
+	case quetzalwork.ReadMembers:
+		other := quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: 5}
+		return []quetzalwork.Input{quetzalwork.MembersRead{
+			Full: true, Seen: 9, SentAt: cmd.SentAt,
+			Members: []quetzalwork.Member{
+				{Entry: "e0", Incarnation: 1, Beat: quetzalunit.Beat(c.now)}, {Entry: "e1", Incarnation: 1, Address: "e1", Beat: quetzalunit.Beat(c.now)},
+			},
+			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{"(hosts)": self, "busy": other, "calm": other, "off": other},
+		}}
+	case quetzalwork.ListHosts:
+		return []quetzalwork.Input{quetzalwork.HostsListed{OK: true, Hosts: c.hosts}}
+	case quetzalwork.ReadWaves:
+		return []quetzalwork.Input{quetzalwork.WavesRead{}}
+	case quetzalwork.SayWave:
+		c.said = append(c.said, cmd.State)
+		return []quetzalwork.Input{quetzalwork.WaveSaid{Wave: cmd.Wave, State: cmd.State}}
+	case quetzalwork.OrderHost:
+		c.orders = append(c.orders, cmd)
+		return []quetzalwork.Input{quetzalwork.HostOrdered{Order: cmd.Order, Host: cmd.Host, Wave: cmd.Wave, Pool: cmd.Pool}}
+	case quetzalwork.AskPeer:
+		return []quetzalwork.Input{quetzalwork.PeerAnswered{Message: cmd.Message, Address: cmd.Address, Reply: c.reply(cmd.Message)}}
+	default:
+		return nil
+	}
+}
+
+func (c *conductor) reply(m quetzalwork.PeerMessage) quetzalwork.PeerReply {
+	switch m := m.(type) {
+	case quetzalwork.AskLoad:
+		l := c.loads[m.Pool]
+		for _, o := range c.orders {
+			n := len(l.Idle)
+			l.Idle = slices.DeleteFunc(slices.Clone(l.Idle), func(h quetzalwork.IdleHost) bool { return h.Host == o.Host })
+			l.Hosts -= n - len(l.Idle)
+		}
+		return quetzalwork.LoadReply{Load: l}
+	case quetzalwork.AskEmpty:
+		return quetzalwork.EmptyReply{Empty: true, Safe: true}
+	default:
+		return quetzalwork.Heard{}
+	}
+}
+
+// run advances the clock tick by tick.
+func (c *conductor) run(d time.Duration) {
+	end := c.now.Add(d)
+	for c.now < end {
+		c.now = c.now.Add(50 * time.Millisecond)
+		c.tick()
+	}
+}
+
+func upHost(id quetzalunit.HostID, pool quetzalunit.PoolID) quetzalwork.Host {
+	return quetzalwork.Host{ID: id, Pool: pool, Room: quetzalunit.Resources{Cores: 32000}}
+}
+
+// A host of a wave that is listed late is not left out: the wave is not said to be completed.
+func TestWaveWaitsForHostsThatAreListedLate(t *testing.T) {
+	plan := quetzalwork.WavePlan{ID: "1", Hosts: []quetzalunit.HostID{"h1", "h2"}, Within: 20 * time.Second, Cap: 1}
+	c := newConductor(t, []quetzalwork.Host{upHost("h1", "off")}, plan)
+	c.run(8 * time.Second)
+	require.NotContains(t, c.said, quetzalwork.WaveCompleted)
+	c.hosts = append(c.hosts, upHost("h2", "off"))
+	c.run(6 * time.Second)
+	require.Contains(t, c.said, quetzalwork.WaveCompleted)
+	require.Len(t, c.orders, 2)
+}
+
+// A host that never comes back does not keep its wave from being completed in time.
+func TestWaveLeavesOutHostsThatAreGone(t *testing.T) {
+	plan := quetzalwork.WavePlan{ID: "1", Hosts: []quetzalunit.HostID{"h1", "h2"}, Within: 10 * time.Second, Cap: 2}
+	c := newConductor(t, []quetzalwork.Host{upHost("h1", "off")}, plan)
+	c.run(10 * time.Second)
+	require.Contains(t, c.said, quetzalwork.WaveCompleted)
+}
+
+func TestWaveTakesNoMoreHostsAtOnceThanItMay(t *testing.T) {
+	plan := quetzalwork.WavePlan{ID: "1", Hosts: []quetzalunit.HostID{"h1", "h2", "h3"}, Within: 30 * time.Second, Cap: 1}
+	c := newConductor(t, []quetzalwork.Host{upHost("h1", "off"), upHost("h2", "off"), upHost("h3", "off")}, plan)
+	for range 300 {
+		before := len(c.orders)
+		c.run(50 * time.Millisecond)
+		require.LessOrEqual(t, len(c.orders)-before, 1)
+	}
+	require.Contains(t, c.said, quetzalwork.WaveCompleted)
+}
+
+// The load of a queue at its turn: one pool wants several times what it has, the other is idle,
+// and spare hosts are off.
+func TestHostsFollowTheTurnsOfTheQueues(t *testing.T) {
+	var hosts []quetzalwork.Host
+	var idle []quetzalwork.IdleHost
+	for _, id := range []quetzalunit.HostID{"c1", "c2", "c3", "c4", "c5", "c6"} {
+		hosts = append(hosts, upHost(id, "calm"))
+		idle = append(idle, quetzalwork.IdleHost{Host: id, Since: time.Second})
+	}
+	hosts = append(hosts, upHost("s1", "off"), upHost("s2", "off"), upHost("b1", "busy"))
+	c := newConductor(t, hosts, quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{Wanted: 5000, Usable: 6 * 32000, Idle: idle, Hosts: 6}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 1000, Usable: 32000, Hosts: 1}
+	c.run(3 * time.Second)
+	require.Empty(t, c.orders)
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 10 * 32000, Usable: 32000, Hosts: 1}
+	c.run(time.Second)
+	moved := make(map[quetzalunit.HostID]bool)
+	for _, o := range c.orders {
+		require.Equal(t, quetzalwork.OrderMove, o.Order)
+		require.Equal(t, quetzalunit.PoolID("busy"), o.Pool)
+		moved[o.Host] = true
+	}
+	require.True(t, moved["s1"] && moved["s2"], "spare hosts are used")
+	require.GreaterOrEqual(t, len(moved), 3, "idle hosts of the other pool are used")
+	require.LessOrEqual(t, len(moved), 6, "the calm pool keeps hosts for its own next rise")
+}
--- a/quetzalcore/quetzalscheduler/judge_test.go
+++ b/quetzalcore/quetzalscheduler/judge_test.go
@@ -48,7 +48,7 @@
 	return &j.specs[t.Job].Steps[t.Step]
 }
 
-func (j *judge) fault(format string, args ...any) {
+func (j *judge) faultf(format string, args ...any) {
 	j.broken = append(j.broken, fmt.Sprintf("%v: ", j.f.now)+fmt.Sprintf(format, args...))
 }
 
@@ -68,22 +68,22 @@
 	failed := 0
 	for _, other := range j.records[t] {
 		if !other.over && !j.step(t).Speculative {
-			j.fault("TWICE: %v run %d on %s beside run %d on %s", t, run, m, other.run, other.minion)
+			j.faultf("TWICE: %v run %d on %s beside run %d on %s", t, run, m, other.run, other.minion)
 		}
 		if other.over && other.end == quetzalwork.EndDone && other.noted {
-			j.fault("TWICE: %v run %d on %s after run %d was done and noted", t, run, m, other.run)
+			j.faultf("TWICE: %v run %d on %s after run %d was done and noted", t, run, m, other.run)
 		}
 		if other.over && other.end == quetzalwork.EndFailed {
 			failed++
 		}
 	}
 	if failed >= 3 {
-		j.fault("BUDGET: %v run %d after %d failures", t, run, failed)
+		j.faultf("BUDGET: %v run %d after %d failures", t, run, failed)
 	}
 	for _, before := range j.step(t).After {
 		for n := range j.specs[t.Job].Steps[before].Count {
 			if !j.isDone(quetzalwork.TaskName{Job: t.Job, TaskRef: quetzalwork.TaskRef{Step: before, Task: quetzalunit.TaskIndex(n)}}) {
-				j.fault("ORDER: %v before step %d is done", t, before)
+				j.faultf("ORDER: %v before step %d is done", t, before)
 			}
 		}
 	}
@@ -130,7 +130,7 @@
 			r.noted = true
 			for _, later := range records[i+1:] {
 				if later.startedAt > r.endedAt && !j.step(t).Speculative {
-					j.fault("TWICE: %v run %d was started after run %d had ended, which was noted", t, later.run, r.run)
+					j.faultf("TWICE: %v run %d was started after run %d had ended, which was noted", t, later.run, r.run)
 				}
 			}
 		}
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -297,7 +297,7 @@
 	size := hostSize(w)
 	leaving := 0
 	for _, m := range w.Moves.All() {
-		if m.From == p.ID && !m.Taken {
+		if m.From == p.ID && (!m.Taken || p.LoadAt <= m.Since) {
 			leaving++
 		}
 	}
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -96,7 +96,7 @@
 	q := w.Queues.At(a.Queue)
 	if r, ok := reply.(quetzalwork.PendingReply); ok {
 		q.Pending, q.PendingAt = r.Pending, w.Now
-		answerAsk(w, m.Ask, quetzalwork.PendingIs{Pending: r.Pending})
+		answerAsk(w, m.Ask, quetzalwork.PendingIs(r))
 		return
 	}
 	a.Tries++
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -35,26 +35,31 @@
 			w.Timers.Push(p.CommitNotBefore, quetzalwork.CommitDue{Pool: poolRow})
 			continue
 		}
-		c := quetzalwork.StoreProgress{Pool: p.ID}
-		rows := p.DirtyJobs.Take()
-		for i, row := range rows {
-			if len(c.Rows) == progressBatch {
-				for _, later := range rows[i:] {
-					p.DirtyJobs.Add(later)
-				}
-				break
-			}
-			if j := w.Jobs.At(row); j != nil && j.Changes > j.StoredChanges {
-				j.StoringChanges, j.StoringState = j.Changes, j.Progress.State
-				c.Jobs = append(c.Jobs, row)
-				c.Rows = append(c.Rows, progressRow(j))
+		storeProgressOf(w, p)
+	}
+}
+
+// storeProgressOf begins a transaction with the progress of a pool's changed jobs.
+func storeProgressOf(w *quetzalwork.World, p *quetzalwork.Pool) {
+	c := quetzalwork.StoreProgress{Pool: p.ID}
+	rows := p.DirtyJobs.Take()
+	for i, row := range rows {
+		if len(c.Rows) == progressBatch {
+			for _, later := range rows[i:] {
+				p.DirtyJobs.Add(later)
 			}
+			break
 		}
-		if len(c.Rows) > 0 {
-			p.Committing = true
-			w.Emit(c)
+		if j := w.Jobs.At(row); j != nil && j.Changes > j.StoredChanges {
+			j.StoringChanges, j.StoringState = j.Changes, j.Progress.State
+			c.Jobs = append(c.Jobs, row)
+			c.Rows = append(c.Rows, progressRow(j))
 		}
 	}
+	if len(c.Rows) > 0 {
+		p.Committing = true
+		w.Emit(c)
+	}
 }
 
 // progressRow is the row to store. An outcome needs no details.
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -236,7 +236,7 @@
 	q := w.Queues.At(w.QueueByID.Get(j.Queue))
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartMinion, Text: "A run has failed.", Job: j.ID, Task: e.Task.TaskRef, Run: e.Run,
-		Minion: w.Minions.At(minionRow).ID, Version: int64(t.Failures), Reason: "Failed",
+		Minion: w.Minions.At(minionRow).ID, Version: int64(t.Failures), Reason: endName(e.End),
 	})
 	if s.Spec.Lasting {
 		return
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -26,6 +26,9 @@
 	refusalDelay = 1500 * time.Millisecond
 	// defaultTimeout is the time of a call that names none.
 	defaultTimeout = 3 * time.Second
+	// reasonSilent and reasonUnavailable tell callers and the log why the store did not help.
+	reasonSilent      = "StoreSilent"
+	reasonUnavailable = "StoreUnavailable"
 	// maxText bounds a job's text, in bytes.
 	maxText = 4000
 )
@@ -173,7 +176,7 @@
 		case in.Result == quetzalwork.StoreConflict:
 			p.Submissions.Add(row)
 		case in.Result == quetzalwork.StoreRefused && !s.MayBeStored:
-			endSubmission(w, row, quetzalwork.JobRefused{RetryAfter: w.Jitter(refusalDelay), Reason: "StoreUnavailable"}, "StoreUnavailable")
+			endSubmission(w, row, quetzalwork.JobRefused{RetryAfter: w.Jitter(refusalDelay), Reason: reasonUnavailable}, reasonUnavailable)
 		default:
 			s.MayBeStored = true
 			p.Submissions.Add(row)
@@ -203,7 +206,7 @@
 		return
 	}
 	if s.Storing || s.MayBeStored {
-		endSubmission(w, row, quetzalwork.Unsettled{Reason: "StoreSilent"}, "StoreSilent")
+		endSubmission(w, row, quetzalwork.Unsettled{Reason: reasonSilent}, reasonSilent)
 		return
 	}
 	endSubmission(w, row, quetzalwork.JobRefused{RetryAfter: w.Jitter(refusalDelay), Reason: "Busy"}, "Busy")
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -15,6 +15,9 @@
 	// wavePatience is the share of its time in which a wave takes only hosts that their pools can
 	// do without.
 	wavePatience = 0.4
+	// missingPatience is the share of its time for which a wave waits for hosts that are not
+	// listed.
+	missingPatience = 0.85
 	// emptyLeast is the least time in which a minion may empty itself.
 	emptyLeast = time.Second
 	// emptyMost is the longest: work that is thrown away costs less than a host that idles.
@@ -111,6 +114,9 @@
 		seeWaveHost(w, wave, i)
 		switch step.State {
 		case quetzalwork.StepWaiting:
+			if mayBeGone(w, wave, i) {
+				done++
+			}
 		case quetzalwork.StepDone:
 			done++
 		case quetzalwork.StepEmptying, quetzalwork.StepOrdered, quetzalwork.StepAway:
@@ -183,15 +189,22 @@
 	}
 }
 
-// seeWaveHost follows the list of hosts: a host that is gone needs no maintenance, one that is
-// up again after it was away has had it.
+// mayBeGone tells whether a host that is not listed is left out of its wave. It may be listed
+// later, so that the wave waits for it as long as its time allows.
+func mayBeGone(w *quetzalwork.World, wave *quetzalwork.Wave, i int) bool {
+	late := w.Now.Sub(wave.SeenAt) > time.Duration(missingPatience*float64(wave.Within))
+	return late && w.HostByID.Get(wave.Hosts[i]) == 0
+}
+
+// seeWaveHost follows the list of hosts: one that is up again after it was away has had its
+// maintenance, one that is not listed waits.
 func seeWaveHost(w *quetzalwork.World, wave *quetzalwork.Wave, i int) {
 	step := &wave.Steps[i]
 	h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i]))
 	switch {
 	case step.State == quetzalwork.StepDone:
 	case h == nil:
-		step.State = quetzalwork.StepDone
+		*step = quetzalwork.WaveStep{}
 	case step.State == quetzalwork.StepAway:
 		if h.State == quetzalwork.HostInMaintenance && !step.Told {
 			step.Told = true
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -95,10 +95,12 @@
 
 type ClaimDocState string
 
-const ClaimDocStateClaimed ClaimDocState = "Claimed"
-const ClaimDocStateDone ClaimDocState = "Done"
-const ClaimDocStateReleased ClaimDocState = "Released"
-const ClaimDocStateUnknown ClaimDocState = "Unknown"
+const (
+	ClaimDocStateClaimed  ClaimDocState = "Claimed"
+	ClaimDocStateDone     ClaimDocState = "Done"
+	ClaimDocStateReleased ClaimDocState = "Released"
+	ClaimDocStateUnknown  ClaimDocState = "Unknown"
+)
 
 // DecisionDoc tells why the system did something.
 type DecisionDoc struct {
@@ -184,10 +186,12 @@
 
 type EntrySettingsLogLevel string
 
-const EntrySettingsLogLevelDebug EntrySettingsLogLevel = "debug"
-const EntrySettingsLogLevelError EntrySettingsLogLevel = "error"
-const EntrySettingsLogLevelInfo EntrySettingsLogLevel = "info"
-const EntrySettingsLogLevelWarn EntrySettingsLogLevel = "warn"
+const (
+	EntrySettingsLogLevelDebug EntrySettingsLogLevel = "debug"
+	EntrySettingsLogLevelError EntrySettingsLogLevel = "error"
+	EntrySettingsLogLevelInfo  EntrySettingsLogLevel = "info"
+	EntrySettingsLogLevelWarn  EntrySettingsLogLevel = "warn"
+)
 
 // EntryStatus is the state of the answering entry.
 type EntryStatus struct {
@@ -506,10 +510,12 @@
 
 type HostDocState string
 
-const HostDocStateLeaving HostDocState = "Leaving"
-const HostDocStateRebooting HostDocState = "Rebooting"
-const HostDocStateRetired HostDocState = "Retired"
-const HostDocStateServing HostDocState = "Serving"
+const (
+	HostDocStateLeaving   HostDocState = "Leaving"
+	HostDocStateRebooting HostDocState = "Rebooting"
+	HostDocStateRetired   HostDocState = "Retired"
+	HostDocStateServing   HostDocState = "Serving"
+)
 
 // HostGeneration names a generation of a host's row.
 type HostGeneration struct {
@@ -541,9 +547,11 @@
 
 type HostRegistrationState string
 
-const HostRegistrationStateGone HostRegistrationState = "Gone"
-const HostRegistrationStateLeaving HostRegistrationState = "Leaving"
-const HostRegistrationStateLive HostRegistrationState = "Live"
+const (
+	HostRegistrationStateGone    HostRegistrationState = "Gone"
+	HostRegistrationStateLeaving HostRegistrationState = "Leaving"
+	HostRegistrationStateLive    HostRegistrationState = "Live"
+)
 
 // HostStatus is a host's row and what the answering entry runs on it.
 type HostStatus struct {
@@ -616,9 +624,11 @@
 
 type JobDocState string
 
-const JobDocStateAccepted JobDocState = "Accepted"
-const JobDocStateEnded JobDocState = "Ended"
-const JobDocStateSent JobDocState = "Sent"
+const (
+	JobDocStateAccepted JobDocState = "Accepted"
+	JobDocStateEnded    JobDocState = "Ended"
+	JobDocStateSent     JobDocState = "Sent"
+)
 
 // JoinMessage asks the entry that claimed a request for its answer.
 type JoinMessage struct {
@@ -667,9 +677,11 @@
 
 type ListedHostState string
 
-const ListedHostStateGone ListedHostState = "Gone"
-const ListedHostStateLeaving ListedHostState = "Leaving"
-const ListedHostStateLive ListedHostState = "Live"
+const (
+	ListedHostStateGone    ListedHostState = "Gone"
+	ListedHostStateLeaving ListedHostState = "Leaving"
+	ListedHostStateLive    ListedHostState = "Live"
+)
 
 // MemberDoc is the row of an entry; Beat grows with each renewal.
 type MemberDoc struct {
@@ -1114,27 +1126,35 @@
 
 type SettingValuesDispatchPolicy string
 
-const SettingValuesDispatchPolicyBorrow SettingValuesDispatchPolicy = "Borrow"
-const SettingValuesDispatchPolicyFixed SettingValuesDispatchPolicy = "Fixed"
-const SettingValuesDispatchPolicyShared SettingValuesDispatchPolicy = "Shared"
+const (
+	SettingValuesDispatchPolicyBorrow SettingValuesDispatchPolicy = "Borrow"
+	SettingValuesDispatchPolicyFixed  SettingValuesDispatchPolicy = "Fixed"
+	SettingValuesDispatchPolicyShared SettingValuesDispatchPolicy = "Shared"
+)
 
 type SettingValuesLanePolicy string
 
-const SettingValuesLanePolicyDemote SettingValuesLanePolicy = "Demote"
-const SettingValuesLanePolicyOpen SettingValuesLanePolicy = "Open"
-const SettingValuesLanePolicyReserve SettingValuesLanePolicy = "Reserve"
+const (
+	SettingValuesLanePolicyDemote  SettingValuesLanePolicy = "Demote"
+	SettingValuesLanePolicyOpen    SettingValuesLanePolicy = "Open"
+	SettingValuesLanePolicyReserve SettingValuesLanePolicy = "Reserve"
+)
 
 type SettingValuesMovePolicy string
 
-const SettingValuesMovePolicyFixed SettingValuesMovePolicy = "Fixed"
-const SettingValuesMovePolicyReactive SettingValuesMovePolicy = "Reactive"
-const SettingValuesMovePolicySkiRental SettingValuesMovePolicy = "SkiRental"
+const (
+	SettingValuesMovePolicyFixed     SettingValuesMovePolicy = "Fixed"
+	SettingValuesMovePolicyReactive  SettingValuesMovePolicy = "Reactive"
+	SettingValuesMovePolicySkiRental SettingValuesMovePolicy = "SkiRental"
+)
 
 type SettingValuesRetryPolicy string
 
-const SettingValuesRetryPolicyExponential SettingValuesRetryPolicy = "Exponential"
-const SettingValuesRetryPolicyFourPhase SettingValuesRetryPolicy = "FourPhase"
-const SettingValuesRetryPolicyNone SettingValuesRetryPolicy = "None"
+const (
+	SettingValuesRetryPolicyExponential SettingValuesRetryPolicy = "Exponential"
+	SettingValuesRetryPolicyFourPhase   SettingValuesRetryPolicy = "FourPhase"
+	SettingValuesRetryPolicyNone        SettingValuesRetryPolicy = "None"
+)
 
 // SettingsReply shows a node of the settings tree, and its effective values when
 // asked to explain.
@@ -1268,10 +1288,12 @@
 
 type WaveDocState string
 
-const WaveDocStateCancelled WaveDocState = "Cancelled"
-const WaveDocStateFinished WaveDocState = "Finished"
-const WaveDocStatePaused WaveDocState = "Paused"
-const WaveDocStateRunning WaveDocState = "Running"
+const (
+	WaveDocStateCancelled WaveDocState = "Cancelled"
+	WaveDocStateFinished  WaveDocState = "Finished"
+	WaveDocStatePaused    WaveDocState = "Paused"
+	WaveDocStateRunning   WaveDocState = "Running"
+)
 
 // WaveHostsDoc has the hosts of a wave that have had their maintenance.
 type WaveHostsDoc struct {
@@ -1367,15 +1389,17 @@
 
 type WorkMessageKind string
 
-const WorkMessageKindAccepted WorkMessageKind = "Accepted"
-const WorkMessageKindCancelled WorkMessageKind = "Cancelled"
-const WorkMessageKindDropped WorkMessageKind = "Dropped"
-const WorkMessageKindDuty WorkMessageKind = "Duty"
-const WorkMessageKindEmpty WorkMessageKind = "Empty"
-const WorkMessageKindLoad WorkMessageKind = "Load"
-const WorkMessageKindPending WorkMessageKind = "Pending"
-const WorkMessageKindState WorkMessageKind = "State"
-const WorkMessageKindTaken WorkMessageKind = "Taken"
+const (
+	WorkMessageKindAccepted  WorkMessageKind = "Accepted"
+	WorkMessageKindCancelled WorkMessageKind = "Cancelled"
+	WorkMessageKindDropped   WorkMessageKind = "Dropped"
+	WorkMessageKindDuty      WorkMessageKind = "Duty"
+	WorkMessageKindEmpty     WorkMessageKind = "Empty"
+	WorkMessageKindLoad      WorkMessageKind = "Load"
+	WorkMessageKindPending   WorkMessageKind = "Pending"
+	WorkMessageKindState     WorkMessageKind = "State"
+	WorkMessageKindTaken     WorkMessageKind = "Taken"
+)
 
 // WorkProgressDoc has the ends of a job's tasks. Done has rows of occurrence, step
 // and task; Failures has the number of the failed run behind these.
@@ -1392,9 +1416,11 @@
 
 type WorkProgressDocState string
 
-const WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
-const WorkProgressDocStateFailed WorkProgressDocState = "Failed"
-const WorkProgressDocStateRunning WorkProgressDocState = "Running"
+const (
+	WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
+	WorkProgressDocStateFailed    WorkProgressDocState = "Failed"
+	WorkProgressDocStateRunning   WorkProgressDocState = "Running"
+)
 
 // WorkReply is the reply to a WorkMessage.
 type WorkReply struct {
@@ -1431,12 +1457,14 @@
 
 type WorkReplyKind string
 
-const WorkReplyKindEmpty WorkReplyKind = "Empty"
-const WorkReplyKindHeard WorkReplyKind = "Heard"
-const WorkReplyKindLoad WorkReplyKind = "Load"
-const WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
-const WorkReplyKindPending WorkReplyKind = "Pending"
-const WorkReplyKindState WorkReplyKind = "State"
+const (
+	WorkReplyKindEmpty     WorkReplyKind = "Empty"
+	WorkReplyKindHeard     WorkReplyKind = "Heard"
+	WorkReplyKindLoad      WorkReplyKind = "Load"
+	WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
+	WorkReplyKindPending   WorkReplyKind = "Pending"
+	WorkReplyKindState     WorkReplyKind = "State"
+)
 
 // WorkRowDoc is a row of a job in a message between entries.
 type WorkRowDoc struct {
