--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 .PHONY: generate
 generate: $(TOOLS)/go-jsonschema
 	cd quetzalcore/quetzalwire && PATH=$(TOOLS):$$PATH go generate .
+	cd platform/quetzaldialect && PATH=$(TOOLS):$$PATH go generate .
 
 .PHONY: demo
 demo: build
@@ -58,6 +59,10 @@
 soak:
 	cd quetzalcore && go test ./quetzalsystem -run TestPromisesUnderRandomFaults -rapid.checks=5000 -rapid.seed=$$(date +%s) -count=1 -timeout 30m
 
+.PHONY: soak-work
+soak-work:
+	cd quetzalcore && go test ./quetzalscheduler -run TestPromisesUnderRandomFaults -rapid.checks=5000 -rapid.seed=$$(date +%s) -count=1 -timeout 30m
+
 .PHONY: bench
 bench:
 	cd quetzalcore && go test ./quetzalsystem -run XXX -bench . -benchtime 300ms
