--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -18,7 +18,7 @@
 	now quetzalunit.Instant
 	// readsFail lets reads of the duties fail, rowsFail those of the pool's rows; rows is what a read of the pool's rows returns.
 	readsFail, rowsFail bool
-	rows      []quetzalwork.JobRow
+	rows                []quetzalwork.JobRow
 	// held answers holds; nil leaves them without an answer.
 	held func(quetzalwork.HoldMinion) quetzalwork.MinionHeld
 	// starts and holds are the orders so far.
