--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -182,7 +182,7 @@
 func EncodeMember(m *quetzalwork.Member) ([]byte, error) {
 	text, err := json.Marshal(quetzalwire.MemberDoc{
 		Entry: string(m.Entry), Incarnation: int(m.Incarnation), Address: string(m.Address), Zone: string(m.Zone),
-		Beat: int(m.Beat), Stopping: m.Stopping,
+		Beat: int(m.Beat), Stopping: m.Stopping, SharePercent: int(m.Share),
 	})
 	return text, eris.Wrap(err, "encode member")
 }
@@ -194,6 +194,7 @@
 	return quetzalwork.Member{
 		Entry: quetzalunit.EntryID(d.Entry), Incarnation: quetzalunit.Incarnation(d.Incarnation),
 		Address: quetzalunit.Address(d.Address), Zone: quetzalunit.ZoneID(d.Zone), Beat: quetzalunit.Beat(d.Beat), Stopping: d.Stopping,
+		Share: quetzalunit.Percent(d.SharePercent),
 	}, eris.Wrap(err, "decode member")
 }
 
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -31,6 +31,8 @@
 	// sharePeriod is the time between two duties that an entry gives back to share the load, and
 	// the age from which on it does so.
 	sharePeriod = 1500 * time.Millisecond
+	// shareGain is by how much less a duty must burden another entry to be given back.
+	shareGain = 1.3
 	// candidateTime is how long the first candidate for a free duty goes before the others.
 	candidateTime = 1500 * time.Millisecond
 	// dutyRetry is the pause after a takeover without success.
@@ -49,7 +51,7 @@
 		m.Beat++
 		w.Emit(quetzalwork.RenewMember{SentAt: w.Now, Member: quetzalwork.Member{
 			Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, Zone: w.Self.Zone,
-			Beat: m.Beat, Stopping: w.Stopping,
+			Beat: m.Beat, Stopping: w.Stopping, Share: w.Self.Share,
 		}})
 	}
 	readMembers(w)
@@ -266,7 +268,16 @@
 	return d.Holder != "" && holder != nil && holder.Incarnation == d.Incarnation && isLive(w, holder)
 }
 
-// shareDuties gives a duty back that another entry would better have: one that holds two fewer.
+// burden is what a number of duties means to an entry: less to one with more processor.
+func burden(m *quetzalwork.Member, duties int) float64 {
+	const core = 100
+	if m.Share <= 0 {
+		return float64(duties) / core
+	}
+	return float64(duties) / float64(m.Share)
+}
+
+// shareDuties gives a duty back that another entry would better have.
 func shareDuties(w *quetzalwork.World) {
 	if w.Stopping || w.Releases > 0 || w.Now.Sub(w.Membership.SharedAt) < sharePeriod || w.Now.Sub(w.StartedAt) < sharePeriod {
 		return
@@ -279,13 +290,17 @@
 		}
 		load[d.Holder]++
 	}
-	least := load[w.Self.Entry]
+	self := w.Members.At(w.MemberByID.Get(w.Self.Entry))
+	if self == nil || load[w.Self.Entry] == 0 {
+		return
+	}
+	least := burden(self, load[w.Self.Entry])
 	for _, m := range w.Members.All() {
 		if !m.Stopping && isLive(w, m) && m.Beat >= settledBeat {
-			least = min(least, load[m.Entry])
+			least = min(least, shareGain*burden(m, load[m.Entry]+1))
 		}
 	}
-	if load[w.Self.Entry] < least+2 {
+	if least >= burden(self, load[w.Self.Entry]) {
 		return
 	}
 	for row, p := range w.Pools.All() {
@@ -298,7 +313,7 @@
 	}
 }
 
-// candidate returns the live entry with the fewest duties, the same at every entry. One that
+// candidate returns the live entry that a further duty burdens least, the same at every entry. One that
 // has just started is chosen only if all have, since it takes no duty yet.
 func candidate(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int) quetzalunit.EntryID {
 	best := candidateSince(w, id, load, settledBeat)
@@ -310,6 +325,7 @@
 
 func candidateSince(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int, least quetzalunit.Beat) quetzalunit.EntryID {
 	var best quetzalunit.EntryID
+	var bestCost float64
 	var bestWeight uint64
 	for _, m := range w.Members.All() {
 		if m.Stopping || !isLive(w, m) || m.Beat < least {
@@ -318,8 +334,8 @@
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(strings.Join([]string{string(id), string(m.Entry)}, "/"))) // never fails
 		weight := h.Sum64()
-		if best == "" || load[m.Entry] < load[best] || load[m.Entry] == load[best] && weight > bestWeight {
-			best, bestWeight = m.Entry, weight
+		if cost := burden(m, load[m.Entry]+1); best == "" || cost < bestCost || cost == bestCost && weight > bestWeight {
+			best, bestCost, bestWeight = m.Entry, cost, weight
 		}
 	}
 	return best
--- a/quetzalcore/quetzalscheduler/promise_test.go
+++ b/quetzalcore/quetzalscheduler/promise_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"quetzalstair/quetzalcore/quetzalscheduler"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -277,3 +278,46 @@
 		}
 	}
 }
+
+// Entries differ in their processors: the dispatch of a large pool needs one of the larger.
+func TestDutiesGoToEntriesWithMoreProcessor(t *testing.T) {
+	cfg := testConfig()
+	cfg.Pools = append(cfg.Pools, quetzalwork.PoolSpec{ID: "other"}, quetzalwork.PoolSpec{ID: "third"})
+	f := newFleet(1, threeZones, 6, 3, cfg)
+	for i, e := range f.entries {
+		e.world.Self.Share = 20
+		if i >= 4 {
+			e.world.Self.Share = 80
+		}
+	}
+	f.run(10 * time.Second)
+	for i, e := range f.entries {
+		n := len(quetzalscheduler.Backlogs(e.world))
+		if i < 4 {
+			require.Zero(t, n)
+			continue
+		}
+		require.Positive(t, n)
+	}
+}
+
+// One entry holds every duty at first, and gives back what burdens others less.
+func TestDutiesAreShared(t *testing.T) {
+	cfg := testConfig()
+	for _, id := range []quetzalunit.PoolID{"p2", "p3", "p4", "p5"} {
+		cfg.Pools = append(cfg.Pools, quetzalwork.PoolSpec{ID: id})
+	}
+	f := newFleet(1, threeZones, 1, 3, cfg)
+	f.run(3 * time.Second)
+	require.Len(t, quetzalscheduler.Backlogs(f.entries[0].world), 5)
+	for i := range 2 {
+		e := &entry{f: f, id: quetzalunit.EntryID([]string{"x0", "x1"}[i]), zone: threeZones[i+1], config: cfg}
+		f.entries = append(f.entries, e)
+		e.start()
+	}
+	f.run(20 * time.Second)
+	for _, e := range f.entries {
+		require.LessOrEqual(t, len(quetzalscheduler.Backlogs(e.world)), 3)
+		require.Positive(t, len(quetzalscheduler.Backlogs(e.world)))
+	}
+}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -697,6 +697,9 @@
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
 
+	// Processor that the entry has
+	SharePercent int `json:"SharePercent" yaml:"SharePercent"`
+
 	// Stopping corresponds to the JSON schema field "Stopping".
 	Stopping bool `json:"Stopping" yaml:"Stopping"`
 
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -158,6 +158,8 @@
 	Zone        quetzalunit.ZoneID
 	Beat        quetzalunit.Beat
 	Stopping    bool
+	// Share is the processor that the entry has, in hundredths of a core; 0 counts as one core.
+	Share quetzalunit.Percent
 	// ChangedAt is the instant of the first of the uninterrupted reads that show this row.
 	ChangedAt quetzalunit.Instant
 	// RenewedAt is the instant of the first read that shows this row.
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -18,6 +18,8 @@
 	Incarnation quetzalunit.Incarnation
 	// PeerAddress is where the other entries reach this one.
 	PeerAddress quetzalunit.Address
+	// Share is the processor that this entry has, in hundredths of a core; 0 counts as one core.
+	Share quetzalunit.Percent
 	// Seed starts the World's source of random numbers.
 	Seed uint64
 }
