--- a/quetzalcore/quetzalscheduler/fleet.go
+++ b/quetzalcore/quetzalscheduler/fleet.go
@@ -26,7 +26,7 @@
 	switch in.Result {
 	case quetzalwork.StoreDone:
 		if w.Fleet.AnsweredAt == 0 || w.Now.Sub(w.Fleet.AnsweredAt) > 3*watchWait {
-			w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: "The operators' rows can be read.", Age: w.Now.Sub(w.Fleet.AnsweredAt)})
+			w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: "The operators' rows can be read.", Age: ageOf(w, w.Fleet.AnsweredAt)})
 		}
 		w.Fleet.AnsweredAt = w.Now
 		w.Fleet.Seen = max(w.Fleet.Seen, in.Seen)
@@ -45,6 +45,14 @@
 	}
 }
 
+// ageOf is the time since an instant, zero before there is one.
+func ageOf(w *quetzalwork.World, at quetzalunit.Instant) time.Duration {
+	if at == 0 {
+		return 0
+	}
+	return w.Now.Sub(at)
+}
+
 // applyConfig puts a configuration into force unless a newer one is.
 func applyConfig(w *quetzalwork.World, cfg *quetzalwork.FleetConfig) {
 	if w.Fleet.Known && cfg.Version <= w.Fleet.Version {
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -84,7 +84,7 @@
 		if reachable {
 			text = "The store answers."
 		}
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: text, Age: w.Now.Sub(m.ReadAt)})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Text: text, Age: ageOf(w, m.ReadAt)})
 	}
 	if in.Result == quetzalwork.StoreCompacted {
 		m.Seen = 0
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -109,7 +109,7 @@
 	}
 	m.Listed, m.RemovedAt = false, w.Now
 	if p := w.Pools.At(m.PoolRow); p.Held {
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion left the list.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt)})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion left the list.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.AnsweredAt)})
 		planHold(w, row, 0)
 	}
 }
@@ -300,7 +300,7 @@
 	m := w.Minions.At(row)
 	m.Misses++
 	if m.Misses == 1 {
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion does not answer.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt), Reason: reason})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion does not answer.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.AnsweredAt), Reason: reason})
 	}
 }
 
@@ -343,7 +343,7 @@
 	}
 	m.Life = max(m.Life, in.Life)
 	if m.Misses > 0 {
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion answers again.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt)})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The minion answers again.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.AnsweredAt)})
 	}
 	if !m.Heard || m.Misses > 0 {
 		p.Dirty = true
--- a/quetzalctl/main.go
+++ b/quetzalctl/main.go
@@ -24,8 +24,8 @@
 
 // globals are the flags of every command.
 type globals struct {
-	Entry  []string           `required:"" env:"QUETZAL_ENTRY" help:"Base URL of an entry's operators' API, such as http://127.0.0.1:7201; repeat it for fallbacks."`
-	Token  string             `required:"" env:"QUETZAL_TOKEN" help:"The operators' token."`
+	Entry  []string           `env:"QUETZAL_ENTRY" help:"Base URL of an entry's operators' API, such as http://127.0.0.1:7201; repeat it for fallbacks."`
+	Token  string             `env:"QUETZAL_TOKEN" help:"The operators' token."`
 	Output quetzaltext.Format `short:"o" enum:"table,json,yaml" default:"table" help:"Output format: ${enum}."`
 }
 
@@ -49,6 +49,7 @@
 	Hosts     hostsCommand     `cmd:"" help:"Show, register and move hosts."`
 	Waves     wavesCommand     `cmd:"" help:"Plan, start and follow maintenance waves."`
 	Decisions decisionsCommand `cmd:"" help:"Show why hosts moved, were ejected or rebooted."`
+	Explain   storyCommand     `cmd:"" help:"Tell the story of a job of tasks from the log files of all entries. Needs no entry."`
 	Apply     applyCommand     `cmd:"" help:"Create the pools, queues, teams and hosts of a YAML file."`
 }
 
