--- a/quetzalcore/quetzalscheduler/ask.go
+++ b/quetzalcore/quetzalscheduler/ask.go
@@ -21,7 +21,7 @@
 	if !ok {
 		return
 	}
-	a := quetzalwork.Ask{Caller: in.Caller, Queue: queue, Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(timeoutOr(in.Timeout) - answerSlack)}
+	a := quetzalwork.Ask{Caller: in.Caller, Queue: queue, Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(timeLeft(in.Timeout))}
 	if rest == "" {
 		a.Kind = quetzalwork.AskKindPending
 		askPending(w, addAsk(w, &a))
@@ -195,7 +195,7 @@
 	}
 	row := addAsk(w, &quetzalwork.Ask{
 		Caller: in.Caller, Kind: quetzalwork.AskKindCancel, Job: quetzalunit.JobID(rest), Queue: queue,
-		Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(timeoutOr(in.Timeout) - answerSlack),
+		Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(timeLeft(in.Timeout)),
 	})
 	if j := w.Jobs.At(w.JobByID.Get(quetzalunit.JobID(rest))); j != nil {
 		if j.Stored.Final() || j.Cancelled {
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -142,7 +142,7 @@
 		in.Rows = s.find(func(r *quetzalwork.JobRow) bool { return c.Full || r.Revision > c.After })
 		return in
 	case quetzalwork.StoreJobs:
-		in := quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, StoredUnder: c.Duty}
+		in := quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, StoredUnder: c.Duty, SentAt: c.SentAt}
 		if d := s.duties[c.Pool]; d.Revision != c.Duty {
 			in.Result, in.Duty = quetzalwork.StoreConflict, &d
 		}
--- a/quetzalcore/quetzalscheduler/promise_test.go
+++ b/quetzalcore/quetzalscheduler/promise_test.go
@@ -155,6 +155,25 @@
 	require.Empty(t, f.judge.records)
 }
 
+// A caller with less time than the store needs is told at once when to come back.
+func TestSubmissionWithoutTimeIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(1, threeZones, 1, 1, testConfig())
+	f.run(3 * time.Second)
+	f.submit(f.entries[0], testStep(1))
+	f.run(time.Second)
+	e := f.entries[0]
+	f.callers[900] = "hasty"
+	e.post(e.boot, quetzalwork.JobSubmitted{
+		Caller: 900, Host: "host", Path: "/proofs/00000000000000ff", Timeout: time.Millisecond,
+		Spec: &quetzalwork.JobSpec{Text: "text", Steps: []quetzalwork.StepSpec{testStep(1)}},
+	})
+	f.run(time.Millisecond)
+	require.Len(t, f.answers["hasty"], 1)
+	require.IsType(t, quetzalwork.JobRefused{}, f.answers["hasty"][0])
+	f.run(10 * time.Second)
+	require.NotContains(t, f.judge.records, quetzalwork.TaskName{Job: "00000000000000ff"})
+}
+
 func TestBadSubmissionsGetAClearAnswer(t *testing.T) {
 	f := newFleet(1, threeZones, 1, 1, testConfig())
 	f.run(3 * time.Second)
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -17,6 +17,10 @@
 	submitCalls = 2
 	// answerSlack is kept of a caller's time for the way back of the answer.
 	answerSlack = 150 * time.Millisecond
+	// answerShare is the part of a short time that is kept.
+	answerShare = 4
+	// storeTimeWeight is the weight of a new measurement in the mean time of a transaction.
+	storeTimeWeight = 4
 	// storeTimeout bounds the wait for an answer of the store.
 	storeTimeout = 1200 * time.Millisecond
 	// submitRetry is the pause after a transaction without an answer.
@@ -63,19 +67,25 @@
 		answer(quetzalwork.JobAccepted{})
 		return
 	}
+	if p := w.Pools.At(pool); timeLeft(in.Timeout) < p.StoreTime {
+		// It would be stored, if at all, after its caller has left.
+		answer(quetzalwork.JobRefused{RetryAfter: w.Jitter(refusalDelay), Reason: "NoTime"})
+		return
+	}
 	row := w.Submissions.Insert(quetzalwork.Submission{
 		Caller: in.Caller, Job: id, Queue: q.ID, Pool: pool, Spec: in.Spec, ArrivedAt: w.Now,
-		Deadline: w.Now.Add(timeoutOr(in.Timeout) - answerSlack),
+		Deadline: w.Now.Add(timeLeft(in.Timeout)),
 	})
 	w.Timers.Push(w.Submissions.At(row).Deadline, quetzalwork.SubmissionDue{Submission: row})
 	w.Pools.At(pool).Submissions.Add(row)
 }
 
-func timeoutOr(d time.Duration) time.Duration {
-	if d <= 2*answerSlack {
-		return defaultTimeout
+// timeLeft is the time in which a caller has to be answered.
+func timeLeft(d time.Duration) time.Duration {
+	if d <= 0 {
+		d = defaultTimeout
 	}
-	return d
+	return d - min(answerSlack, d/answerShare)
 }
 
 // jobProblem tells what makes a submission invalid; empty when nothing does.
@@ -117,7 +127,7 @@
 }
 
 func storeBatch(w *quetzalwork.World, p *quetzalwork.Pool) {
-	c := quetzalwork.StoreJobs{Pool: p.ID, Duty: p.Duty.Revision, Timeout: storeTimeout}
+	c := quetzalwork.StoreJobs{Pool: p.ID, Duty: p.Duty.Revision, SentAt: w.Now, Timeout: storeTimeout}
 	inBatch := make(map[quetzalunit.JobID]bool)
 	var later []quetzalwork.Row
 	for _, row := range p.Submissions.Take() {
@@ -149,6 +159,11 @@
 	poolRow := poolRow(w, in.Pool)
 	p := w.Pools.At(poolRow)
 	p.SubmitCalls--
+	if took := w.Now.Sub(in.SentAt); in.Result == quetzalwork.StoreDone && p.StoreTime == 0 {
+		p.StoreTime = took
+	} else if in.Result == quetzalwork.StoreDone {
+		p.StoreTime += (took - p.StoreTime) / storeTimeWeight
+	}
 	if in.Result == quetzalwork.StoreRefused || in.Result == quetzalwork.StoreUnknown {
 		p.SubmitNotBefore = w.Now.Add(submitRetry)
 		w.Timers.Push(p.SubmitNotBefore, quetzalwork.SubmitDue{Pool: poolRow})
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -84,6 +84,7 @@
 		Submissions []Row
 		Jobs        []JobRow
 		Timeout     time.Duration
+		SentAt      quetzalunit.Instant
 	}
 	// StoreProgress stores progress, all or none, if each row has its expected revision.
 	StoreProgress struct {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -108,6 +108,8 @@
 	// Submissions wait for the next transaction that stores jobs; SubmitCalls are in flight.
 	Submissions quetzaltable.Set
 	SubmitCalls int
+	// StoreTime is the mean time of such a transaction.
+	StoreTime time.Duration
 	// SubmitNotBefore is the earliest next such transaction after one without success.
 	SubmitNotBefore quetzalunit.Instant
 	// Dirty asks for placement in this tick.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -109,6 +109,7 @@
 	JobsStored struct {
 		Result StoreResult
 		Pool   quetzalunit.PoolID
+		SentAt quetzalunit.Instant
 		// StoredUnder is the revision of the duty that the transaction named.
 		StoredUnder quetzalunit.Revision
 		Submissions []Row
