--- a/quetzalcore/quetzalplatform/doc.go
+++ b/quetzalcore/quetzalmemory/doc.go
@@ -1,4 +1,4 @@
-// Package quetzalplatform is an in-memory table service with transactions that
+// Package quetzalmemory is an in-memory table service with transactions that
 // are conditional on the revisions of several rows. The stand-in of the platform
 // serves it over HTTP; tests and experiments call it directly.
-package quetzalplatform
+package quetzalmemory
--- a/quetzalcore/quetzalplatform/tables.go
+++ b/quetzalcore/quetzalmemory/tables.go
@@ -1,4 +1,4 @@
-package quetzalplatform
+package quetzalmemory
 
 import (
 	"cmp"
--- a/quetzalcore/quetzaltrial/platform.go
+++ b/quetzalcore/quetzaltrial/platform.go
@@ -5,7 +5,7 @@
 
 	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalfleet"
-	"quetzalstair/quetzalcore/quetzalplatform"
+	"quetzalstair/quetzalcore/quetzalmemory"
 	"quetzalstair/quetzalcore/quetzaltable"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
@@ -42,7 +42,7 @@
 	case quetzalfleet.WriteStore:
 		return t.commit(&c.Transaction)
 	case quetzalfleet.ReadStore:
-		ids := make([]quetzalplatform.RowID, 0, len(c.Keys))
+		ids := make([]quetzalmemory.RowID, 0, len(c.Keys))
 		for _, key := range c.Keys {
 			ids = append(ids, rowID(key))
 		}
@@ -70,26 +70,26 @@
 	}
 }
 
-func rowID(key quetzalfleet.RowKey) quetzalplatform.RowID {
-	return quetzalplatform.RowID{Table: string(key.Table), Key: key.Key}
+func rowID(key quetzalfleet.RowKey) quetzalmemory.RowID {
+	return quetzalmemory.RowID{Table: string(key.Table), Key: key.Key}
 }
 
 func (t *Trial) commit(tx *quetzalfleet.Transaction) quetzalfleet.StoreResult {
-	conditions := make([]quetzalplatform.Condition, 0, len(tx.Conditions))
+	conditions := make([]quetzalmemory.Condition, 0, len(tx.Conditions))
 	for _, c := range tx.Conditions {
-		conditions = append(conditions, quetzalplatform.Condition{RowID: rowID(c.Key), Revision: c.Revision})
+		conditions = append(conditions, quetzalmemory.Condition{RowID: rowID(c.Key), Revision: c.Revision})
 	}
-	writes := make([]quetzalplatform.Write, 0, len(tx.Writes))
+	writes := make([]quetzalmemory.Write, 0, len(tx.Writes))
 	for _, w := range tx.Writes {
 		if w.Row == nil {
-			writes = append(writes, quetzalplatform.Write{RowID: rowID(w.Key), Delete: true})
+			writes = append(writes, quetzalmemory.Write{RowID: rowID(w.Key), Delete: true})
 			continue
 		}
 		text, err := quetzalcodec.EncodeRow(w.Row)
 		if err != nil {
 			panic(err) // every row that a system writes can be encoded
 		}
-		writes = append(writes, quetzalplatform.Write{RowID: rowID(w.Key), Value: text})
+		writes = append(writes, quetzalmemory.Write{RowID: rowID(w.Key), Value: text})
 	}
 	rev, conflicts := t.Platform.Tables.Commit(conditions, writes)
 	if len(conflicts) > 0 {
@@ -101,7 +101,7 @@
 	return quetzalfleet.Committed{Revision: rev}
 }
 
-func decodeRows(rows []quetzalplatform.Row) []quetzalfleet.RevisedRow {
+func decodeRows(rows []quetzalmemory.Row) []quetzalfleet.RevisedRow {
 	decoded := make([]quetzalfleet.RevisedRow, 0, len(rows))
 	for _, row := range rows {
 		if row.Revision == 0 {
--- a/quetzalcore/quetzaltrial/trial.go
+++ b/quetzalcore/quetzaltrial/trial.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
-	"quetzalstair/quetzalcore/quetzalplatform"
+	"quetzalstair/quetzalcore/quetzalmemory"
 	"quetzalstair/quetzalcore/quetzalsystem"
 	"quetzalstair/quetzalcore/quetzaltable"
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -79,7 +79,7 @@
 
 // Platform is the trial's platform.
 type Platform struct {
-	Tables quetzalplatform.Tables
+	Tables quetzalmemory.Tables
 	// Objects is the object store.
 	Objects map[quetzalfleet.ObjectKey]*quetzalfleet.Payload
 	// Outage fails every call; Lose loses the answers of as many transactions.
--- a/quetzalstandin/platform.go
+++ b/quetzalstandin/platform.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"quetzalstair/quetzalcore/quetzalplatform"
+	"quetzalstair/quetzalcore/quetzalmemory"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwire"
 )
@@ -38,7 +38,7 @@
 
 // platform is the stand-in of the platform.
 type platform struct {
-	tables   quetzalplatform.Tables
+	tables   quetzalmemory.Tables
 	rebootIn time.Duration
 
 	mu     sync.Mutex
@@ -115,16 +115,16 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	conditions := make([]quetzalplatform.Condition, 0, len(req.Conditions))
+	conditions := make([]quetzalmemory.Condition, 0, len(req.Conditions))
 	for _, c := range req.Conditions {
-		conditions = append(conditions, quetzalplatform.Condition{
-			RowID: quetzalplatform.RowID{Table: c.Table, Key: c.Key}, Revision: quetzalunit.Revision(c.Revision),
+		conditions = append(conditions, quetzalmemory.Condition{
+			RowID: quetzalmemory.RowID{Table: c.Table, Key: c.Key}, Revision: quetzalunit.Revision(c.Revision),
 		})
 	}
-	writes := make([]quetzalplatform.Write, 0, len(req.Writes))
+	writes := make([]quetzalmemory.Write, 0, len(req.Writes))
 	for _, v := range req.Writes {
-		writes = append(writes, quetzalplatform.Write{
-			RowID: quetzalplatform.RowID{Table: v.Table, Key: v.Key}, Value: v.Value, Delete: v.Delete,
+		writes = append(writes, quetzalmemory.Write{
+			RowID: quetzalmemory.RowID{Table: v.Table, Key: v.Key}, Value: v.Value, Delete: v.Delete,
 		})
 	}
 	rev, conflicts := p.tables.Commit(conditions, writes)
@@ -133,7 +133,7 @@
 	})
 }
 
-func rowDocs(rows []quetzalplatform.Row) []quetzalwire.Row {
+func rowDocs(rows []quetzalmemory.Row) []quetzalwire.Row {
 	docs := make([]quetzalwire.Row, 0, len(rows))
 	for _, row := range rows {
 		docs = append(docs, quetzalwire.Row{
@@ -148,9 +148,9 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	ids := make([]quetzalplatform.RowID, 0, len(req.Rows))
+	ids := make([]quetzalmemory.RowID, 0, len(req.Rows))
 	for _, v := range req.Rows {
-		ids = append(ids, quetzalplatform.RowID{Table: v.Table, Key: v.Key})
+		ids = append(ids, quetzalmemory.RowID{Table: v.Table, Key: v.Key})
 	}
 	rows, rev := p.tables.Read(ids)
 	writeJSON(w, quetzalwire.ScanReply{Revision: int(rev), Rows: rowDocs(rows)})
