--- a/quetzalcore/quetzalinbox/inbox.go
+++ b/quetzalcore/quetzalinbox/inbox.go
@@ -1,4 +1,4 @@
-// Package quetzalinbox hands inputs from any goroutine to the actor that owns a World.
+// Package quetzalinbox has the actor that owns a World, and hands it inputs from any goroutine.
 //
 // The actor is woken once for all inputs that wait, takes them in the order of
 // their arrival and applies them in one tick.
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -225,9 +225,6 @@
 	}
 }
 
-// holdDue is a timer that makes a tick happen; holdMinions does the work.
-func holdDue(*quetzalwork.World, quetzalwork.Row) {}
-
 func targetOf(w *quetzalwork.World, m *quetzalwork.Minion) quetzalwork.MinionTarget {
 	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token}
 }
@@ -351,7 +348,7 @@
 	if !m.Heard {
 		m.HeardAt = w.Now
 	}
-	m.Heard, m.Misses, m.GoneSince = true, 0, 0
+	m.Heard, m.Misses = true, 0
 	m.Clock, m.ClockAt, m.AnsweredAt = clock, w.Now, w.Now
 	m.Lease = max(m.Lease, clock)
 	strange := false
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -127,13 +127,11 @@
 		listMinions(w)
 	case quetzalwork.PoolReadDue:
 		readDue(w, t)
-	case quetzalwork.HoldDue:
-		holdDue(w, t.Minion)
 	case quetzalwork.PlacementDue:
 		if p := w.Pools.At(t.Pool); p != nil {
 			p.PlaceAt, p.Dirty = 0, true
 		}
-	case quetzalwork.CommitDue, quetzalwork.SubmitDue:
+	case quetzalwork.CommitDue, quetzalwork.SubmitDue, quetzalwork.HoldDue:
 		// The systems of this tick look after what waits.
 	case quetzalwork.SubmissionDue:
 		expireSubmission(w, t.Submission)
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -60,7 +60,6 @@
 		return
 	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "The lease of a silent minion is over.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.AnsweredAt), Reason: "Lapsed"})
-	m.GoneSince = w.Now
 	loseRuns(w, row, "Silent")
 }
 
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -65,8 +65,6 @@
 	HoldAt quetzalunit.Instant
 	// Misses counts consecutive calls without an answer.
 	Misses int
-	// GoneSince is when its lease was found to be over without an answer; zero otherwise.
-	GoneSince quetzalunit.Instant
 
 	// Streak counts consecutive failed runs or refused starts, of different tasks.
 	Streak int
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -34,14 +34,10 @@
 	Remote float64
 	// OrderLease is the time for which an order to a host excludes other holders.
 	OrderLease time.Duration
-	// Notice is how long a task may be away before it counts as missing.
-	Notice time.Duration
 	// MoveTime and MaintenanceTime are how long a host is away for a move and for maintenance.
 	MoveTime, MaintenanceTime time.Duration
 	// StopGrace is the time between a planned stop and the end of the process.
 	StopGrace time.Duration
-	// HostCallsPerSecond is the rate of orders to hosts that the platform takes.
-	HostCallsPerSecond float64
 }
 
 // World owns the tables of one entry. The zero value is an empty world.
--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"os"
-	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/rotisserie/eris"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
@@ -26,21 +24,13 @@
 // gaugePeriod is the least time between two updates of the gauges.
 const gaugePeriod = time.Second
 
-// wake is the message that makes the actor tick.
-type wake struct{}
-
 // engine is the actor that owns the World.
 type engine struct {
 	// world is touched by the actor alone.
 	world quetzalfleet.World
-	inbox quetzalinbox.Inbox[quetzalfleet.Input]
-	// timer wakes the actor at the World's next instant.
-	timer   *time.Timer
-	armedAt quetzalunit.Instant
+	inbox quetzalinbox.Actor[quetzalfleet.Input]
 	// cancels has the cancel function of each attempt in flight.
 	cancels map[quetzalfleet.Row]context.CancelFunc
-	// spare is the buffer of the last tick's inputs.
-	spare []quetzalfleet.Input
 
 	callers   quetzalwaiter.Waiters[quetzalfleet.AnswerCaller]
 	operators quetzalwaiter.Waiters[quetzalfleet.AnswerOperator]
@@ -67,41 +57,25 @@
 	e.world.Self = id
 	e.cancels = make(map[quetzalfleet.Row]context.CancelFunc)
 	e.finished = make(chan struct{})
-	system := actor.NewActorSystem(actor.WithLoggerFactory(libraryLogger))
-	pid := system.Root.Spawn(actor.PropsFromFunc(e.receive))
-	e.inbox.Send = func() { system.Root.Send(pid, wake{}) }
-	e.timer = time.AfterFunc(time.Hour, e.inbox.Wake)
+	e.inbox.Tick = e.tick
+	e.inbox.Fail = func(cause any, stack []byte) {
+		e.log.warn("A tick failed; the process ends.", eris.Errorf("%v\n%s", cause, stack))
+		os.Exit(exitFailure)
+	}
 	quetzalsystem.Start(&e.world, quetzalunit.InstantOf(time.Now()))
-	e.inbox.Wake()
+	stop := e.inbox.Start()
 	return func() {
-		e.timer.Stop()
-		_ = system.Root.StopFuture(pid).Wait()
+		stop()
 		for _, cancel := range e.cancels {
 			cancel()
 		}
 		e.work.Wait()
-		system.Shutdown()
-	}
-}
-
-func (e *engine) receive(c actor.Context) {
-	if _, ok := c.Message().(wake); !ok {
-		return
 	}
-	// The library would go on after a panic with a World that a half-done tick left.
-	defer func() {
-		if p := recover(); p != nil {
-			e.log.warn("A tick failed; the process ends.", eris.Errorf("%v\n%s", p, debug.Stack()))
-			os.Exit(exitFailure)
-		}
-	}()
-	e.tick()
 }
 
-// tick takes all waiting inputs, ticks the World once and performs the commands.
-func (e *engine) tick() {
+// tick ticks the World once with all inputs that wait and performs the commands.
+func (e *engine) tick(inputs []quetzalfleet.Input) {
 	begin := time.Now()
-	inputs := e.inbox.Take(e.spare)
 	for _, in := range inputs {
 		if end, ok := in.(quetzalfleet.AttemptEnded); ok {
 			e.endAttempt(end.Attempt)
@@ -109,13 +83,13 @@
 	}
 	isControl := !servesRequests(inputs)
 	commands := quetzalsystem.Tick(&e.world, quetzalunit.InstantOf(begin), inputs)
-	clear(inputs)
-	e.spare = inputs
 	e.ready.Store(quetzalsystem.Ready(&e.world))
 	for _, c := range commands {
 		e.perform(c)
 	}
-	e.arm()
+	if next, ok := quetzalsystem.NextTick(&e.world); ok {
+		e.inbox.Arm(next, e.world.Now, quetzalunit.InstantOf(time.Now()))
+	}
 	e.countTime(time.Since(begin), isControl)
 	e.updateGauges()
 }
@@ -148,16 +122,3 @@
 		delete(e.cancels, attempt)
 	}
 }
-
-// arm sets the timer to the World's next instant.
-func (e *engine) arm() {
-	at, ok := quetzalsystem.NextTick(&e.world)
-	if !ok {
-		return
-	}
-	if at == e.armedAt && at > e.world.Now {
-		return
-	}
-	e.armedAt = at
-	e.timer.Reset(max(0, time.Duration(at-quetzalunit.InstantOf(time.Now()))))
-}
--- a/quetzalentry/logger.go
+++ b/quetzalentry/logger.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"log/slog"
 	"os"
 
-	"github.com/asynkron/protoactor-go/actor"
 	"github.com/phuslu/log"
 )
 
@@ -19,11 +17,6 @@
 	return &log.Logger{Level: log.ParseLevel(level), Writer: &log.IOWriter{Writer: os.Stderr}}
 }
 
-// libraryLogger lets the actor library log warnings and errors only.
-func libraryLogger(*actor.ActorSystem) *slog.Logger {
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
-}
-
 func (p partLog) info(text string)             { p.logger.Info().Msg(p.prefix + text) }
 func (p partLog) warn(text string, err error)  { p.logger.Warn().Err(err).Msg(p.prefix + text) }
 func (p partLog) debug(text string, err error) { p.logger.Debug().Err(err).Msg(p.prefix + text) }
