--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -76,10 +76,9 @@
 func unfold(w *quetzalwork.World, row quetzalwork.Row, k quetzalunit.Occurrence) {
 	j := w.Jobs.At(row)
 	j.Unfolded = k + 1
-	chains := chainsFrom(j.Spec.Steps)
 	for i := range j.Spec.Steps {
 		spec := &j.Spec.Steps[i]
-		s := quetzalwork.Step{Job: row, Occurrence: k, Index: quetzalunit.StepIndex(i), Spec: spec, Waiting: spec.Count, Chain: chains[i]}
+		s := quetzalwork.Step{Job: row, Occurrence: k, Index: quetzalunit.StepIndex(i), Spec: spec, Waiting: spec.Count}
 		stepRow := w.Steps.Insert(s)
 		w.StepByKey.Put(quetzalwork.StepKey{Job: row, Occurrence: k, Step: s.Index}, stepRow)
 		step := w.Steps.At(stepRow)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -120,7 +120,10 @@
 	p := w.Pools.At(pool)
 	row := w.MinionByID.Get(e.ID)
 	if m := w.Minions.At(row); m != nil && m.PoolRow != pool {
-		// The id names a minion of another pool from now on.
+		if e.Life <= m.Life {
+			// Only a later life of the minion can belong to another pool.
+			return
+		}
 		loseRuns(w, row, "Moved")
 		forgetMinion(w, row)
 		row = 0
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -181,6 +181,26 @@
 	require.Empty(t, d.starts)
 }
 
+// An entry that names another pool for the same life of a minion is not the minion's own.
+func TestEntryOfAnotherPoolEndsNothingOfTheSameLife(t *testing.T) {
+	d := newDispatcher(t)
+	row := accepted(testJob, testToken)
+	var running []quetzalwork.ListedRun
+	d.held = func(c quetzalwork.HoldMinion) quetzalwork.MinionHeld {
+		in := d.idle(c)
+		in.Running = running
+		return in
+	}
+	d.run(2 * time.Second)
+	d.tick(quetzalwork.PeerAsked{Caller: 1, Message: quetzalwork.TellAccepted{Pool: testPool, Jobs: []quetzalwork.JobRow{row}}})
+	require.Len(t, d.starts, 1)
+	running = []quetzalwork.ListedRun{{Task: d.starts[0].Task, Number: d.starts[0].Number}}
+	d.tick(quetzalwork.MinionsListed{Seen: testToken + 1, Entries: []quetzalwork.MinionEntry{{ID: "m0", Pool: "other", Address: "m0", Life: 1}}})
+	d.run(2 * time.Second)
+	require.Len(t, d.starts, 1)
+	require.Equal(t, quetzalunit.Tasks(1), quetzalscheduler.Backlogs(d.w)[0].Running)
+}
+
 func TestStoredFailureIsNotCountedAgain(t *testing.T) {
 	const run = 50 << 10
 	failure := quetzalwork.TaskFailure{Run: run}
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -146,8 +146,6 @@
 	Listed bool
 	// OnMinion counts the active runs on each minion, where the step bounds them.
 	OnMinion map[Row]quetzalunit.Tasks
-	// Chain is the estimated run time of the longest chain of steps from this one on.
-	Chain time.Duration
 	// RunTime is the mean run time of its Measured runs.
 	RunTime  time.Duration
 	Measured int
