--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -196,9 +196,9 @@
 	require.Len(t, d.starts, 1)
 	running = []quetzalwork.ListedRun{{Task: d.starts[0].Task, Number: d.starts[0].Number}}
 	d.tick(quetzalwork.MinionsListed{Seen: testToken + 1, Entries: []quetzalwork.MinionEntry{{ID: "m0", Pool: "other", Address: "m0", Life: 1}}})
+	require.Equal(t, quetzalunit.Tasks(1), quetzalscheduler.Backlogs(d.w)[0].Running)
 	d.run(2 * time.Second)
 	require.Len(t, d.starts, 1)
-	require.Equal(t, quetzalunit.Tasks(1), quetzalscheduler.Backlogs(d.w)[0].Running)
 }
 
 func TestStoredFailureIsNotCountedAgain(t *testing.T) {
