Search only the room that is left, and keep the ranks of waiting steps

Cause: on the grown deployments the dispatcher of a queue at its turn was out of processor. A profile of the replayed turn: 95 % of the ticks' time was placement, each waiting step compared with each minion in each tick. Ruled out: hosts (98 to 134 were usable then), the store. Change: a search without success is remembered for the rest of the pass, ranks are worked out every 250 ms, and the ready steps stay sorted. The first seconds after a zone is lost or all entries restart remain the worst.

--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -55,7 +55,10 @@
 	var cores quetzalunit.MilliCores
 	for _, row := range p.Ready {
 		s := w.Steps.At(row)
-		if s != nil && s.Waiting > 0 && !w.Jobs.At(s.Job).State.Final() && !rankOf(w, p, row).hopeless {
+		if s == nil || s.Waiting == 0 || w.Jobs.At(s.Job).State.Final() {
+			continue
+		}
+		if rankStep(w, p, s); !s.Rank.Hopeless {
 			cores += wantedBy(w, p, s)
 		}
 	}
--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -15,6 +15,7 @@
 //	run.go       starts, stops and ends of runs
 //	rank.go      which step goes first
 //	place.go     which minion a task goes to
+//	room.go      what a pool's minions have left during one pass
 //	gang.go      placement of tasks that work only together
 //	advice.go    steps that need the advisor's permission
 //	watch.go     starts without answer, stalls, copies against stragglers
--- a/quetzalcore/quetzalscheduler/fleet_test.go
+++ b/quetzalcore/quetzalscheduler/fleet_test.go
@@ -36,6 +36,8 @@
 	answers map[quetzalunit.JobID][]quetzalwork.Answer
 	callers map[quetzalunit.Caller]quetzalunit.JobID
 	lastID  int
+	// tickTime is the time that the entries' ticks took, on the real clock.
+	tickTime time.Duration
 }
 
 // storeZone is where the store is; it is never cut itself.
@@ -187,7 +189,10 @@
 	e.wakeAt = 0
 	inputs := e.inputs
 	e.inputs = nil
-	for _, c := range quetzalscheduler.Tick(e.world, e.f.now, inputs) {
+	began := time.Now()
+	commands := quetzalscheduler.Tick(e.world, e.f.now, inputs)
+	e.f.tickTime += time.Since(began)
+	for _, c := range commands {
 		e.perform(c)
 	}
 	if at, ok := quetzalscheduler.NextTick(e.world); ok {
--- a/quetzalcore/quetzalscheduler/gang.go
+++ b/quetzalcore/quetzalscheduler/gang.go
@@ -7,7 +7,7 @@
 
 // placeGang places every task of a gang at once, or none: members that wait for the others
 // occupy room for nothing. It returns the instant of the next try, zero when only an event helps.
-func placeGang(w *quetzalwork.World, p *quetzalwork.Pool, stepRow quetzalwork.Row) quetzalunit.Instant {
+func placeGang(w *quetzalwork.World, p *quetzalwork.Pool, r *room, stepRow quetzalwork.Row) quetzalunit.Instant {
 	s := w.Steps.At(stepRow)
 	if s.Waiting < s.Spec.Count {
 		// Members of an earlier run are still there.
@@ -18,9 +18,9 @@
 			return t.NotBefore
 		}
 	}
-	minions := chooseGang(w, p, s)
+	minions := chooseGang(w, p, r, s)
 	if minions == nil {
-		return remoteFrom(w, p, s)
+		return remoteFrom(w, p, r, s)
 	}
 	shareCheckpoint(w, s)
 	var number quetzalunit.RunNumber
@@ -33,36 +33,35 @@
 
 // chooseGang returns a minion for each task of a gang, nil when they do not all fit. A gang
 // that works faster on one rack gets one if any rack has room.
-func chooseGang(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step) []quetzalwork.Row {
+func chooseGang(w *quetzalwork.World, p *quetzalwork.Pool, r *room, s *quetzalwork.Step) []quetzalwork.Row {
 	if s.Spec.SameRack {
 		racks := make(map[quetzalunit.RackID]bool)
-		for _, row := range p.Minions {
+		for _, row := range r.minions {
 			racks[w.Minions.At(row).Rack] = true
 		}
-		for _, row := range p.Minions {
+		for _, row := range r.minions {
 			rack := w.Minions.At(row).Rack
 			if !racks[rack] {
 				continue
 			}
 			racks[rack] = false
-			if minions := chooseGangIn(w, p, s, rack); minions != nil {
+			if minions := chooseGangIn(w, r.inRack(w, rack), s); minions != nil {
 				return minions
 			}
 		}
 	}
-	if w.Now < remoteFrom(w, p, s) {
+	if w.Now < remoteFrom(w, p, r, s) {
 		return nil
 	}
-	return chooseGangIn(w, p, s, "")
+	return chooseGangIn(w, r, s)
 }
 
-// chooseGangIn chooses within a rack; an empty one stands for all.
-func chooseGangIn(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, rack quetzalunit.RackID) []quetzalwork.Row {
-	within := inRack(w, p, rack)
+// chooseGangIn chooses among the minions of a room.
+func chooseGangIn(w *quetzalwork.World, r *room, s *quetzalwork.Step) []quetzalwork.Row {
 	reserved := make(map[quetzalwork.Row]quetzalunit.Tasks)
 	minions := make([]quetzalwork.Row, 0, len(s.Tasks))
 	for _, taskRow := range s.Tasks {
-		row := choose(w, within, s, w.Tasks.At(taskRow), reserved)
+		row := choose(w, r, s, w.Tasks.At(taskRow), reserved)
 		if row == 0 {
 			return nil
 		}
@@ -72,21 +71,6 @@
 	return minions
 }
 
-// inRack returns a pool with the minions of one rack; an empty rack stands for all.
-func inRack(w *quetzalwork.World, p *quetzalwork.Pool, rack quetzalunit.RackID) *quetzalwork.Pool {
-	if rack == "" {
-		return p
-	}
-	within := *p
-	within.Minions = nil
-	for _, row := range p.Minions {
-		if w.Minions.At(row).Rack == rack {
-			within.Minions = append(within.Minions, row)
-		}
-	}
-	return &within
-}
-
 // shareCheckpoint gives every member of a gang the same checkpoint; any member's is valid.
 func shareCheckpoint(w *quetzalwork.World, s *quetzalwork.Step) {
 	var newest quetzalunit.Checkpoint
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -46,15 +46,17 @@
 	if holdOld {
 		wake = p.PredecessorGone
 	}
-	for _, r := range rankSteps(w, p) {
-		s := w.Steps.At(r.row)
+	rankSteps(w, p)
+	r := roomOf(w, p)
+	for _, row := range p.Ready {
+		s := w.Steps.At(row)
 		if s == nil {
 			continue
 		}
 		if holdOld && w.Jobs.At(s.Job).Duty < quetzalunit.Revision(p.Token) {
 			continue
 		}
-		if at := placeStep(w, p, r.row); at != 0 && (wake == 0 || at < wake) {
+		if at := placeStep(w, p, r, row); at != 0 && (wake == 0 || at < wake) {
 			wake = at
 		}
 		if !p.Held {
@@ -101,17 +103,17 @@
 
 // placeStep places what it can of a step. It returns the instant of the next try, zero when
 // nothing but an event helps.
-func placeStep(w *quetzalwork.World, p *quetzalwork.Pool, stepRow quetzalwork.Row) quetzalunit.Instant {
+func placeStep(w *quetzalwork.World, p *quetzalwork.Pool, r *room, stepRow quetzalwork.Row) quetzalunit.Instant {
 	s := w.Steps.At(stepRow)
 	if needsAdvice(w, s) {
 		return askAdvice(w, p, stepRow)
 	}
 	if s.Spec.Gang {
-		return placeGang(w, p, stepRow)
+		return placeGang(w, p, r, stepRow)
 	}
-	wake := remoteFrom(w, p, s)
+	wake := remoteFrom(w, p, r, s)
 	if w.Now < wake {
-		p = inRack(w, p, s.Spec.DataRack)
+		r = r.inRack(w, s.Spec.DataRack)
 	} else {
 		wake = 0
 	}
@@ -126,7 +128,7 @@
 			}
 			continue
 		}
-		minion := choose(w, p, s, t, nil)
+		minion := choose(w, r, s, t, nil)
 		if minion == 0 {
 			break
 		}
@@ -137,11 +139,13 @@
 
 // remoteFrom is when a step may run away from its data, or a gang on several racks: such a run
 // takes several times as long, so that waiting for room where it belongs pays for a while.
-func remoteFrom(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step) quetzalunit.Instant {
+func remoteFrom(w *quetzalwork.World, p *quetzalwork.Pool, r *room, s *quetzalwork.Step) quetzalunit.Instant {
 	bound := s.Spec.SameRack && s.Spec.Gang
-	for _, row := range p.Minions {
-		m := w.Minions.At(row)
-		bound = bound || s.Spec.DataRack != "" && m.Rack == s.Spec.DataRack && usable(w, m) && allows(s, m)
+	if s.Spec.DataRack != "" {
+		bound = bound || slices.ContainsFunc(r.minions, func(row quetzalwork.Row) bool {
+			m := w.Minions.At(row)
+			return m.Rack == s.Spec.DataRack && allows(s, m)
+		})
 	}
 	if !bound || s.Spec.Lasting || w.Bounds.Remote <= 1 {
 		return 0
@@ -152,26 +156,34 @@
 
 // choose returns the best minion for a task of a step, zero when none has room. Reserved is
 // what the members of a gang that are placed before this one will occupy.
-func choose(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, t *quetzalwork.Task, reserved map[quetzalwork.Row]quetzalunit.Tasks) quetzalwork.Row {
+func choose(w *quetzalwork.World, r *room, s *quetzalwork.Step, t *quetzalwork.Task, reserved map[quetzalwork.Row]quetzalunit.Tasks) quetzalwork.Row {
 	var best quetzalwork.Row
 	var bestScore float64
 	needs := needsOf(s.Spec)
-	for _, row := range p.Minions {
+	if r.isFull(needs) {
+		return 0
+	}
+	fits := false
+	for _, row := range r.minions {
 		m := w.Minions.At(row)
-		if !usable(w, m) || !allows(s, m) {
-			continue
-		}
 		free := m.Free()
 		for range reserved[row] {
 			free = free.Minus(needs)
 		}
-		if !needs.Fits(free) || s.Spec.MaxPerMinion > 0 && s.OnMinion[row]+reserved[row] >= s.Spec.MaxPerMinion {
+		if !needs.Fits(free) {
+			continue
+		}
+		fits = true
+		if !allows(s, m) || s.Spec.MaxPerMinion > 0 && s.OnMinion[row]+reserved[row] >= s.Spec.MaxPerMinion {
 			continue
 		}
 		if score := scoreOf(w, s, t, row, free); best == 0 || score < bestScore {
 			best, bestScore = row, score
 		}
 	}
+	if !fits && reserved == nil {
+		r.noteFull(needs)
+	}
 	return best
 }
 
--- a/quetzalcore/quetzalscheduler/rank.go
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -19,6 +19,8 @@
 	// stragglers, and the way of orders and ends.
 	marginShare = 0.15
 	marginTime  = 100 * time.Millisecond
+	// chainValid is the age up to which the expected run time of a chain is used.
+	chainValid = 250 * time.Millisecond
 	// learnWeight is the weight of a new measurement in a running mean.
 	learnWeight = 0.02
 	// estimateWeight is the weight of an estimate against the queue's mean, and meanTrusted
@@ -31,24 +33,13 @@
 	stragglerLimit = 4.0
 )
 
-// rank orders ready steps: lower goes first.
-type rank struct {
-	row quetzalwork.Row
-	// lasting work goes first: each second that it is away is lost.
-	lasting bool
-	// hopeless jobs cannot meet their objective and go last.
-	hopeless bool
-	priority quetzalunit.Priority
-	// due is the latest instant at which the step has to begin.
-	due quetzalunit.Instant
-}
-
-func compareRanks(a, b rank) int {
+// compareRanks orders ready steps: the lower one goes first.
+func compareRanks(a, b *quetzalwork.Rank) int {
 	return cmp.Or(
-		compareFlags(b.lasting, a.lasting),
-		compareFlags(a.hopeless, b.hopeless),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.due, b.due),
+		compareFlags(b.Lasting, a.Lasting),
+		compareFlags(a.Hopeless, b.Hopeless),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Due, b.Due),
 	)
 }
 
@@ -63,10 +54,9 @@
 	}
 }
 
-// rankSteps returns the ready steps of a pool in the order of placement, and drops from the
-// pool's list those that have nothing to place.
-func rankSteps(w *quetzalwork.World, p *quetzalwork.Pool) []rank {
-	ranks := make([]rank, 0, len(p.Ready))
+// rankSteps puts the ready steps of a pool into the order of placement, and drops those that have
+// nothing to place. The order hardly changes between two ticks, which makes sorting cheap.
+func rankSteps(w *quetzalwork.World, p *quetzalwork.Pool) {
 	p.Ready = slices.DeleteFunc(p.Ready, func(row quetzalwork.Row) bool {
 		s := w.Steps.At(row)
 		if s == nil {
@@ -76,25 +66,29 @@
 			s.Listed = false
 			return true
 		}
-		ranks = append(ranks, rankOf(w, p, row))
+		rankStep(w, p, s)
 		return false
 	})
-	slices.SortStableFunc(ranks, compareRanks)
-	return ranks
+	slices.SortFunc(p.Ready, func(a, b quetzalwork.Row) int {
+		return cmp.Or(compareRanks(&w.Steps.At(a).Rank, &w.Steps.At(b).Rank), cmp.Compare(a, b))
+	})
 }
 
-func rankOf(w *quetzalwork.World, p *quetzalwork.Pool, row quetzalwork.Row) rank {
-	s := w.Steps.At(row)
+// rankStep brings the rank of a step up to date. What is expected of its chain is worked out
+// anew from time to time only.
+func rankStep(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step) {
 	j := w.Jobs.At(s.Job)
-	r := rank{row: row, lasting: s.Spec.Lasting}
-	if q := w.Queues.At(w.QueueByID.Get(j.Queue)); q != nil {
-		r.priority = q.Priority
+	r := &s.Rank
+	if r.ChainAt == 0 || w.Now.Sub(r.ChainAt) > chainValid {
+		r.Chain, r.ChainAt = remainingChain(w, p, j, s), w.Now
+		r.Lasting = s.Spec.Lasting
+		if q := w.Queues.At(w.QueueByID.Get(j.Queue)); q != nil {
+			r.Priority = q.Priority
+		}
 	}
-	chain := remainingChain(w, p, j, s)
-	r.due = j.Objective.Add(-chain)
-	margin := marginTime + time.Duration(marginShare*float64(chain))
-	r.hopeless = !s.Spec.Lasting && w.Now.Add(margin) > r.due
-	return r
+	r.Due = j.Objective.Add(-r.Chain)
+	margin := marginTime + time.Duration(marginShare*float64(r.Chain))
+	r.Hopeless = !r.Lasting && w.Now.Add(margin) > r.Due
 }
 
 // expectedSpan is the expected run time of a task of a step: the mean of those that are done,
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -115,7 +115,7 @@
 	}
 	avoid := t.Avoid
 	t.Avoid = r.Minion
-	minion := choose(w, p, s, t, nil)
+	minion := choose(w, roomOf(w, p), s, t, nil)
 	t.Avoid = avoid
 	if minion == 0 || minion == r.Minion {
 		return
@@ -178,7 +178,7 @@
 	r := w.Runs.At(row)
 	t := w.Tasks.At(r.Task)
 	s := w.Steps.At(t.Step)
-	if !s.Spec.Checkpoints || s.Spec.Gang || needsAdvice(w, s) || choose(w, p, s, t, nil) == 0 {
+	if !s.Spec.Checkpoints || s.Spec.Gang || needsAdvice(w, s) || choose(w, roomOf(w, p), s, t, nil) == 0 {
 		return
 	}
 	w.Log(quetzalwork.Decision{
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -144,6 +144,8 @@
 	OpenAt quetzalunit.Instant
 	// Listed tells that the step is among its pool's ready ones.
 	Listed bool
+	// Rank orders it among its pool's ready steps.
+	Rank Rank
 	// OnMinion counts the active runs on each minion, where the step bounds them.
 	OnMinion map[Row]quetzalunit.Tasks
 	// RunTime is the mean run time of its Measured runs.
@@ -157,6 +159,21 @@
 	Advice Advice
 }
 
+// Rank orders the ready steps of a pool.
+type Rank struct {
+	// Lasting work goes first: each second that it is away is lost.
+	Lasting bool
+	// Hopeless steps belong to jobs that cannot meet their objective, and go last.
+	Hopeless bool
+	Priority quetzalunit.Priority
+	// Due is the latest instant at which the step has to begin.
+	Due quetzalunit.Instant
+	// Chain is the expected run time of the longest chain of steps from it on, worked out at
+	// ChainAt.
+	Chain   time.Duration
+	ChainAt quetzalunit.Instant
+}
+
 // Advice is what the advisor said of a step.
 type Advice struct {
 	Asking bool
