--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -114,10 +114,12 @@
 }
 
 func workJobDoc(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
-	d := quetzalwire.WorkJobDoc{
-		Queue: string(a.Queue), Duty: int(a.Duty), Text: a.Spec.Text, Repeats: int(a.Spec.Repeats),
-		FirstAtMs: int(a.Spec.FirstAt.Milliseconds()), IntervalMs: int(a.Spec.Interval.Milliseconds()),
+	d := quetzalwire.WorkJobDoc{Queue: string(a.Queue), Duty: int(a.Duty)}
+	if a.Spec == nil {
+		return d
 	}
+	d.Text, d.Repeats = a.Spec.Text, int(a.Spec.Repeats)
+	d.FirstAtMs, d.IntervalMs = int(a.Spec.FirstAt.Milliseconds()), int(a.Spec.Interval.Milliseconds())
 	for i := range a.Spec.Steps {
 		d.Steps = append(d.Steps, workStepDoc(&a.Spec.Steps[i]))
 	}
@@ -146,13 +148,17 @@
 }
 
 func acceptedJob(d *quetzalwire.WorkJobDoc) quetzalwork.AcceptedJob {
-	spec := &quetzalwork.JobSpec{
+	a := quetzalwork.AcceptedJob{Queue: quetzalunit.QueueID(d.Queue), Duty: quetzalunit.Revision(d.Duty)}
+	if len(d.Steps) == 0 {
+		return a
+	}
+	a.Spec = &quetzalwork.JobSpec{
 		Text: d.Text, Repeats: quetzalunit.Occurrence(d.Repeats), FirstAt: instant(d.FirstAtMs), Interval: span(d.IntervalMs),
 	}
 	for i := range d.Steps {
-		spec.Steps = append(spec.Steps, stepSpec(&d.Steps[i]))
+		a.Spec.Steps = append(a.Spec.Steps, stepSpec(&d.Steps[i]))
 	}
-	return quetzalwork.AcceptedJob{Queue: quetzalunit.QueueID(d.Queue), Spec: spec, Duty: quetzalunit.Revision(d.Duty)}
+	return a
 }
 
 func stepSpec(d *quetzalwire.WorkStepDoc) quetzalwork.StepSpec {
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -18,6 +18,10 @@
 	members  map[quetzalunit.EntryID]stampedMember
 	rows     map[string]quetzalwork.JobRow
 	list     map[quetzalunit.MinionID]stampedEntry
+	// page bounds the rows of one answer to a whole read; zero is unbounded.
+	page int
+	// forgotten is the revision up to which the history is gone.
+	forgotten quetzalunit.Revision
 }
 
 type stampedMember struct {
@@ -139,7 +143,19 @@
 	switch c := c.(type) {
 	case quetzalwork.ReadPool:
 		in := quetzalwork.PoolRead{Pool: c.Pool, Token: c.Token, Full: c.Full, Seen: s.revision, SentAt: c.SentAt}
-		in.Rows = s.find(func(r *quetzalwork.JobRow) bool { return c.Full || r.Revision > c.After })
+		if !c.Full && c.After < s.forgotten {
+			in.Result = quetzalwork.StoreCompacted
+			return in
+		}
+		in.Rows = s.find(func(r *quetzalwork.JobRow) bool {
+			return !c.Full && r.Revision > c.After || c.Full && rowKey(r) > c.From
+		})
+		if c.Full && s.page > 0 && len(in.Rows) > s.page {
+			in.Rows, in.More = in.Rows[:s.page], true
+		}
+		if len(in.Rows) > 0 {
+			in.From = rowKey(&in.Rows[len(in.Rows)-1])
+		}
 		return in
 	case quetzalwork.StoreJobs:
 		in := quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, StoredUnder: c.Duty, SentAt: c.SentAt}
@@ -165,7 +181,7 @@
 			}
 		}
 		if in.Result == quetzalwork.StoreDone {
-			s.write(c.Rows)
+			s.write(append(slices.Clone(c.Rows), c.Ended...))
 			in.Revision = s.revision
 		}
 		return in
--- a/quetzalcore/quetzalscheduler/load.go
+++ b/quetzalcore/quetzalscheduler/load.go
@@ -56,7 +56,7 @@
 	p := w.Pools.At(row)
 	if in.Full && p.LoadFrom == "" || !in.Full {
 		// What changes during a load is read again from its beginning.
-		p.Seen = in.Seen
+		p.Seen, p.LoadSentAt = in.Seen, in.SentAt
 	}
 	p.LoadFrom = ""
 	if in.More {
@@ -67,7 +67,7 @@
 	if in.Full && !p.Loaded {
 		p.RowsSentAt = p.TakenAt
 	} else {
-		p.RowsSentAt = in.SentAt
+		p.RowsSentAt = p.LoadSentAt
 	}
 	p.Dirty = p.Dirty || !p.OldKnown
 	if !p.Loaded {
@@ -112,7 +112,7 @@
 	j := w.Jobs.At(row)
 	switch c := r.Content.(type) {
 	case quetzalwork.AcceptedJob:
-		if j.Spec == nil && !j.State.Final() {
+		if c.Spec != nil && j.Spec == nil && !j.State.Final() {
 			j.Queue, j.Spec, j.Duty = c.Queue, c.Spec, c.Duty
 			beginJob(w, row)
 		}
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -28,6 +28,8 @@
 	settleTime = 700 * time.Millisecond
 	// settledBeat is the renewal from which on an entry has settled.
 	settledBeat quetzalunit.Beat = 2
+	// startingCost is how much more a duty burdens an entry that has not settled yet.
+	startingCost = 1.5
 	// sharePeriod is the time between two duties that an entry gives back to share the load, and
 	// the age from which on it does so.
 	sharePeriod = 1500 * time.Millisecond
@@ -304,7 +306,8 @@
 		return
 	}
 	for row, p := range w.Pools.All() {
-		if p.Held && p.Loaded && !p.Committing && p.DirtyJobs.Len() == 0 {
+		// What is not stored yet is listed by the minions again.
+		if p.Held {
 			w.Membership.SharedAt = w.Now
 			release(w, p.ID)
 			dropPool(w, row, "Shared")
@@ -313,28 +316,25 @@
 	}
 }
 
-// candidate returns the live entry that a further duty burdens least, the same at every entry. One that
-// has just started is chosen only if all have, since it takes no duty yet.
+// candidate returns the live entry that a further duty burdens least, the same at every entry. One
+// that has just started takes no duty yet: it is chosen only if it has far more processor than the
+// others, as after the restart of all entries.
 func candidate(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int) quetzalunit.EntryID {
-	best := candidateSince(w, id, load, settledBeat)
-	if best == "" {
-		best = candidateSince(w, id, load, 0)
-	}
-	return best
-}
-
-func candidateSince(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int, least quetzalunit.Beat) quetzalunit.EntryID {
 	var best quetzalunit.EntryID
 	var bestCost float64
 	var bestWeight uint64
 	for _, m := range w.Members.All() {
-		if m.Stopping || !isLive(w, m) || m.Beat < least {
+		if m.Stopping || !isLive(w, m) {
 			continue
 		}
+		cost := burden(m, load[m.Entry]+1)
+		if m.Beat < settledBeat {
+			cost *= startingCost
+		}
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(strings.Join([]string{string(id), string(m.Entry)}, "/"))) // never fails
 		weight := h.Sum64()
-		if cost := burden(m, load[m.Entry]+1); best == "" || cost < bestCost || cost == bestCost && weight > bestWeight {
+		if best == "" || cost < bestCost || cost == bestCost && weight > bestWeight {
 			best, bestCost, bestWeight = m.Entry, cost, weight
 		}
 	}
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// progressBatch bounds the rows of one transaction: the store takes 100 entries, and each row
-	// is two, its condition and its value.
-	progressBatch = 45
+	// progressBatch bounds the jobs of one transaction: the store takes 100 entries, and each job
+	// is up to three, the condition and the value of its progress and its shortened row.
+	progressBatch = 33
 	// progressPause is the time between two transactions of a pool, in which ends gather.
 	progressPause = 25 * time.Millisecond
 	// progressRetry is the pause after a transaction without success.
@@ -54,6 +54,9 @@
 			j.StoringChanges, j.StoringState = j.Changes, j.Progress.State
 			c.Jobs = append(c.Jobs, row)
 			c.Rows = append(c.Rows, progressRow(j))
+			if j.Progress.State.Final() {
+				c.Ended = append(c.Ended, quetzalwork.JobRow{Job: j.ID, Content: quetzalwork.AcceptedJob{Queue: j.Queue, Duty: j.Duty}})
+			}
 		}
 	}
 	if len(c.Rows) > 0 {
--- a/quetzalcore/quetzalscheduler/promise_test.go
+++ b/quetzalcore/quetzalscheduler/promise_test.go
@@ -208,9 +208,10 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		f := newFleet(seed, threeZones, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(3, 9).Draw(t, "minions"), testConfig())
 		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
+		f.store.page = rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "page")
 		f.run(3 * time.Second)
 		rng := rand.New(rand.NewPCG(seed, 2))
-		faults := rapid.SliceOfN(rapid.IntRange(0, 7), 1, 6).Draw(t, "faults")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 8), 1, 6).Draw(t, "faults")
 		lasting := testStep(3)
 		lasting.Lasting, lasting.MayMiss, lasting.MaxPerMinion = true, 1, 2
 		last := f.submit(f.entries[0], lasting)
@@ -284,6 +285,8 @@
 				break
 			}
 		}
+	case 8:
+		f.store.forgotten = f.store.revision
 	case 7:
 		for _, m := range f.order {
 			if m.zone == e.zone {
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -19,6 +19,8 @@
 	// readsFail lets reads of the duties fail, rowsFail those of the pool's rows; rows is what a read of the pool's rows returns.
 	readsFail, rowsFail bool
 	rows                []quetzalwork.JobRow
+	// read answers reads of the pool's rows in the place of rows, if it is set.
+	read func(quetzalwork.ReadPool) quetzalwork.Input
 	// held answers holds; nil leaves them without an answer.
 	held func(quetzalwork.HoldMinion) quetzalwork.MinionHeld
 	// starts and holds are the orders so far.
@@ -72,6 +74,9 @@
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: {Holder: "e0", Incarnation: 1, Address: "e0", Revision: testToken}},
 		}
 	case quetzalwork.ReadPool:
+		if d.read != nil {
+			return d.read(cmd)
+		}
 		if d.rowsFail {
 			return quetzalwork.PoolRead{Pool: cmd.Pool, Token: cmd.Token, Result: quetzalwork.StoreUnknown}
 		}
@@ -181,6 +186,35 @@
 	require.Empty(t, d.starts)
 }
 
+// The history is gone, and the rows are read in full again, in two pages. The minion answers
+// after the first page was read: what a predecessor stored between the two is not on it.
+func TestRowsOfAReloadCountFromItsFirstPage(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, oldDuty))
+	d.run(2 * time.Second)
+	var first quetzalwork.ReadPool
+	d.read = func(c quetzalwork.ReadPool) quetzalwork.Input {
+		in := quetzalwork.PoolRead{Pool: c.Pool, Token: c.Token, Full: c.Full, Seen: testToken, SentAt: c.SentAt}
+		switch {
+		case !c.Full && first.Token == 0:
+			in.Result = quetzalwork.StoreCompacted
+		case !c.Full:
+			in.Rows = append(in.Rows, progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning, Done: []quetzalwork.TaskRef{{}}}))
+		case c.From == "":
+			first = c
+			return nil
+		}
+		return in
+	}
+	d.run(2 * time.Second)
+	require.NotZero(t, first.Token)
+	d.held = d.idle
+	d.run(10 * time.Second)
+	require.Empty(t, d.starts)
+	d.tick(quetzalwork.PoolRead{Pool: first.Pool, Token: first.Token, Full: true, Rows: d.rows, More: true, From: "next", Seen: testToken, SentAt: first.SentAt})
+	d.run(2 * time.Second)
+	require.Empty(t, d.starts, "the task was done when the second page was read")
+}
+
 // An entry that names another pool for the same life of a minion is not the minion's own.
 func TestEntryOfAnotherPoolEndsNothingOfTheSameLife(t *testing.T) {
 	d := newDispatcher(t)
@@ -219,3 +253,54 @@
 	d.run(14 * time.Second)
 	require.NotEmpty(t, d.starts, "two of three attempts have failed")
 }
+
+// What a takeover reads of jobs that are over is small, and their ids stay taken.
+func TestRowOfAnEndedJobIsShortened(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	f.run(3 * time.Second)
+	id := f.submit(f.entries[0], testStep(2))
+	f.run(5 * time.Second)
+	row, ok := f.store.rows[rowKey(&quetzalwork.JobRow{Job: id, Content: quetzalwork.AcceptedJob{}})].Content.(quetzalwork.AcceptedJob)
+	require.True(t, ok)
+	require.Nil(t, row.Spec)
+	f.holder().kill()
+	f.run(12 * time.Second)
+	require.NotNil(t, f.holder())
+	f.send(f.holder(), id, &quetzalwork.JobSpec{Text: "text", Steps: []quetzalwork.StepSpec{testStep(2)}})
+	f.run(5 * time.Second)
+	require.Equal(t, quetzalwork.StateIs{State: quetzalwork.JobCompleted}, f.state(f.holder(), id))
+	require.Empty(t, f.judge.broken)
+	require.Len(t, f.judge.records, 2, "nothing has run again")
+}
+
+// All entries restart, a small one first: it does not take what larger ones are about to take.
+func TestDutiesGoToLargeEntriesAfterARestartOfAll(t *testing.T) {
+	cfg := testConfig()
+	cfg.Pools = append(cfg.Pools, quetzalwork.PoolSpec{ID: "other"}, quetzalwork.PoolSpec{ID: "third"})
+	f := newFleet(1, threeZones, 6, 3, cfg)
+	share := func() {
+		for i, e := range f.entries {
+			e.world.Self.Share = 20
+			if i >= 4 {
+				e.world.Self.Share = 80
+			}
+		}
+	}
+	share()
+	f.run(10 * time.Second)
+	for _, e := range f.entries {
+		e.kill()
+	}
+	f.run(time.Second)
+	for _, e := range f.entries {
+		e.start()
+		share()
+		f.run(60 * time.Millisecond)
+	}
+	for range 20 {
+		f.run(100 * time.Millisecond)
+		for _, e := range f.entries[:4] {
+			require.Empty(t, quetzalscheduler.Backlogs(e.world))
+		}
+	}
+}
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -92,6 +92,8 @@
 		Jobs []Row
 		// Rows have the expected revisions.
 		Rows []JobRow
+		// Ended are the rows of the jobs whose outcome is stored, without their specifications.
+		Ended []JobRow
 	}
 	// StoreCancel stores a cancellation.
 	StoreCancel struct {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -83,6 +83,8 @@
 	// LoadFrom is the key from which the load goes on, LoadCall true while one is in flight.
 	LoadFrom string
 	LoadCall bool
+	// LoadSentAt is when the first page of the last read was sent.
+	LoadSentAt quetzalunit.Instant
 	// Seen is the revision up to which the stored rows are known.
 	Seen quetzalunit.Revision
 	// ReadDueAt is the instant of the next read of what changed.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -330,10 +330,12 @@
 type JobContent interface{ implementsJobContent() }
 
 type (
-	// AcceptedJob is the job itself, written once.
+	// AcceptedJob is the job itself. Its specification is dropped when its outcome is stored, so
+	// that a takeover reads little of what is over; the row stays, for its id is taken.
 	AcceptedJob struct {
 		Queue quetzalunit.QueueID
-		Spec  *JobSpec
+		// Spec is nil once the outcome is stored.
+		Spec *JobSpec
 		// Duty is the revision of the pool's duty when the job was stored. A dispatcher with
 		// a lower token never starts the job.
 		Duty quetzalunit.Revision
