Count no host as moving that has joined; let joined minions work at once

Ruled out: the time of a move (ordered within 30 ms, joined within 1.6 to 2.1 s). Change: the load that a dispatcher reports names the hosts that joined; a join is followed by a read of the duties; a pool that lacks hosts reads the list of minions each 200 ms. Tests: TestHostsThatJoinedNoLongerCountAsMoving, TestJoinedMinionWorksSoon, seen red.

--- a/quetzalcore/quetzalcodec/workpeer.go
+++ b/quetzalcore/quetzalcodec/workpeer.go
@@ -81,7 +81,7 @@
 	case quetzalwork.LoadReply:
 		d := quetzalwire.WorkReply{
 			Kind: quetzalwire.WorkReplyKindLoad, WantedMilliCores: int(r.Load.Wanted), UsableMilliCores: int(r.Load.Usable), Hosts: r.Load.Hosts,
-			MissingLabels: toStrings(r.Load.Missing),
+			MissingLabels: toStrings(r.Load.Missing), Joined: toStrings(r.Load.Joined),
 		}
 		for _, h := range r.Load.Idle {
 			d.Idle = append(d.Idle, quetzalwire.IdleHostDoc{Host: string(h.Host), IdleMs: int(h.Since.Milliseconds())})
@@ -110,7 +110,7 @@
 	case quetzalwire.WorkReplyKindLoad:
 		l := quetzalwork.PoolLoad{
 			Wanted: quetzalunit.MilliCores(d.WantedMilliCores), Usable: quetzalunit.MilliCores(d.UsableMilliCores), Hosts: d.Hosts,
-			Missing: FromStrings[quetzalunit.Label](d.MissingLabels),
+			Missing: FromStrings[quetzalunit.Label](d.MissingLabels), Joined: FromStrings[quetzalunit.HostID](d.Joined),
 		}
 		for _, h := range d.Idle {
 			l.Idle = append(l.Idle, quetzalwork.IdleHost{Host: quetzalunit.HostID(h.Host), Since: span(h.IdleMs)})
--- a/quetzalcore/quetzalscheduler/conduct_test.go
+++ b/quetzalcore/quetzalscheduler/conduct_test.go
@@ -168,3 +168,36 @@
 	require.GreaterOrEqual(t, len(moved), 3, "idle hosts of the other pool are used")
 	require.LessOrEqual(t, len(moved), 6, "the calm pool keeps hosts for its own next rise")
 }
+
+// The load of a queue that rises further while hosts are on their way to it: those that have
+// joined no longer count as on their way, so that the next ones are ordered at once.
+func TestHostsThatJoinedNoLongerCountAsMoving(t *testing.T) {
+	var hosts []quetzalwork.Host
+	for _, id := range []quetzalunit.HostID{"s1", "s2", "s3", "s4"} {
+		hosts = append(hosts, upHost(id, "off"))
+	}
+	c := newConductor(t, append(hosts, upHost("b1", "busy")), quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 3 * 32000, Usable: 32000, Hosts: 1}
+	c.run(3 * time.Second)
+	require.Len(t, c.orders, 2)
+	joined := []quetzalunit.HostID{c.orders[0].Host, c.orders[1].Host}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 5 * 32000, Usable: 3 * 32000, Hosts: 3, Joined: joined}
+	c.run(400 * time.Millisecond)
+	require.Len(t, c.orders, 4)
+}
+
+// A minion gets work only after a read of the duties, which follows its joining at once.
+func TestJoinedMinionWorksSoon(t *testing.T) {
+	d := newDispatcher(t)
+	d.held = d.idle
+	d.minions = nil
+	d.run(3 * time.Second)
+	row := accepted(testJob, testToken)
+	d.tick(quetzalwork.PeerAsked{Caller: 1, Message: quetzalwork.TellAccepted{Pool: testPool, Jobs: []quetzalwork.JobRow{row}}})
+	d.run(100 * time.Millisecond)
+	require.Less(t, d.w.Membership.ReadSentAt, d.now)
+	d.minions = testMinions
+	d.tick(quetzalwork.MinionsListed{Seen: testToken + 1, Entries: testMinions})
+	require.NotEmpty(t, d.starts)
+}
--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -24,6 +24,9 @@
 	lightShare   = 0.3
 	lightLasting = 1
 	lightBound   = 2
+	// joinedLately is the age up to which a minion is reported as one that has joined: some
+	// reports may be lost.
+	joinedLately = 3 * time.Second
 	// labelLeast is the number of minions that a pool keeps for each label that its steps require.
 	labelLeast = 2
 )
@@ -41,11 +44,15 @@
 		if usable(w, m) {
 			l.Usable += m.Room.Cores
 			l.Hosts++
+			if w.Now.Sub(m.JoinedAt) < joinedLately && m.Host != "" {
+				l.Joined = append(l.Joined, m.Host)
+			}
 			offer(w, &l, m, use)
 		}
 	}
 	l.Wanted = max(l.Wanted, spreadCores(w, p), lasting+quetzalunit.MilliCores(offeredShare*offeredAt(w, p)))
 	l.Missing = missingLabels(use)
+	p.Short = l.Wanted > l.Usable
 	slices.SortStableFunc(l.Idle, func(a, b quetzalwork.IdleHost) int { return int(b.Since - a.Since) })
 	return l
 }
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// readMembersAgain reads the rows of members and duties as they are now: a read in flight may
+// have been made before.
+func readMembersAgain(w *quetzalwork.World) {
+	w.Membership.ReadAgain = w.Membership.Reading
+	readMembers(w)
+}
+
 func hearRenewal(w *quetzalwork.World, in *quetzalwork.MemberRenewed) {
 	w.Membership.Renewing = false
 	if in.Result == quetzalwork.StoreDone {
@@ -80,6 +87,10 @@
 func hearMembers(w *quetzalwork.World, in *quetzalwork.MembersRead) {
 	m := &w.Membership
 	m.Reading = false
+	if m.ReadAgain {
+		m.ReadAgain = false
+		defer readMembers(w)
+	}
 	if reachable := in.Result == quetzalwork.StoreDone || in.Result == quetzalwork.StoreCompacted; reachable != m.Reachable {
 		m.Reachable = reachable
 		text := "The store does not answer."
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -15,6 +15,8 @@
 	// listPeriod is the time between two reads of the list of minions; a draining minion is to
 	// get no new work after two seconds.
 	listPeriod = 450 * time.Millisecond
+	// shortListPeriod is the same while a pool waits for hosts.
+	shortListPeriod = 200 * time.Millisecond
 	// idleListPeriod is the same at an entry that dispatches no pool.
 	idleListPeriod = 2500 * time.Millisecond
 	// rememberTime is how long a minion that left the list is remembered for a takeover: a
@@ -80,12 +82,16 @@
 // listPause is the time to the next read of the list. An entry without a pool keeps the list
 // for a takeover: a minion that a predecessor uses may have left the list meanwhile.
 func listPause(w *quetzalwork.World) time.Duration {
+	pause := idleListPeriod
 	for _, p := range w.Pools.All() {
-		if p.Held {
-			return listPeriod
+		switch {
+		case p.Held && p.Short:
+			return shortListPeriod
+		case p.Held:
+			pause = listPeriod
 		}
 	}
-	return idleListPeriod
+	return pause
 }
 
 // unlistMinions removes the minions that a whole list does not have.
@@ -136,6 +142,8 @@
 		if p.Held {
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Text: "A minion joined the pool.", Minion: e.ID, Pool: e.Pool, Host: e.Host, Version: int64(e.Life)})
 			planHold(w, row, 0)
+			// Its first task waits for a read of the duties.
+			readMembersAgain(w)
 		}
 	}
 	m := w.Minions.At(row)
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -33,7 +33,7 @@
 	// moveRetry is the pause after an order to move without success, moveTries bounds the tries.
 	moveRetry = 250 * time.Millisecond
 	moveTries = 8
-	// joinTime is added to a move's own time until the new minion takes work.
+	// joinTime is added to a move's own time for a new minion of which nothing is heard.
 	joinTime = 1500 * time.Millisecond
 )
 
@@ -67,6 +67,11 @@
 		p.MeanWanted = passed*p.MeanWanted + (1-passed)*float64(r.Load.Wanted)
 	}
 	p.Load, p.LoadAt = r.Load, w.Now
+	for _, host := range r.Load.Joined {
+		if row := w.MoveByHost.Get(host); row != 0 && w.Moves.At(row).Taken && w.Moves.At(row).To == id {
+			endMove(w, row)
+		}
+	}
 }
 
 // balance moves hosts to where work waits, and back to the spare pools.
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -190,7 +190,7 @@
 // usable tells whether a minion takes new work.
 func usable(w *quetzalwork.World, m *quetzalwork.Minion) bool {
 	// A read of the duties after it joined shows that no successor has used it before.
-	return m.Listed && m.Heard && !m.Taken && !m.Over && w.Membership.ReadSentAt > m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
+	return m.Listed && m.Heard && !m.Taken && !m.Over && w.Membership.ReadSentAt >= m.JoinedAt && m.Misses == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.RestUntil && w.Now >= m.FullUntil
 }
 
 // allows tells whether a step may run on a minion at all.
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -21,6 +21,8 @@
 	rows                []quetzalwork.JobRow
 	// read answers reads of the pool's rows in the place of rows, if it is set.
 	read func(quetzalwork.ReadPool) quetzalwork.Input
+	// minions is the list of minions.
+	minions []quetzalwork.MinionEntry
 	// held answers holds; nil leaves them without an answer.
 	held func(quetzalwork.HoldMinion) quetzalwork.MinionHeld
 	// starts and holds are the orders so far.
@@ -34,9 +36,13 @@
 	oldDuty   quetzalunit.Revision = 50
 )
 
+var testMinions = []quetzalwork.MinionEntry{{
+	ID: "m0", Pool: testPool, Address: "m0", Room: quetzalunit.Resources{Cores: 8000, Memory: 16000}, Life: 1, Host: "h0",
+}}
+
 func newDispatcher(t *testing.T, rows ...quetzalwork.JobRow) *dispatcher {
 	t.Helper()
-	d := &dispatcher{t: t, w: &quetzalwork.World{}, now: quetzalunit.InstantOf(time.Unix(1000, 0)), rows: rows}
+	d := &dispatcher{t: t, w: &quetzalwork.World{}, now: quetzalunit.InstantOf(time.Unix(1000, 0)), rows: rows, minions: testMinions}
 	d.w.Self = quetzalwork.Identity{Entry: "e0", Incarnation: 1, PeerAddress: "e0"}
 	d.w.Bounds = quetzalwork.Bounds{StopTimeout: 400 * time.Millisecond}
 	quetzalscheduler.Start(d.w, d.now)
@@ -82,9 +88,7 @@
 		}
 		return quetzalwork.PoolRead{Pool: cmd.Pool, Token: cmd.Token, Full: cmd.Full, Rows: d.rows, Seen: testToken, SentAt: cmd.SentAt}
 	case quetzalwork.ListMinions:
-		return quetzalwork.MinionsListed{Full: true, Seen: testToken, Entries: []quetzalwork.MinionEntry{{
-			ID: "m0", Pool: testPool, Address: "m0", Room: quetzalunit.Resources{Cores: 8000, Memory: 16000}, Life: 1, Host: "h0",
-		}}}
+		return quetzalwork.MinionsListed{Full: true, Seen: testToken, Entries: d.minions}
 	case quetzalwork.HoldMinion:
 		d.holds = append(d.holds, cmd)
 		if d.held == nil {
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1436,6 +1436,9 @@
 	// Idle corresponds to the JSON schema field "Idle".
 	Idle []IdleHostDoc `json:"Idle" yaml:"Idle"`
 
+	// Joined corresponds to the JSON schema field "Joined".
+	Joined []string `json:"Joined" yaml:"Joined"`
+
 	// Kind corresponds to the JSON schema field "Kind".
 	Kind WorkReplyKind `json:"Kind" yaml:"Kind"`
 
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -127,6 +127,8 @@
 	// Offered is the mean work that arrives, in cores that it would keep busy, at OfferedAt.
 	Offered   float64
 	OfferedAt quetzalunit.Instant
+	// Short tells that the pool's work wants more than its usable minions offer.
+	Short bool
 	// Images are the learned run times.
 	Images map[quetzalunit.QueueID]*RunTimes
 }
@@ -190,6 +192,8 @@
 	SharedAt quetzalunit.Instant
 	// Renewing and Reading tell that a call is in flight.
 	Renewing, Reading bool
+	// ReadAgain asks for another read after the one in flight.
+	ReadAgain bool
 	// Reachable tells that the last call was answered.
 	Reachable bool
 }
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -106,6 +106,8 @@
 	Idle []IdleHost
 	// Hosts is the number of hosts with a usable minion.
 	Hosts int
+	// Joined are those of them whose minion has joined lately.
+	Joined []quetzalunit.HostID
 	// Missing are labels that waiting steps require and that no usable minion has.
 	Missing []quetzalunit.Label
 }
