--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -224,7 +224,9 @@
 }
 
 func poolDutyDoc(d *quetzalwork.Duty) quetzalwire.PoolDutyDoc {
-	return quetzalwire.PoolDutyDoc{Holder: string(d.Holder), Incarnation: int(d.Incarnation), Address: string(d.Address)}
+	return quetzalwire.PoolDutyDoc{
+		Holder: string(d.Holder), Incarnation: int(d.Incarnation), Address: string(d.Address), Ordered: toStrings(d.Ordered),
+	}
 }
 
 // DecodePoolDuty reads a duty's row.
@@ -237,6 +239,6 @@
 func poolDuty(d *quetzalwire.PoolDutyDoc, revision quetzalunit.Revision) quetzalwork.Duty {
 	return quetzalwork.Duty{
 		Holder: quetzalunit.EntryID(d.Holder), Incarnation: quetzalunit.Incarnation(d.Incarnation),
-		Address: quetzalunit.Address(d.Address), Revision: revision,
+		Address: quetzalunit.Address(d.Address), Revision: revision, Ordered: FromStrings[quetzalunit.HostID](d.Ordered),
 	}
 }
--- a/quetzalcore/quetzalscheduler/conduct.go
+++ b/quetzalcore/quetzalscheduler/conduct.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -13,21 +14,28 @@
 	// hostsPeriod is the time between two reads of the list of hosts.
 	hostsPeriod = 600 * time.Millisecond
 	// orderRight is how long after a confirmed renewal orders to hosts may be given: less than
-	// the time after which others take this entry for dead.
-	orderRight = 2 * time.Second
+	// the time after which others take this entry for dead, more than that between two renewals.
+	orderRight = 1500 * time.Millisecond
 	// orderOver is the time after which an order that was sent within its right is answered or
 	// its connection reset.
-	orderOver = 1800 * time.Millisecond
+	orderOver = 900 * time.Millisecond
 	// cordonTime is how long a wish to empty a minion holds.
 	cordonTime = 2500 * time.Millisecond
 )
 
-// beginConductor makes this process the one that gives orders to hosts.
-// After a predecessor that gave the duty back, hosts get no order for the time in which orders
-// of two holders count as taking turns; one that fell silent has lost its right by itself.
+// beginConductor makes this process the one that gives orders to hosts. A predecessor that gave
+// the duty back has named the hosts that it ordered: they get no order for the time in which
+// those of two holders count as taking turns. One that fell silent has lost its right by itself,
+// and an earlier process of this entry is the same holder.
 func beginConductor(w *quetzalwork.World, revision quetzalunit.Revision, predecessor quetzalwork.Duty) {
 	c := &w.Conductor
-	c.OrdersFrom = w.Now.Add(w.Bounds.OrderLease)
+	c.OrdersFrom, c.Barred, c.Ordered = w.Now, make(map[quetzalunit.HostID]quetzalunit.Instant), make(map[quetzalunit.HostID]quetzalunit.Instant)
+	for _, host := range predecessor.Ordered {
+		c.Barred[host] = w.Now.Add(w.Bounds.OrderLease)
+	}
+	if predecessor.Holder != "" && predecessor.Holder != w.Self.Entry {
+		c.OrdersFrom = w.Now.Add(w.Bounds.OrderLease)
+	}
 	if m := w.Members.At(w.MemberByID.Get(predecessor.Holder)); m != nil && m.Incarnation == predecessor.Incarnation {
 		c.OrdersFrom = m.RenewedAt.Add(orderRight + orderOver)
 	}
@@ -56,6 +64,37 @@
 	return c.Held && w.Now < orderUntil(w) && w.Now > c.OrdersFrom && c.HostsAt > c.TakenAt
 }
 
+// mayOrderHost tells whether this process may order a host, on which a predecessor's order may
+// have been carried out a short time ago.
+func mayOrderHost(w *quetzalwork.World, host quetzalunit.HostID) bool {
+	return mayOrder(w) && w.Now >= w.Conductor.Barred[host]
+}
+
+// orderHost gives an order to a host.
+func orderHost(w *quetzalwork.World, order quetzalwork.OrderHost) {
+	order.Token, order.Until = w.Conductor.Token, orderUntil(w)
+	w.Conductor.Ordered[order.Host] = w.Now
+	w.Emit(order)
+}
+
+// lastOrdered returns the hosts that this process or its predecessor has ordered so lately that
+// another holder must not order them yet.
+func lastOrdered(w *quetzalwork.World) []quetzalunit.HostID {
+	var hosts []quetzalunit.HostID
+	for host, at := range w.Conductor.Ordered {
+		if w.Now.Sub(at) < w.Bounds.OrderLease {
+			hosts = append(hosts, host)
+		}
+	}
+	for host, until := range w.Conductor.Barred {
+		if w.Now < until {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
+
 // orderUntil is when the right to order hosts ends: others may take this entry for dead some
 // time after its last renewal, and only a read shows that none has done so before.
 func orderUntil(w *quetzalwork.World) quetzalunit.Instant {
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -22,7 +22,7 @@
 	readGap = 2 * time.Second
 	// suspendAfter is the time without a read that confirms its duty after which a dispatcher
 	// extends no lease; until then it goes on without the store.
-	suspendAfter = 5 * time.Second
+	suspendAfter = 3 * time.Second
 	// settleTime is the time after its start in which an entry takes no duty, so that entries
 	// that start together share the duties.
 	settleTime = 700 * time.Millisecond
@@ -331,6 +331,10 @@
 // that has just started takes no duty yet: it is chosen only if it has far more processor than the
 // others, as after the restart of all entries.
 func candidate(w *quetzalwork.World, id quetzalunit.PoolID, load map[quetzalunit.EntryID]int) quetzalunit.EntryID {
+	if holder := w.Members.At(w.MemberByID.Get(dutyOf(w, id).Holder)); id == conductorDuty && holder != nil && !holder.Stopping && isLive(w, holder) {
+		// A later process of the same entry need not wait for the orders of the earlier one.
+		return holder.Entry
+	}
 	var best quetzalunit.EntryID
 	var bestCost float64
 	var bestWeight uint64
@@ -363,6 +367,9 @@
 		return
 	}
 	taken := quetzalwork.Duty{Revision: in.Revision}
+	if in.Release && in.Pool == conductorDuty {
+		taken.Ordered = lastOrdered(w)
+	}
 	if !in.Release {
 		taken.Holder, taken.Incarnation, taken.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
 	}
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -235,7 +235,7 @@
 // movable tells whether a host is up, in its pool, and not part of a move or a wave's turn.
 func movable(w *quetzalwork.World, id quetzalunit.HostID, pool quetzalunit.PoolID) bool {
 	h := w.Hosts.At(w.HostByID.Get(id))
-	if h == nil || h.State != quetzalwork.HostUp || h.Pool != pool || w.MoveByHost.Get(id) != 0 {
+	if h == nil || h.State != quetzalwork.HostUp || h.Pool != pool || w.MoveByHost.Get(id) != 0 || w.Now < w.Conductor.Barred[id] {
 		return false
 	}
 	for _, wave := range w.Waves.All() {
@@ -340,14 +340,12 @@
 
 func orderMove(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Moves.At(row)
-	if !mayOrder(w) {
+	if !mayOrderHost(w, m.Host) {
 		return
 	}
 	m.Ordered, m.Asking = true, true
 	m.Tries++
-	w.Emit(quetzalwork.OrderHost{
-		Order: quetzalwork.OrderMove, Host: m.Host, Pool: m.To, Token: w.Conductor.Token, Until: orderUntil(w),
-	})
+	orderHost(w, quetzalwork.OrderHost{Order: quetzalwork.OrderMove, Host: m.Host, Pool: m.To})
 }
 
 // hearMove applies the answer to an order to move.
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -27,7 +27,11 @@
 // release gives a duty back.
 func release(w *quetzalwork.World, id quetzalunit.PoolID) {
 	w.Releases++
-	w.Emit(quetzalwork.WriteDuty{Pool: id, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now})
+	c := quetzalwork.WriteDuty{Pool: id, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
+	if id == conductorDuty {
+		c.Holder.Ordered = lastOrdered(w)
+	}
+	w.Emit(c)
 }
 
 // hearRelease gives a duty back again if that had no effect: as long as its row names this
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -289,14 +289,11 @@
 
 func orderMaintenance(w *quetzalwork.World, wave *quetzalwork.Wave, i int) {
 	step := &wave.Steps[i]
-	if !mayOrder(w) {
+	if !mayOrderHost(w, wave.Hosts[i]) {
 		return
 	}
 	step.Asking = true
-	w.Emit(quetzalwork.OrderHost{
-		Order: quetzalwork.OrderMaintain, Host: wave.Hosts[i], Wave: wave.ID, Token: w.Conductor.Token,
-		Until: orderUntil(w),
-	})
+	orderHost(w, quetzalwork.OrderHost{Order: quetzalwork.OrderMaintain, Host: wave.Hosts[i], Wave: wave.ID})
 }
 
 func hearHostOrder(w *quetzalwork.World, in *quetzalwork.HostOrdered) {
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -801,6 +801,9 @@
 
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
+
+	// Hosts that the last holder has ordered a short time ago.
+	Ordered []string `json:"Ordered" yaml:"Ordered"`
 }
 
 // PoolList lists pools.
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -146,6 +146,8 @@
 	Holder      quetzalunit.EntryID
 	Incarnation quetzalunit.Incarnation
 	Address     quetzalunit.Address
+	// Ordered are the hosts that a holder has ordered a short time before it gave the duty back.
+	Ordered []quetzalunit.HostID
 	// Revision is that of the row, zero before there is one.
 	Revision quetzalunit.Revision
 	// Taking is true while this process's takeover is in flight.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -244,6 +244,11 @@
 	TakenAt quetzalunit.Instant
 	// OrdersFrom is when the orders of a predecessor are over.
 	OrdersFrom quetzalunit.Instant
+	// Barred are the hosts that a predecessor has ordered a short time ago, with the end of the
+	// time in which another holder's order would take turns with its own.
+	Barred map[quetzalunit.HostID]quetzalunit.Instant
+	// Ordered are the hosts that this process has ordered, with the instants.
+	Ordered map[quetzalunit.HostID]quetzalunit.Instant
 	// HostsAt is when the hosts were last read; Reading true while a read is in flight.
 	HostsAt quetzalunit.Instant
 	Reading bool
