Order hosts for the work that is expected when they arrive

Ruled out: the time of moves, the order at the peak (TestInTimeAtThePeak). Change: the difference between a short and a long mean is extended by 1.5 s, up to 1.6 times the present work. Test: TestPoolWantsHostsForTheRiseOfItsQueue, seen red.

--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -19,6 +19,12 @@
 	// what a pool wants for each core of it, so that rising work does not queue up.
 	offeredTime  = 350 * time.Millisecond
 	offeredShare = 1.3
+	// trendTime is the longer time over which it is averaged, too: by how much the short mean is
+	// above the long one shows how fast work rises. moveLead is how long hosts take to arrive,
+	// and trendMost bounds what is expected by then, in multiples of the present work.
+	trendTime = time.Second
+	moveLead  = 1500 * time.Millisecond
+	trendMost = 1.6
 	// lightShare is the share of its cores up to which a host counts as light, lightLasting and
 	// lightBound how many lasting tasks and tasks without saved progress it may run.
 	lightShare   = 0.3
@@ -50,7 +56,7 @@
 			offer(w, &l, m, use)
 		}
 	}
-	l.Wanted = max(l.Wanted, spreadCores(w, p), lasting+quetzalunit.MilliCores(offeredShare*offeredAt(w, p)))
+	l.Wanted = max(l.Wanted, spreadCores(w, p), lasting+quetzalunit.MilliCores(offeredShare*expectedWork(w, p)))
 	l.Missing = missingLabels(use)
 	p.Short = l.Wanted > l.Usable
 	slices.SortStableFunc(l.Idle, func(a, b quetzalwork.IdleHost) int { return int(b.Since - a.Since) })
@@ -203,13 +209,24 @@
 			work += float64(s.Count) * float64(s.Needs.Cores) * correctedSpan(p, j.Queue, s.Estimate).Seconds()
 		}
 	}
-	p.Offered = offeredAt(w, p) + work/offeredTime.Seconds()
+	passed := w.Now.Sub(p.OfferedAt)
+	p.Offered = p.Offered*decay(passed, offeredTime) + work/offeredTime.Seconds()
+	p.OfferedLong = p.OfferedLong*decay(passed, trendTime) + work/trendTime.Seconds()
 	p.OfferedAt = w.Now
 }
 
-// offeredAt is the mean work that arrives, in thousandths of the cores that it keeps busy.
-func offeredAt(w *quetzalwork.World, p *quetzalwork.Pool) float64 {
-	return p.Offered * math.Exp(-float64(w.Now.Sub(p.OfferedAt))/float64(offeredTime))
+// decay is what is left of a mean over a span after a time without anything new.
+func decay(passed, span time.Duration) float64 {
+	return math.Exp(-float64(passed) / float64(span))
+}
+
+// expectedWork is the mean work that will arrive when hosts that are ordered now can work, in
+// thousandths of the cores that it keeps busy.
+func expectedWork(w *quetzalwork.World, p *quetzalwork.Pool) float64 {
+	passed := w.Now.Sub(p.OfferedAt)
+	now, before := p.Offered*decay(passed, offeredTime), p.OfferedLong*decay(passed, trendTime)
+	rise := max(0, now-before) / (trendTime - offeredTime).Seconds()
+	return min(trendMost*now, now+rise*moveLead.Seconds())
 }
 
 // wantedBy is what a step's waiting tasks could use so that they are started within drainTime.
--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -143,3 +143,25 @@
 		require.Empty(t, p.judge.broken)
 	}
 }
+
+// The rise of a queue at its turn: the mean of the work lags behind it, but the pool wants hosts
+// for the rate that the queue will have when they have arrived.
+func TestPoolWantsHostsForTheRiseOfItsQueue(t *testing.T) {
+	const window = 300 * time.Millisecond
+	wanted := func(p *peak) float64 {
+		var load quetzalwork.PoolLoad
+		e := p.entries[0]
+		e.replies[1] = func(r quetzalwork.PeerReply) { load = r.(quetzalwork.LoadReply).Load }
+		e.post(e.boot, quetzalwork.PeerAsked{Caller: 1, Message: quetzalwork.AskLoad{Pool: testPool}})
+		p.run(time.Millisecond)
+		return float64(load.Wanted)
+	}
+	rising := newPeak(30)
+	for i := range 4 {
+		rising.offer(0.15*float64(i+1), window)
+	}
+	atRise := wanted(rising)
+	even := newPeak(30)
+	even.offer(0.6, 3*time.Second)
+	require.Greater(t, atRise, 0.9*wanted(even))
+}
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -124,9 +124,10 @@
 	LoadAt     quetzalunit.Instant
 	LoadAsked  bool
 	MeanWanted float64
-	// Offered is the mean work that arrives, in cores that it would keep busy, at OfferedAt.
-	Offered   float64
-	OfferedAt quetzalunit.Instant
+	// Offered is the mean work that arrives, in cores that it would keep busy, at OfferedAt;
+	// OfferedLong the mean over a longer time.
+	Offered, OfferedLong float64
+	OfferedAt            quetzalunit.Instant
 	// Short tells that the pool's work wants more than its usable minions offer.
 	Short bool
 	// Images are the learned run times.
