Ignore the stored progress of an earlier dispatch of a pool

Change: the answer names the token of the dispatch. Test: TestProgressOfAnEarlierDispatchIsIgnored, seen red.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -74,7 +74,7 @@
 	case quetzalwork.StoreJobs:
 		return quetzalwork.JobsStored{Result: r, Pool: c.Pool, Submissions: c.Submissions}
 	case quetzalwork.StoreProgress:
-		return quetzalwork.ProgressStored{Result: r, Pool: c.Pool, Jobs: c.Jobs}
+		return quetzalwork.ProgressStored{Result: r, Pool: c.Pool, Token: c.Token, Jobs: c.Jobs}
 	case quetzalwork.StoreCancel:
 		return quetzalwork.CancelStored{Result: r, Ask: c.Ask}
 	case quetzalwork.LookUpJob:
@@ -173,7 +173,7 @@
 		}
 		return in
 	case quetzalwork.StoreProgress:
-		in := quetzalwork.ProgressStored{Pool: c.Pool, Jobs: c.Jobs}
+		in := quetzalwork.ProgressStored{Pool: c.Pool, Token: c.Token, Jobs: c.Jobs}
 		for i := range c.Rows {
 			if old := s.rows[rowKey(&c.Rows[i])]; old.Revision != c.Rows[i].Revision {
 				in.Result = quetzalwork.StoreConflict
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -41,7 +41,7 @@
 
 // storeProgressOf begins a transaction with the progress of a pool's changed jobs.
 func storeProgressOf(w *quetzalwork.World, p *quetzalwork.Pool) {
-	c := quetzalwork.StoreProgress{Pool: p.ID}
+	c := quetzalwork.StoreProgress{Pool: p.ID, Token: p.Token}
 	rows := p.DirtyJobs.Take()
 	for i, row := range rows {
 		if len(c.Rows) == progressBatch {
@@ -79,10 +79,11 @@
 func hearProgressStored(w *quetzalwork.World, in *quetzalwork.ProgressStored) {
 	poolRow := poolRow(w, in.Pool)
 	p := w.Pools.At(poolRow)
-	p.Committing = false
-	if !p.Held {
+	if !p.Held || p.Token != in.Token {
+		// It belongs to an earlier dispatch of the pool by this process.
 		return
 	}
+	p.Committing = false
 	if in.Result == quetzalwork.StoreDone {
 		p.CommitNotBefore = w.Now.Add(progressPause)
 		for _, row := range in.Jobs {
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -23,6 +23,11 @@
 	read func(quetzalwork.ReadPool) quetzalwork.Input
 	// minions is the list of minions.
 	minions []quetzalwork.MinionEntry
+	// duty is the stored row of the duty; without a revision, this entry holds it.
+	duty quetzalwork.Duty
+	// keepsProgress leaves transactions with progress without an answer; stored has them.
+	keepsProgress bool
+	stored        []quetzalwork.StoreProgress
 	// held answers holds; nil leaves them without an answer.
 	held func(quetzalwork.HoldMinion) quetzalwork.MinionHeld
 	// starts and holds are the orders so far.
@@ -75,10 +80,22 @@
 		if d.readsFail {
 			return quetzalwork.MembersRead{Result: quetzalwork.StoreUnknown}
 		}
+		duty := d.duty
+		if duty.Revision == 0 {
+			duty = quetzalwork.Duty{Holder: "e0", Incarnation: 1, Address: "e0", Revision: testToken}
+		}
 		return quetzalwork.MembersRead{
-			Full: true, Seen: testToken, SentAt: cmd.SentAt, Members: []quetzalwork.Member{{Entry: "e0", Incarnation: 1, Beat: quetzalunit.Beat(d.now)}},
-			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: {Holder: "e0", Incarnation: 1, Address: "e0", Revision: testToken}},
+			Full: true, Seen: testToken, SentAt: cmd.SentAt,
+			Members: []quetzalwork.Member{
+				{Entry: "e0", Incarnation: 1, Beat: quetzalunit.Beat(d.now)}, {Entry: "e1", Incarnation: 1, Address: "e1", Beat: quetzalunit.Beat(d.now)},
+			},
+			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: duty},
+		}
+	case quetzalwork.StoreProgress:
+		if d.keepsProgress {
+			d.stored = append(d.stored, cmd)
 		}
+		return nil
 	case quetzalwork.ReadPool:
 		if d.read != nil {
 			return d.read(cmd)
@@ -130,7 +147,10 @@
 	return quetzalwork.JobRow{Job: id, Revision: 70, Content: quetzalwork.JobProgress{Progress: p}}
 }
 
-const testJob quetzalunit.JobID = "00000000000000aa"
+const (
+	testJob  quetzalunit.JobID = "00000000000000aa"
+	otherJob quetzalunit.JobID = "00000000000000bb"
+)
 
 func TestFencedDispatcherDropsThePool(t *testing.T) {
 	d := newDispatcher(t)
@@ -308,3 +328,38 @@
 		}
 	}
 }
+
+// A pool is dropped and taken again while a transaction with progress is in flight. Its answer must
+// not let a second one begin beside that of the new dispatch: ends would be noted before they
+// are stored.
+func TestProgressOfAnEarlierDispatchIsIgnored(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, oldDuty), accepted(otherJob, oldDuty))
+	var ends []quetzalwork.ListedEnd
+	d.held = func(c quetzalwork.HoldMinion) quetzalwork.MinionHeld {
+		in := d.idle(c)
+		in.Ends = ends
+		return in
+	}
+	done := func(n quetzalunit.EndNumber, job quetzalunit.JobID) {
+		ends = append(ends, quetzalwork.ListedEnd{Number: n, Task: quetzalwork.TaskName{Job: job}, Run: 60 << 10, End: quetzalwork.EndDone})
+	}
+	d.keepsProgress = true
+	done(1, testJob)
+	d.run(2 * time.Second)
+	require.Len(t, d.stored, 1)
+	d.duty = quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: testToken + 1}
+	d.run(1500 * time.Millisecond)
+	require.Empty(t, quetzalscheduler.Backlogs(d.w))
+	d.duty = quetzalwork.Duty{Holder: "e0", Incarnation: 1, Address: "e0", Revision: testToken + 2}
+	d.run(1500 * time.Millisecond)
+	require.Len(t, d.stored, 2)
+	done(2, otherJob)
+	d.run(300 * time.Millisecond)
+	first := d.stored[0]
+	d.tick(quetzalwork.ProgressStored{Pool: first.Pool, Token: first.Token, Jobs: first.Jobs, Result: quetzalwork.StoreUnknown})
+	d.run(300 * time.Millisecond)
+	require.Len(t, d.stored, 2, "the transaction of the new dispatch is in flight")
+	for _, h := range d.holds {
+		require.Zero(t, h.Noted)
+	}
+}
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -88,8 +88,9 @@
 	}
 	// StoreProgress stores progress, all or none, if each row has its expected revision.
 	StoreProgress struct {
-		Pool quetzalunit.PoolID
-		Jobs []Row
+		Pool  quetzalunit.PoolID
+		Token quetzalunit.FencingToken
+		Jobs  []Row
 		// Rows have the expected revisions.
 		Rows []JobRow
 		// Ended are the rows of the jobs whose outcome is stored, without their specifications.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -122,6 +122,7 @@
 	ProgressStored struct {
 		Result   StoreResult
 		Pool     quetzalunit.PoolID
+		Token    quetzalunit.FencingToken
 		Jobs     []Row
 		Revision quetzalunit.Revision
 		// Current has the stored rows after a conflict.
