Let jobs gather into fewer transactions while the store is slow

Change: after a transaction that took over 100 ms, an entry begins none for as long as that took. Test: TestJobsGatherWhileTheStoreIsSlow.

--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -23,6 +23,10 @@
 	storeTimeWeight = 4
 	// storeTimeout bounds the wait for an answer of the store.
 	storeTimeout = 1200 * time.Millisecond
+	// slowStore is the time of a transaction from which on an entry pauses as long as it took: the
+	// store carries out those of a pool one after the other, and turns away what waits for over
+	// a second, while the entries' jobs can gather into fewer of them.
+	slowStore = 100 * time.Millisecond
 	// submitRetry is the pause after a transaction without an answer.
 	submitRetry = 60 * time.Millisecond
 	// refusalDelay is the mean time after which a refused caller is asked to come back: the
@@ -159,14 +163,17 @@
 	poolRow := poolRow(w, in.Pool)
 	p := w.Pools.At(poolRow)
 	p.SubmitCalls--
-	if took := w.Now.Sub(in.SentAt); in.Result == quetzalwork.StoreDone && p.StoreTime == 0 {
+	took := w.Now.Sub(in.SentAt)
+	if took > slowStore && in.Result == quetzalwork.StoreDone {
+		pauseSubmissions(w, poolRow, min(took, storeTimeout))
+	}
+	if in.Result == quetzalwork.StoreDone && p.StoreTime == 0 {
 		p.StoreTime = took
 	} else if in.Result == quetzalwork.StoreDone {
 		p.StoreTime += (took - p.StoreTime) / storeTimeWeight
 	}
 	if in.Result == quetzalwork.StoreRefused || in.Result == quetzalwork.StoreUnknown {
-		p.SubmitNotBefore = w.Now.Add(submitRetry)
-		w.Timers.Push(p.SubmitNotBefore, quetzalwork.SubmitDue{Pool: poolRow})
+		pauseSubmissions(w, poolRow, submitRetry)
 	}
 	if in.Duty != nil {
 		seeDuty(w, in.Pool, *in.Duty)
@@ -202,6 +209,13 @@
 	}
 }
 
+// pauseSubmissions begins no transaction with jobs of a pool for a time.
+func pauseSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, d time.Duration) {
+	p := w.Pools.At(poolRow)
+	p.SubmitNotBefore = max(p.SubmitNotBefore, w.Now.Add(d))
+	w.Timers.Push(p.SubmitNotBefore, quetzalwork.SubmitDue{Pool: poolRow})
+}
+
 // endSubmission answers the caller of a submission.
 func endSubmission(w *quetzalwork.World, row quetzalwork.Row, a quetzalwork.Answer, reason string) {
 	s := w.Submissions.At(row)
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	minions []quetzalwork.MinionEntry
 	// duty is the stored row of the duty; without a revision, this entry holds it.
 	duty quetzalwork.Duty
+	// submissions are the transactions with jobs so far, which the test answers.
+	submissions []quetzalwork.StoreJobs
 	// keepsProgress leaves transactions with progress without an answer; stored has them.
 	keepsProgress bool
 	stored        []quetzalwork.StoreProgress
@@ -91,6 +94,9 @@
 			},
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: duty},
 		}
+	case quetzalwork.StoreJobs:
+		d.submissions = append(d.submissions, cmd)
+		return nil
 	case quetzalwork.StoreProgress:
 		if d.keepsProgress {
 			d.stored = append(d.stored, cmd)
@@ -363,3 +369,37 @@
 		require.Zero(t, h.Noted)
 	}
 }
+
+// The store is slow and carries out the transactions of a pool one after the other: after one that
+// took long, jobs gather for as long.
+func TestJobsGatherWhileTheStoreIsSlow(t *testing.T) {
+	const slow = 400 * time.Millisecond
+	d := newDispatcher(t)
+	d.held = d.idle
+	d.run(2 * time.Second)
+	submit := func(n int) {
+		id := quetzalunit.JobID(fmt.Sprintf("%016x", n))
+		d.tick(quetzalwork.JobSubmitted{
+			Caller: quetzalunit.Caller(n), Host: "host", Path: "/proofs/" + string(id), Timeout: 3 * time.Second,
+			Spec: &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}},
+		})
+	}
+	answer := func(c quetzalwork.StoreJobs) {
+		d.tick(quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, StoredUnder: c.Duty, SentAt: c.SentAt})
+	}
+	submit(1)
+	d.run(20 * time.Millisecond)
+	answer(d.submissions[0])
+	submit(2)
+	require.Len(t, d.submissions, 2, "the store is fast")
+	d.run(slow)
+	answer(d.submissions[1])
+	for n := 3; n <= 5; n++ {
+		submit(n)
+		d.run(60 * time.Millisecond)
+	}
+	require.Len(t, d.submissions, 2, "the jobs gather")
+	d.run(slow)
+	require.Len(t, d.submissions, 3)
+	require.Len(t, d.submissions[2].Jobs, 3)
+}
