--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -133,7 +133,10 @@
 	}
 }
 
+// The load of a queue at its turn, up to 1.5 times what its pool holds: as large a share of the jobs
+// is in time as the pool has room for in that time, less one in twenty for stragglers.
 func TestInTimeAtThePeak(t *testing.T) {
+	const stragglers = 0.05
 	for _, load := range []float64{0.7, 1.0, 1.2, 1.5} {
 		p := newPeak(30)
 		p.offer(load, 8*time.Second)
@@ -141,6 +144,7 @@
 		met, late := p.inTime()
 		t.Logf("load %.1f: %d jobs, %.3f in time, %.3f within three times", load, len(p.sent), met, late)
 		require.Empty(t, p.judge.broken)
+		require.GreaterOrEqual(t, met, min(1, 1/load)-stragglers)
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/room.go
+++ b/quetzalcore/quetzalscheduler/room.go
@@ -50,6 +50,6 @@
 
 // noteFull notes that no minion has room for needs.
 func (r *room) noteFull(needs quetzalunit.Resources) {
-	r.full = slices.DeleteFunc(r.full, func(more quetzalunit.Resources) bool { return needs.Fits(more) })
+	r.full = slices.DeleteFunc(r.full, needs.Fits)
 	r.full = append(r.full, needs)
 }
