--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -283,11 +283,16 @@
 
 // burden is what a number of duties means to an entry: less to one with more processor.
 func burden(m *quetzalwork.Member, duties int) float64 {
+	return float64(duties) / coresOf(m.Share)
+}
+
+// coresOf is the processor that a share stands for, in cores.
+func coresOf(share quetzalunit.Percent) float64 {
 	const core = 100
-	if m.Share <= 0 {
-		return float64(duties) / core
+	if share <= 0 {
+		return 1
 	}
-	return float64(duties) / float64(m.Share)
+	return float64(share) / core
 }
 
 // shareDuties gives a duty back that another entry would better have.
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -227,12 +227,8 @@
 
 // holdSpacing is the least time between two holds of a minion.
 func holdSpacing(w *quetzalwork.World, m *quetzalwork.Minion) time.Duration {
-	share := float64(w.Self.Share) / 100
-	if share <= 0 {
-		share = 1
-	}
-	minions := len(w.Pools.At(m.PoolRow).Minions)
-	return max(holdPause, time.Duration(float64(minions)/(share*holdRate)*float64(time.Second)))
+	minions := float64(len(w.Pools.At(m.PoolRow).Minions))
+	return max(holdPause, time.Duration(minions/(coresOf(w.Self.Share)*holdRate)*float64(time.Second)))
 }
 
 // holdMinions holds the minions whose instant has come within this tick.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -227,8 +227,6 @@
 	// Ordered tells that the order was given; Asking that a question to the dispatcher, or the
 	// order, is in flight.
 	Ordered, Asking bool
-	// Over tells that a later minion runs on its host: nothing runs on this one any more.
-	Over bool
 	// Taken tells that the order was taken, at Since.
 	Taken          bool
 	Since, RetryAt quetzalunit.Instant
