--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,8 @@
 .PHONY: bench
 bench:
 	cd quetzalcore && go test ./quetzalsystem -run XXX -bench . -benchtime 300ms
+	cd quetzalcore && go test ./quetzalscheduler -run XXX -bench . -benchtime 1x
+	cd platform && go test ./quetzalorder -run XXX -bench . -benchtime 1s
 	cd quetzalentry && go test . -run XXX -bench . -benchtime 2s
 
 .PHONY: compare
