Correct the test of joined minions, which passed without the mechanism

Now another minion joins; the test is red without the read after a join, and red when the read must be later than the join.

--- a/quetzalcore/quetzalscheduler/conduct_test.go
+++ b/quetzalcore/quetzalscheduler/conduct_test.go
@@ -212,8 +212,10 @@
 	d.tick(quetzalwork.PeerAsked{Caller: 1, Message: quetzalwork.TellAccepted{Pool: testPool, Jobs: []quetzalwork.JobRow{row}}})
 	d.run(100 * time.Millisecond)
 	require.Less(t, d.w.Membership.ReadSentAt, d.now)
-	d.minions = testMinions
-	d.tick(quetzalwork.MinionsListed{Seen: testToken + 1, Entries: testMinions})
+	joined := testMinions[0]
+	joined.ID, joined.Address, joined.Host = "m1", "m1", "h1"
+	d.minions = []quetzalwork.MinionEntry{joined}
+	d.tick(quetzalwork.MinionsListed{Seen: testToken + 1, Entries: d.minions})
 	require.NotEmpty(t, d.starts)
 }
 
