Judge members by the send time of the last read

Cause: a takeover compared the present time with a member's last renewal, although the last read of the rows may be two seconds old. A renewal between the last read and the takeover was not seen either.

Change: a member counts as dead only when a read that was sent memberTimeout after its last seen renewal shows none. A successor as host controller reads the rows again after the takeover and waits for the end of the orders that the predecessor's last renewal allows.

Result: TestDutyIsNotTakenOverOnAnOldRead and TestSuccessorWaitsForOrdersAfterALastRenewal fail without the change and pass with it.

--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -29,9 +29,9 @@
 //
 //   - A predecessor that released the duty has stored the hosts that it ordered recently. These
 //     hosts get no order for OrderLease, during which orders of two holders count as conflicting.
-//   - A predecessor that stopped renewing its row may order hosts for hostOrderValidity after the
-//     last renewal, and its orders end within hostOrderTimeout.
-//   - A predecessor whose last renewal is not known excludes all orders for OrderLease.
+//   - One that may be alive excludes all orders until updateOrdersAllowedFrom has determined when
+//     its own end.
+//   - One whose last renewal is not known excludes all orders for OrderLease.
 //   - An earlier process of this entry is the same holder to the hosts and excludes nothing.
 func beginHostControl(w *quetzalwork.World, revision quetzalunit.Revision, predecessor quetzalwork.Duty) {
 	c := &w.HostController
@@ -39,13 +39,12 @@
 	for _, host := range predecessor.OrderedHosts {
 		c.BlockedUntil[host] = w.Now.Add(w.Bounds.OrderLease)
 	}
+	c.Held, c.Token, c.HeldSince, c.Predecessor = true, quetzalunit.FencingToken(revision), w.Now, quetzalwork.Duty{}
 	if predecessor.Holder != "" && predecessor.Holder != w.Self.Entry {
-		c.OrdersAllowedFrom = w.Now.Add(w.Bounds.OrderLease)
+		c.Predecessor = predecessor
+		c.OrdersAllowedFrom = w.Now.Add(max(w.Bounds.OrderLease, hostOrderValidity+hostOrderTimeout))
+		rereadMembers(w)
 	}
-	if m := w.Members.At(w.MemberByID.Get(predecessor.Holder)); m != nil && m.Incarnation == predecessor.Incarnation {
-		c.OrdersAllowedFrom = m.RenewalSeenAt.Add(hostOrderValidity + hostOrderTimeout)
-	}
-	c.Held, c.Token, c.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
 	c.HostsReadAt, c.HostsReadInFlight, c.WavesLoaded = 0, false, false
 	for _, wave := range w.Waves.All() {
 		wave.Maintenance = make([]quetzalwork.HostMaintenance, len(wave.Hosts))
@@ -55,6 +54,19 @@
 	w.Emit(quetzalwork.ReadWaves{})
 }
 
+// updateOrdersAllowedFrom sets when the orders of a predecessor that may be alive have ended. The
+// predecessor orders hosts for hostOrderValidity after the older of its last renewal and its last
+// read that showed it as the holder, and an order ends within hostOrderTimeout. That read preceded
+// the takeover. The renewal may have followed the reads that led to the takeover, so only rows that
+// were read after the takeover show it.
+func updateOrdersAllowedFrom(w *quetzalwork.World) {
+	c := &w.HostController
+	if m := w.Members.At(w.MemberByID.Get(c.Predecessor.Holder)); m != nil && m.Incarnation == c.Predecessor.Incarnation {
+		c.OrdersAllowedFrom = min(c.HeldSince, m.RenewalSeenAt).Add(hostOrderValidity + hostOrderTimeout)
+	}
+	c.Predecessor = quetzalwork.Duty{}
+}
+
 // endHostControl ends this process's term as the host controller and deletes the moves in progress.
 func endHostControl(w *quetzalwork.World, reason string) {
 	w.HostController.Held = false
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -26,6 +26,16 @@
 	loads      map[quetzalunit.PoolID]quetzalwork.PoolLoad
 	// duty is the stored row of the host control duty. If its revision is zero, this entry holds it.
 	duty quetzalwork.Duty
+	// heartbeat, if not nil, is the heartbeat in the stored row of e1. By default it grows with each
+	// read.
+	heartbeat *quetzalunit.Heartbeat
+	// holdsReads keeps the reads of members and duties unanswered; heldReads are these reads.
+	holdsReads bool
+	heldReads  []quetzalwork.ReadMembers
+	// takeovers are the attempts to acquire the duty so far. onTakeover, if not nil, is called before
+	// each.
+	takeovers  []quetzalwork.WriteDuty
+	onTakeover func()
 }
 
 func newHostController(t *testing.T, hosts []quetzalwork.Host, plan quetzalwork.WavePlan) *hostController {
@@ -70,15 +80,16 @@
 	case quetzalwork.RenewMember:
 		return []quetzalwork.Input{quetzalwork.MemberRenewed{SentAt: cmd.SentAt}}
 	case quetzalwork.ReadMembers:
-		other := quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: 5}
-		return []quetzalwork.Input{quetzalwork.MembersRead{
-			Full: true, SeenRevision: 9, SentAt: cmd.SentAt,
-			Members: []quetzalwork.Member{
-				{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(c.now)}, {Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: quetzalunit.Heartbeat(c.now)},
-			},
-			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{"(hosts)": duty, "busy": other, "calm": other, "off": other},
-		}}
+		if c.holdsReads {
+			c.heldReads = append(c.heldReads, cmd)
+			return nil
+		}
+		return []quetzalwork.Input{c.answerRead(cmd, duty)}
 	case quetzalwork.WriteDuty:
+		c.takeovers = append(c.takeovers, cmd)
+		if c.onTakeover != nil {
+			c.onTakeover()
+		}
 		c.duty = cmd.Duty
 		c.duty.Revision = cmd.Expected + 1
 		return []quetzalwork.Input{quetzalwork.DutyWritten{Pool: cmd.Pool, Revision: c.duty.Revision, SentAt: cmd.SentAt}}
@@ -99,6 +110,23 @@
 	}
 }
 
+// answerRead answers a read of members and duties.
+func (c *hostController) answerRead(cmd quetzalwork.ReadMembers, duty quetzalwork.Duty) quetzalwork.MembersRead {
+	other := quetzalwork.Duty{Holder: "e3", Incarnation: 1, Address: "e3", Revision: 5}
+	heartbeat := quetzalunit.Heartbeat(c.now)
+	if c.heartbeat != nil {
+		heartbeat = *c.heartbeat
+	}
+	return quetzalwork.MembersRead{
+		Full: true, SeenRevision: 9, SentAt: cmd.SentAt,
+		Members: []quetzalwork.Member{
+			{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(c.now)}, {Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: heartbeat},
+			{Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(c.now)},
+		},
+		Duties: map[quetzalunit.PoolID]quetzalwork.Duty{"(hosts)": duty, "busy": other, "calm": other, "off": other},
+	}
+}
+
 func (c *hostController) reply(m quetzalwork.PeerMessage) quetzalwork.PeerReply {
 	switch m := m.(type) {
 	case quetzalwork.QueryLoad:
@@ -257,6 +285,51 @@
 	}
 }
 
+// The store answers a read late, and the holder of the duty renews its row after that read was sent.
+// The duty must not be taken over before a later read shows that the holder has stopped renewing:
+// the holder still orders hosts.
+func TestDutyIsNotTakenOverOnAnOldRead(t *testing.T) {
+	c := newHostControllerAfter(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Revision: 6}, nil, quetzalwork.WavePlan{ID: "1"})
+	c.run(3 * time.Second)
+	heartbeat := quetzalunit.Heartbeat(1)
+	c.heartbeat = &heartbeat
+	c.run(1200 * time.Millisecond)
+	renewedAt := c.w.Members.At(c.w.MemberByID.Get("e1")).RenewalSeenAt
+	c.holdsReads = true
+	c.run(1200 * time.Millisecond)
+	require.Len(t, c.heldReads, 1)
+	c.run(renewedAt.Add(2200 * time.Millisecond).Sub(c.now))
+	c.tick(c.answerRead(c.heldReads[0], c.duty))
+	c.run(renewedAt.Add(3500 * time.Millisecond).Sub(c.now))
+	require.Empty(t, c.takeovers, "the answered read was sent long before")
+	c.holdsReads = false
+	c.tick(c.answerRead(quetzalwork.ReadMembers{SentAt: c.now}, c.duty))
+	c.run(time.Second)
+	require.NotEmpty(t, c.takeovers)
+}
+
+// The holder of the duty was cut off from the store and renews its row again just before the
+// takeover. It may order hosts on the strength of that renewal, so the successor must wait for the
+// end of these orders.
+func TestSuccessorWaitsForOrdersAfterALastRenewal(t *testing.T) {
+	c := newHostControllerAfter(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Revision: 6},
+		[]quetzalwork.Host{upHost("s1", "off"), upHost("b1", "busy")}, quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 3 * 32000, Usable: 32000, UsableHosts: 1}
+	heartbeat := quetzalunit.Heartbeat(1)
+	c.heartbeat, c.onTakeover = &heartbeat, func() { heartbeat = 2 }
+	for range 200 {
+		if c.run(50 * time.Millisecond); len(c.takeovers) > 0 {
+			break
+		}
+	}
+	require.NotEmpty(t, c.takeovers)
+	c.run(2200 * time.Millisecond)
+	require.Empty(t, c.orders, "the predecessor may order for 1.5 s, and an order is lost after 0.9 s at the latest")
+	c.run(time.Second)
+	require.NotEmpty(t, c.orders)
+}
+
 func hostsOf(orders []quetzalwork.OrderHost) []quetzalunit.HostID {
 	var hosts []quetzalunit.HostID
 	for _, o := range orders {
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -132,6 +132,9 @@
 	for id, duty := range in.Duties {
 		applyDutyRow(w, id, duty)
 	}
+	if c := &w.HostController; c.Held && c.Predecessor.Holder != "" && in.SentAt >= c.HeldSince {
+		updateOrdersAllowedFrom(w)
+	}
 	publishRelays(w)
 	takeOverDuties(w)
 	for _, p := range w.Pools.All() {
@@ -162,10 +165,11 @@
 	}
 }
 
-// isLive reports whether an entry's row is listed and was seen to change within memberTimeout. A
-// gap in the reads restarts that time.
+// isLive reports whether an entry's row is listed and has changed within the memberTimeout before
+// the last read was sent. Time since then does not count: the entry may have renewed its row. A gap
+// in the reads restarts that time.
 func isLive(w *quetzalwork.World, m *quetzalwork.Member) bool {
-	return m.Listed && w.Now.Sub(m.UnchangedSince) < memberTimeout
+	return m.Listed && w.Membership.ReadSentAt.Sub(m.UnchangedSince) < memberTimeout
 }
 
 // publishRelays publishes the live members through which the store can be reached, those of this
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -281,6 +281,9 @@
 	// Token is this process's fencing token, HeldSince the instant when it acquired the duty.
 	Token     quetzalunit.FencingToken
 	HeldSince quetzalunit.Instant
+	// Predecessor is the previous holder until it is known when its last orders end; its Holder is
+	// empty otherwise.
+	Predecessor Duty
 	// OrdersAllowedFrom is when the orders of the previous holder have been carried out or lost, so
 	// that this process may give orders.
 	OrdersAllowedFrom quetzalunit.Instant
