--- a/quetzalcore/quetzalscheduler/gang.go
+++ b/quetzalcore/quetzalscheduler/gang.go
@@ -15,7 +15,11 @@
 		return 0
 	}
 	for _, taskRow := range s.Tasks {
-		if t := w.Tasks.At(taskRow); t.NotBefore > w.Now {
+		t := w.Tasks.At(taskRow)
+		if !mayStart(p, t) {
+			return 0
+		}
+		if t.NotBefore > w.Now {
 			return t.NotBefore
 		}
 	}
--- a/quetzalcore/quetzalscheduler/guarantee_test.go
+++ b/quetzalcore/quetzalscheduler/guarantee_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -182,6 +183,8 @@
 	f.run(3 * time.Second)
 	self := testStep(1)
 	self.DependsOn = []quetzalunit.StepIndex{0}
+	negative := testStep(1)
+	negative.Resources.Cores = -1
 	for _, test := range []struct {
 		path string
 		spec *quetzalwork.JobSpec
@@ -192,6 +195,10 @@
 		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{{}}}, quetzalwork.InvalidJob{Problem: "step 0 has no tasks"}},
 		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{self}}, quetzalwork.InvalidJob{Problem: "step 0 waits for step 0, which is not before it"}},
 		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Payload: string(make([]byte, 4001)), Steps: []quetzalwork.StepSpec{testStep(1)}}, quetzalwork.InvalidJob{Problem: "the text is longer than 4000 bytes"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1), testStep(20000)}}, quetzalwork.InvalidJob{Problem: "the job has more than 20000 tasks"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{negative}}, quetzalwork.InvalidJob{Problem: "step 0 has a negative requirement"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}, Occurrences: 3, Interval: -1}, quetzalwork.InvalidJob{Problem: "the schedule has a negative number"}},
+		{"/proofs/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}, Occurrences: 3, Interval: math.MaxInt64 / 2}, quetzalwork.InvalidJob{Problem: "the last occurrence is too far in the future"}},
 		{"/proofs/xyz", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}}, quetzalwork.InvalidJob{Problem: "the path names no job"}},
 		{"/nothing/0123456789abcdef", &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}}, quetzalwork.NoSuchQueue{}},
 	} {
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -57,13 +57,23 @@
 }
 
 // createDueOccurrences creates the steps and tasks of the due occurrences of a repeating job, and
-// sets a timer for the next occurrence.
+// sets a timer for the next occurrence. Occurrences are deferred while the unfinished ones have
+// maxJobTasks tasks together.
 func createDueOccurrences(w *quetzalwork.World, row quetzalwork.Row) {
 	j := w.Jobs.At(row)
 	if j == nil || j.Spec == nil || j.State.Final() {
 		return
 	}
+	var tasks quetzalunit.Tasks
+	for i := range j.Spec.Steps {
+		tasks += j.Spec.Steps[i].TaskCount
+	}
 	for j.CreatedOccurrences < j.Spec.Occurrences {
+		unfinished := quetzalunit.Tasks(j.CreatedOccurrences - j.CompletedOccurrences)
+		if unfinished > 0 && unfinished*tasks > maxJobTasks-tasks {
+			j.OccurrencesDeferred = true
+			return
+		}
 		due := j.Spec.FirstAt.Add(time.Duration(j.CreatedOccurrences) * j.Spec.Interval).Add(-w.WallClockOffset)
 		if due > w.Now {
 			w.Timers.Push(due, quetzalwork.OccurrenceDue{Job: row})
@@ -94,6 +104,9 @@
 		j.Steps = append(j.Steps, stepRow)
 	}
 	for _, f := range j.Progress.Failures {
+		if f.Occurrence != occurrence {
+			continue
+		}
 		if t := w.Tasks.At(findTask(w, row, f.TaskRef)); t != nil {
 			t.Failures++
 		}
@@ -112,7 +125,7 @@
 // been deleted, or have no such task.
 func findTask(w *quetzalwork.World, job quetzalwork.Row, ref quetzalwork.TaskRef) quetzalwork.Row {
 	s := w.Steps.At(w.StepByKey.Get(quetzalwork.StepKey{Job: job, Occurrence: ref.Occurrence, Step: ref.Step}))
-	if s == nil || int(ref.Task) >= len(s.Tasks) {
+	if s == nil || ref.Task < 0 || int(ref.Task) >= len(s.Tasks) {
 		return 0
 	}
 	return s.Tasks[ref.Task]
@@ -204,6 +217,11 @@
 	}
 	if j.CompletedOccurrences == max(1, j.Spec.Occurrences) {
 		finishJob(w, row, quetzalwork.JobCompleted)
+		return
+	}
+	if j.OccurrencesDeferred {
+		j.OccurrencesDeferred = false
+		createDueOccurrences(w, row)
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -42,8 +42,8 @@
 	// dutyRetryDelay is the delay after a failed takeover.
 	dutyRetryDelay = 400 * time.Millisecond
 	// leaseExpiryTime is the time after which a lease that is no longer extended has expired, also
-	// on a minion whose clock runs 3 % slow.
-	leaseExpiryTime = leaseDuration*103/100 + leaseExpiryMargin
+	// on a minion whose clock runs at minClockRate.
+	leaseExpiryTime = leaseDuration*100/minClockPercent + leaseExpiryMargin
 )
 
 // hostControlDuty is the key of the host controller's duty, whose holder gives orders to hosts. The
@@ -64,6 +64,7 @@
 	}
 	readMembers(w)
 	takeOverDuties(w)
+	releaseExhaustedPools(w)
 	rebalanceDuties(w)
 	w.After(w.Jitter(renewPeriod), quetzalwork.MembershipDue{})
 }
@@ -317,6 +318,16 @@
 	return float64(share) / core
 }
 
+// releaseExhaustedPools releases the duties of the pools in which a task has no run number left.
+func releaseExhaustedPools(w *quetzalwork.World) {
+	for row, p := range w.Pools.All() {
+		if p.Held && p.RunNumbersExhausted && !w.Stopping {
+			releaseDuty(w, p.ID)
+			endDispatch(w, row, "RunNumbers")
+		}
+	}
+}
+
 // rebalanceDuties releases one pool's duty if another entry would have sufficiently fewer duties
 // per core after taking it over.
 func rebalanceDuties(w *quetzalwork.World) {
@@ -444,6 +455,7 @@
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
 	p.JobsLoaded, p.NextKey, p.ReadInFlight, p.SeenRevision, p.PredecessorWorkKnown = false, "", false, 0, false
+	p.RunNumbersExhausted = false
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
 	p.Predecessor = quetzalwork.Duty{}
 	p.PredecessorLeasesEnd = w.Now.Add(leaseExpiryTime)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -40,9 +40,10 @@
 	// leaseExpiryMargin is the margin after the end of a lease before its runs are treated as
 	// ended.
 	leaseExpiryMargin = 150 * time.Millisecond
-	// minClockRate is the lowest rate of a minion's clock relative to the clock of this
-	// process.
-	minClockRate = 0.98
+	// minClockPercent is the lowest rate of a minion's clock relative to the clock of this process,
+	// in hundredths. minClockRate is the same as a fraction.
+	minClockPercent = 98
+	minClockRate    = minClockPercent / 100.0
 	// unknownJobGrace is how long a minion's runs of an unknown job may continue: another entry
 	// may be about to report the job.
 	unknownJobGrace = 4 * time.Second
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -128,6 +128,9 @@
 		if t.State != quetzalwork.TaskWaiting {
 			continue
 		}
+		if !mayStart(p, t) {
+			continue
+		}
 		if t.NotBefore > w.Now {
 			if retryAt == 0 || t.NotBefore < retryAt {
 				retryAt = t.NotBefore
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -13,6 +13,9 @@
 	// of a task. The bits above hold the fencing token, so that no two dispatchers use the same
 	// run number.
 	startCountBits = 10
+	// maxStarts is the largest start count. A further start would need the bits of the fencing
+	// token.
+	maxStarts quetzalunit.RunNumber = 1<<startCountBits - 1
 	// taskRetryDelay is the delay before a failed or rejected task may start again.
 	taskRetryDelay = 50 * time.Millisecond
 	// rejectionBackoff is how long a minion gets no new work after it rejected a run that
@@ -57,6 +60,16 @@
 	return number
 }
 
+// mayStart reports whether a task has a run number left. Otherwise it requests the release of the
+// pool's duty, since a new term has new run numbers.
+func mayStart(p *quetzalwork.Pool, t *quetzalwork.Task) bool {
+	if t.Starts < maxStarts {
+		return true
+	}
+	p.RunNumbersExhausted = true
+	return false
+}
+
 // needsOf returns the resources that a task of a step reserves. A best-effort task reserves no
 // cores, because it uses those that others leave idle.
 func needsOf(spec *quetzalwork.StepSpec) quetzalunit.Resources {
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -41,6 +42,9 @@
 	reasonStoreUnavailable = "StoreUnavailable"
 	// maxPayloadBytes is the maximum length of a job's payload, in bytes.
 	maxPayloadBytes = 4000
+	// maxJobTasks is the maximum number of tasks of a job, and of all unfinished occurrences of a
+	// repeating job together. The dispatcher holds them in memory.
+	maxJobTasks quetzalunit.Tasks = 20000
 )
 
 // handleSubmission validates a submission and queues it for the next transaction of its pool. It
@@ -108,12 +112,28 @@
 		return fmt.Sprintf("the text is longer than %d bytes", maxPayloadBytes)
 	case len(spec.Steps) == 0:
 		return "the job has no steps"
+	case spec.Occurrences < 0 || spec.Interval < 0 || spec.FirstAt < 0:
+		return "the schedule has a negative number"
+	case spec.Occurrences > 1 && spec.Interval > time.Duration(math.MaxInt64-spec.FirstAt)/time.Duration(spec.Occurrences):
+		return "the last occurrence is too far in the future"
 	}
-	for i := range spec.Steps {
-		s := &spec.Steps[i]
-		if s.TaskCount <= 0 {
+	return validateSteps(spec.Steps)
+}
+
+// validateSteps returns why the steps of a job are invalid, or "" if they are valid.
+func validateSteps(steps []quetzalwork.StepSpec) string {
+	var tasks quetzalunit.Tasks
+	for i := range steps {
+		s := &steps[i]
+		switch {
+		case s.TaskCount <= 0:
 			return fmt.Sprintf("step %d has no tasks", i)
+		case s.TaskCount > maxJobTasks-tasks:
+			return fmt.Sprintf("the job has more than %d tasks", maxJobTasks)
+		case s.Resources.Cores < 0 || s.Resources.Memory < 0 || s.Resources.Accelerators < 0 || s.Estimate < 0:
+			return fmt.Sprintf("step %d has a negative requirement", i)
 		}
+		tasks += s.TaskCount
 		for _, dependency := range s.DependsOn {
 			if dependency < 0 || int(dependency) >= i {
 				return fmt.Sprintf("step %d waits for step %d, which is not before it", i, dependency)
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -39,6 +39,10 @@
 	// starts and polls are the orders to minions so far.
 	starts []quetzalwork.StartRun
 	polls  []quetzalwork.PollMinion
+	// rejectsStarts makes minions answer that they cannot run a task. releases are the releases of
+	// the duty so far.
+	rejectsStarts bool
+	releases      []quetzalwork.WriteDuty
 }
 
 // testToken is the revision at which the dispatcher took over its duty, and hence its fencing token.
@@ -99,6 +103,9 @@
 			},
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: duty},
 		}
+	case quetzalwork.WriteDuty:
+		d.releases = append(d.releases, cmd)
+		return nil
 	case quetzalwork.StoreJobs:
 		d.submissions = append(d.submissions, cmd)
 		return nil
@@ -125,6 +132,9 @@
 		return d.answerPoll(cmd)
 	case quetzalwork.StartRun:
 		d.starts = append(d.starts, cmd)
+		if d.rejectsStarts {
+			return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderOutdated{Clock: d.clock()}}
+		}
 		return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
 	default:
 		return nil
@@ -302,6 +312,60 @@
 	require.NotEmpty(t, d.starts, "two of three attempts have failed")
 }
 
+// A repeating job has stored failures of its first occurrence. When a later occurrence is created,
+// they must not count again: the job would fail before its attempts are used up.
+func TestFailuresCountForTheirOwnOccurrence(t *testing.T) {
+	row := accepted(testJob, oldDuty)
+	content, ok := row.Content.(quetzalwork.AcceptedJob)
+	require.True(t, ok)
+	content.Spec.Occurrences, content.Spec.FirstAt, content.Spec.Interval = 3, 0, time.Second
+	row.Content = content
+	d := newDispatcher(t, row, progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning, Failures: []quetzalwork.TaskFailure{{Run: 50 << 10}}}))
+	d.answerPoll = d.idle
+	d.run(8 * time.Second)
+	failures := make(map[quetzalunit.Occurrence]quetzalunit.Failures)
+	for _, task := range d.w.Tasks.All() {
+		failures[d.w.Steps.At(task.Step).Occurrence] = task.Failures
+	}
+	require.Equal(t, map[quetzalunit.Occurrence]quetzalunit.Failures{0: 1, 1: 0, 2: 0}, failures)
+}
+
+// Every occurrence of a job with a short interval is due at once. The dispatcher must not create all
+// of them at once, since it holds their tasks in memory.
+func TestDueOccurrencesAreCreatedGradually(t *testing.T) {
+	row := accepted(testJob, testToken)
+	content, ok := row.Content.(quetzalwork.AcceptedJob)
+	require.True(t, ok)
+	content.Spec.Occurrences, content.Spec.Steps[0].TaskCount = 1 << 30, 6000
+	row.Content = content
+	d := newDispatcher(t)
+	d.answerPoll = d.idle
+	d.run(2 * time.Second)
+	d.tick(quetzalwork.PeerMessageReceived{Caller: 1, Message: quetzalwork.NotifyAccepted{Pool: testPool, Jobs: []quetzalwork.JobRow{row}}})
+	require.Equal(t, 3*6000, d.w.Tasks.Len())
+}
+
+// A task is rejected more often than its run numbers last for one term. A further number would repeat
+// one of this term, which minions reject as outdated, or be one of a successor's. The duty must be
+// released instead, since a new term has new numbers.
+func TestExhaustedRunNumbersEndTheTerm(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.answerPoll = d.idle
+	d.rejectsStarts = true
+	numbers := make(map[quetzalunit.RunNumber]bool)
+	for range 800 {
+		d.run(100 * time.Millisecond)
+		for _, start := range d.starts {
+			require.False(t, numbers[start.Number], "run number %d is used again", start.Number)
+			require.Equal(t, quetzalunit.RunNumber(testToken), start.Number>>10)
+			numbers[start.Number] = true
+		}
+		d.starts = nil
+	}
+	require.Len(t, numbers, 1023)
+	require.NotEmpty(t, d.releases)
+}
+
 // The row of a finished job loses its specification, so that a takeover reads little. The job's ID
 // stays in use: submitting it again must not run it again.
 func TestRowOfAFinishedJobLosesItsSpecification(t *testing.T) {
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -112,7 +112,7 @@
 	r := w.Runs.At(row)
 	t := w.Tasks.At(r.Task)
 	s := w.Steps.At(t.Step)
-	if len(t.Runs) > 1 || t.State != quetzalwork.TaskActive || !mayExtendLeases(w) {
+	if len(t.Runs) > 1 || t.State != quetzalwork.TaskActive || !mayStart(p, t) || !mayExtendLeases(w) {
 		return
 	}
 	usual := time.Duration(estimateFactor * float64(expectedRunTime(p, w.Jobs.At(s.Job).Queue, s)))
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -149,6 +149,9 @@
 	// longer time.
 	OfferedLoad, OfferedLoadLong float64
 	OfferedLoadAt                quetzalunit.Instant
+	// RunNumbersExhausted reports whether a task has no run number left in this term of the
+	// dispatcher.
+	RunNumbersExhausted bool
 	// ShortOfCapacity reports whether the pool's work wants more cores than its usable minions have.
 	ShortOfCapacity bool
 	// RunTimeStats has the measured run times of each queue's tasks.
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -101,6 +101,8 @@
 	// CreatedOccurrences is the number of occurrences created so far, CompletedOccurrences the
 	// number of those that are done.
 	CreatedOccurrences, CompletedOccurrences quetzalunit.Occurrence
+	// OccurrencesDeferred reports whether due occurrences wait until earlier ones are finished.
+	OccurrencesDeferred bool
 	// Progress is what a later dispatcher must know of the job's tasks.
 	Progress Progress
 	// ObjectiveAt is the instant after which the job counts as late. It is recomputed when runs
