Let the later occurrences of a test come due after the stored failures

TestFailuresCountForTheirOwnOccurrence created all occurrences before the failures were known and so passed without the filter. It fails without it now.

--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -318,11 +318,11 @@
 	row := accepted(testJob, oldDuty)
 	content, ok := row.Content.(quetzalwork.AcceptedJob)
 	require.True(t, ok)
-	content.Spec.Occurrences, content.Spec.FirstAt, content.Spec.Interval = 3, 0, time.Second
+	content.Spec.Occurrences, content.Spec.FirstAt, content.Spec.Interval = 3, quetzalunit.InstantOf(time.Unix(1000, 0)), 4*time.Second
 	row.Content = content
 	d := newDispatcher(t, row, progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning, Failures: []quetzalwork.TaskFailure{{Run: 50 << 10}}}))
 	d.answerPoll = d.idle
-	d.run(8 * time.Second)
+	d.run(9 * time.Second)
 	failures := make(map[quetzalunit.Occurrence]quetzalunit.Failures)
 	for _, task := range d.w.Tasks.All() {
 		failures[d.w.Steps.At(task.Step).Occurrence] = task.Failures
