Settle cancelled jobs and unforwardable requests truthfully

Cause, found by reading: a job that was cancelled while its row was being written was answered as cancelled, but its row stayed open: an entry that took it over ran it. A cancellation between two attempts told the caller that the request had not run though it may have. A forwarded request at the head of a lane in a zone without usable hosts stopped the whole lane.

Change: a cancellation waits for the write and ends the job's rows; a request that may have run ends as Unknown; a request that cannot be forwarded again is refused at once.

Result: TestCancelledJobIsStoredAsEnded, TestCancelBetweenAttemptsIsUnknownIfTheRequestMayHaveRun and TestForwardedRequestDoesNotHoldUpItsLane fail without the change.

--- a/quetzalcore/quetzalfleet/request.go
+++ b/quetzalcore/quetzalfleet/request.go
@@ -97,6 +97,8 @@
 	Attempts  quetzalunit.Attempts
 	// Attempt is the attempt in flight in RequestRunning; zero otherwise.
 	Attempt Row
+	// CancelRequested is set when the request was cancelled while the write of its job was in flight.
+	CancelRequested bool
 	// MayHaveRun is set once an attempt was sent and ended without an answer.
 	MayHaveRun bool
 	// LastHost is the host of the last attempt. The next attempt avoids it if another
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -336,7 +336,7 @@
 	row := accepted(testJob, testToken)
 	content, ok := row.Content.(quetzalwork.AcceptedJob)
 	require.True(t, ok)
-	content.Spec.Occurrences, content.Spec.Steps[0].TaskCount = 1 << 30, 6000
+	content.Spec.Occurrences, content.Spec.Steps[0].TaskCount = 1<<30, 6000
 	row.Content = content
 	d := newDispatcher(t)
 	d.answerPoll = d.idle
--- a/quetzalcore/quetzalsystem/attempt.go
+++ b/quetzalcore/quetzalsystem/attempt.go
@@ -90,7 +90,7 @@
 		requeueRefused(w, a.Request)
 	case quetzalfleet.NotSent:
 		if a.Cancelled {
-			finishRequest(w, a.Request, quetzalfleet.Cancelled{})
+			finishRequest(w, a.Request, cancelledOutcome(r))
 			return
 		}
 		if !scheduleRetry(w, a.Request, a.Host) {
--- a/quetzalcore/quetzalsystem/forward.go
+++ b/quetzalcore/quetzalsystem/forward.go
@@ -71,18 +71,19 @@
 }
 
 // forwardLane forwards the requests of one lane to random peers, taking the teams in
-// turn. It stops at a request that was itself forwarded to this entry, because such a
-// request is not forwarded again.
+// turn. A request that was itself forwarded to this entry is refused instead, so that
+// its entry can try another zone.
 func forwardLane(w *quetzalfleet.World, queue quetzalfleet.Row, lane quetzalfleet.Lane, peers []quetzalfleet.Row) {
-	if len(peers) == 0 {
-		scheduleForwardRetry(w, w.Queues.At(queue).Pool)
-		return
-	}
 	q := w.Queues.At(queue)
 	for n := len(q.Lanes[lane]); n > 0; n = len(q.Lanes[lane]) {
 		fifoRow := q.Lanes[lane][0]
 		row := w.TeamFIFOs.At(fifoRow).Head
-		if w.Requests.At(row).Forwarded {
+		if r := w.Requests.At(row); r.Forwarded {
+			finishRequest(w, row, unforwardableOutcome(r))
+			continue
+		}
+		if len(peers) == 0 {
+			scheduleForwardRetry(w, q.Pool)
 			return
 		}
 		peer := peers[w.Rand().IntN(len(peers))]
@@ -102,6 +103,14 @@
 	}
 }
 
+// unforwardableOutcome returns the outcome of a forwarded request that no host of the zone can run.
+func unforwardableOutcome(r *quetzalfleet.Request) quetzalfleet.Outcome {
+	if r.MayHaveRun {
+		return quetzalfleet.Unknown{Reason: quetzalfleet.ConnectionBroken}
+	}
+	return quetzalfleet.NotRun{Reason: quetzalfleet.NoHost, RetryAfter: refusedRetryAfter}
+}
+
 // scheduleForwardRetry schedules another dispatch of a pool, unless one is scheduled.
 func scheduleForwardRetry(w *quetzalfleet.World, pool quetzalfleet.Row) {
 	p := w.Pools.At(pool)
--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -42,6 +42,10 @@
 		finishRequest(w, row, quetzalfleet.NotRun{Reason: quetzalfleet.ClaimUnavailable, RetryAfter: time.Second})
 		return
 	}
+	if r.CancelRequested {
+		finishRequest(w, row, cancelledOutcome(r))
+		return
+	}
 	writeJob(w, row, quetzalfleet.JobAccepted)
 }
 
@@ -92,6 +96,10 @@
 	r := w.Requests.At(row)
 	r.JobRevision, r.ClaimRevision = rev, rev
 	r.JobSent = s == quetzalfleet.JobSent
+	if r.CancelRequested {
+		finishRequest(w, row, cancelledOutcome(r))
+		return
+	}
 	acceptCallers(w, row)
 	enqueue(w, row, r.JobSent)
 }
@@ -354,6 +362,10 @@
 		return
 	}
 	r.Work = object.Object
+	if r.CancelRequested {
+		finishRequest(w, row, cancelledOutcome(r))
+		return
+	}
 	enqueue(w, row, false)
 }
 
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -250,7 +250,7 @@
 	switch r.State {
 	case quetzalfleet.RequestQueued, quetzalfleet.RequestAwaitingRetry, quetzalfleet.RequestClaiming,
 		quetzalfleet.RequestJoining, quetzalfleet.RequestStoring:
-		finishRequest(w, row, quetzalfleet.Cancelled{})
+		finishRequest(w, row, cancelledOutcome(r))
 	case quetzalfleet.RequestRunning:
 		if r.Idempotent && r.ClaimExempt {
 			cancelRunningAttempt(w, row)
@@ -284,10 +284,24 @@
 	case quetzalfleet.RequestRunning:
 		addCaller(w, row, in.Caller)
 		cancelRunningAttempt(w, row)
+	case quetzalfleet.RequestStoring:
+		// The write in flight may store the job or mark it as sent. Only its result shows which
+		// revision of the rows the outcome must replace.
+		addCaller(w, row, in.Caller)
+		r.CancelRequested = true
 	default:
-		finishRequest(w, row, quetzalfleet.Cancelled{})
-		answerCaller(w, in.Caller, in.ID, quetzalfleet.Cancelled{})
+		addCaller(w, row, in.Caller)
+		finishRequest(w, row, cancelledOutcome(r))
+	}
+}
+
+// cancelledOutcome returns the outcome of a request that is cancelled while it has no attempt in
+// flight.
+func cancelledOutcome(r *quetzalfleet.Request) quetzalfleet.Outcome {
+	if r.MayHaveRun {
+		return quetzalfleet.Unknown{Reason: quetzalfleet.ConnectionBroken}
 	}
+	return quetzalfleet.Cancelled{}
 }
 
 // expireRequest ends a request at its deadline, unless it is running or being stored.
--- a/quetzalcore/quetzalsystem/singleentry_test.go
+++ b/quetzalcore/quetzalsystem/singleentry_test.go
@@ -311,3 +311,71 @@
 	}
 	require.Fail(t, "no view")
 }
+
+// answers returns the outcomes that a caller got in the last tick.
+func (s *singleEntry) answers(caller quetzalunit.CallerID) []quetzalfleet.Outcome {
+	var outcomes []quetzalfleet.Outcome
+	for _, c := range s.commands {
+		if a, ok := c.(quetzalfleet.AnswerCaller); ok && a.Caller == caller {
+			outcomes = append(outcomes, a.Outcome)
+		}
+	}
+	return outcomes
+}
+
+// A job is cancelled while the transaction that stores it is in flight. It must be answered as
+// cancelled only with its rows in their final state: otherwise an entry that takes the job over
+// later runs it.
+func TestCancelledJobIsStoredAsEnded(t *testing.T) {
+	s := newSingleEntry(t)
+	s.scan(append(fleetRows(), rosterRow(self))...)
+	in := request("job", false)
+	in.Async, in.Timeout, in.Caller = true, time.Hour, 1
+	s.tick(time.Millisecond, in)
+	for _, c := range s.commands {
+		if put, ok := c.(quetzalfleet.PutObject); ok {
+			s.tick(0, quetzalfleet.StoreAnswered{Call: put.Call, Result: quetzalfleet.ObjectStored{}})
+			break
+		}
+	}
+	write := s.waitForWrite(quetzalfleet.TableJobs)
+	s.tick(time.Millisecond, quetzalfleet.CancelRequested{Caller: 2, ID: "job"})
+	require.Empty(t, s.answers(2), "the job may be stored yet")
+	s.commit(write)
+	require.Equal(t, []quetzalfleet.Outcome{quetzalfleet.Cancelled{}}, s.answers(2))
+	ended := s.waitForWrite(quetzalfleet.TableJobs).Transaction.Writes[0].Row.(quetzalfleet.JobRow)
+	require.Equal(t, quetzalfleet.JobEnded, ended.State)
+	require.Zero(t, s.w.Attempts.Len())
+}
+
+// A request may have run before it is cancelled between two attempts. Its caller must not be told
+// that it was cancelled before it ran.
+func TestCancelBetweenAttemptsIsUnknownIfTheRequestMayHaveRun(t *testing.T) {
+	s := newSingleEntry(t)
+	s.scan(append(fleetRows(), rosterRow(self))...)
+	in := request("q~1", true)
+	in.ClaimExempt, in.Caller, in.Timeout = true, 1, time.Hour
+	s.tick(time.Millisecond, in)
+	for row := range s.w.Attempts.All() {
+		s.tick(time.Millisecond, quetzalfleet.AttemptEnded{Attempt: row, Result: quetzalfleet.ConnectionFailed{}})
+		break
+	}
+	s.tick(0, quetzalfleet.CancelRequested{Caller: 2, ID: "q~1"})
+	require.Len(t, s.answers(2), 1)
+	require.IsType(t, quetzalfleet.Unknown{}, s.answers(2)[0])
+}
+
+// No host of the zone accepts work. A request that another zone has forwarded to this entry is not
+// forwarded again; it must be refused at once, or it would hold up every request behind it.
+func TestForwardedRequestDoesNotHoldUpItsLane(t *testing.T) {
+	s := newSingleEntry(t)
+	s.scan(append(fleetRows(), rosterRow(self))...)
+	for _, h := range s.w.Hosts.All() {
+		h.EjectedUntil = s.w.Now.Add(time.Hour)
+	}
+	in := request("job", false)
+	in.Forwarded, in.ClaimExempt, in.Caller = true, true, 1
+	s.tick(time.Millisecond, in)
+	require.Len(t, s.answers(1), 1)
+	require.IsType(t, quetzalfleet.NotRun{}, s.answers(1)[0])
+}
