Bound the processor time of placement under overload

Cause: each tick ranked, sorted and tried every waiting step of a pool, and at the peak nearly every tick brings the end of a run.

Change: steps whose objective is out of reach are kept apart, in placement order, and only 32 of them that fit nowhere are tried in a pass; passes are up to 20 ms apart when many steps are ready; needs that are known to fit nowhere are checked first.

Unfinished jobs no longer count as in time in this measure.

--- a/quetzalcore/quetzalscheduler/backlog.go
+++ b/quetzalcore/quetzalscheduler/backlog.go
@@ -26,6 +26,11 @@
 				b.Waiting += s.Waiting
 			}
 		}
+		for _, late := range p.LateSteps {
+			if s := w.Steps.At(late.Step); s != nil && s.Late {
+				b.Waiting += s.Waiting
+			}
+		}
 		for _, row := range p.Minions {
 			m := w.Minions.At(row)
 			b.Running += quetzalunit.Tasks(len(m.Runs))
--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -145,6 +145,9 @@
 	for _, row := range p.ReadySteps {
 		addLabel(w.Steps.At(row))
 	}
+	for _, late := range p.LateSteps {
+		addLabel(w.Steps.At(late.Step))
+	}
 	for _, row := range p.Minions {
 		for _, run := range w.Minions.At(row).Runs {
 			addLabel(w.Steps.At(w.Tasks.At(w.Runs.At(run).Task).Step))
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -175,7 +175,7 @@
 	return true
 }
 
-// enqueueStep adds a step to its pool's ReadySteps if it is runnable and has waiting tasks, and
+// enqueueStep adds a step to its pool's ready steps if it is runnable and has waiting tasks, and
 // requests a placement pass.
 func enqueueStep(w *quetzalwork.World, stepRow quetzalwork.Row) {
 	s := w.Steps.At(stepRow)
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -141,7 +141,7 @@
 	for _, p := range w.Pools.All() {
 		// Tasks may have waited for this read: for new minions, or for leases that could not be
 		// extended during an outage of the store.
-		p.NeedsPlacement = p.NeedsPlacement || len(p.ReadySteps) > 0
+		p.NeedsPlacement = p.NeedsPlacement || len(p.ReadySteps)+len(p.LateSteps) > 0
 		if p.Held && !p.PredecessorWorkKnown && in.SentAt > p.HeldSince {
 			updatePredecessorEnd(w, p)
 		}
@@ -513,7 +513,7 @@
 	for _, minionRow := range p.Minions {
 		resetMinion(w, minionRow)
 	}
-	p.Held, p.JobsLoaded, p.ReadySteps, p.StoreProgressInFlight = false, false, nil, false
+	p.Held, p.JobsLoaded, p.ReadySteps, p.LateSteps, p.StoreProgressInFlight = false, false, nil, nil, false
 	p.ChangedJobs.Take()
 }
 
--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -16,7 +16,8 @@
 // estimates are far off, and occasional stragglers.
 type peakScenario struct {
 	*fleet
-	rng *rand.Rand
+	rng  *rand.Rand
+	kind peakKind
 	// runTimes are the true run times of the steps of each job, submittedAt the instants of
 	// submission.
 	runTimes    map[quetzalunit.JobID][]time.Duration
@@ -26,22 +27,65 @@
 const (
 	peakStretch        = 1.6
 	peakTarget         = 600 * time.Millisecond
-	peakRunTime        = 540 * time.Millisecond
-	peakTaskCores      = 3100
 	peakMinionCores    = 32000
+	peakMinionMemory   = 128 << 10
 	peakStepTasks      = 8
 	peakStragglerShare = 0.03
 )
 
+// peakKind is a kind of job: the mean run time, cores and memory of its tasks, and the spread of the
+// cores and the memory between steps.
+type peakKind struct {
+	runTime                  time.Duration
+	cores                    quetzalunit.MilliCores
+	memory                   quetzalunit.Megabytes
+	coreSpread, memorySpread float64
+}
+
+var (
+	// smallTasks are short and all alike. largeTasks fill a third of a minion each, with its cores or
+	// its memory.
+	smallTasks = peakKind{runTime: 540 * time.Millisecond, cores: 3100, memory: 9000}
+	largeTasks = peakKind{runTime: 1400 * time.Millisecond, cores: 9700, memory: 36000, coreSpread: 0.45, memorySpread: 0.6}
+)
+
+// resources returns the resources of the tasks of one step.
+func (k *peakKind) resources(p *peakScenario) quetzalunit.Resources {
+	if k.coreSpread == 0 {
+		return quetzalunit.Resources{Cores: k.cores, Memory: k.memory}
+	}
+	return quetzalunit.Resources{
+		Cores:  min(29000, quetzalunit.MilliCores(float64(k.cores)*p.lognormal(k.coreSpread))),
+		Memory: min(110000, quetzalunit.Megabytes(float64(k.memory)*p.lognormal(k.memorySpread))),
+	}
+}
+
+// work returns the mean work of a job in minion seconds: each task occupies its larger share of a
+// minion's cores and memory.
+func (k *peakKind) work() float64 {
+	p := &peakScenario{rng: rand.New(rand.NewPCG(3, 4))}
+	const samples, steps = 10000, 1.6
+	share := 0.0
+	for range samples {
+		r := k.resources(p)
+		share += max(float64(r.Cores)/peakMinionCores, float64(r.Memory)/peakMinionMemory) / samples
+	}
+	return steps * peakStepTasks * share * k.runTime.Seconds() * math.Exp(0.5*0.5/2) * (1 + 6*peakStragglerShare)
+}
+
 func newPeakScenario(minions int) *peakScenario {
+	return newPeakScenarioOf(smallTasks, minions)
+}
+
+func newPeakScenarioOf(kind peakKind, minions int) *peakScenario {
 	cfg := testConfig()
 	cfg.Queues[0].Stretch, cfg.Queues[0].TargetDuration = peakStretch, peakTarget
 	p := &peakScenario{
-		fleet: newFleet(1, threeZones[:1], 1, minions, cfg), rng: rand.New(rand.NewPCG(1, 2)),
+		kind: kind, fleet: newFleet(1, threeZones[:1], 1, minions, cfg), rng: rand.New(rand.NewPCG(1, 2)),
 		runTimes: make(map[quetzalunit.JobID][]time.Duration), submittedAt: make(map[quetzalunit.JobID]quetzalunit.Instant),
 	}
 	for _, m := range p.order {
-		m.record.Capacity = quetzalunit.Resources{Cores: peakMinionCores, Memory: 128 << 10}
+		m.record.Capacity = quetzalunit.Resources{Cores: peakMinionCores, Memory: peakMinionMemory}
 		m.publish(false)
 	}
 	p.runTime = func(t quetzalwork.TaskID) time.Duration {
@@ -63,9 +107,7 @@
 
 // submitLoad submits jobs for d at a rate at which they need load times the capacity of the pool.
 func (p *peakScenario) submitLoad(load float64, d time.Duration) {
-	const steps = 1.6
-	jobWork := steps * peakStepTasks * peakTaskCores * peakRunTime.Seconds() * math.Exp(0.5*0.5/2) * (1 + 6*peakStragglerShare)
-	n := int(load * d.Seconds() * float64(len(p.order)) * peakMinionCores / jobWork)
+	n := int(load * d.Seconds() * float64(len(p.order)) / p.kind.work())
 	for i := range n {
 		p.submitJob(1 + (i*3%5)/2)
 		p.run(d / time.Duration(n))
@@ -76,9 +118,9 @@
 	var runTimes []time.Duration
 	var specs []quetzalwork.StepSpec
 	for i := range min(steps, 2) {
-		runTime := time.Duration(float64(peakRunTime) * p.lognormal(0.5))
+		runTime := time.Duration(float64(p.kind.runTime) * p.lognormal(0.5))
 		spec := quetzalwork.StepSpec{
-			TaskCount: peakStepTasks, Resources: quetzalunit.Resources{Cores: peakTaskCores, Memory: 9000}, Estimate: time.Duration(float64(runTime) * p.lognormal(0.9)),
+			TaskCount: peakStepTasks, Resources: p.kind.resources(p), Estimate: time.Duration(float64(runTime) * p.lognormal(0.9)),
 			Speculative: p.rng.Float64() < 0.3,
 		}
 		if i > 0 {
@@ -94,6 +136,7 @@
 // that took at most three times their objective.
 func (p *peakScenario) shareInTime() (met, withinTriple float64) {
 	ends := make(map[quetzalunit.JobID]quetzalunit.Instant)
+	done := make(map[quetzalunit.JobID]int)
 	paths := make(map[quetzalunit.JobID]time.Duration)
 	for id, runTimes := range p.runTimes {
 		for step := range runTimes {
@@ -104,6 +147,7 @@
 					if r.over && r.end == quetzalwork.OutcomeDone {
 						longest = max(longest, r.endedAt.Sub(r.startedAt))
 						ends[id] = max(ends[id], r.endedAt)
+						done[id]++
 						break
 					}
 				}
@@ -112,6 +156,9 @@
 		}
 	}
 	for id, sent := range p.submittedAt {
+		if done[id] < len(p.runTimes[id])*peakStepTasks {
+			continue // unfinished
+		}
 		objective := time.Duration(peakStretch*float64(paths[id])) + peakTarget
 		took := ends[id].Sub(sent)
 		if took <= objective {
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -30,51 +30,112 @@
 	slowdownPenalty = 2.0
 	// slowdownThreshold is the slowdown up to which minions are treated as equally fast.
 	slowdownThreshold = 1.4
+	// placementIntervalPerStep times the number of ready steps is the time between two placement
+	// passes, up to maxPlacementInterval. A pass needs about 0.2 µs for a step that fits nowhere, so
+	// that passes use about a hundredth of a core.
+	placementIntervalPerStep = 20 * time.Microsecond
+	maxPlacementInterval     = 20 * time.Millisecond
+	// maxLateMisfits is the number of late steps without a fitting minion after which a pass ends.
+	maxLateMisfits = 32
 )
 
-// placeTasks places the waiting tasks of the pools that have NeedsPlacement set.
+// placeTasks places the waiting tasks of the pools that have NeedsPlacement set. In a pool with many
+// ready steps, the passes are at least placementInterval apart.
 func placeTasks(w *quetzalwork.World) {
 	for row, p := range w.Pools.All() {
 		if !p.NeedsPlacement || !p.Held || !p.JobsLoaded || !mayExtendLeases(w) {
 			continue
 		}
 		p.NeedsPlacement = false
+		if next := p.PlacedAt.Add(placementInterval(p)); w.Now < next {
+			schedulePlacement(w, row, next)
+			continue
+		}
+		p.PlacedAt = w.Now
 		placePool(w, row)
 	}
 }
 
+// placementInterval returns the time between two placement passes. At its peak a large pool has
+// thousands of ready steps, and a run ends in nearly every tick. A pass in each tick would need more
+// processor time than the entry has.
+func placementInterval(p *quetzalwork.Pool) time.Duration {
+	return min(maxPlacementInterval, time.Duration(len(p.ReadySteps))*placementIntervalPerStep)
+}
+
+// schedulePlacement sets the timer for the next placement pass of a pool unless it is set for an
+// earlier instant.
+func schedulePlacement(w *quetzalwork.World, poolRow quetzalwork.Row, at quetzalunit.Instant) {
+	if p := w.Pools.At(poolRow); p.NextPlacementAt == 0 || at < p.NextPlacementAt {
+		p.NextPlacementAt = at
+		w.Timers.Push(at, quetzalwork.PlacementDue{Pool: poolRow})
+	}
+}
+
 // placePool places the waiting tasks of a pool in the order of their rank. It sets a timer for
 // the earliest instant at which a task that was not placed may be tried again.
 func placePool(w *quetzalwork.World, poolRow quetzalwork.Row) {
 	p := w.Pools.At(poolRow)
-	predecessorWorkUnknown := !knowsPredecessorWork(w, poolRow)
-	var retryAt quetzalunit.Instant
-	if predecessorWorkUnknown {
-		retryAt = p.PredecessorLeasesEnd
+	pass := placementPass{w: w, pool: p, fc: freeCapacityOf(w, p), predecessorWorkUnknown: !knowsPredecessorWork(w, poolRow)}
+	if pass.predecessorWorkUnknown {
+		pass.retryAt = p.PredecessorLeasesEnd
 	}
 	rankSteps(w, p)
-	fc := freeCapacityOf(w, p)
 	for _, row := range p.ReadySteps {
-		s := w.Steps.At(row)
-		if s == nil {
-			continue
-		}
-		if predecessorWorkUnknown && w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(p.Token) {
-			continue
-		}
-		if at := placeStep(w, p, fc, row); at != 0 && (retryAt == 0 || at < retryAt) {
-			retryAt = at
-		}
-		if !p.Held {
-			return
-		}
+		pass.place(row)
 	}
-	if retryAt > w.Now && (p.NextPlacementAt == 0 || retryAt < p.NextPlacementAt) {
-		p.NextPlacementAt = retryAt
-		w.Timers.Push(retryAt, quetzalwork.PlacementDue{Pool: poolRow})
+	pass.placeLateSteps()
+	if pass.retryAt > w.Now {
+		schedulePlacement(w, poolRow, pass.retryAt)
 	}
 }
 
+// placementPass places the tasks of one pool within one tick.
+type placementPass struct {
+	w    *quetzalwork.World
+	pool *quetzalwork.Pool
+	fc   *freeCapacity
+	// predecessorWorkUnknown excludes the jobs that were stored before the takeover.
+	predecessorWorkUnknown bool
+	// retryAt is the earliest instant at which a task that was not placed may be tried again; zero
+	// if there is none.
+	retryAt quetzalunit.Instant
+}
+
+// place places tasks of a step and reports whether it placed any.
+func (pass *placementPass) place(row quetzalwork.Row) bool {
+	s := pass.w.Steps.At(row)
+	if s == nil || pass.predecessorWorkUnknown && pass.w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(pass.pool.Token) {
+		return false
+	}
+	waiting := s.Waiting
+	if at := placeStep(pass.w, pass.pool, pass.fc, row); at != 0 && (pass.retryAt == 0 || at < pass.retryAt) {
+		pass.retryAt = at
+	}
+	return s.Waiting < waiting
+}
+
+// placeLateSteps places late steps until maxLateMisfits of them did not fit.
+func (pass *placementPass) placeLateSteps() {
+	misfits := 0
+	pass.pool.LateSteps = slices.DeleteFunc(pass.pool.LateSteps, func(late quetzalwork.LateStep) bool {
+		if misfits == maxLateMisfits {
+			return false
+		}
+		s := pass.w.Steps.At(late.Step)
+		switch {
+		case s == nil || !s.Late:
+			return true
+		case s.Waiting == 0 || pass.w.Jobs.At(s.Job).State.Final():
+			s.Enqueued, s.Late = false, false
+			return true
+		case !pass.place(late.Step):
+			misfits++
+		}
+		return false
+	})
+}
+
 // knowsPredecessorWork reports whether all work that earlier dispatchers started is known. What
 // runs on a minion is known once it has answered a poll with this process's token, or once no
 // earlier dispatcher can have kept a lease on it. The outcome of runs that ended and were
@@ -117,6 +178,9 @@
 	if s.Spec.Gang {
 		return placeGang(w, p, fc, stepRow)
 	}
+	if fc.knownMisfit(needsOf(s.Spec)) {
+		return 0
+	}
 	retryAt := remoteAllowedAt(w, p, fc, s)
 	if w.Now < retryAt {
 		fc = fc.inRack(w, s.Spec.DataRack)
--- a/quetzalcore/quetzalscheduler/rank.go
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -60,8 +60,9 @@
 	}
 }
 
-// rankSteps sorts the ready steps of a pool into placement order and removes those that have
-// nothing to place. The order hardly changes between two ticks, which makes sorting cheap.
+// rankSteps sorts the ready steps of a pool into placement order, removes those that have nothing to
+// place, and moves those whose objective is out of reach to the late steps. The order hardly
+// changes between two ticks, which makes sorting cheap.
 func rankSteps(w *quetzalwork.World, p *quetzalwork.Pool) {
 	p.ReadySteps = slices.DeleteFunc(p.ReadySteps, func(row quetzalwork.Row) bool {
 		s := w.Steps.At(row)
@@ -72,7 +73,10 @@
 			s.Enqueued = false
 			return true
 		}
-		rankStep(w, p, s)
+		if rankStep(w, p, s); s.Rank.ObjectiveUnreachable {
+			addLateStep(p, row, s)
+			return true
+		}
 		return false
 	})
 	slices.SortFunc(p.ReadySteps, func(a, b quetzalwork.Row) int {
@@ -80,6 +84,29 @@
 	})
 }
 
+// addLateStep inserts a step into the late steps of its pool. Under overload these are many and are
+// rarely placed, so they keep their order instead of being ranked in each pass.
+func addLateStep(p *quetzalwork.Pool, row quetzalwork.Row, s *quetzalwork.Step) {
+	s.Late = true
+	late := quetzalwork.LateStep{Step: row, Rank: s.Rank}
+	i, _ := slices.BinarySearchFunc(p.LateSteps, late, func(a, b quetzalwork.LateStep) int {
+		return cmp.Or(compareRanks(&a.Rank, &b.Rank), cmp.Compare(a.Step, b.Step))
+	})
+	p.LateSteps = slices.Insert(p.LateSteps, i, late)
+}
+
+// restoreLateSteps returns the late steps of a job to the ready steps, because its objective has
+// been extended.
+func restoreLateSteps(w *quetzalwork.World, j *quetzalwork.Job) {
+	p := w.Pools.At(j.Pool)
+	for _, row := range j.Steps {
+		if s := w.Steps.At(row); s.Late {
+			s.Late = false
+			p.ReadySteps = append(p.ReadySteps, row)
+		}
+	}
+}
+
 // rankStep updates the rank of a step. The run time of its critical path is cached for
 // maxCriticalPathAge, not computed in every pass.
 func rankStep(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step) {
@@ -166,7 +193,11 @@
 			longest = max(longest, observedCriticalPath(w, p, j, s))
 		}
 	}
+	before := j.ObjectiveAt
 	j.ObjectiveAt = j.FirstSeenAt.Add(time.Duration(q.Stretch*float64(longest)) + q.TargetDuration)
+	if j.ObjectiveAt > before {
+		restoreLateSteps(w, j)
+	}
 }
 
 // recordRunTime updates the mean run times of the step and the queue, and the slowdown of the
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -114,8 +114,14 @@
 	PredecessorLeasesEnd quetzalunit.Instant
 	// Minions are the pool's minions.
 	Minions []Row
-	// ReadySteps are the runnable steps with waiting tasks. Each placement pass sorts them by rank.
+	// ReadySteps are the runnable steps with waiting tasks whose jobs can still meet their
+	// objectives. Each placement pass sorts them by rank.
 	ReadySteps []Row
+	// LateSteps are the other runnable steps with waiting tasks, in placement order. An entry is
+	// obsolete if its step no longer has Late set.
+	LateSteps []LateStep
+	// PlacedAt is the instant of the last placement pass.
+	PlacedAt quetzalunit.Instant
 	// ChangedJobs are the jobs whose progress has changed and is to be stored.
 	ChangedJobs quetzaltable.Set
 	// StoreProgressInFlight reports whether a transaction that stores progress is in flight.
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -157,8 +157,9 @@
 	Runnable bool
 	// RunnableAt is when Runnable became true.
 	RunnableAt quetzalunit.Instant
-	// Enqueued reports whether the step is in the pool's ReadySteps.
-	Enqueued bool
+	// Enqueued reports whether the step is in the pool's ReadySteps or LateSteps, Late whether it is
+	// in LateSteps.
+	Enqueued, Late bool
 	// Rank orders the step within this list.
 	Rank Rank
 	// RunsPerMinion counts the active runs on each minion. It is maintained only if the step limits
@@ -179,7 +180,8 @@
 type Rank struct {
 	// LongRunning steps come first: such a task is out of service as long as it waits.
 	LongRunning bool
-	// ObjectiveUnreachable steps come last: their jobs cannot meet their objectives any more.
+	// ObjectiveUnreachable steps come last, as LateSteps of the pool: their jobs cannot meet their
+	// objectives any more.
 	ObjectiveUnreachable bool
 	Priority             quetzalunit.Priority
 	// LatestStart is the latest instant at which the step can start without delaying its job beyond
@@ -191,6 +193,13 @@
 	CriticalPathAt quetzalunit.Instant
 }
 
+// LateStep is a step whose job cannot meet its objective any more, with the rank that it had when
+// this became known.
+type LateStep struct {
+	Step Row
+	Rank Rank
+}
+
 // Advice is the advisor's last answer for a step, and the state of the next request.
 type Advice struct {
 	// RequestInFlight reports whether a request to the advisor is in flight.
