--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -30,9 +30,10 @@
 	slowdownPenalty = 2.0
 	// slowdownThreshold is the slowdown up to which minions are treated as equally fast.
 	slowdownThreshold = 1.4
-	// placementIntervalPerStep times the number of ready steps is the time between two placement
-	// passes, up to maxPlacementInterval. A pass needs about 0.2 µs for a step that fits nowhere, so
+	// From minSpacedSteps on, placementIntervalPerStep times the number of ready steps is the time
+	// between two placement passes, up to maxPlacementInterval. A pass needs about 0.2 µs for a step that fits nowhere, so
 	// that passes use about a hundredth of a core.
+	minSpacedSteps           = 32
 	placementIntervalPerStep = 20 * time.Microsecond
 	maxPlacementInterval     = 20 * time.Millisecond
 	// maxLateMisfits is the number of late steps without a fitting minion after which a pass ends.
@@ -60,6 +61,9 @@
 // thousands of ready steps, and a run ends in nearly every tick. A pass in each tick would need more
 // processor time than the entry has.
 func placementInterval(p *quetzalwork.Pool) time.Duration {
+	if len(p.ReadySteps) < minSpacedSteps {
+		return 0
+	}
 	return min(maxPlacementInterval, time.Duration(len(p.ReadySteps))*placementIntervalPerStep)
 }
 
