Sum up hosts, moves and waves once for each pass of the host controller

Cause: each search for a host scanned all moves, waves and hosts for each candidate, so that a pass at the peak grew with their product: 1,100 hosts, a wave of 517 and hundreds of moves on the large site.

Change: hostPlan holds the sums of one pass and is updated by it; each candidate is considered once.

--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -25,6 +25,7 @@
 //	pace.go         slowing of best-effort tasks next to tasks that serve requests
 //	demand.go       capacity that a pool's work could use, hosts that the pool could give away
 //	move.go         moves of hosts to the pools with waiting work
+//	hostplan.go     sums over hosts, moves and waves for one pass of the host controller
 //	hostcontrol.go  the host controller's duty, whose holder gives orders to hosts
 //	wave.go         maintenance waves
 //	stop.go         planned stop
--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -133,12 +133,15 @@
 		c.HostsReadInFlight = true
 		w.Emit(quetzalwork.ListHosts{})
 	}
+	advanceMoves(w)
+	requestLoads(w)
+	plan := newHostPlan(w)
 	if c.WavesLoaded {
 		for row := range w.Waves.All() {
-			advanceWave(w, row)
+			advanceWave(w, plan, row)
 		}
 	}
-	balanceHosts(w)
+	balanceHosts(w, plan)
 }
 
 // handleHosts updates the table of hosts to the list that was read.
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -80,30 +80,28 @@
 }
 
 // balanceHosts moves hosts to the pools with waiting work, and idle ones back to a spare pool.
-func balanceHosts(w *quetzalwork.World) {
-	advanceMoves(w)
-	requestLoads(w)
+func balanceHosts(w *quetzalwork.World, plan *hostPlan) {
 	if !mayOrder(w) {
 		return
 	}
 	pools := loadedPools(w)
 	for _, p := range pools {
-		moveLabeledHosts(w, p, pools)
-		for range missingHosts(w, p) {
-			host, from := findHostFor(w, p, pools, "")
+		moveLabeledHosts(w, plan, p, pools)
+		for range plan.missingHosts(p) {
+			host, from := plan.findHostFor(w, p, pools, "")
 			if host == "" {
-				logShortage(w, p)
+				logShortage(w, plan, p)
 				break
 			}
-			beginMove(w, host, from, p.ID, "Demand")
+			beginMove(w, plan, host, from, p.ID, "Demand")
 		}
 	}
-	returnIdle(w, pools)
+	returnIdle(w, plan, pools)
 }
 
 // moveLabeledHosts moves a host to a pool for each required label that too few of the pool's
 // minions have, unless a host with the label is already moving to the pool.
-func moveLabeledHosts(w *quetzalwork.World, p *quetzalwork.Pool, pools []*quetzalwork.Pool) {
+func moveLabeledHosts(w *quetzalwork.World, plan *hostPlan, p *quetzalwork.Pool, pools []*quetzalwork.Pool) {
 	for _, label := range p.Load.MissingLabels {
 		arriving := false
 		for _, m := range w.Moves.All() {
@@ -113,16 +111,16 @@
 		if arriving {
 			continue
 		}
-		if host, from := findHostFor(w, p, pools, label); host != "" {
-			beginMove(w, host, from, p.ID, "Label")
+		if host, from := plan.findHostFor(w, p, pools, label); host != "" {
+			beginMove(w, plan, host, from, p.ID, "Label")
 		}
 	}
 }
 
 // logShortage logs that no host can be moved to a pool that needs one.
-func logShortage(w *quetzalwork.World, p *quetzalwork.Pool) {
+func logShortage(w *quetzalwork.World, plan *hostPlan, p *quetzalwork.Pool) {
 	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartHost, Message: "No host is available for the pool.", Pool: p.ID, Version: int64(missingHosts(w, p)), Age: w.Now.Sub(p.LoadAt),
+		Part: quetzalwork.PartHost, Message: "No host is available for the pool.", Pool: p.ID, Version: int64(plan.missingHosts(p)), Age: w.Now.Sub(p.LoadAt),
 		Reason: fmt.Sprintf("Wanted%dUsable%dHosts%d", p.Load.Wanted, p.Load.Usable, p.Load.UsableHosts), Routine: true,
 	})
 }
@@ -142,125 +140,8 @@
 	return pools
 }
 
-// missingHosts returns the number of hosts that a pool needs in addition to those that it has or
-// that are moving to it.
-func missingHosts(w *quetzalwork.World, p *quetzalwork.Pool) int {
-	size := hostSize(w)
-	if size == 0 {
-		return 0
-	}
-	have := p.Load.Usable
-	for _, m := range w.Moves.All() {
-		if m.To == p.ID {
-			have += size
-		}
-	}
-	if p.Load.Wanted <= have {
-		return 0
-	}
-	return int((p.Load.Wanted - have + size - 1) / size)
-}
-
-// hostSize returns the mean number of millicores of the fleet's hosts, zero without hosts.
-func hostSize(w *quetzalwork.World) quetzalunit.MilliCores {
-	var sum quetzalunit.MilliCores
-	for _, h := range w.Hosts.All() {
-		sum += h.Capacity.Cores
-	}
-	return sum / quetzalunit.MilliCores(max(1, w.Hosts.Len()))
-}
-
-// findHostFor returns a host that can be moved to a pool, and the host's present pool: an idle host
-// that its pool need not keep, or else a spare one. A label that is not empty must be one of the
-// host's. The results are empty when there is no such host.
-func findHostFor(w *quetzalwork.World, to *quetzalwork.Pool, pools []*quetzalwork.Pool, label quetzalunit.Label) (quetzalunit.HostID, quetzalunit.PoolID) {
-	hasLabel := func(id quetzalunit.HostID) bool {
-		h := w.Hosts.At(w.HostByID.Get(id))
-		return label == "" || h != nil && slices.Contains(h.Labels, label)
-	}
-	for i := len(pools) - 1; i >= 0; i-- {
-		p := pools[i]
-		if p == to || needsAllHosts(w, p) {
-			continue
-		}
-		for _, idle := range p.Load.MovableHosts {
-			if hasLabel(idle.Host) && isMovable(w, idle.Host, p.ID) {
-				return idle.Host, p.ID
-			}
-		}
-	}
-	for _, h := range w.Hosts.All() {
-		if p := w.Pools.At(w.PoolByID.Get(h.Pool)); p != nil && p.Spare && hasLabel(h.ID) && isMovable(w, h.ID, h.Pool) {
-			return h.ID, h.Pool
-		}
-	}
-	return "", ""
-}
-
-// needsAllHosts reports whether a pool needs all hosts that it has. Hosts that are about to leave it
-// for a move or a wave do not count as its hosts.
-func needsAllHosts(w *quetzalwork.World, p *quetzalwork.Pool) bool {
-	size := hostSize(w)
-	leaving := 0
-	for _, m := range w.Moves.All() {
-		if m.From == p.ID && (!m.Accepted || p.LoadAt <= m.Since) {
-			leaving++
-		}
-	}
-	leaving += countHostsTakenByWaves(w, p)
-	left := p.Load.UsableHosts - leaving - 1
-	return left < minKeptHosts || quetzalunit.MilliCores(left)*size < p.Load.Wanted || float64(left) < keptHostShare*fairHostCount(w, p)
-}
-
-// countHostsTakenByWaves returns the number of a pool's hosts that waves are about to take.
-func countHostsTakenByWaves(w *quetzalwork.World, p *quetzalwork.Pool) int {
-	n := 0
-	for _, wave := range w.Waves.All() {
-		for i := range wave.Maintenance {
-			s := wave.Maintenance[i].State
-			if s != quetzalwork.MaintenanceEvacuating && s != quetzalwork.MaintenanceOrdered {
-				continue
-			}
-			if h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i])); h != nil && h.Pool == p.ID {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// fairHostCount returns the number of the fleet's hosts that is proportional to a pool's mean
-// demand.
-func fairHostCount(w *quetzalwork.World, p *quetzalwork.Pool) float64 {
-	sum := 0.0
-	for _, other := range w.Pools.All() {
-		sum += other.MeanWanted
-	}
-	if sum == 0 {
-		return 0
-	}
-	return float64(w.Hosts.Len()) * p.MeanWanted / sum
-}
-
-// isMovable reports whether a host may be moved: it is up, listed in the given pool, part of no
-// move, not blocked by a predecessor's recent order, and not being taken by a wave.
-func isMovable(w *quetzalwork.World, id quetzalunit.HostID, pool quetzalunit.PoolID) bool {
-	h := w.Hosts.At(w.HostByID.Get(id))
-	if h == nil || h.State != quetzalwork.HostUp || h.Pool != pool || w.MoveByHost.Get(id) != 0 || w.Now < w.HostController.BlockedUntil[id] {
-		return false
-	}
-	for _, wave := range w.Waves.All() {
-		if i := slices.Index(wave.Hosts, id); i >= 0 && wave.StoredState != quetzalwork.WaveCompleted {
-			if s := wave.Maintenance[i].State; s != quetzalwork.MaintenanceWaiting && s != quetzalwork.MaintenanceDone {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // returnIdle moves hosts that have been idle for maxHostIdleTime to a spare pool.
-func returnIdle(w *quetzalwork.World, pools []*quetzalwork.Pool) {
+func returnIdle(w *quetzalwork.World, plan *hostPlan, pools []*quetzalwork.Pool) {
 	var spare quetzalunit.PoolID
 	for _, p := range w.Pools.All() {
 		if p.Spare {
@@ -272,20 +153,22 @@
 	}
 	for _, p := range pools {
 		for _, idle := range p.Load.MovableHosts {
-			if idle.IdleFor < maxHostIdleTime || needsAllHosts(w, p) {
+			if idle.IdleFor < maxHostIdleTime || plan.needsAllHosts(p) {
 				break
 			}
-			if isMovable(w, idle.Host, p.ID) {
-				beginMove(w, idle.Host, p.ID, spare, "Idle")
+			if plan.isMovable(w, idle.Host, p.ID) {
+				beginMove(w, plan, idle.Host, p.ID, spare, "Idle")
 			}
 		}
 	}
 }
 
 // beginMove adds a move to the table of moves and starts it.
-func beginMove(w *quetzalwork.World, host quetzalunit.HostID, from, to quetzalunit.PoolID, reason string) {
+func beginMove(w *quetzalwork.World, plan *hostPlan, host quetzalunit.HostID, from, to quetzalunit.PoolID, reason string) {
 	row := w.Moves.Insert(quetzalwork.HostMove{Host: host, From: from, To: to, Since: w.Now})
 	w.MoveByHost.Put(host, row)
+	plan.arriving[to]++
+	plan.leaving[from]++
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Message: "The host is being moved to another pool.", Host: host, Pool: to, Version: int64(w.HostController.Token), Reason: reason})
 	advanceMove(w, row)
 }
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -111,7 +111,7 @@
 
 // advanceWave advances the maintenance of a wave's hosts, with at most MaxConcurrent of them active
 // at once, and stores the state of the wave when it changes.
-func advanceWave(w *quetzalwork.World, row quetzalwork.Row) {
+func advanceWave(w *quetzalwork.World, plan *hostPlan, row quetzalwork.Row) {
 	wave := w.Waves.At(row)
 	if wave.StoredState == quetzalwork.WaveCompleted || w.HostController.HostsReadAt <= w.HostController.HeldSince {
 		return
@@ -140,8 +140,9 @@
 	}
 	for _, i := range waveOrder(w, wave) {
 		maintenance := &wave.Maintenance[i]
-		if maintenance.State == quetzalwork.MaintenanceWaiting && active < max(1, wave.MaxConcurrent) && mayOrder(w) && mayTakeWaveHost(w, wave, i) {
+		if maintenance.State == quetzalwork.MaintenanceWaiting && active < max(1, wave.MaxConcurrent) && mayOrder(w) && mayTakeWaveHost(w, plan, wave, i) {
 			maintenance.State, maintenance.Since = quetzalwork.MaintenanceEvacuating, w.Now
+			plan.takeForWave(w, wave.Hosts[i])
 			active++
 		}
 		if maintenance.State == quetzalwork.MaintenanceEvacuating {
@@ -152,7 +153,7 @@
 
 // mayTakeWaveHost reports whether a wave may take a host now. The host must not be part of a move,
 // and its pool must not need it unless neededHostWaitShare of the wave's time limit has passed.
-func mayTakeWaveHost(w *quetzalwork.World, wave *quetzalwork.Wave, i int) bool {
+func mayTakeWaveHost(w *quetzalwork.World, plan *hostPlan, wave *quetzalwork.Wave, i int) bool {
 	h := w.Hosts.At(w.HostByID.Get(wave.Hosts[i]))
 	if h == nil || w.MoveByHost.Get(wave.Hosts[i]) != 0 {
 		return false
@@ -161,7 +162,7 @@
 	if p == nil || p.Spare || w.Now.Sub(wave.FirstSeenAt) > time.Duration(neededHostWaitShare*float64(wave.TimeLimit)) {
 		return true
 	}
-	return !needsAllHosts(w, p)
+	return !plan.needsAllHosts(p)
 }
 
 // waveOrder returns the indexes of a wave's hosts in the order in which the wave takes them: spare
