Let only standbys read the rows of all members and minions

Change: twice as many entries as there are duties, those with the most processor time, may take over duties and read all rows; the others read them every 10 s, and often once a call to a holder fails or a duty is seen without a live holder. Pending jobs are counted only from rows that were read within 3 s.

--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -7,6 +7,7 @@
 //
 //	config.go       configuration in force, routing of paths to queues
 //	member.go       membership of the entries, ownership of the pools' duties
+//	standby.go      entries that may take over duties
 //	submit.go       acceptance of jobs
 //	jobrequest.go   queries and cancellations of callers
 //	peer.go         messages between entries
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -20,6 +20,9 @@
 	list     map[quetzalunit.MinionID]versionedRecord
 	// pageSize is the maximum number of rows in one answer to a full read; zero means no limit.
 	pageSize int
+	// memberReads and minionLists count the reads of the rows of members and of the minion list by
+	// each entry.
+	memberReads, minionLists map[quetzalunit.EntryID]int
 	// compactedThrough is the revision up to which the change history has been compacted.
 	compactedThrough quetzalunit.Revision
 }
@@ -99,6 +102,7 @@
 		cfg := e.config
 		return quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: 1}
 	case quetzalwork.ReadMembers:
+		s.memberReads[e.id]++
 		in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: c.SinceRevision == 0, SeenRevision: s.revision, Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
 		for _, m := range s.members {
 			if m.revision > c.SinceRevision {
@@ -127,6 +131,7 @@
 		}
 		return in
 	case quetzalwork.ListMinions:
+		s.minionLists[e.id]++
 		in := quetzalwork.MinionsListed{Full: c.SinceRevision == 0, SeenRevision: s.revision}
 		for id, m := range s.list {
 			if m.removed && m.revision > c.SinceRevision {
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -12,6 +12,9 @@
 	peerTimeout = 600 * time.Millisecond
 	// maxPendingAge is the maximum age of a cached count of pending jobs.
 	maxPendingAge = 1500 * time.Millisecond
+	// maxPendingReadAge is the maximum age of the dispatcher's last read of the pool's rows for a
+	// count of pending jobs. Without the read, jobs may be missing whose notification was lost.
+	maxPendingReadAge = 3 * time.Second
 	// maxJobRequestAttempts is the maximum number of store reads, store writes or unsuccessful
 	// peer calls for one request.
 	maxJobRequestAttempts = 6
@@ -174,13 +177,13 @@
 
 // queryPending answers with the number of pending jobs of a queue: counted here if this process
 // dispatches the pool, else from the cache, else from the dispatcher. Without a known
-// dispatcher, or while this process still loads the pool, the request expires after
+// dispatcher, or while this process does not know all jobs of the pool, the request expires after
 // submitRetryDelay.
 func queryPending(w *quetzalwork.World, row quetzalwork.Row) {
 	r := w.JobRequests.At(row)
 	p, q := w.Pools.At(r.Pool), w.Queues.At(r.Queue)
 	switch {
-	case p.Held && p.JobsLoaded:
+	case knowsPending(w, p):
 		answerJobRequest(w, row, quetzalwork.PendingJobsAnswer{Pending: countPending(w, r.Pool, q.ID)})
 	case q.PendingAt != 0 && w.Now.Sub(q.PendingAt) < maxPendingAge:
 		answerJobRequest(w, row, quetzalwork.PendingJobsAnswer{Pending: q.Pending})
@@ -191,6 +194,12 @@
 	}
 }
 
+// knowsPending reports whether this process dispatches a pool and has read the pool's rows within
+// maxPendingReadAge.
+func knowsPending(w *quetzalwork.World, p *quetzalwork.Pool) bool {
+	return p.Held && p.JobsLoaded && w.Now.Sub(p.CompletedReadSentAt) < maxPendingReadAge
+}
+
 // countPending counts the unfinished jobs of a queue without a started task.
 func countPending(w *quetzalwork.World, pool quetzalwork.Row, queue quetzalunit.QueueID) quetzalunit.Tasks {
 	var n quetzalunit.Tasks
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -62,7 +62,9 @@
 			Heartbeat: m.Heartbeat, Stopping: w.Stopping, CPUShare: w.Self.CPUShare,
 		}})
 	}
-	readMembers(w)
+	if w.Now.Sub(w.Membership.ReadAt) >= readPeriod(w)-renewPeriod/4 {
+		readMembers(w)
+	}
 	takeOverDuties(w)
 	releaseExhaustedPools(w)
 	rebalanceDuties(w)
@@ -118,7 +120,8 @@
 	m.SeenRevision = in.SeenRevision
 	// No entry can renew while the store does not answer, so after a gap the time without a
 	// renewal is counted anew.
-	gap := w.Now.Sub(m.ReadAt) > maxReadGap
+	gap := w.Now.Sub(m.ReadAt) > m.ReadPeriod+maxReadGap-renewPeriod
+	m.ReadPeriod = readPeriod(w)
 	m.ReadAt, m.ReadSentAt = w.Now, in.SentAt
 	m.Reads++
 	for _, old := range w.Members.All() {
@@ -136,6 +139,7 @@
 	if c := &w.HostController; c.Held && c.Predecessor.Holder != "" && in.SentAt >= c.HeldSince {
 		updateOrdersAllowedFrom(w)
 	}
+	updateStandbys(w)
 	publishRelays(w)
 	takeOverDuties(w)
 	for _, p := range w.Pools.All() {
@@ -348,7 +352,7 @@
 	}
 	lowest := dutiesPerCore(self, dutyCounts[w.Self.Entry])
 	for _, m := range w.Members.All() {
-		if !m.Stopping && isLive(w, m) && m.Heartbeat >= startupHeartbeats {
+		if !m.Stopping && isLive(w, m) && w.Membership.Standbys[m.Entry] && m.Heartbeat >= startupHeartbeats {
 			lowest = min(lowest, rebalanceFactor*dutiesPerCore(m, dutyCounts[m.Entry]+1))
 		}
 	}
@@ -366,7 +370,7 @@
 	}
 }
 
-// bestCandidate returns the live entry that would have the fewest duties per core after taking over
+// bestCandidate returns the live standby that would have the fewest duties per core after taking over
 // one more; ties are broken by a hash, so that all entries agree. An entry that is still starting
 // has its cost multiplied by startupCostFactor: it takes over no duty yet and is worth waiting for
 // only if it has far more cores than the others, as after a restart of all entries. The host
@@ -381,7 +385,7 @@
 	var bestCost float64
 	var bestWeight uint64
 	for _, m := range w.Members.All() {
-		if m.Stopping || !isLive(w, m) {
+		if m.Stopping || !isLive(w, m) || !w.Membership.Standbys[m.Entry] {
 			continue
 		}
 		cost := dutiesPerCore(m, dutyCounts[m.Entry]+1)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -18,7 +18,7 @@
 	minionListPeriod = 450 * time.Millisecond
 	// shortageListPeriod replaces minionListPeriod while a dispatched pool waits for hosts.
 	shortageListPeriod = 200 * time.Millisecond
-	// standbyListPeriod replaces minionListPeriod at an entry that dispatches no pool.
+	// standbyListPeriod replaces minionListPeriod at a standby that dispatches no pool.
 	standbyListPeriod = 2500 * time.Millisecond
 	// removedMinionRetention is how long a minion that left the list is kept in the tables for
 	// a takeover. No earlier dispatcher can keep runs on such a minion alive for longer.
@@ -49,11 +49,18 @@
 	unknownJobGrace = 4 * time.Second
 )
 
-// listMinions reads the changes of the minion list, unless a read is in flight.
+// listMinions reads the changes of the minion list, unless a read is in flight or this entry is no
+// standby.
 func listMinions(w *quetzalwork.World) {
 	if w.MinionList.ReadInFlight {
 		return
 	}
+	if w.Membership.Standbys != nil && !isStandby(w) {
+		// Records that are no longer updated must not count as known at a takeover.
+		w.MinionList = quetzalwork.MinionList{}
+		w.After(standbyListPeriod, quetzalwork.MinionListDue{})
+		return
+	}
 	w.MinionList.ReadInFlight = true
 	w.Emit(quetzalwork.ListMinions{SinceRevision: w.MinionList.SeenRevision})
 }
@@ -91,7 +98,7 @@
 	}
 }
 
-// minionListDelay returns the time until the next read of the minion list. An entry that
+// minionListDelay returns the time until the next read of the minion list. A standby that
 // dispatches no pool reads the list, too: at a takeover it must know the minions that the
 // predecessor used and that have left the list since.
 func minionListDelay(w *quetzalwork.World) time.Duration {
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -38,7 +38,7 @@
 		return quetzalwork.StateReply{Known: true, State: visibleState(j)}
 	case quetzalwork.QueryPending:
 		row := poolRow(w, m.Pool)
-		if p := w.Pools.At(row); !p.Held || !p.JobsLoaded {
+		if !knowsPending(w, w.Pools.At(row)) {
 			return quetzalwork.NotHolder{}
 		}
 		return quetzalwork.PendingReply{Pending: countPending(w, row, m.Queue)}
@@ -85,6 +85,7 @@
 		handleLoad(w, m.Pool, in.Reply)
 	case quetzalwork.NotifyAccepted, quetzalwork.NotifyCancelled, quetzalwork.NotifyDuty, quetzalwork.NotifyHostWithdrawn, quetzalwork.NotifyDutyDropped:
 		if in.Reply == nil {
+			suspectHolder(w)
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "An entry did not reply to a message.", Reason: string(in.Address), Routine: true})
 		}
 	}
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -42,7 +42,9 @@
 	// rejectsStarts makes minions answer that they cannot run a task. releases are the releases of
 	// the duty so far.
 	rejectsStarts bool
-	releases      []quetzalwork.WriteDuty
+	// answers are the answers to callers so far.
+	answers  []quetzalwork.Answer
+	releases []quetzalwork.WriteDuty
 }
 
 // testToken is the revision at which the dispatcher took over its duty, and hence its fencing token.
@@ -103,6 +105,9 @@
 			},
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: duty},
 		}
+	case quetzalwork.AnswerCaller:
+		d.answers = append(d.answers, cmd.Answer)
+		return nil
 	case quetzalwork.WriteDuty:
 		d.releases = append(d.releases, cmd)
 		return nil
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -239,6 +239,10 @@
 	RenewalInFlight, ReadInFlight bool
 	// ReadAgain requests another read after the one in flight.
 	ReadAgain bool
+	// ReadPeriod is the planned time between the last read and the one before it.
+	ReadPeriod time.Duration
+	// Standbys are the entries that may take over duties; nil before the first read.
+	Standbys map[quetzalunit.EntryID]bool
 	// Reachable reports whether the last read was answered.
 	Reachable bool
 }
