Divide the rows of a pool's jobs into shards

Cause: the store executes the transactions on a part one after the other, 250 a second, and all jobs of a pool were in one part.

Change: jobs are divided by their id into 4 shards, each a part of its own.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -23,6 +23,10 @@
 	// memberReads and minionLists count the reads of the rows of members and of the minion list by
 	// each entry.
 	memberReads, minionLists map[quetzalunit.EntryID]int
+	// transactionTime is how long a transaction on a shard takes. The transactions on a shard are
+	// executed one after the other; busyUntil is when each shard has executed those that wait.
+	transactionTime time.Duration
+	busyUntil       map[quetzalunit.Shard]quetzalunit.Instant
 	// compactedThrough is the revision up to which the change history has been compacted.
 	compactedThrough quetzalunit.Revision
 }
@@ -57,10 +61,28 @@
 		if f.rng.Float64() < f.loseAnswers {
 			return nil
 		}
+		if wait := s.enqueue(f.now, c); wait > 0 {
+			return func() { f.after(wait, func() { post(in) }) }
+		}
 		return func() { post(in) }
 	}, func() { post(unansweredInput(c)) })
 }
 
+// enqueue returns how long a transaction waits for its shard and is executed.
+func (s *store) enqueue(now quetzalunit.Instant, c quetzalwork.Command) time.Duration {
+	var shard quetzalunit.Shard
+	switch c := c.(type) {
+	case quetzalwork.StoreJobs:
+		shard = c.Shard
+	case quetzalwork.StoreProgress:
+		shard = c.Shard
+	default:
+		return 0
+	}
+	s.busyUntil[shard] = max(s.busyUntil[shard], now).Add(s.transactionTime)
+	return s.busyUntil[shard].Sub(now)
+}
+
 // unansweredInput returns the input that reports that a store command had no answer.
 func unansweredInput(c quetzalwork.Command) quetzalwork.Input {
 	const r = quetzalwork.StoreUnanswered
@@ -78,9 +100,9 @@
 	case quetzalwork.ReadPoolJobs:
 		return quetzalwork.PoolJobsRead{Result: r, Pool: c.Pool, Token: c.Token}
 	case quetzalwork.StoreJobs:
-		return quetzalwork.JobsStored{Result: r, Pool: c.Pool, Submissions: c.Submissions}
+		return quetzalwork.JobsStored{Result: r, Pool: c.Pool, Shard: c.Shard, Submissions: c.Submissions}
 	case quetzalwork.StoreProgress:
-		return quetzalwork.ProgressStored{Result: r, Pool: c.Pool, Token: c.Token, Jobs: c.Jobs}
+		return quetzalwork.ProgressStored{Result: r, Pool: c.Pool, Shard: c.Shard, Token: c.Token, Jobs: c.Jobs}
 	case quetzalwork.StoreCancel:
 		return quetzalwork.CancelStored{Result: r, Request: c.Request}
 	case quetzalwork.LookUpJob:
@@ -168,7 +190,7 @@
 		}
 		return in
 	case quetzalwork.StoreJobs:
-		in := quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, DutyRevision: c.DutyRevision, SentAt: c.SentAt}
+		in := quetzalwork.JobsStored{Pool: c.Pool, Shard: c.Shard, Submissions: c.Submissions, DutyRevision: c.DutyRevision, SentAt: c.SentAt}
 		if d := s.duties[c.Pool]; d.Revision != c.DutyRevision {
 			in.Result, in.CurrentDuty = quetzalwork.StoreConflict, &d
 		}
@@ -183,7 +205,7 @@
 		}
 		return in
 	case quetzalwork.StoreProgress:
-		in := quetzalwork.ProgressStored{Pool: c.Pool, Token: c.Token, Jobs: c.Jobs}
+		in := quetzalwork.ProgressStored{Pool: c.Pool, Shard: c.Shard, Token: c.Token, Jobs: c.Jobs}
 		for i := range c.Rows {
 			if old := s.rows[rowKey(&c.Rows[i])]; old.Revision != c.Rows[i].Revision {
 				in.Result = quetzalwork.StoreConflict
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -120,7 +120,8 @@
 	return quetzalwork.MembersRead{
 		Full: true, SeenRevision: 9, SentAt: cmd.SentAt,
 		Members: []quetzalwork.Member{
-			{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(c.now)}, {Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: heartbeat},
+			{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(c.now)},
+			{Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: heartbeat},
 			{Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(c.now)},
 		},
 		Duties: map[quetzalunit.PoolID]quetzalwork.Duty{"(hosts)": duty, "busy": other, "calm": other, "off": other},
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -296,7 +296,7 @@
 			continue
 		}
 		d.Acquiring = true
-		w.Emit(quetzalwork.WriteDuty{Pool: id, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
+		w.Emit(quetzalwork.WriteDuty{Pool: id, OfHosts: id == hostControlDuty, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
 			Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
 		}})
 	}
@@ -517,8 +517,11 @@
 	for _, minionRow := range p.Minions {
 		resetMinion(w, minionRow)
 	}
-	p.Held, p.JobsLoaded, p.ReadySteps, p.LateSteps, p.StoreProgressInFlight = false, false, nil, nil, false
-	p.ChangedJobs.Take()
+	p.Held, p.JobsLoaded, p.ReadySteps, p.LateSteps = false, false, nil, nil
+	for i := range p.Shards {
+		p.Shards[i].StoreProgressInFlight = false
+		p.Shards[i].ChangedJobs.Take()
+	}
 }
 
 // mayExtendLeases reports whether this process may extend leases and start runs. It may if both of
--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -199,6 +199,37 @@
 	}
 }
 
+// At its peak a queue gets 400 jobs a second through many entries, each of which stores its own. The
+// store executes the transactions on a part one after the other, in 4 ms each. Jobs must be accepted
+// at once all the same.
+func TestPeakOfManyEntriesIsStoredWithoutDelay(t *testing.T) {
+	const entries, jobs, duration = 20, 1600, 4 * time.Second
+	f := newFleet(1, threeZones, entries, 40, testConfig())
+	f.store.transactionTime = 4 * time.Millisecond
+	f.run(6 * time.Second)
+	var latest time.Duration
+	for i := range jobs {
+		e := f.entries[i%entries]
+		id := f.submit(e, testStep(1))
+		sentAt := f.now
+		var check func()
+		check = func() {
+			if len(f.answers[id]) == 0 {
+				f.after(5*time.Millisecond, check)
+				return
+			}
+			latest = max(latest, f.now.Sub(sentAt))
+		}
+		f.after(5*time.Millisecond, check)
+		f.run(duration / jobs)
+	}
+	f.run(3 * time.Second)
+	require.Len(t, f.checker.accepted, jobs)
+	t.Logf("the slowest of %d jobs was accepted after %v", jobs, latest)
+	require.Less(t, latest, 200*time.Millisecond)
+	require.Empty(t, f.checker.violations)
+}
+
 // While the load of a queue rises, the moving average of its load lags behind. The pool must
 // request hosts for the load that the queue will have when they have arrived.
 func TestPoolRequestsHostsForRisingLoad(t *testing.T) {
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -24,33 +24,50 @@
 func markProgressChanged(w *quetzalwork.World, row quetzalwork.Row) {
 	j := w.Jobs.At(row)
 	j.ProgressChanges++
-	w.Pools.At(j.Pool).ChangedJobs.Add(row)
+	w.Pools.At(j.Pool).Shards[quetzalwork.ShardOf(j.ID)].ChangedJobs.Add(row)
 }
 
 // storeProgress starts the transactions that store the progress of changed jobs, at most one
-// at a time per pool.
+// at a time per shard.
 func storeProgress(w *quetzalwork.World) {
 	for poolRow, p := range w.Pools.All() {
-		if !p.Held || p.StoreProgressInFlight || p.ChangedJobs.Len() == 0 || !p.JobsLoaded {
+		if !p.Held || !p.JobsLoaded {
 			continue
 		}
-		if w.Now < p.StoreProgressNotBefore {
-			w.Timers.Push(p.StoreProgressNotBefore, quetzalwork.StoreProgressDue{Pool: poolRow})
-			continue
+		for i := range p.Shards {
+			shard := &p.Shards[i]
+			if shard.StoreProgressInFlight || shard.ChangedJobs.Len() == 0 {
+				continue
+			}
+			if w.Now < shard.StoreProgressNotBefore {
+				w.Timers.Push(shard.StoreProgressNotBefore, quetzalwork.StoreProgressDue{Pool: poolRow})
+				continue
+			}
+			storeShardProgress(w, p, quetzalunit.Shard(i))
+		}
+	}
+}
+
+// progressStored reports whether the progress of all jobs of a pool is stored.
+func progressStored(p *quetzalwork.Pool) bool {
+	for i := range p.Shards {
+		if shard := &p.Shards[i]; shard.StoreProgressInFlight || shard.ChangedJobs.Len() > 0 {
+			return false
 		}
-		storePoolProgress(w, p)
 	}
+	return true
 }
 
-// storePoolProgress starts a transaction with the progress of up to maxProgressBatch changed jobs
-// of a pool.
-func storePoolProgress(w *quetzalwork.World, p *quetzalwork.Pool) {
-	c := quetzalwork.StoreProgress{Pool: p.ID, Token: p.Token}
-	rows := p.ChangedJobs.Take()
+// storeShardProgress starts a transaction with the progress of up to maxProgressBatch changed jobs
+// of a shard.
+func storeShardProgress(w *quetzalwork.World, p *quetzalwork.Pool, i quetzalunit.Shard) {
+	shard := &p.Shards[i]
+	c := quetzalwork.StoreProgress{Pool: p.ID, Shard: i, Token: p.Token}
+	rows := shard.ChangedJobs.Take()
 	for i, row := range rows {
 		if len(c.Rows) == maxProgressBatch {
 			for _, later := range rows[i:] {
-				p.ChangedJobs.Add(later)
+				shard.ChangedJobs.Add(later)
 			}
 			break
 		}
@@ -64,7 +81,7 @@
 		}
 	}
 	if len(c.Rows) > 0 {
-		p.StoreProgressInFlight = true
+		shard.StoreProgressInFlight = true
 		w.Emit(c)
 	}
 }
@@ -90,9 +107,10 @@
 		// The transaction was sent under an earlier duty of this process for the pool.
 		return
 	}
-	p.StoreProgressInFlight = false
+	shard := &p.Shards[in.Shard]
+	shard.StoreProgressInFlight = false
 	if in.Result == quetzalwork.StoreDone {
-		p.StoreProgressNotBefore = w.Now.Add(progressInterval)
+		shard.StoreProgressNotBefore = w.Now.Add(progressInterval)
 		for _, row := range in.Jobs {
 			if j := w.Jobs.At(row); j != nil {
 				recordStoredProgress(j, in.Revision)
@@ -103,14 +121,14 @@
 	}
 	// A transaction without an answer may have been executed. The next one then fails with a
 	// conflict, and the newer rows that the conflict returns are merged.
-	p.StoreProgressNotBefore = w.Now.Add(progressRetryDelay)
+	shard.StoreProgressNotBefore = w.Now.Add(progressRetryDelay)
 	if in.Result == quetzalwork.StoreConflict {
-		p.StoreProgressNotBefore = w.Now
+		shard.StoreProgressNotBefore = w.Now
 		mergeConflictRows(w, poolRow, in.CurrentRows)
 	}
 	for _, row := range in.Jobs {
 		if j := w.Jobs.At(row); j != nil && j.ProgressChanges > j.StoredChanges {
-			p.ChangedJobs.Add(row)
+			shard.ChangedJobs.Add(row)
 		}
 	}
 	ackEnds(w, p)
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -30,7 +30,7 @@
 // hosts that were ordered recently.
 func releaseDuty(w *quetzalwork.World, id quetzalunit.PoolID) {
 	w.PendingReleases++
-	c := quetzalwork.WriteDuty{Pool: id, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
+	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == hostControlDuty, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
 	if id == hostControlDuty {
 		c.Duty.OrderedHosts = recentlyOrderedHosts(w)
 	}
@@ -61,7 +61,7 @@
 	}
 	flushed := w.Now.Sub(w.StoppingSince) >= flushTimeout
 	for row, p := range w.Pools.All() {
-		if p.Held && (flushed || !p.StoreProgressInFlight && p.ChangedJobs.Len() == 0) {
+		if p.Held && (flushed || progressStored(p)) {
 			releaseDuty(w, p.ID)
 			endDispatch(w, row, "Stop")
 		}
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -13,8 +13,8 @@
 	// maxSubmitBatch is the maximum number of jobs in one transaction. The store accepts at most
 	// 1 MB and 100 entries, and each job needs two: a condition and a value.
 	maxSubmitBatch = 40
-	// maxSubmitCalls is the maximum number of transactions in flight for one pool. The store
-	// executes the transactions of a pool sequentially.
+	// maxSubmitCalls is the maximum number of transactions in flight for one shard. The store
+	// executes the transactions of a shard sequentially.
 	maxSubmitCalls = 2
 	// answerReserve is the part of a caller's timeout reserved for returning the answer.
 	answerReserve = 150 * time.Millisecond
@@ -26,7 +26,7 @@
 	// storeTimeout is the timeout of a store call.
 	storeTimeout = 1200 * time.Millisecond
 	// slowStoreTime is the transaction time above which an entry pauses for as long as the
-	// transaction took. The store executes a pool's transactions sequentially and rejects those
+	// transaction took. The store executes a shard's transactions sequentially and rejects those
 	// that wait for more than a second; during the pause, jobs collect into fewer transactions.
 	slowStoreTime = 100 * time.Millisecond
 	// submitRetryDelay is the delay before a retry after a refused or unanswered transaction.
@@ -89,7 +89,7 @@
 		Deadline: w.Now.Add(answerTimeout(in.Timeout)),
 	})
 	w.Timers.Push(w.Submissions.At(row).Deadline, quetzalwork.SubmissionDue{Submission: row})
-	w.Pools.At(pool).Submissions.Add(row)
+	w.Pools.At(pool).Shards[quetzalwork.ShardOf(id)].Submissions.Add(row)
 }
 
 // answerTimeout returns how long an answer may take so that it reaches the caller within its
@@ -146,22 +146,23 @@
 // storeSubmissions starts the transactions that store queued submissions.
 func storeSubmissions(w *quetzalwork.World) {
 	for _, p := range w.Pools.All() {
-		if w.Now < p.StoreJobsNotBefore {
-			continue
-		}
-		for p.StoreJobsInFlight < maxSubmitCalls && p.Submissions.Len() > 0 {
-			storeBatch(w, p)
+		for i := range p.Shards {
+			shard := &p.Shards[i]
+			for w.Now >= shard.StoreJobsNotBefore && shard.StoreJobsInFlight < maxSubmitCalls && shard.Submissions.Len() > 0 {
+				storeBatch(w, p, quetzalunit.Shard(i))
+			}
 		}
 	}
 }
 
-// storeBatch starts one transaction with up to maxSubmitBatch queued jobs of a pool. A second
+// storeBatch starts one transaction with up to maxSubmitBatch queued jobs of a shard. A second
 // submission of the same job waits for a later transaction.
-func storeBatch(w *quetzalwork.World, p *quetzalwork.Pool) {
-	c := quetzalwork.StoreJobs{Pool: p.ID, DutyRevision: p.Duty.Revision, SentAt: w.Now, Timeout: storeTimeout}
+func storeBatch(w *quetzalwork.World, p *quetzalwork.Pool, i quetzalunit.Shard) {
+	shard := &p.Shards[i]
+	c := quetzalwork.StoreJobs{Pool: p.ID, Shard: i, DutyRevision: p.Duty.Revision, SentAt: w.Now, Timeout: storeTimeout}
 	inBatch := make(map[quetzalunit.JobID]bool)
 	var later []quetzalwork.Row
-	for _, row := range p.Submissions.Take() {
+	for _, row := range shard.Submissions.Take() {
 		s := w.Submissions.At(row)
 		if s == nil || s.StoreInFlight {
 			continue
@@ -177,12 +178,12 @@
 		c.Jobs = append(c.Jobs, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec, DutyRevision: c.DutyRevision}})
 	}
 	for _, row := range later {
-		p.Submissions.Add(row)
+		shard.Submissions.Add(row)
 	}
 	if len(c.Jobs) == 0 {
 		return
 	}
-	p.StoreJobsInFlight++
+	shard.StoreJobsInFlight++
 	w.Emit(c)
 }
 
@@ -191,10 +192,11 @@
 func handleJobsStored(w *quetzalwork.World, in *quetzalwork.JobsStored) {
 	poolRow := poolRow(w, in.Pool)
 	p := w.Pools.At(poolRow)
-	p.StoreJobsInFlight--
+	shard := &p.Shards[in.Shard]
+	shard.StoreJobsInFlight--
 	took := w.Now.Sub(in.SentAt)
 	if took > slowStoreTime && in.Result == quetzalwork.StoreDone {
-		pauseSubmissions(w, poolRow, min(took, storeTimeout))
+		pauseSubmissions(w, poolRow, shard, min(took, storeTimeout))
 	}
 	if in.Result == quetzalwork.StoreDone && p.MeanStoreJobsTime == 0 {
 		p.MeanStoreJobsTime = took
@@ -202,7 +204,7 @@
 		p.MeanStoreJobsTime += (took - p.MeanStoreJobsTime) / storeTimeDivisor
 	}
 	if in.Result == quetzalwork.StoreRefused || in.Result == quetzalwork.StoreUnanswered {
-		pauseSubmissions(w, poolRow, submitRetryDelay)
+		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
 	}
 	if in.CurrentDuty != nil {
 		applyDutyRow(w, in.Pool, *in.CurrentDuty)
@@ -225,12 +227,12 @@
 			}
 			answerSubmission(w, row, quetzalwork.JobAccepted{}, "Stored")
 		case in.Result == quetzalwork.StoreConflict:
-			p.Submissions.Add(row)
+			shard.Submissions.Add(row)
 		case in.Result == quetzalwork.StoreRefused && !s.MayBeStored:
 			answerSubmission(w, row, quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: reasonStoreUnavailable}, reasonStoreUnavailable)
 		default:
 			s.MayBeStored = true
-			p.Submissions.Add(row)
+			shard.Submissions.Add(row)
 		}
 	}
 	if len(stored) > 0 {
@@ -238,11 +240,10 @@
 	}
 }
 
-// pauseSubmissions delays the next transaction that stores jobs of a pool by at least d.
-func pauseSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, d time.Duration) {
-	p := w.Pools.At(poolRow)
-	p.StoreJobsNotBefore = max(p.StoreJobsNotBefore, w.Now.Add(d))
-	w.Timers.Push(p.StoreJobsNotBefore, quetzalwork.StoreJobsDue{Pool: poolRow})
+// pauseSubmissions delays the next transaction that stores jobs of a shard by at least d.
+func pauseSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, shard *quetzalwork.PoolShard, d time.Duration) {
+	shard.StoreJobsNotBefore = max(shard.StoreJobsNotBefore, w.Now.Add(d))
+	w.Timers.Push(shard.StoreJobsNotBefore, quetzalwork.StoreJobsDue{Pool: poolRow})
 }
 
 // answerSubmission answers the caller of a submission and deletes the submission.
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -179,8 +179,9 @@
 }
 
 const (
+	// testJob and otherJob are in one shard.
 	testJob  quetzalunit.JobID = "00000000000000aa"
-	otherJob quetzalunit.JobID = "00000000000000bb"
+	otherJob quetzalunit.JobID = "00000000000000cc"
 )
 
 // A minion that rejects the token of a dispatcher as too low knows the token of a successor. The
@@ -451,7 +452,7 @@
 	done(2, otherJob)
 	d.run(300 * time.Millisecond)
 	first := d.stored[0]
-	d.tick(quetzalwork.ProgressStored{Pool: first.Pool, Token: first.Token, Jobs: first.Jobs, Result: quetzalwork.StoreUnanswered})
+	d.tick(quetzalwork.ProgressStored{Pool: first.Pool, Shard: first.Shard, Token: first.Token, Jobs: first.Jobs, Result: quetzalwork.StoreUnanswered})
 	d.run(300 * time.Millisecond)
 	require.Len(t, d.stored, 2, "the transaction of the new term is in flight")
 	for _, poll := range d.polls {
@@ -466,15 +467,16 @@
 	d := newDispatcher(t)
 	d.answerPoll = d.idle
 	d.run(2 * time.Second)
+	oneShard := []int{0, 3, 7, 12, 16, 20}
 	submit := func(n int) {
-		id := quetzalunit.JobID(fmt.Sprintf("%016x", n))
+		id := quetzalunit.JobID(fmt.Sprintf("%016x", oneShard[n]))
 		d.tick(quetzalwork.JobSubmitted{
 			Caller: quetzalunit.CallerID(n), HTTPHost: "host", Path: "/proofs/" + string(id), Timeout: 3 * time.Second,
 			Spec: &quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{testStep(1)}},
 		})
 	}
 	answer := func(c quetzalwork.StoreJobs) {
-		d.tick(quetzalwork.JobsStored{Pool: c.Pool, Submissions: c.Submissions, DutyRevision: c.DutyRevision, SentAt: c.SentAt})
+		d.tick(quetzalwork.JobsStored{Pool: c.Pool, Shard: c.Shard, Submissions: c.Submissions, DutyRevision: c.DutyRevision, SentAt: c.SentAt})
 	}
 	submit(1)
 	d.run(20 * time.Millisecond)
--- a/quetzalcore/quetzalunit/work.go
+++ b/quetzalcore/quetzalunit/work.go
@@ -24,6 +24,8 @@
 type (
 	// StepIndex numbers the steps of a job from 0.
 	StepIndex int32
+	// Shard numbers the shards of a pool's job rows from 0.
+	Shard int
 	// TaskIndex numbers the tasks of a step from 0.
 	TaskIndex int32
 	// Occurrence numbers the occurrences of a repeating job from 0, or counts them.
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -66,7 +66,9 @@
 	// WriteDuty acquires or releases a duty if its row still has the expected revision.
 	WriteDuty struct {
 		// Pool is the pool of the duty. The duty of the host controller has a reserved id.
-		Pool     quetzalunit.PoolID
+		Pool quetzalunit.PoolID
+		// OfHosts reports whether it is the duty of the host controller.
+		OfHosts  bool
 		Expected quetzalunit.Revision
 		// Duty is the new content of the row.
 		Duty    Duty
@@ -85,10 +87,11 @@
 		SinceRevision quetzalunit.Revision
 		SentAt        quetzalunit.Instant
 	}
-	// StoreJobs stores jobs in one transaction, provided that none of them exists and that
-	// the pool's duty still has the revision DutyRevision.
+	// StoreJobs stores jobs of one shard in one transaction, provided that none of them exists and
+	// that the pool's duty still has the revision DutyRevision.
 	StoreJobs struct {
 		Pool         quetzalunit.PoolID
+		Shard        quetzalunit.Shard
 		DutyRevision quetzalunit.Revision
 		// Submissions are the rows of the submissions, Jobs the AcceptedJob rows to store, in the
 		// same order.
@@ -97,10 +100,11 @@
 		Timeout     time.Duration
 		SentAt      quetzalunit.Instant
 	}
-	// StoreProgress stores the progress of jobs in one transaction, provided that each row still
-	// has its expected revision.
+	// StoreProgress stores the progress of jobs of one shard in one transaction, provided that each
+	// row still has its expected revision.
 	StoreProgress struct {
 		Pool  quetzalunit.PoolID
+		Shard quetzalunit.Shard
 		Token quetzalunit.FencingToken
 		Jobs  []Row
 		// Rows are the progress rows with their expected revisions, in the order of Jobs.
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -1,6 +1,7 @@
 package quetzalwork
 
 import (
+	"hash/fnv"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzaltable"
@@ -122,22 +123,10 @@
 	LateSteps []LateStep
 	// PlacedAt is the instant of the last placement pass.
 	PlacedAt quetzalunit.Instant
-	// ChangedJobs are the jobs whose progress has changed and is to be stored.
-	ChangedJobs quetzaltable.Set
-	// StoreProgressInFlight reports whether a transaction that stores progress is in flight.
-	StoreProgressInFlight bool
-	// StoreProgressNotBefore is the earliest start of the next such transaction, so that each
-	// stores more changes.
-	StoreProgressNotBefore quetzalunit.Instant
-	// Submissions are the jobs to be stored by the next transaction.
-	Submissions quetzaltable.Set
-	// StoreJobsInFlight is the number of such transactions in flight.
-	StoreJobsInFlight int
-	// MeanStoreJobsTime is the moving average of the time that such a transaction takes.
+	// MeanStoreJobsTime is the moving average of the time that a transaction takes that stores jobs.
 	MeanStoreJobsTime time.Duration
-	// StoreJobsNotBefore is the earliest start of the next such transaction after one that failed
-	// or was slow.
-	StoreJobsNotBefore quetzalunit.Instant
+	// Shards are the shards of the pool's job rows.
+	Shards [ShardCount]PoolShard
 	// NeedsPlacement requests a placement pass as soon as this process may start runs.
 	NeedsPlacement bool
 	// NextPlacementAt is the instant of the next timer for a placement pass, zero if none is set.
@@ -164,6 +153,35 @@
 	RunTimeStats map[quetzalunit.QueueID]*RunTimeStats
 }
 
+// ShardCount is the number of shards of a pool's job rows. The store executes the transactions on a
+// shard one after the other; at the peak of a large fleet a pool needs more of them than that allows.
+const ShardCount = 4
+
+// ShardOf returns the shard of a job's rows.
+func ShardOf(job quetzalunit.JobID) quetzalunit.Shard {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(job)) // never fails
+	return quetzalunit.Shard(h.Sum32() % ShardCount)
+}
+
+// PoolShard is the state of the transactions on one shard of a pool's job rows.
+type PoolShard struct {
+	// ChangedJobs are the jobs whose progress has changed and is to be stored.
+	ChangedJobs quetzaltable.Set
+	// StoreProgressInFlight reports whether a transaction that stores progress is in flight.
+	StoreProgressInFlight bool
+	// StoreProgressNotBefore is the earliest start of the next such transaction, so that each
+	// stores more changes.
+	StoreProgressNotBefore quetzalunit.Instant
+	// Submissions are the jobs to be stored by the next transaction.
+	Submissions quetzaltable.Set
+	// StoreJobsInFlight is the number of such transactions in flight.
+	StoreJobsInFlight int
+	// StoreJobsNotBefore is the earliest start of the next such transaction after one that failed
+	// or was slow.
+	StoreJobsNotBefore quetzalunit.Instant
+}
+
 // RunTimeStats are the statistics of the run times of a queue's tasks.
 type RunTimeStats struct {
 	// Mean is the moving average over Count runs.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -117,6 +117,7 @@
 	JobsStored struct {
 		Result StoreResult
 		Pool   quetzalunit.PoolID
+		Shard  quetzalunit.Shard
 		SentAt quetzalunit.Instant
 		// DutyRevision is the revision of the pool's duty that the transaction required.
 		DutyRevision quetzalunit.Revision
@@ -131,6 +132,7 @@
 	ProgressStored struct {
 		Result StoreResult
 		Pool   quetzalunit.PoolID
+		Shard  quetzalunit.Shard
 		Token  quetzalunit.FencingToken
 		Jobs   []Row
 		// Revision is the new revision of the written rows.
