--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -199,6 +199,22 @@
 	}
 }
 
+// The tasks of a queue fill a third of a minion each, some because of their memory. Under a load
+// beyond the pool's capacity, the share of jobs that meet their objective must be at least the share
+// for which the pool has capacity, less one in twenty for stragglers.
+func TestLargeTasksMeetObjectivesBeyondCapacity(t *testing.T) {
+	const stragglers = 0.05
+	for _, load := range []float64{1.5, 2, 3} {
+		p := newPeakScenarioOf(largeTasks, 30)
+		p.submitLoad(load, 8*time.Second)
+		p.run(25 * time.Second)
+		met, withinTriple := p.shareInTime()
+		t.Logf("load %.1f: %d jobs, %.3f in time, %.3f within three times", load, len(p.submittedAt), met, withinTriple)
+		require.Empty(t, p.checker.violations)
+		require.GreaterOrEqual(t, met, 1/load-stragglers)
+	}
+}
+
 // At its peak a queue gets 400 jobs a second through many entries, each of which stores its own. The
 // store executes the transactions on a part one after the other, in 4 ms each. Jobs must be accepted
 // at once all the same.
