Count the memory that long-running tasks fill in a pool's demand

Cause: between two peaks a pool gave hosts away by the cores of its work alone.

Change: active runs and long-running tasks count with the largest of their shares of a minion's cores, memory and accelerators.

--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -47,7 +47,7 @@
 	labelCounts := countLabels(w, p)
 	for _, minionRow := range p.Minions {
 		m := w.Minions.At(minionRow)
-		l.Wanted += m.Used.Cores
+		l.Wanted += equivalentCores(m.Used, m.Capacity)
 		longRunning += longRunningCores(w, m)
 		if usable(w, m) {
 			l.Usable += m.Capacity.Cores
@@ -81,12 +81,36 @@
 	return cores
 }
 
+// largestCapacity returns the capacity of the largest minion of a pool.
+func largestCapacity(w *quetzalwork.World, p *quetzalwork.Pool) quetzalunit.Resources {
+	var capacity quetzalunit.Resources
+	for _, row := range p.Minions {
+		if m := w.Minions.At(row); m.Capacity.Cores > capacity.Cores {
+			capacity = m.Capacity
+		}
+	}
+	return capacity
+}
+
+// equivalentCores returns how many cores of a minion with the given capacity others cannot use next
+// to tasks with the given needs: the largest of their shares of cores, memory and accelerators.
+func equivalentCores(needs, capacity quetzalunit.Resources) quetzalunit.MilliCores {
+	cores := needs.Cores
+	if capacity.Memory > 0 {
+		cores = max(cores, quetzalunit.MilliCores(int64(capacity.Cores)*int64(needs.Memory)/int64(capacity.Memory)))
+	}
+	if capacity.Accelerators > 0 {
+		cores = max(cores, quetzalunit.MilliCores(int64(capacity.Cores)*int64(needs.Accelerators)/int64(capacity.Accelerators)))
+	}
+	return cores
+}
+
 // longRunningCores returns the capacity that the long-running tasks on a minion occupy.
 func longRunningCores(w *quetzalwork.World, m *quetzalwork.Minion) quetzalunit.MilliCores {
 	var cores quetzalunit.MilliCores
 	for _, run := range m.Runs {
 		if r := w.Runs.At(run); w.Steps.At(w.Tasks.At(r.Task).Step).Spec.LongRunning {
-			cores += r.Resources.Cores
+			cores += equivalentCores(r.Resources, m.Capacity)
 		}
 	}
 	return cores
@@ -243,10 +267,11 @@
 // wantedCores returns the capacity that a step's waiting tasks need to be started within
 // backlogStartTime. Long-running tasks and gangs need the capacity for all tasks at once.
 func wantedCores(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step) quetzalunit.MilliCores {
-	all := needsOf(s.Spec).Cores * quetzalunit.MilliCores(s.Waiting)
+	needs := needsOf(s.Spec)
 	if s.Spec.LongRunning || s.Spec.Gang {
-		return all
+		return equivalentCores(needs, largestCapacity(w, p)) * quetzalunit.MilliCores(s.Waiting)
 	}
+	all := needs.Cores * quetzalunit.MilliCores(s.Waiting)
 	runTime := expectedRunTime(p, w.Jobs.At(s.Job).Queue, s)
 	return min(all, quetzalunit.MilliCores(float64(all)*float64(runTime)/float64(backlogStartTime)))
 }
--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -246,18 +246,34 @@
 	require.Empty(t, f.checker.violations)
 }
 
+// load returns the load that the first entry reports for the test pool.
+func (f *fleet) load() quetzalwork.PoolLoad {
+	var load quetzalwork.PoolLoad
+	e := f.entries[0]
+	e.replies[1] = func(r quetzalwork.PeerReply) { load = r.(quetzalwork.LoadReply).Load }
+	e.post(e.boot, quetzalwork.PeerMessageReceived{Caller: 1, Message: quetzalwork.QueryLoad{Pool: testPool}})
+	f.run(time.Millisecond)
+	return load
+}
+
+// Between two peaks a pool runs little but long-running tasks, which fill the memory of their minions
+// and few cores. If it gave hosts away by its cores alone, a task that is evacuated for a wave would
+// find no room until the next peak.
+func TestLongRunningTasksKeepTheMemoryThatTheyFill(t *testing.T) {
+	f := newFleet(1, threeZones[:1], 1, 4, testConfig())
+	f.run(3 * time.Second)
+	step := testStep(8)
+	step.LongRunning, step.Resources = true, quetzalunit.Resources{Cores: 500, Memory: 8000}
+	f.submit(f.entries[0], step)
+	f.run(2 * time.Second)
+	require.GreaterOrEqual(t, f.load().Wanted, quetzalunit.MilliCores(4*8000), "each of four minions is full with two tasks")
+}
+
 // While the load of a queue rises, the moving average of its load lags behind. The pool must
 // request hosts for the load that the queue will have when they have arrived.
 func TestPoolRequestsHostsForRisingLoad(t *testing.T) {
 	const window = 300 * time.Millisecond
-	wanted := func(p *peakScenario) float64 {
-		var load quetzalwork.PoolLoad
-		e := p.entries[0]
-		e.replies[1] = func(r quetzalwork.PeerReply) { load = r.(quetzalwork.LoadReply).Load }
-		e.post(e.boot, quetzalwork.PeerMessageReceived{Caller: 1, Message: quetzalwork.QueryLoad{Pool: testPool}})
-		p.run(time.Millisecond)
-		return float64(load.Wanted)
-	}
+	wanted := func(p *peakScenario) float64 { return float64(p.load().Wanted) }
 	rising := newPeakScenario(30)
 	for i := range 4 {
 		rising.submitLoad(0.15*float64(i+1), window)
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -108,7 +108,8 @@
 // PoolLoad is the demand of a pool and the hosts that it could give away.
 type PoolLoad struct {
 	// Wanted is how many cores the pool's work could use now, Usable how many its usable minions
-	// have. A minion is usable if it can get new runs.
+	// have. Active runs and long-running tasks that need a larger share of a minion's memory or
+	// accelerators than of its cores count with that share. A minion is usable if it can get new runs.
 	Wanted, Usable quetzalunit.MilliCores
 	// MovableHosts are the hosts that could be given away: first those whose minions run nothing,
 	// longest idle first, then those that can be evacuated soon, whose idle time is zero.
