--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -209,6 +209,10 @@
 	if in.CurrentDuty != nil {
 		applyDutyRow(w, in.Pool, *in.CurrentDuty)
 	}
+	if in.Result == quetzalwork.StoreConflict && in.CurrentDuty == nil && len(in.ExistingJobs) == 0 {
+		// The conflict explains nothing, for example because the shard has no fence yet.
+		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
+	}
 	existing := make(map[quetzalunit.JobID]bool, len(in.ExistingJobs))
 	for _, id := range in.ExistingJobs {
 		existing[id] = true
