Forget the minions of an entry that no longer reads their list

Cause, found by reading: an entry that had been a standby kept its records of minions without updates. Had it taken a pool over, a minion that had begun to drain meanwhile could have got work before the list was read, and minions that had left were not waited for.

Result: TestOnlyStandbysReadOften fails without the change.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -56,8 +56,7 @@
 		return
 	}
 	if w.Membership.Standbys != nil && !isStandby(w) {
-		// Records that are no longer updated must not count as known at a takeover.
-		w.MinionList = quetzalwork.MinionList{}
+		forgetMinions(w)
 		w.After(standbyListPeriod, quetzalwork.MinionListDue{})
 		return
 	}
@@ -65,6 +64,16 @@
 	w.Emit(quetzalwork.ListMinions{SinceRevision: w.MinionList.SeenRevision})
 }
 
+// forgetMinions deletes all minions of an entry that dispatches no pool and no longer reads their list.
+// At a later takeover a minion that has begun to drain meanwhile would get work, and minions that left
+// the list meanwhile would count as known.
+func forgetMinions(w *quetzalwork.World) {
+	w.MinionList = quetzalwork.MinionList{}
+	for row := range w.Minions.All() {
+		deleteMinion(w, row)
+	}
+}
+
 // handleMinionList applies the result of a read of the minion list and sets the timer of the next
 // one.
 func handleMinionList(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
--- a/quetzalcore/quetzalscheduler/standby_test.go
+++ b/quetzalcore/quetzalscheduler/standby_test.go
@@ -29,6 +29,11 @@
 		}
 	}
 	require.LessOrEqual(t, often, testStandbys)
+	for _, e := range f.entries {
+		if f.store.minionLists[e.id] == 0 {
+			require.Zero(t, e.world.Minions.Len(), "records that are not updated must not be used at a takeover")
+		}
+	}
 	require.NotNil(t, f.holder())
 	id := f.submit(f.entries[7], testStep(4))
 	f.run(5 * time.Second)
