--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -191,28 +191,12 @@
 // whose outcome is known and queues the others again.
 func handleJobsStored(w *quetzalwork.World, in *quetzalwork.JobsStored) {
 	poolRow := poolRow(w, in.Pool)
-	p := w.Pools.At(poolRow)
-	shard := &p.Shards[in.Shard]
+	shard := &w.Pools.At(poolRow).Shards[in.Shard]
 	shard.StoreJobsInFlight--
-	took := w.Now.Sub(in.SentAt)
-	if took > slowStoreTime && in.Result == quetzalwork.StoreDone {
-		pauseSubmissions(w, poolRow, shard, min(took, storeTimeout))
-	}
-	if in.Result == quetzalwork.StoreDone && p.MeanStoreJobsTime == 0 {
-		p.MeanStoreJobsTime = took
-	} else if in.Result == quetzalwork.StoreDone {
-		p.MeanStoreJobsTime += (took - p.MeanStoreJobsTime) / storeTimeDivisor
-	}
-	if in.Result == quetzalwork.StoreRefused || in.Result == quetzalwork.StoreUnanswered {
-		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
-	}
 	if in.CurrentDuty != nil {
 		applyDutyRow(w, in.Pool, *in.CurrentDuty)
 	}
-	if in.Result == quetzalwork.StoreConflict && in.CurrentDuty == nil && len(in.ExistingJobs) == 0 {
-		// The conflict explains nothing, for example because the shard has no fence yet.
-		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
-	}
+	paceSubmissions(w, poolRow, in)
 	existing := make(map[quetzalunit.JobID]bool, len(in.ExistingJobs))
 	for _, id := range in.ExistingJobs {
 		existing[id] = true
@@ -244,6 +228,33 @@
 	}
 }
 
+// paceSubmissions updates the mean time of the transactions that store jobs, and delays the next one
+// after one that was slow, failed, or met a conflict that explains nothing.
+func paceSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, in *quetzalwork.JobsStored) {
+	p := w.Pools.At(poolRow)
+	shard := &p.Shards[in.Shard]
+	took := w.Now.Sub(in.SentAt)
+	switch in.Result {
+	case quetzalwork.StoreDone:
+		if took > slowStoreTime {
+			pauseSubmissions(w, poolRow, shard, min(took, storeTimeout))
+		}
+		if p.MeanStoreJobsTime == 0 {
+			p.MeanStoreJobsTime = took
+		}
+		p.MeanStoreJobsTime += (took - p.MeanStoreJobsTime) / storeTimeDivisor
+	case quetzalwork.StoreRefused, quetzalwork.StoreUnanswered:
+		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
+	case quetzalwork.StoreConflict:
+		if in.CurrentDuty == nil && len(in.ExistingJobs) == 0 {
+			// For example because the shard has no fence yet.
+			pauseSubmissions(w, poolRow, shard, submitRetryDelay)
+		}
+	case quetzalwork.StoreCompacted:
+		// Only reads have this result.
+	}
+}
+
 // pauseSubmissions delays the next transaction that stores jobs of a shard by at least d.
 func pauseSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, shard *quetzalwork.PoolShard, d time.Duration) {
 	shard.StoreJobsNotBefore = max(shard.StoreJobsNotBefore, w.Now.Add(d))
