Let late steps that fit nowhere hold up no others

Cause: a placement pass ended after 32 late steps that could not be placed. Jobs whose tasks are larger than any minion, or that wait for a label or a rack, stay at the head of the late steps for good, so that no other late job of the pool ran again.

Change: a pass goes through all late steps, with one comparison for each that is known to fit nowhere.

Result: TestOversizedLateJobsHoldUpNoOthers fails without the change.

--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -246,6 +246,27 @@
 	require.Empty(t, f.checker.violations)
 }
 
+// Jobs whose tasks are larger than any minion wait forever. They must not hold up other jobs that have
+// missed their objective as well: those run once there is room.
+func TestOversizedLateJobsHoldUpNoOthers(t *testing.T) {
+	f := newFleet(1, threeZones[:1], 1, 1, testConfig())
+	f.runTime = func(quetzalwork.TaskID) time.Duration { return 5 * time.Second }
+	f.run(3 * time.Second)
+	f.submit(f.entries[0], testStep(4))
+	f.run(200 * time.Millisecond)
+	for range 50 {
+		step := testStep(1)
+		step.Resources.Cores = 1 << 20
+		f.submit(f.entries[0], step)
+	}
+	f.run(200 * time.Millisecond)
+	id := f.submit(f.entries[0], testStep(1))
+	f.run(4 * time.Second)
+	require.Empty(t, f.checker.records[quetzalwork.TaskID{Job: id}], "the minion is full")
+	f.run(3 * time.Second)
+	require.Len(t, f.checker.records[quetzalwork.TaskID{Job: id}], 1)
+}
+
 // load returns the load that the first entry reports for the test pool.
 func (f *fleet) load() quetzalwork.PoolLoad {
 	var load quetzalwork.PoolLoad
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -31,13 +31,10 @@
 	// slowdownThreshold is the slowdown up to which minions are treated as equally fast.
 	slowdownThreshold = 1.4
 	// From minSpacedSteps on, placementIntervalPerStep times the number of ready steps is the time
-	// between two placement passes, up to maxPlacementInterval. A pass needs about 0.2 µs for a step that fits nowhere, so
-	// that passes use about a hundredth of a core.
+	// between two placement passes, up to maxPlacementInterval.
 	minSpacedSteps           = 32
 	placementIntervalPerStep = 20 * time.Microsecond
 	maxPlacementInterval     = 20 * time.Millisecond
-	// maxLateMisfits is the number of late steps without a fitting minion after which a pass ends.
-	maxLateMisfits = 32
 )
 
 // placeTasks places the waiting tasks of the pools that have NeedsPlacement set. In a pool with many
@@ -106,26 +103,20 @@
 	retryAt quetzalunit.Instant
 }
 
-// place places tasks of a step and reports whether it placed any.
-func (pass *placementPass) place(row quetzalwork.Row) bool {
+// place places as many tasks of a step as it can.
+func (pass *placementPass) place(row quetzalwork.Row) {
 	s := pass.w.Steps.At(row)
 	if s == nil || pass.predecessorWorkUnknown && pass.w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(pass.pool.Token) {
-		return false
+		return
 	}
-	waiting := s.Waiting
 	if at := placeStep(pass.w, pass.pool, pass.fc, row); at != 0 && (pass.retryAt == 0 || at < pass.retryAt) {
 		pass.retryAt = at
 	}
-	return s.Waiting < waiting
 }
 
-// placeLateSteps places late steps until maxLateMisfits of them did not fit.
+// placeLateSteps places the late steps for which there is room.
 func (pass *placementPass) placeLateSteps() {
-	misfits := 0
 	pass.pool.LateSteps = slices.DeleteFunc(pass.pool.LateSteps, func(late quetzalwork.LateStep) bool {
-		if misfits == maxLateMisfits {
-			return false
-		}
 		s := pass.w.Steps.At(late.Step)
 		switch {
 		case s == nil || !s.Late:
@@ -133,8 +124,8 @@
 		case s.Waiting == 0 || pass.w.Jobs.At(s.Job).State.Final():
 			s.Enqueued, s.Late = false, false
 			return true
-		case !pass.place(late.Step):
-			misfits++
+		case !pass.fc.knownMisfit(needsOf(s.Spec)):
+			pass.place(late.Step)
 		}
 		return false
 	})
