Log each order to a host with the age of its permission

Change: a line for each sent order (token, kind, age of the permission), the token and the time since the order on its answer, the predecessor and the wait at a takeover, the age of the predecessor's last renewal once it is known, and a line when a holder's permission ends and when it is back. An order that was not sent because the permission had ended is answered Expired instead of Refused; both are handled the same way.

--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -45,12 +45,15 @@
 		c.OrdersAllowedFrom = w.Now.Add(max(w.Bounds.OrderLease, hostOrderValidity+hostOrderTimeout))
 		rereadMembers(w)
 	}
-	c.HostsReadAt, c.HostsReadInFlight, c.WavesLoaded = 0, false, false
+	c.HostsReadAt, c.HostsReadInFlight, c.WavesLoaded, c.PermissionEnded = 0, false, false, false
 	for _, wave := range w.Waves.All() {
 		wave.Maintenance = make([]quetzalwork.HostMaintenance, len(wave.Hosts))
 		wave.StoringState, wave.StoreInFlight = quetzalwork.WaveUnstored, false
 	}
-	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "This entry now gives the orders to hosts.", Version: int64(c.Token)})
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartDuty, Message: "This entry now gives the orders to hosts.", Version: int64(c.Token),
+		Age: c.OrdersAllowedFrom.Sub(w.Now), Reason: string(predecessor.Holder),
+	})
 	w.Emit(quetzalwork.ReadWaves{})
 }
 
@@ -63,6 +66,10 @@
 	c := &w.HostController
 	if m := w.Members.At(w.MemberByID.Get(c.Predecessor.Holder)); m != nil && m.Incarnation == c.Predecessor.Incarnation {
 		c.OrdersAllowedFrom = min(c.HeldSince, m.RenewalSeenAt).Add(hostOrderValidity + hostOrderTimeout)
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartDuty, Message: "The last renewal of the previous host controller is known.", Version: int64(c.Predecessor.Revision),
+			Age: w.Now.Sub(m.RenewalSeenAt), Reason: string(c.Predecessor.Holder),
+		})
 	}
 	c.Predecessor = quetzalwork.Duty{}
 }
@@ -93,6 +100,10 @@
 func orderHost(w *quetzalwork.World, order quetzalwork.OrderHost) {
 	order.Token, order.ValidUntil = w.HostController.Token, hostOrderDeadline(w)
 	w.HostController.OrderedAt[order.Host] = w.Now
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartHost, Message: "An order to a host is sent.", Host: order.Host, Pool: order.Pool, Version: int64(order.Token),
+		Age: permissionAge(w), Reason: hostOrderName(order.Order),
+	})
 	w.Emit(order)
 }
 
@@ -121,6 +132,30 @@
 	return min(w.Membership.RenewalSentAt, w.Membership.ReadSentAt).Add(hostOrderValidity)
 }
 
+// permissionAge returns the age of what permits this process to order hosts. At hostOrderValidity the
+// permission ends.
+func permissionAge(w *quetzalwork.World) time.Duration {
+	return w.Now.Sub(hostOrderDeadline(w)) + hostOrderValidity
+}
+
+// logPermission logs when the permission of the host controller to order hosts ends and when it is
+// back.
+func logPermission(w *quetzalwork.World) {
+	c := &w.HostController
+	if ended := w.Now >= hostOrderDeadline(w); ended != c.PermissionEnded {
+		c.PermissionEnded = ended
+		message := "This entry may order hosts again."
+		if ended {
+			message = "The permission to order hosts has ended."
+		}
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: message, Version: int64(c.Token), Age: permissionAge(w)})
+	}
+}
+
+func hostOrderName(o quetzalwork.HostOrder) string {
+	return [...]string{"Move", "Maintain"}[o]
+}
+
 // controlHosts refreshes the list of hosts and advances the waves and the moves, if this process is
 // the host controller.
 func controlHosts(w *quetzalwork.World) {
@@ -129,6 +164,7 @@
 	if !c.Held || w.Stopping {
 		return
 	}
+	logPermission(w)
 	if !c.HostsReadInFlight && (c.HostsReadAt == 0 || w.Now.Sub(c.HostsReadAt) > hostListPeriod) {
 		c.HostsReadInFlight = true
 		w.Emit(quetzalwork.ListHosts{})
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -268,7 +268,7 @@
 		endHostControl(w, "Fenced")
 	case quetzalwork.HostResultUnanswered:
 		// The order is sent again. It is idempotent: it has no effect if it was carried out.
-	case quetzalwork.HostResultBusy, quetzalwork.HostResultInvalid, quetzalwork.HostResultRefused:
+	case quetzalwork.HostResultBusy, quetzalwork.HostResultInvalid, quetzalwork.HostResultRefused, quetzalwork.HostResultExpired:
 		endMove(w, row)
 	}
 }
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -317,7 +317,10 @@
 
 // handleHostOrderResult applies the result of an order to a host, for a move or for a wave.
 func handleHostOrderResult(w *quetzalwork.World, in *quetzalwork.HostOrderAnswered) {
-	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Message: "An order to a host was answered.", Host: in.Host, Version: int64(w.HostController.Token), Reason: hostResultName(in.Result)})
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartHost, Message: "An order to a host was answered.", Host: in.Host, Version: int64(in.Token),
+		Age: ageOf(w, w.HostController.OrderedAt[in.Host]), Reason: hostResultName(in.Result),
+	})
 	if in.Order == quetzalwork.HostOrderMove {
 		handleMoveResult(w, in)
 		return
@@ -341,7 +344,7 @@
 			maintenance.State = quetzalwork.MaintenanceDone
 		case quetzalwork.HostResultFenced:
 			endHostControl(w, "Fenced")
-		case quetzalwork.HostResultBusy, quetzalwork.HostResultRefused:
+		case quetzalwork.HostResultBusy, quetzalwork.HostResultRefused, quetzalwork.HostResultExpired:
 			// The order was not carried out. The host is evacuated again before the next one.
 			maintenance.State, maintenance.Since = quetzalwork.MaintenanceEvacuating, w.Now
 		case quetzalwork.HostResultUnanswered:
@@ -351,7 +354,7 @@
 }
 
 func hostResultName(r quetzalwork.HostResult) string {
-	return [...]string{"Taken", "Busy", "Fenced", "Invalid", "Refused", "Unknown"}[r]
+	return [...]string{"Taken", "Busy", "Fenced", "Invalid", "Refused", "Unknown", "Expired"}[r]
 }
 
 // notifyHostWithdrawn notifies the dispatcher that the runs on a host in maintenance have ended. It
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -218,6 +218,7 @@
 	// HostOrderAnswered is the result of OrderHost.
 	HostOrderAnswered struct {
 		Order  HostOrder
+		Token  quetzalunit.FencingToken
 		Host   quetzalunit.HostID
 		Wave   quetzalunit.WaveID
 		Pool   quetzalunit.PoolID
@@ -342,6 +343,9 @@
 	HostResultRefused
 	// HostResultUnanswered means that there was no answer: the order may have been carried out.
 	HostResultUnanswered
+	// HostResultExpired means that the order was not sent, because the permission to send it had
+	// ended.
+	HostResultExpired
 )
 
 // JobRow is one of the stored rows of a job.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -287,6 +287,8 @@
 	// OrdersAllowedFrom is when the orders of the previous holder have been carried out or lost, so
 	// that this process may give orders.
 	OrdersAllowedFrom quetzalunit.Instant
+	// PermissionEnded reports whether the log says that the permission to order hosts has ended.
+	PermissionEnded bool
 	// BlockedUntil are the hosts that a previous holder ordered shortly before it released the duty,
 	// each with the end of the time in which another holder must not order it.
 	BlockedUntil map[quetzalunit.HostID]quetzalunit.Instant
