Show that a renewal carried out after a takeover permits orders of two holders

The renewal is an unconditional write, so that it succeeds, and permits orders for 1.5 s from the time at which it was sent. The successor has judged the last renewal by its read and orders at once.

--- /dev/null
+++ b/quetzalcore/quetzalscheduler/controllerpair_test.go
@@ -0,0 +1,250 @@
+package quetzalscheduler_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalscheduler"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// hostControlKey is the key of the host controller's duty among the duties.
+const hostControlKey quetzalunit.PoolID = "(hosts)"
+
+// controllerPair runs the Worlds of two entries that may hold the host control duty, on one simulated
+// store. The demand of a pool grows all the time, so that the holder orders a host in nearly every
+// pass.
+type controllerPair struct {
+	now     quetzalunit.Instant
+	entries []*pairEntry
+	// revision is the revision of the last write. duty and members are the stored rows.
+	revision quetzalunit.Revision
+	duty     quetzalwork.Duty
+	members  map[quetzalunit.EntryID]versionedMember
+	hosts    []quetzalwork.Host
+	wanted   quetzalunit.MilliCores
+	orders   []pairOrder
+}
+
+// pairEntry is one of the two entries.
+type pairEntry struct {
+	id quetzalunit.EntryID
+	w  *quetzalwork.World
+	// write decides what the store does with the entry's writes.
+	write writeFault
+	// heldWrites are the writes that the store has accepted and not carried out yet.
+	heldWrites []quetzalwork.Command
+}
+
+// writeFault is what the store does with the writes of an entry.
+type writeFault uint8
+
+const (
+	writeNormally writeFault = iota
+	// writeRefused means that the store refuses the writes and serves the reads.
+	writeRefused
+	// writeHeld means that the writes wait in the store.
+	writeHeld
+)
+
+// pairOrder is an order to a host as the host service receives it.
+type pairOrder struct {
+	at     quetzalunit.Instant
+	holder quetzalunit.EntryID
+	token  quetzalunit.FencingToken
+}
+
+func newControllerPair(seed uint64) *controllerPair {
+	p := &controllerPair{now: quetzalunit.InstantOf(time.Unix(1000, 0)), members: make(map[quetzalunit.EntryID]versionedMember)}
+	for i := range 400 {
+		p.hosts = append(p.hosts, upHost(quetzalunit.HostID(fmt.Sprint("s", i)), "off"))
+	}
+	p.hosts = append(p.hosts, upHost("b1", "busy"))
+	for i := range 2 {
+		e := &pairEntry{id: quetzalunit.EntryID(fmt.Sprint("e", i)), w: &quetzalwork.World{}}
+		e.w.Self = quetzalwork.Identity{Entry: e.id, Incarnation: 1, PeerAddress: quetzalunit.Address(e.id), Seed: seed + uint64(i)}
+		e.w.Bounds = quetzalwork.Bounds{MaintenanceTime: 2 * time.Second, MoveTime: time.Second, OrderLease: 3 * time.Second}
+		quetzalscheduler.Start(e.w, p.now)
+		p.entries = append(p.entries, e)
+	}
+	cfg := quetzalwork.FleetConfig{Version: 1, Pools: []quetzalwork.PoolSpec{{ID: "busy"}, {ID: "off", Spare: true}}}
+	for _, e := range p.entries {
+		p.tick(e, quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: 1})
+	}
+	return p
+}
+
+// run advances the clock in steps of 20 ms with a tick of each entry.
+func (p *controllerPair) run(d time.Duration) {
+	end := p.now.Add(d)
+	for p.now < end {
+		p.now = p.now.Add(20 * time.Millisecond)
+		p.wanted += 32000 / 5
+		for _, e := range p.entries {
+			p.tick(e)
+		}
+	}
+}
+
+// tick applies inputs to an entry and performs the resulting commands until there are no more.
+func (p *controllerPair) tick(e *pairEntry, inputs ...quetzalwork.Input) {
+	for {
+		var next []quetzalwork.Input
+		for _, cmd := range quetzalscheduler.Tick(e.w, p.now, inputs) {
+			if in := p.perform(e, cmd); in != nil {
+				next = append(next, in)
+			}
+		}
+		if len(next) == 0 {
+			return
+		}
+		inputs = next
+	}
+}
+
+// perform performs a command of an entry and returns the result, nil if there is none yet.
+func (p *controllerPair) perform(e *pairEntry, cmd quetzalwork.Command) quetzalwork.Input {
+	switch c := cmd.(type) {
+	case quetzalwork.RenewMember, quetzalwork.WriteDuty:
+		switch e.write {
+		case writeRefused:
+			return refusedWrite(c)
+		case writeHeld:
+			e.heldWrites = append(e.heldWrites, c)
+			return nil
+		default:
+			return p.carryOut(c)
+		}
+	case quetzalwork.ReadMembers:
+		return p.read(c)
+	case quetzalwork.ListHosts:
+		return quetzalwork.HostsListed{OK: true, Hosts: slices.Clone(p.hosts)}
+	case quetzalwork.ReadWaves:
+		return quetzalwork.WavesRead{}
+	case quetzalwork.ListMinions:
+		return quetzalwork.MinionsListed{Full: true, SeenRevision: 1}
+	case quetzalwork.OrderHost:
+		if p.now <= c.ValidUntil {
+			p.orders = append(p.orders, pairOrder{at: p.now, holder: e.id, token: c.Token})
+		}
+		return quetzalwork.HostOrderAnswered{Order: c.Order, Token: c.Token, Host: c.Host, Pool: c.Pool, Wave: c.Wave}
+	case quetzalwork.CallPeer:
+		in := quetzalwork.PeerReplyReceived{Message: c.Message, Address: c.Address}
+		if m, ok := c.Message.(quetzalwork.QueryLoad); ok && m.Pool == "busy" {
+			in.Reply = quetzalwork.LoadReply{Load: quetzalwork.PoolLoad{Wanted: p.wanted, Usable: 32000, UsableHosts: 1}}
+		}
+		return in
+	default:
+		return nil
+	}
+}
+
+// refusedWrite returns the input that reports that the store refused a write.
+func refusedWrite(cmd quetzalwork.Command) quetzalwork.Input {
+	switch c := cmd.(type) {
+	case quetzalwork.RenewMember:
+		return quetzalwork.MemberRenewed{Result: quetzalwork.StoreRefused, SentAt: c.SentAt}
+	case quetzalwork.WriteDuty:
+		return quetzalwork.DutyWritten{Result: quetzalwork.StoreRefused, Pool: c.Pool, Release: c.Release, SentAt: c.SentAt}
+	default:
+		return nil
+	}
+}
+
+// carryOut carries out a write.
+func (p *controllerPair) carryOut(cmd quetzalwork.Command) quetzalwork.Input {
+	switch c := cmd.(type) {
+	case quetzalwork.RenewMember:
+		p.revision++
+		p.members[c.Member.Entry] = versionedMember{c.Member, p.revision}
+		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
+	case quetzalwork.WriteDuty:
+		in := quetzalwork.DutyWritten{Result: quetzalwork.StoreConflict, Pool: c.Pool, Release: c.Release, SentAt: c.SentAt}
+		if c.Pool == hostControlKey && c.Expected == p.duty.Revision {
+			p.revision++
+			p.duty = c.Duty
+			p.duty.Revision = p.revision
+			in.Result, in.Revision = quetzalwork.StoreDone, p.revision
+		}
+		return in
+	default:
+		return nil
+	}
+}
+
+// releaseWrites carries out the writes of an entry that wait in the store.
+func (p *controllerPair) releaseWrites(e *pairEntry) {
+	held := e.heldWrites
+	e.heldWrites, e.write = nil, writeNormally
+	for _, c := range held {
+		p.tick(e, p.carryOut(c))
+	}
+}
+
+// read serves a read of the members and duties. A third entry dispatches the pools.
+func (p *controllerPair) read(c quetzalwork.ReadMembers) quetzalwork.Input {
+	in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: true, SeenRevision: p.revision, Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
+	for _, e := range p.entries {
+		if m, ok := p.members[e.id]; ok {
+			in.Members = append(in.Members, m.Member)
+		}
+	}
+	in.Members = append(in.Members, quetzalwork.Member{Entry: "e9", Incarnation: 1, Address: "e9", Heartbeat: quetzalunit.Heartbeat(p.now), Stopping: true})
+	for _, pool := range []quetzalunit.PoolID{"busy", "off"} {
+		in.Duties[pool] = quetzalwork.Duty{Holder: "e9", Incarnation: 1, Address: "e9", Revision: 1}
+	}
+	if p.duty.Revision > 0 {
+		in.Duties[hostControlKey] = p.duty
+	}
+	return in
+}
+
+// holder returns the entry that holds the duty according to the stored row.
+func (p *controllerPair) holder() *pairEntry {
+	i := slices.IndexFunc(p.entries, func(e *pairEntry) bool { return e.id == p.duty.Holder })
+	if i < 0 {
+		return nil
+	}
+	return p.entries[i]
+}
+
+// fenceViolations returns the orders that reached the host service after one with a higher token.
+func (p *controllerPair) fenceViolations() []pairOrder {
+	var late []pairOrder
+	var highest quetzalunit.FencingToken
+	for _, o := range p.orders {
+		if o.token < highest {
+			late = append(late, o)
+		}
+		highest = max(highest, o.token)
+	}
+	return late
+}
+
+// A renewal of the host controller waits in the store while a successor takes over, and is carried out
+// just after the successor's read of the rows. It must not permit orders beside the successor's.
+func TestRenewalCarriedOutAfterATakeoverPermitsNoOrders(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newControllerPair(seed)
+		p.run(4 * time.Second)
+		old := p.holder()
+		require.NotNil(t, old)
+		require.NotEmpty(t, p.orders)
+		old.write = writeRefused
+		p.run(2 * time.Second)
+		old.write = writeHeld
+		for p.holder() == old {
+			p.run(20 * time.Millisecond)
+		}
+		p.run(20 * time.Millisecond)
+		p.releaseWrites(old)
+		p.run(6 * time.Second)
+		require.Empty(t, p.fenceViolations(), "seed %d", seed)
+		require.NotEqual(t, old.id, p.orders[len(p.orders)-1].holder, "the successor orders hosts")
+	}
+}
