Permit orders to hosts by a lease that excludes takeovers

Cause: a successor judged by reads how long the former host controller may still order hosts, while what permitted the orders, a renewal of the member row, was written without a condition. A renewal that was sent before the takeover and carried out after the successor's read succeeded, and permitted orders for 1.5 s that the successor did not wait for. The fault belongs to the class of a permission whose end is judged by a read that is not atomic with the takeover.

Change: the host controller holds a lease, a row in the part of its duty's row. A renewal requires the duty's row of its holder; a takeover requires the lease that the successor has seen, and writes it. A late renewal therefore comes before the takeover, which fails, or fails itself and ends the term. Neither side depends on the age of a read. The successor waits from the lease that its takeover required, which takes no time in most takeovers.

The simulated store draws no delay for the renewals of the lease, so that its scenario stays the same.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -206,6 +206,13 @@
 	}, eris.Wrap(err, "decode member")
 }
 
+// EncodeHostLease returns the JSON of the row of the host controller's lease, which names the entry that
+// renewed it.
+func EncodeHostLease(entry quetzalunit.EntryID) ([]byte, error) {
+	data, err := json.Marshal(quetzalwire.HostLeaseDoc{Entry: string(entry)})
+	return data, eris.Wrap(err, "encode host lease")
+}
+
 // EncodeWaveHosts returns the JSON of the hosts of a wave whose maintenance order was accepted.
 func EncodeWaveHosts(done []quetzalunit.HostID) ([]byte, error) {
 	data, err := json.Marshal(quetzalwire.WaveHostsDoc{Done: toStrings(done)})
--- a/quetzalcore/quetzalscheduler/controllerpair_test.go
+++ b/quetzalcore/quetzalscheduler/controllerpair_test.go
@@ -13,22 +13,28 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// hostControlKey is the key of the host controller's duty among the duties.
-const hostControlKey quetzalunit.PoolID = "(hosts)"
-
 // controllerPair runs the Worlds of two entries that may hold the host control duty, on one simulated
 // store. The demand of a pool grows all the time, so that the holder orders a host in nearly every
 // pass.
 type controllerPair struct {
 	now     quetzalunit.Instant
 	entries []*pairEntry
-	// revision is the revision of the last write. duty and members are the stored rows.
+	// revision is the revision of the last write. duty and members are the stored rows, lease is the
+	// revision of the lease's row.
 	revision quetzalunit.Revision
 	duty     quetzalwork.Duty
+	lease    quetzalunit.Revision
 	members  map[quetzalunit.EntryID]versionedMember
 	hosts    []quetzalwork.Host
 	wanted   quetzalunit.MilliCores
-	orders   []pairOrder
+	// renewedAt is when the last write that keeps the lease of each term was sent, of those that the
+	// store has carried out. The duty's revision at the takeover identifies the term.
+	renewedAt map[quetzalunit.FencingToken]quetzalunit.Instant
+	orders    []pairOrder
+	// violations describes the orders that an entry decided on without a permission.
+	violations []string
+	// beforeTakeover, if not nil, is called before the store carries out a takeover.
+	beforeTakeover func()
 }
 
 // pairEntry is one of the two entries.
@@ -39,6 +45,10 @@
 	write writeFault
 	// heldWrites are the writes that the store has accepted and not carried out yet.
 	heldWrites []quetzalwork.Command
+	// paused reports whether the process is paused. readsFail makes its reads of the rows fail.
+	paused, readsFail bool
+	// inputs are the results of its writes, which it gets in the next step in which it is not paused.
+	inputs []quetzalwork.Input
 }
 
 // writeFault is what the store does with the writes of an entry.
@@ -50,6 +60,8 @@
 	writeRefused
 	// writeHeld means that the writes wait in the store.
 	writeHeld
+	// memberRefused means that the store refuses the renewals of the member row alone.
+	memberRefused
 )
 
 // pairOrder is an order to a host as the host service receives it.
@@ -60,7 +72,7 @@
 }
 
 func newControllerPair(seed uint64) *controllerPair {
-	p := &controllerPair{now: quetzalunit.InstantOf(time.Unix(1000, 0)), members: make(map[quetzalunit.EntryID]versionedMember)}
+	p := &controllerPair{now: quetzalunit.InstantOf(time.Unix(1000, 0)), members: make(map[quetzalunit.EntryID]versionedMember), renewedAt: make(map[quetzalunit.FencingToken]quetzalunit.Instant)}
 	for i := range 400 {
 		p.hosts = append(p.hosts, upHost(quetzalunit.HostID(fmt.Sprint("s", i)), "off"))
 	}
@@ -86,7 +98,11 @@
 		p.now = p.now.Add(20 * time.Millisecond)
 		p.wanted += 32000 / 5
 		for _, e := range p.entries {
-			p.tick(e)
+			if !e.paused {
+				inputs := e.inputs
+				e.inputs = nil
+				p.tick(e, inputs...)
+			}
 		}
 	}
 }
@@ -110,17 +126,21 @@
 // perform performs a command of an entry and returns the result, nil if there is none yet.
 func (p *controllerPair) perform(e *pairEntry, cmd quetzalwork.Command) quetzalwork.Input {
 	switch c := cmd.(type) {
-	case quetzalwork.RenewMember, quetzalwork.WriteDuty:
-		switch e.write {
-		case writeRefused:
-			return refusedWrite(c)
-		case writeHeld:
+	case quetzalwork.RenewMember, quetzalwork.WriteDuty, quetzalwork.RenewHostLease:
+		_, member := c.(quetzalwork.RenewMember)
+		switch {
+		case e.write == writeHeld:
 			e.heldWrites = append(e.heldWrites, c)
-			return nil
+		case e.write == writeRefused || e.write == memberRefused && member:
+			e.inputs = append(e.inputs, refusedWrite(c))
 		default:
-			return p.carryOut(c)
+			e.inputs = append(e.inputs, p.carryOut(c))
 		}
+		return nil
 	case quetzalwork.ReadMembers:
+		if e.readsFail {
+			return quetzalwork.MembersRead{Result: quetzalwork.StoreRefused, SentAt: c.SentAt}
+		}
 		return p.read(c)
 	case quetzalwork.ListHosts:
 		return quetzalwork.HostsListed{OK: true, Hosts: slices.Clone(p.hosts)}
@@ -129,6 +149,9 @@
 	case quetzalwork.ListMinions:
 		return quetzalwork.MinionsListed{Full: true, SeenRevision: 1}
 	case quetzalwork.OrderHost:
+		if end := p.renewedAt[c.Token].Add(1500 * time.Millisecond); p.now >= c.ValidUntil || c.ValidUntil > end {
+			p.violations = append(p.violations, fmt.Sprintf("%v: %s may order until %v, not until %v", p.now, e.id, end, c.ValidUntil))
+		}
 		if p.now <= c.ValidUntil {
 			p.orders = append(p.orders, pairOrder{at: p.now, holder: e.id, token: c.Token})
 		}
@@ -151,6 +174,8 @@
 		return quetzalwork.MemberRenewed{Result: quetzalwork.StoreRefused, SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
 		return quetzalwork.DutyWritten{Result: quetzalwork.StoreRefused, Pool: c.Pool, Release: c.Release, SentAt: c.SentAt}
+	case quetzalwork.RenewHostLease:
+		return quetzalwork.HostLeaseRenewed{Result: quetzalwork.StoreRefused, Token: c.Token, SentAt: c.SentAt}
 	default:
 		return nil
 	}
@@ -165,13 +190,26 @@
 		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
 		in := quetzalwork.DutyWritten{Result: quetzalwork.StoreConflict, Pool: c.Pool, Release: c.Release, SentAt: c.SentAt}
-		if c.Pool == hostControlKey && c.Expected == p.duty.Revision {
+		if p.beforeTakeover != nil && !c.Release {
+			p.beforeTakeover()
+		}
+		if c.Pool == quetzalwork.HostControlDuty && c.Expected == p.duty.Revision && (!c.CheckLease || c.ExpectedLease == p.lease) {
 			p.revision++
 			p.duty = c.Duty
 			p.duty.Revision = p.revision
+			if !c.Release {
+				p.lease, p.renewedAt[quetzalunit.FencingToken(p.revision)] = p.revision, c.SentAt
+			}
 			in.Result, in.Revision = quetzalwork.StoreDone, p.revision
 		}
 		return in
+	case quetzalwork.RenewHostLease:
+		if quetzalunit.Revision(c.Token) != p.duty.Revision {
+			return quetzalwork.HostLeaseRenewed{Result: quetzalwork.StoreConflict, Token: c.Token, SentAt: c.SentAt}
+		}
+		p.revision++
+		p.lease, p.renewedAt[c.Token] = p.revision, max(p.renewedAt[c.Token], c.SentAt)
+		return quetzalwork.HostLeaseRenewed{Token: c.Token, SentAt: c.SentAt}
 	default:
 		return nil
 	}
@@ -182,13 +220,13 @@
 	held := e.heldWrites
 	e.heldWrites, e.write = nil, writeNormally
 	for _, c := range held {
-		p.tick(e, p.carryOut(c))
+		e.inputs = append(e.inputs, p.carryOut(c))
 	}
 }
 
 // read serves a read of the members and duties. A third entry dispatches the pools.
 func (p *controllerPair) read(c quetzalwork.ReadMembers) quetzalwork.Input {
-	in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: true, SeenRevision: p.revision, Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
+	in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: true, SeenRevision: p.revision, HostLease: p.lease, Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
 	for _, e := range p.entries {
 		if m, ok := p.members[e.id]; ok {
 			in.Members = append(in.Members, m.Member)
@@ -199,7 +237,7 @@
 		in.Duties[pool] = quetzalwork.Duty{Holder: "e9", Incarnation: 1, Address: "e9", Revision: 1}
 	}
 	if p.duty.Revision > 0 {
-		in.Duties[hostControlKey] = p.duty
+		in.Duties[quetzalwork.HostControlDuty] = p.duty
 	}
 	return in
 }
@@ -242,9 +280,114 @@
 			p.run(20 * time.Millisecond)
 		}
 		p.run(20 * time.Millisecond)
+		old.readsFail = true
 		p.releaseWrites(old)
+		p.run(100 * time.Millisecond)
+		require.False(t, old.w.HostController.Held, "the conflict shows the takeover")
+		old.readsFail = false
 		p.run(6 * time.Second)
 		require.Empty(t, p.fenceViolations(), "seed %d", seed)
+		require.Empty(t, p.violations, "seed %d", seed)
 		require.NotEqual(t, old.id, p.orders[len(p.orders)-1].holder, "the successor orders hosts")
 	}
 }
+
+// A renewal of the host controller is carried out after the last read of a successor and just before
+// its takeover. The takeover must fail: the successor would not wait for the end of what the renewal
+// permits.
+func TestTakeoverFailsAfterARenewalThatNoReadHasShown(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newControllerPair(seed)
+		p.run(4 * time.Second)
+		old := p.holder()
+		require.NotNil(t, old)
+		old.write = writeRefused
+		p.run(2 * time.Second)
+		old.write = writeHeld
+		takeovers := 0
+		p.beforeTakeover = func() {
+			if takeovers++; takeovers == 1 {
+				p.releaseWrites(old)
+			}
+		}
+		p.run(5 * time.Second)
+		require.Positive(t, takeovers, "seed %d", seed)
+		require.Empty(t, p.fenceViolations(), "seed %d", seed)
+		require.Empty(t, p.violations, "seed %d", seed)
+		require.Equal(t, old, p.holder(), "seed %d", seed)
+	}
+}
+
+// The process of the host controller is paused while the answer to a renewal is on its way, and a
+// successor takes over. On waking it must not order hosts on the strength of that answer.
+func TestPausedHostControllerOrdersNothingOnWaking(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newControllerPair(seed)
+		p.run(4 * time.Second)
+		old := p.holder()
+		require.NotNil(t, old)
+		old.write = writeHeld
+		p.run(time.Second)
+		old.paused = true
+		p.releaseWrites(old)
+		p.run(5 * time.Second)
+		require.NotEqual(t, old, p.holder(), "seed %d", seed)
+		old.paused, old.readsFail, old.write = false, true, writeHeld
+		p.run(3 * time.Second)
+		require.Empty(t, p.fenceViolations(), "seed %d", seed)
+		require.Empty(t, p.violations, "seed %d", seed)
+	}
+}
+
+// The host controller can renew nothing, and no other entry can take over. It must stop ordering hosts
+// by itself, and go on once it can renew its lease.
+func TestHostControllerThatCannotRenewStopsOrdering(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newControllerPair(seed)
+		p.run(4 * time.Second)
+		old := p.holder()
+		require.NotNil(t, old)
+		for _, e := range p.entries {
+			e.write = writeRefused
+		}
+		p.run(1600 * time.Millisecond)
+		before := len(p.orders)
+		p.run(5 * time.Second)
+		require.Len(t, p.orders, before, "seed %d", seed)
+		require.Empty(t, p.violations, "seed %d", seed)
+		old.write = writeNormally
+		p.run(2 * time.Second)
+		require.Greater(t, len(p.orders), before, "seed %d", seed)
+	}
+}
+
+// The store refuses the renewals of the host controller's member row, and carries out those of its
+// lease. No other entry must try to take the duty over.
+func TestHostControllerThatRenewsItsLeaseStaysTheHolder(t *testing.T) {
+	for seed := range uint64(20) {
+		p := newControllerPair(seed)
+		p.run(4 * time.Second)
+		old := p.holder()
+		require.NotNil(t, old)
+		old.write = memberRefused
+		p.beforeTakeover = func() { t.Error("another entry tries to take over", seed) }
+		p.run(6 * time.Second)
+		require.Equal(t, old.id, p.orders[len(p.orders)-1].holder)
+		require.Greater(t, p.orders[len(p.orders)-1].at, p.now.Add(-time.Second))
+	}
+}
+
+// The answer to a renewal of an earlier term arrives after the entry has taken the duty over again. It
+// says nothing about the present term.
+func TestRenewalOfAnEarlierTermIsIgnored(t *testing.T) {
+	p := newControllerPair(1)
+	p.run(4 * time.Second)
+	e := p.holder()
+	require.NotNil(t, e)
+	c := &e.w.HostController
+	p.tick(e, quetzalwork.HostLeaseRenewed{Result: quetzalwork.StoreConflict, Token: c.Token - 1, SentAt: p.now})
+	require.True(t, c.Held)
+	before := c.Lease.RenewalSentAt
+	p.tick(e, quetzalwork.HostLeaseRenewed{Token: c.Token - 1, SentAt: p.now})
+	require.Equal(t, before, c.Lease.RenewalSentAt)
+}
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -31,10 +31,6 @@
 	dutyRetryDelay = 400 * time.Millisecond
 )
 
-// hostControlDuty is the key of the host controller's duty, whose holder gives orders to hosts. The
-// duty is stored among those of the pools.
-const hostControlDuty quetzalunit.PoolID = "(hosts)"
-
 // applyDutyRow applies the stored row of a duty unless a newer revision is known, and begins or
 // ends this process's work on the duty accordingly.
 func applyDutyRow(w *quetzalwork.World, id quetzalunit.PoolID, seen quetzalwork.Duty) {
@@ -49,13 +45,14 @@
 		markStopping(w, &predecessor)
 	}
 	mine := seen.Holder == w.Self.Entry && seen.Incarnation == w.Self.Incarnation
-	if id == hostControlDuty {
+	if id == quetzalwork.HostControlDuty {
 		c := &w.HostController
 		if c.Held && (!mine || seen.Revision != quetzalunit.Revision(c.Token)) {
 			endHostControl(w, "Superseded")
 		}
 		if mine && !c.Held {
-			beginHostControl(w, seen.Revision, predecessor)
+			// The takeover was stored, but its answer was lost.
+			beginHostControl(w, seen.Revision, predecessor, 0)
 		}
 		return
 	}
@@ -80,7 +77,7 @@
 
 // dutyOf returns the local copy of a duty's row.
 func dutyOf(w *quetzalwork.World, id quetzalunit.PoolID) *quetzalwork.Duty {
-	if id == hostControlDuty {
+	if id == quetzalwork.HostControlDuty {
 		return &w.HostController.Duty
 	}
 	return &w.Pools.At(poolRow(w, id)).Duty
@@ -88,7 +85,7 @@
 
 // dutyKeys returns the keys of all duties, sorted.
 func dutyKeys(w *quetzalwork.World) []quetzalunit.PoolID {
-	ids := []quetzalunit.PoolID{hostControlDuty}
+	ids := []quetzalunit.PoolID{quetzalwork.HostControlDuty}
 	for _, p := range w.Pools.All() {
 		ids = append(ids, p.ID)
 	}
@@ -108,7 +105,7 @@
 	var free []quetzalunit.PoolID
 	for _, id := range ids {
 		d := dutyOf(w, id)
-		if isHolderLive(w, d) {
+		if isDutyHeld(w, id, d) {
 			dutyCounts[d.Holder]++
 			d.FreeSince = 0
 			continue
@@ -136,11 +133,28 @@
 		if !mayTakeOver || d.Acquiring || w.Now < d.RetryAt {
 			continue
 		}
-		d.Acquiring = true
-		w.Emit(quetzalwork.WriteDuty{Pool: id, OfHosts: id == hostControlDuty, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
-			Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
-		}})
+		acquireDuty(w, id, d)
+	}
+}
+
+// acquireDuty writes a duty's row with this process as the holder, if the row is still the one that
+// this process has seen. A takeover of the host controller's duty also requires the lease that this
+// process has seen, unless the duty was released.
+func acquireDuty(w *quetzalwork.World, id quetzalunit.PoolID, d *quetzalwork.Duty) {
+	d.Acquiring = true
+	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == quetzalwork.HostControlDuty, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
+		Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
+	}}
+	if c.OfHosts && d.Holder != "" {
+		c.CheckLease, c.ExpectedLease = true, w.HostController.Lease.Revision
 	}
+	w.Emit(c)
+}
+
+// isDutyHeld reports whether a duty has a holder that may be live: it renews its member row, or as the
+// host controller its lease.
+func isDutyHeld(w *quetzalwork.World, id quetzalunit.PoolID, d *quetzalwork.Duty) bool {
+	return isHolderLive(w, d) || id == quetzalwork.HostControlDuty && hostLeaseMayBeRenewed(w)
 }
 
 // isHolderLive reports whether the process that holds a duty is live.
@@ -217,7 +231,7 @@
 // only if it has far more cores than the others, as after a restart of all entries. The host
 // controller's duty stays with the entry that held it last, if that entry is live.
 func bestCandidate(w *quetzalwork.World, id quetzalunit.PoolID, dutyCounts map[quetzalunit.EntryID]int) quetzalunit.EntryID {
-	if holder := w.Members.At(w.MemberByID.Get(dutyOf(w, id).Holder)); id == hostControlDuty && holder != nil && !holder.Stopping && isLive(w, holder) {
+	if holder := w.Members.At(w.MemberByID.Get(dutyOf(w, id).Holder)); id == quetzalwork.HostControlDuty && holder != nil && !holder.Stopping && isLive(w, holder) {
 		// Orders of two processes of the same entry do not conflict, so the entry need not wait for
 		// those of its earlier process.
 		return holder.Entry
@@ -255,7 +269,7 @@
 		return
 	}
 	written := quetzalwork.Duty{Revision: in.Revision}
-	if in.Release && in.Pool == hostControlDuty {
+	if in.Release && in.Pool == quetzalwork.HostControlDuty {
 		written.OrderedHosts = recentlyOrderedHosts(w)
 	}
 	if !in.Release {
@@ -265,8 +279,8 @@
 		predecessor := *d
 		mayBeRunning, first := holderMayBeRunning(w, d), d.Revision == 0
 		*d = written
-		if !in.Release && in.Pool == hostControlDuty {
-			beginHostControl(w, in.Revision, predecessor)
+		if !in.Release && in.Pool == quetzalwork.HostControlDuty {
+			beginHostControl(w, in.Revision, predecessor, in.SentAt)
 		} else if !in.Release {
 			row := poolRow(w, in.Pool)
 			beginDispatch(w, row, in.Revision, predecessor, mayBeRunning)
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -15,9 +15,11 @@
 type store struct {
 	revision quetzalunit.Revision
 	duties   map[quetzalunit.PoolID]quetzalwork.Duty
-	members  map[quetzalunit.EntryID]versionedMember
-	rows     map[string]quetzalwork.JobRow
-	list     map[quetzalunit.MinionID]versionedRecord
+	// hostLease is the revision of the host controller's lease.
+	hostLease quetzalunit.Revision
+	members   map[quetzalunit.EntryID]versionedMember
+	rows      map[string]quetzalwork.JobRow
+	list      map[quetzalunit.MinionID]versionedRecord
 	// pageSize is the maximum number of rows in one answer to a full read; zero means no limit.
 	pageSize int
 	// memberReads and minionLists count the reads of the rows of members and of the minion list by
@@ -53,6 +55,10 @@
 		f.after(watch.Wait, func() { post(quetzalwork.ConfigWatched{SeenRevision: watch.SinceRevision}) })
 		return
 	}
+	if lease, ok := c.(quetzalwork.RenewHostLease); ok {
+		s.renewHostLease(e, lease, post)
+		return
+	}
 	f.call(e.zone, storeZone, timeout, func() func() {
 		if f.storeDown {
 			return nil
@@ -68,6 +74,22 @@
 	}, func() { post(unansweredInput(c)) })
 }
 
+// renewHostLease carries out a renewal of the host controller's lease after a fixed delay. It draws no
+// random delay, so that the renewals do not shift the draws of the other calls.
+func (s *store) renewHostLease(e *entry, c quetzalwork.RenewHostLease, post func(quetzalwork.Input)) {
+	f := e.f
+	f.after(time.Millisecond, func() {
+		if f.reaches(e.zone, storeZone) && !f.storeDown {
+			in := s.serve(e, c)
+			if f.loseAnswers == 0 || f.rng.Float64() >= f.loseAnswers {
+				f.after(time.Millisecond, func() { post(in) })
+				return
+			}
+		}
+		f.after(700*time.Millisecond, func() { post(unansweredInput(c)) })
+	})
+}
+
 // enqueue returns how long a transaction waits for its shard and is executed.
 func (s *store) enqueue(now quetzalunit.Instant, c quetzalwork.Command) time.Duration {
 	var shard quetzalunit.Shard
@@ -95,6 +117,8 @@
 		return quetzalwork.MemberRenewed{Result: r}
 	case quetzalwork.WriteDuty:
 		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release}
+	case quetzalwork.RenewHostLease:
+		return quetzalwork.HostLeaseRenewed{Result: r, Token: c.Token, SentAt: c.SentAt}
 	case quetzalwork.ListMinions:
 		return quetzalwork.MinionsListed{Result: r}
 	case quetzalwork.ReadPoolJobs:
@@ -132,6 +156,9 @@
 			}
 		}
 		slices.SortFunc(in.Members, func(a, b quetzalwork.Member) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+		if s.hostLease > c.SinceRevision {
+			in.HostLease = s.hostLease
+		}
 		for id, d := range s.duties {
 			if d.Revision > c.SinceRevision {
 				in.Duties[id] = d
@@ -144,14 +171,24 @@
 		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
 		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
-		if s.duties[c.Pool].Revision == c.Expected {
+		if s.duties[c.Pool].Revision == c.Expected && (!c.CheckLease || s.hostLease == c.ExpectedLease) {
 			s.revision++
 			d := c.Duty
 			d.Revision = s.revision
 			s.duties[c.Pool] = d
+			if c.OfHosts && !c.Release {
+				s.hostLease = s.revision
+			}
 			in.Result, in.Revision = quetzalwork.StoreDone, s.revision
 		}
 		return in
+	case quetzalwork.RenewHostLease:
+		if s.duties[quetzalwork.HostControlDuty].Revision != quetzalunit.Revision(c.Token) {
+			return quetzalwork.HostLeaseRenewed{Result: quetzalwork.StoreConflict, Token: c.Token, SentAt: c.SentAt}
+		}
+		s.revision++
+		s.hostLease = s.revision
+		return quetzalwork.HostLeaseRenewed{Token: c.Token, SentAt: c.SentAt}
 	case quetzalwork.ListMinions:
 		s.minionLists[e.id]++
 		in := quetzalwork.MinionsListed{Full: c.SinceRevision == 0, SeenRevision: s.revision}
--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -13,38 +13,23 @@
 	hostControlPeriod = 120 * time.Millisecond
 	// hostListPeriod is the time between two reads of the list of hosts.
 	hostListPeriod = 600 * time.Millisecond
-	// hostOrderValidity is how long after a confirmed renewal this process may order hosts. It must
-	// be less than memberTimeout, after which others consider this entry dead, and more than
-	// renewPeriod.
-	hostOrderValidity = 1500 * time.Millisecond
-	// hostOrderTimeout is the longest time from sending an order until it is answered or its
-	// connection is reset.
-	hostOrderTimeout = 900 * time.Millisecond
 	// cordonTime is how long a minion stays cordoned after a request to evacuate its host.
 	cordonTime = 2500 * time.Millisecond
 )
 
-// beginHostControl makes this process the host controller, which gives orders to hosts. It gives
-// none while an order of the predecessor may still be in force:
-//
-//   - A predecessor that released the duty has stored the hosts that it ordered recently. These
-//     hosts get no order for OrderLease, during which orders of two holders count as conflicting.
-//   - One that may be alive excludes all orders until updateOrdersAllowedFrom has determined when
-//     its own end.
-//   - One whose last renewal is not known excludes all orders for OrderLease.
-//   - An earlier process of this entry is the same holder to the hosts and excludes nothing.
-func beginHostControl(w *quetzalwork.World, revision quetzalunit.Revision, predecessor quetzalwork.Duty) {
+// beginHostControl makes this process the host controller, which gives orders to hosts. It gives none
+// before predecessorOrdersEnd, and for OrderLease none to the hosts that a predecessor ordered shortly
+// before it released the duty: orders of two holders within that time conflict. takeoverSentAt is when
+// the takeover was sent, which counts as the first renewal of the lease; zero if that is not known.
+func beginHostControl(w *quetzalwork.World, revision quetzalunit.Revision, predecessor quetzalwork.Duty, takeoverSentAt quetzalunit.Instant) {
 	c := &w.HostController
-	c.OrdersAllowedFrom, c.BlockedUntil, c.OrderedAt = w.Now, make(map[quetzalunit.HostID]quetzalunit.Instant), make(map[quetzalunit.HostID]quetzalunit.Instant)
+	c.BlockedUntil, c.OrderedAt = make(map[quetzalunit.HostID]quetzalunit.Instant), make(map[quetzalunit.HostID]quetzalunit.Instant)
 	for _, host := range predecessor.OrderedHosts {
 		c.BlockedUntil[host] = w.Now.Add(w.Bounds.OrderLease)
 	}
-	c.Held, c.Token, c.HeldSince, c.Predecessor = true, quetzalunit.FencingToken(revision), w.Now, quetzalwork.Duty{}
-	if predecessor.Holder != "" && predecessor.Holder != w.Self.Entry {
-		c.Predecessor = predecessor
-		c.OrdersAllowedFrom = w.Now.Add(max(w.Bounds.OrderLease, hostOrderValidity+hostOrderTimeout))
-		rereadMembers(w)
-	}
+	c.Held, c.Token, c.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
+	c.OrdersAllowedFrom = predecessorOrdersEnd(w, &predecessor)
+	c.Lease.RenewalSentAt, c.Lease.RenewalAttemptAt, c.Lease.RenewalInFlight = takeoverSentAt, takeoverSentAt, false
 	c.HostsReadAt, c.HostsReadInFlight, c.WavesLoaded, c.PermissionEnded = 0, false, false, false
 	for _, wave := range w.Waves.All() {
 		wave.Maintenance = make([]quetzalwork.HostMaintenance, len(wave.Hosts))
@@ -55,23 +40,7 @@
 		Age: c.OrdersAllowedFrom.Sub(w.Now), Reason: string(predecessor.Holder),
 	})
 	w.Emit(quetzalwork.ReadWaves{})
-}
-
-// updateOrdersAllowedFrom sets when the orders of a predecessor that may be alive have ended. The
-// predecessor orders hosts for hostOrderValidity after the older of its last renewal and its last
-// read that showed it as the holder, and an order ends within hostOrderTimeout. That read preceded
-// the takeover. The renewal may have followed the reads that led to the takeover, so only rows that
-// were read after the takeover show it.
-func updateOrdersAllowedFrom(w *quetzalwork.World) {
-	c := &w.HostController
-	if m := w.Members.At(w.MemberByID.Get(c.Predecessor.Holder)); m != nil && m.Incarnation == c.Predecessor.Incarnation {
-		c.OrdersAllowedFrom = min(c.HeldSince, m.RenewalSeenAt).Add(hostOrderValidity + hostOrderTimeout)
-		w.Log(quetzalwork.Decision{
-			Part: quetzalwork.PartDuty, Message: "The last renewal of the previous host controller is known.", Version: int64(c.Predecessor.Revision),
-			Age: w.Now.Sub(m.RenewalSeenAt), Reason: string(c.Predecessor.Holder),
-		})
-	}
-	c.Predecessor = quetzalwork.Duty{}
+	renewHostLease(w)
 }
 
 // endHostControl ends this process's term as the host controller and deletes the moves in progress.
@@ -125,33 +94,6 @@
 	return slices.Compact(hosts)
 }
 
-// hostOrderDeadline returns when this process must stop ordering hosts. The time counts from the
-// older of the last renewal, from which other entries count memberTimeout, and the last read, which
-// showed that no other entry had taken the duty over.
-func hostOrderDeadline(w *quetzalwork.World) quetzalunit.Instant {
-	return min(w.Membership.RenewalSentAt, w.Membership.ReadSentAt).Add(hostOrderValidity)
-}
-
-// permissionAge returns the age of what permits this process to order hosts. At hostOrderValidity the
-// permission ends.
-func permissionAge(w *quetzalwork.World) time.Duration {
-	return w.Now.Sub(hostOrderDeadline(w)) + hostOrderValidity
-}
-
-// logPermission logs when the permission of the host controller to order hosts ends and when it is
-// back.
-func logPermission(w *quetzalwork.World) {
-	c := &w.HostController
-	if ended := w.Now >= hostOrderDeadline(w); ended != c.PermissionEnded {
-		c.PermissionEnded = ended
-		message := "This entry may order hosts again."
-		if ended {
-			message = "The permission to order hosts has ended."
-		}
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: message, Version: int64(c.Token), Age: permissionAge(w)})
-	}
-}
-
 func hostOrderName(o quetzalwork.HostOrder) string {
 	return [...]string{"Move", "Maintain"}[o]
 }
@@ -164,6 +106,7 @@
 	if !c.Held || w.Stopping {
 		return
 	}
+	renewHostLease(w)
 	logPermission(w)
 	if !c.HostsReadInFlight && (c.HostsReadAt == 0 || w.Now.Sub(c.HostsReadAt) > hostListPeriod) {
 		c.HostsReadInFlight = true
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -29,6 +29,10 @@
 	// heartbeat, if not nil, is the heartbeat in the stored row of e1. By default it grows with each
 	// read.
 	heartbeat *quetzalunit.Heartbeat
+	// lease is the revision of the stored row of the host controller's lease.
+	lease quetzalunit.Revision
+	// e1Restarted makes the stored row of e1 that of a later process, which is stopping.
+	e1Restarted bool
 	// holdsReads keeps the reads of members and duties unanswered; heldReads are these reads.
 	holdsReads bool
 	heldReads  []quetzalwork.ReadMembers
@@ -79,6 +83,8 @@
 	switch cmd := cmd.(type) {
 	case quetzalwork.RenewMember:
 		return []quetzalwork.Input{quetzalwork.MemberRenewed{SentAt: cmd.SentAt}}
+	case quetzalwork.RenewHostLease:
+		return []quetzalwork.Input{quetzalwork.HostLeaseRenewed{Token: cmd.Token, SentAt: cmd.SentAt}}
 	case quetzalwork.ReadMembers:
 		if c.holdsReads {
 			c.heldReads = append(c.heldReads, cmd)
@@ -117,11 +123,15 @@
 	if c.heartbeat != nil {
 		heartbeat = *c.heartbeat
 	}
+	e1 := quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: heartbeat}
+	if c.e1Restarted {
+		e1.Incarnation, e1.Stopping = 2, true
+	}
 	return quetzalwork.MembersRead{
-		Full: true, SeenRevision: 9, SentAt: cmd.SentAt,
+		Full: true, SeenRevision: 9, SentAt: cmd.SentAt, HostLease: c.lease,
 		Members: []quetzalwork.Member{
 			{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(c.now)},
-			{Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: heartbeat},
+			e1,
 			{Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(c.now)},
 		},
 		Duties: map[quetzalunit.PoolID]quetzalwork.Duty{"(hosts)": duty, "busy": other, "calm": other, "off": other},
@@ -331,6 +341,30 @@
 	require.NotEmpty(t, c.orders)
 }
 
+// The process of the host controller is replaced by one that does not take the duty over. The orders of
+// the first may still be under way, so that another entry must wait for their end.
+func TestSuccessorWaitsForTheOrdersOfAReplacedProcess(t *testing.T) {
+	c := newHostControllerAfter(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Revision: 6},
+		[]quetzalwork.Host{upHost("s1", "off"), upHost("b1", "busy")}, quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 3 * 32000, Usable: 32000, UsableHosts: 1}
+	c.lease = 6
+	for range 60 {
+		c.lease++
+		c.run(50 * time.Millisecond)
+	}
+	renewedAt := c.now
+	c.e1Restarted = true
+	for len(c.takeovers) == 0 {
+		c.run(50 * time.Millisecond)
+	}
+	require.Less(t, c.now.Sub(renewedAt), 2*time.Second)
+	c.run(renewedAt.Add(1700 * time.Millisecond).Sub(c.now))
+	require.Empty(t, c.orders, "the predecessor may order for 1.5 s, and an order is lost after 0.9 s at the latest")
+	c.run(3 * time.Second)
+	require.NotEmpty(t, c.orders)
+}
+
 func hostsOf(orders []quetzalwork.OrderHost) []quetzalunit.HostID {
 	var hosts []quetzalunit.HostID
 	for _, o := range orders {
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -105,9 +105,9 @@
 	for id, duty := range in.Duties {
 		applyDutyRow(w, id, duty)
 	}
-	if c := &w.HostController; c.Held && c.Predecessor.Holder != "" && in.SentAt >= c.HeldSince {
-		updateOrdersAllowedFrom(w)
-	}
+	// The lease is applied after the duties: a takeover by this process that this read shows is judged
+	// by the lease that the takeover was conditional on.
+	applyHostLease(w, in.HostLease)
 	updateStandbys(w)
 	publishRelays(w)
 	takeOverDuties(w)
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -30,8 +30,8 @@
 // hosts that were ordered recently.
 func releaseDuty(w *quetzalwork.World, id quetzalunit.PoolID) {
 	w.PendingReleases++
-	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == hostControlDuty, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
-	if id == hostControlDuty {
+	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == quetzalwork.HostControlDuty, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
+	if id == quetzalwork.HostControlDuty {
 		c.Duty.OrderedHosts = recentlyOrderedHosts(w)
 	}
 	w.Emit(c)
@@ -67,7 +67,7 @@
 		}
 	}
 	if w.HostController.Held {
-		releaseDuty(w, hostControlDuty)
+		releaseDuty(w, quetzalwork.HostControlDuty)
 		endHostControl(w, "Stop")
 	}
 }
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -74,6 +74,8 @@
 		handleRenewal(w, &in)
 	case quetzalwork.DutyWritten:
 		handleDutyWritten(w, &in)
+	case quetzalwork.HostLeaseRenewed:
+		handleHostLeaseRenewal(w, &in)
 	case quetzalwork.MinionsListed:
 		handleMinionList(w, &in)
 	case quetzalwork.PoolJobsRead:
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -528,6 +528,13 @@
 	Host string `json:"Host" yaml:"Host"`
 }
 
+// HostLeaseDoc is the row of the host controller's lease; Entry renewed it. The
+// lease lasts as long as the row's revision changes.
+type HostLeaseDoc struct {
+	// Entry corresponds to the JSON schema field "Entry".
+	Entry string `json:"Entry" yaml:"Entry"`
+}
+
 // HostList is the platform's list of hosts, which lags behind their true states.
 type HostList struct {
 	// Hosts corresponds to the JSON schema field "Hosts".
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -70,11 +70,21 @@
 		// OfHosts reports whether it is the duty of the host controller.
 		OfHosts  bool
 		Expected quetzalunit.Revision
+		// CheckLease reports whether the row of the host controller's lease must still have the
+		// revision ExpectedLease, 0 if it must not exist.
+		CheckLease    bool
+		ExpectedLease quetzalunit.Revision
 		// Duty is the new content of the row.
 		Duty    Duty
 		Release bool
 		SentAt  quetzalunit.Instant
 	}
+	// RenewHostLease renews the lease of the host controller if the row of its duty still has the
+	// revision Token.
+	RenewHostLease struct {
+		Token  quetzalunit.FencingToken
+		SentAt quetzalunit.Instant
+	}
 	// ListMinions reads the list of minions.
 	ListMinions struct{ SinceRevision quetzalunit.Revision }
 	// ReadPoolJobs reads the rows of a pool's jobs: if Full is set, the page of all rows that begins
@@ -228,6 +238,7 @@
 func (ReadMembers) implementsCommand()    {}
 func (RenewMember) implementsCommand()    {}
 func (WriteDuty) implementsCommand()      {}
+func (RenewHostLease) implementsCommand() {}
 func (ListMinions) implementsCommand()    {}
 func (ReadPoolJobs) implementsCommand()   {}
 func (StoreJobs) implementsCommand()      {}
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -189,6 +189,10 @@
 	Count int
 }
 
+// HostControlDuty is the key of the host controller's duty, whose holder gives orders to hosts. The
+// duty is stored among those of the pools.
+const HostControlDuty quetzalunit.PoolID = "(hosts)"
+
 // Duty is the stored row that names the holder of a duty, and this entry's attempts to acquire it.
 // The holder of a pool's duty dispatches the pool; that of the host controller's duty gives the
 // orders to hosts.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -69,6 +69,8 @@
 		Members []Member
 		// Duties has the duties by pool. The duty of the host controller has a reserved id.
 		Duties map[quetzalunit.PoolID]Duty
+		// HostLease is the revision of the host controller's lease, 0 if it did not change.
+		HostLease quetzalunit.Revision
 		// Full reports whether Members and Duties are complete; otherwise they hold only what
 		// changed.
 		Full         bool
@@ -89,6 +91,12 @@
 		Revision quetzalunit.Revision
 		SentAt   quetzalunit.Instant
 	}
+	// HostLeaseRenewed is the result of RenewHostLease.
+	HostLeaseRenewed struct {
+		Result StoreResult
+		Token  quetzalunit.FencingToken
+		SentAt quetzalunit.Instant
+	}
 	// MinionsListed is the result of ListMinions.
 	MinionsListed struct {
 		Result  StoreResult
@@ -237,6 +245,7 @@
 func (MembersRead) implementsInput()         {}
 func (MemberRenewed) implementsInput()       {}
 func (DutyWritten) implementsInput()         {}
+func (HostLeaseRenewed) implementsInput()    {}
 func (MinionsListed) implementsInput()       {}
 func (PoolJobsRead) implementsInput()        {}
 func (JobsStored) implementsInput()          {}
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -271,6 +271,20 @@
 	Attempts int
 }
 
+// HostLease is what an entry knows of the host controller's lease.
+type HostLease struct {
+	// Revision is the highest revision of the stored row that this process has read, and SeenAt when
+	// it did. The store carried out that renewal before SeenAt.
+	Revision quetzalunit.Revision
+	SeenAt   quetzalunit.Instant
+	// RenewalSentAt is when the holder sent its last successful renewal.
+	RenewalSentAt quetzalunit.Instant
+	// RenewalAttemptAt is when the holder last sent a renewal, RenewalInFlight whether it has no
+	// answer yet.
+	RenewalAttemptAt quetzalunit.Instant
+	RenewalInFlight  bool
+}
+
 // HostController is the state of the host controller: the holder of the duty to give orders to
 // hosts, which moves them and takes them into maintenance. One entry at a time holds this duty.
 type HostController struct {
@@ -281,9 +295,8 @@
 	// Token is this process's fencing token, HeldSince the instant when it acquired the duty.
 	Token     quetzalunit.FencingToken
 	HeldSince quetzalunit.Instant
-	// Predecessor is the previous holder until it is known when its last orders end; its Holder is
-	// empty otherwise.
-	Predecessor Duty
+	// Lease is the lease that permits orders to hosts.
+	Lease HostLease
 	// OrdersAllowedFrom is when the orders of the previous holder have been carried out or lost, so
 	// that this process may give orders.
 	OrdersAllowedFrom quetzalunit.Instant
