Hold duties only at the epoch that was taken over

What callers would see: two entries of a zone plan at once, and both pass the fence. Each drains a host within the budget as it sees it; together they take a pool below its budget.

Cause: the answer to a takeover set the held epoch to the newest epoch known, not to the one that the takeover had written. An entry that takes the duties over and is suspended before it reads the answer loses them to a successor. On resuming it may apply the successor's epoch row, from a peer or a scan, before the answer. It then held the duties at the successor's epoch, renewed them under the successor's fence, and planned.

Evidence: TestLateTakeoverAnswerDoesNotAdoptTheEpochOfASuccessor. Before the change the entry writes host0 as Leaving, on the condition that the epoch row has the successor's revision: "plans beside the holder of the duties".

Change: the answer counts only if the epoch row known is the one that the transaction wrote. A newer one shows a takeover since.

Why it works: the held epoch is set only together with the revision of the epoch row that this process wrote, applyEpoch clears it at any newer epoch, and the fence is that revision. So a write of this process is admitted only while its own takeover is the last one.

Measured: the test fails before and passes after; the other tests of quetzalsystem are unchanged.

--- a/quetzalcore/quetzalsystem/duty.go
+++ b/quetzalcore/quetzalsystem/duty.go
@@ -89,13 +89,16 @@
 }
 
 // handleTakeoverResult handles the result of takeOverDuty. The lease counts from the time the
-// call was sent, which is no later than the commit.
+// call was sent, which is no later than the commit. An epoch row that is newer than the commit
+// shows that another entry has taken the duties over since.
 func handleTakeoverResult(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	w.DutyCall = 0
-	if _, ok := result.(quetzalfleet.Committed); !ok {
+	committed, ok := result.(quetzalfleet.Committed)
+	d := dutyOf(w, w.Self.Zone)
+	if !ok || d.Revision != committed.Revision {
 		return
 	}
-	w.HeldEpoch = dutyOf(w, w.Self.Zone).Epoch
+	w.HeldEpoch = d.Epoch
 	w.RenewalSentAt = call.SentAt
 	w.PlanDirty = true
 	w.RecordDecision(quetzalfleet.DecisionDuty, string(w.Self.Zone), fmt.Sprintf("took over the zone's duties at epoch %d", w.HeldEpoch))
--- /dev/null
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -0,0 +1,47 @@
+package quetzalsystem_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// epochRow returns the row of the duties of zone a with another holder.
+func epochRow(holder quetzalunit.EntryID, epoch quetzalunit.Epoch) quetzalfleet.RowAtRevision {
+	return row(quetzalfleet.TableEpochs, "a", quetzalfleet.EpochRow{Zone: "a", Holder: holder, Epoch: epoch})
+}
+
+// An entry takes the duties over and is suspended before it gets the answer. Meanwhile its lease
+// expires and another entry takes over. When it resumes, the newer epoch arrives before the answer.
+// It must not hold the duties at the epoch of its successor: the successor's fence would admit its
+// writes.
+func TestLateTakeoverAnswerDoesNotAdoptTheEpochOfASuccessor(t *testing.T) {
+	s := newSingleEntry(t)
+	peer := quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}
+	s.scan(append(fleetRows(), rosterRow(self, peer))...)
+	takeover := s.waitForWrite(quetzalfleet.TableEpochs)
+	s.revision++
+	committed := quetzalfleet.Committed{Revision: s.revision}
+	s.revision++
+	successor := epochRow("f", 2)
+	successor.Revision = s.revision
+	s.tick(6*time.Second,
+		quetzalfleet.GossipArrived{Message: quetzalfleet.Gossip{
+			From: "f", Incarnation: 1, Zone: "a", SinceRevision: s.w.SeenRevision, SeenRevision: s.revision,
+			Rows: []quetzalfleet.RowAtRevision{successor},
+		}},
+		quetzalfleet.StoreAnswered{Call: takeover.Call, Result: committed},
+	)
+	for range 50 {
+		for _, renewal := range s.writes(quetzalfleet.TableRenewals) {
+			s.commit(renewal)
+		}
+		require.Empty(t, s.writes(quetzalfleet.TableHosts), "plans beside the holder of the duties")
+		s.tick(100 * time.Millisecond)
+	}
+	require.Zero(t, s.w.HeldEpoch)
+}
