Take duties over only if their holder has not renewed them

What callers would see: the duties of a zone change hands all the time although their holder lives and renews them.

Cause: a candidate judged the lease by the renewals it had read, and the takeover was conditional on the epoch row alone. It can miss renewals. Gossip carries no renewals, but it advances the revision up to which an entry counts rows as read, and the next scan starts there: a renewal below it is never read. A candidate that was suspended has read none, and any late answer of the platform counts as a sign that it could have.

Evidence: TestRenewedDutiesStayWithTheirHolder, 30 calm minutes of two zones, and TestSuspendedEntryLeavesRenewedDutiesToTheirHolder fail before the change.

Change: a takeover from another holder is also conditional on the renewal row at the revision that the candidate has seen. A conflict returns the row, from which the lease counts anew.

Why it works: the check that no renewal was made and the takeover are one transaction. A renewal in flight either precedes it, and the takeover conflicts, or follows it, and the renewal conflicts with the epoch row.

--- a/quetzalcore/quetzalsystem/duty.go
+++ b/quetzalcore/quetzalsystem/duty.go
@@ -59,12 +59,18 @@
 	return platformFresh && w.Now.Sub(d.RenewalSeenAt) > w.Self.LeaseDuration
 }
 
-// takeOverDuty takes over the zone's duties at the next epoch.
+// takeOverDuty takes over the zone's duties at the next epoch. The transaction conflicts if the
+// holder has made a renewal that this entry has not seen: gossip carries no renewals, and the entry
+// may have been suspended since its last read. The conflict returns the row of that renewal.
 func takeOverDuty(w *quetzalfleet.World) {
 	d := dutyOf(w, w.Self.Zone)
 	epoch := d.Epoch + 1
+	conditions := []quetzalfleet.Condition{fenceCondition(w)}
+	if d.Holder != "" && d.Holder != w.Self.Entry {
+		conditions = append(conditions, quetzalfleet.Condition{Key: renewalKey(w.Self.Zone), Revision: d.RenewalRevision})
+	}
 	w.DutyCall = writeStore(w, quetzalfleet.ForDutyTakeover{}, quetzalfleet.Transaction{
-		Conditions: []quetzalfleet.Condition{fenceCondition(w)},
+		Conditions: conditions,
 		Writes: []quetzalfleet.Write{
 			{Key: epochKey(w.Self.Zone), Row: quetzalfleet.EpochRow{Zone: w.Self.Zone, Holder: w.Self.Entry, Epoch: epoch}},
 			renewalWrite(w, epoch, 0),
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
+	"quetzalstair/quetzalcore/quetzalsimulation"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
@@ -45,3 +46,33 @@
 	}
 	require.Zero(t, s.w.HeldEpoch)
 }
+
+// Rows of renewals do not travel by gossip, and a scan leaves out the rows up to a revision that
+// gossip has reported. An entry that misses renewals in this way must not take the duties over from
+// a holder that renews them.
+func TestRenewedDutiesStayWithTheirHolder(t *testing.T) {
+	for seed := range uint64(5) {
+		sim := newSimulation(t, seed, smallFleet())
+		before := len(sim.Decisions)
+		sim.Advance(30 * time.Minute)
+		for _, d := range sim.Decisions[before:] {
+			require.NotEqual(t, quetzalfleet.DecisionDuty, d.Kind, "%s: %s", d.Entry, d.Reason)
+		}
+	}
+}
+
+// An entry that was suspended has seen no renewal for longer than a lease. The platform's answer to
+// an earlier call must not make it take the duties over from a holder that has renewed them.
+func TestSuspendedEntryLeavesRenewedDutiesToTheirHolder(t *testing.T) {
+	for frozen := 6 * time.Second; frozen < 9*time.Second; frozen += 100 * time.Millisecond {
+		sim := newSimulation(t, 1, smallFleet())
+		holder := holderOf(sim, "a")
+		for n := range 3 {
+			if e := sim.Entry(quetzalsimulation.EntryID("a", n)); e.ID != holder {
+				e.FrozenUntil = sim.Now.Add(frozen)
+			}
+		}
+		sim.Advance(frozen + 10*time.Second)
+		require.Equal(t, holder, holderOf(sim, "a"), "frozen for %s", frozen)
+	}
+}
