Judge a job's holder by rosters as new as the job

What callers would see: a job that an entry accepts just after its start is taken over although the entry lives. An idempotent job runs twice; one that is marked as sent ends as Unknown while it runs.

Cause: jobs and rosters are read by separate scans. The holder of the duties compared a job's row with the rosters that it had read earlier, and took an entry that had joined in between for one that had left.

Change: a job is taken over only if every row of the fleet up to the revision of the job's row has been read.

Why it works: revisions are shared by all tables. A holder writes a job's row while it is in the roster, so a roster that is read up to the revision of that row and lacks the holder shows that it has left.

--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -252,7 +252,7 @@
 		}
 	}
 	for row, job := range w.PendingJobs.All() {
-		if job.TakeoverCall == 0 && !holderInRoster(w, &job.JobSpec) {
+		if job.TakeoverCall == 0 && job.Revision <= w.SeenRevision && !holderInRoster(w, &job.JobSpec) {
 			takeOverJob(w, row)
 		}
 	}
@@ -274,7 +274,9 @@
 	job.JobSpec, job.Revision = spec, rev
 }
 
-// holderInRoster reports whether the process that holds a job is in the roster of any zone.
+// holderInRoster reports whether the process that holds a job is in the roster of any zone. A holder
+// writes the job's row after it has joined, so the rosters show whether it has left only once they
+// are read up to the revision of that row.
 func holderInRoster(w *quetzalfleet.World, job *quetzalfleet.JobSpec) bool {
 	for _, r := range w.Rosters.All() {
 		if slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -76,3 +76,42 @@
 		require.Equal(t, holder, holderOf(sim, "a"), "frozen for %s", frozen)
 	}
 }
+
+// answerJobScan answers the scan of the jobs in flight, or the next one, with a job's row at the
+// next revision, which no scan of the fleet's rows has reached.
+func (s *singleEntry) answerJobScan(spec quetzalfleet.JobSpec) {
+	s.t.Helper()
+	for range 30 {
+		if call := s.w.JobScanCall; call != 0 {
+			s.revision++
+			job := row(quetzalfleet.TableJobs, string(spec.Request), quetzalfleet.JobRow{JobSpec: spec})
+			job.Revision = s.revision
+			s.tick(0, quetzalfleet.StoreAnswered{Call: call, Result: quetzalfleet.RowsRead{
+				Revision: s.revision, Rows: []quetzalfleet.RowAtRevision{job},
+			}})
+			return
+		}
+		s.tick(200 * time.Millisecond)
+	}
+	require.Fail(s.t, "no scan of the jobs")
+}
+
+// An entry joins the roster and accepts a job. The holder of the duties reads the job before it has
+// read the roster. It must not take the job over: two entries would run it.
+func TestJobOfAnEntryThatHasJustJoinedIsNotTakenOver(t *testing.T) {
+	s := newSingleEntry(t)
+	s.scan(append(fleetRows(), rosterRow(self))...)
+	s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
+	s.scan()
+	joined := quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}
+	s.answerJobScan(quetzalfleet.JobSpec{
+		Request: "job", Entry: "f", Incarnation: 1, State: quetzalfleet.JobAccepted, Queue: "proofs",
+		Idempotent: true, Deadline: s.w.Now.Add(time.Hour),
+	})
+	require.Empty(t, s.writes(quetzalfleet.TableJobs), "took over the job of a live entry")
+	s.scan(rosterRow(self, joined))
+	for range 50 {
+		require.Empty(t, s.writes(quetzalfleet.TableJobs))
+		s.tick(100 * time.Millisecond)
+	}
+}
