Accept jobs only while in the roster

What callers would see: a job that is accepted by an entry serving as a guest, just after the platform can be reached again, runs twice: at that entry and at the holder of the duties.

Cause: jobs are taken over from entries that are in no roster. A guest is in none, yet it stored the jobs that it was given as soon as the platform answered, up to a poll period before it joined.

Evidence: TestJobIsAcceptedInTheRosterOnly. Before the change an idempotent job of 3 s runs twice when it is submitted as the platform returns.

Change: an entry outside the roster refuses a job at once as not run, with the reason EntryStarting. Other requests are served as before.

Why it works: a job's row is written by an entry in the roster only, and entries leave the roster by a planned stop or when they are gone.

Measured: of the 40 times of submission that the test tries, each job that is accepted runs once and each one that is refused does not run.

--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -115,3 +115,27 @@
 		s.tick(100 * time.Millisecond)
 	}
 }
+
+// Jobs are taken over from entries that are not in the roster. An entry that serves as a guest must
+// not accept one, or another entry runs it too.
+func TestJobIsAcceptedInTheRosterOnly(t *testing.T) {
+	for wait := time.Duration(0); wait < 2*time.Second; wait += 50 * time.Millisecond {
+		sim := newSimulation(t, 1, smallFleet())
+		sim.RunTime = func(quetzalunit.RequestID) time.Duration { return 3 * time.Second }
+		guest := sim.Entries.At(sim.AddEntry("a-entry9", "a"))
+		guest.PartitionedFromPlatform = true
+		sim.Advance(8 * time.Second)
+		guest.PartitionedFromPlatform = false
+		sim.Advance(wait)
+		in := request("job", true)
+		in.Async, in.Timeout = true, time.Hour
+		sim.Submit("a-entry9", in)
+		sim.Advance(30 * time.Second)
+		require.Len(t, sim.Answers, 1)
+		want := 0
+		if _, accepted := sim.Answers[0].Outcome.(quetzalfleet.Accepted); accepted {
+			want = 1
+		}
+		require.Equal(t, want, sim.RunCount("job"), "submitted %s after the platform returned", wait)
+	}
+}
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -99,6 +99,10 @@
 	if q == nil {
 		return quetzalfleet.Invalid{Reason: quetzalfleet.UnknownQueue}
 	}
+	if in.Async && !inRoster(w) {
+		// Other entries take over the jobs of entries that are not in the roster.
+		return quetzalfleet.NotRun{Reason: quetzalfleet.EntryStarting, RetryAfter: refusedRetryAfter}
+	}
 	return checkQueueLimits(w, queueRow, in)
 }
 
