Remove entries by a list that is newer than their silence

What callers would see: an entry that is restarted, and then cut off from its peers for 3 s, is removed from the roster although it lives and serves. A move no longer waits for it, and its next request reaches a host that serves another pool.

Cause: the state of an entry's host in the platform's list was kept when a new process of the entry joined, and an answer to a call for the list that was made before counted as new. After 3 s of silence the holder of the duties removed the new process by the end of the old one.

Evidence: TestEntryIsNotRemovedByAnOldList, with a list from before the new process joined and with one requested before and answered 4 s after.

Change: a silent entry is removed only if a list that was requested after 3 s of its silence shows its host as gone.

Why it works: the list lags by up to 2 s, so such a list shows the host as it was after the last sign of life of that process. The removal stays conditional on the roster's row, which every join changes.

--- a/quetzalcore/quetzalfleet/peer.go
+++ b/quetzalcore/quetzalfleet/peer.go
@@ -31,6 +31,8 @@
 	ForwardedInFlight quetzalunit.Requests
 	// ListedState is the state of the peer's own host in the platform's host list.
 	ListedState ListedState
+	// ListedAt is the time at which the list that shows ListedState was requested.
+	ListedAt quetzalunit.Instant
 	// Loads is the load that the peer last reported.
 	Loads []PoolLoad
 }
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -139,3 +139,50 @@
 		require.Equal(t, want, sim.RunCount("job"), "submitted %s after the platform returned", wait)
 	}
 }
+
+// list answers the call for the platform's list in flight, or the next one, d after it was made.
+func (s *singleEntry) list(d time.Duration, hosts ...quetzalfleet.ListedHost) {
+	s.t.Helper()
+	for range 10 {
+		if call := s.w.ListCall; call != 0 {
+			s.tick(d, quetzalfleet.StoreAnswered{Call: call, Result: quetzalfleet.HostsListed{Hosts: hosts}})
+			return
+		}
+		s.tick(time.Second)
+	}
+	require.Fail(s.t, "no call for the list")
+}
+
+// The list shows the host of an entry as gone, and a new process of the entry joins the roster. The
+// new process must not be removed by the list of its predecessor's time: moves would not wait for it.
+func TestEntryIsNotRemovedByAnOldList(t *testing.T) {
+	gone := quetzalfleet.ListedHost{ID: "f", State: quetzalfleet.ListedGone}
+	for _, answerAfter := range []time.Duration{0, 4 * time.Second} {
+		s := newSingleEntry(t)
+		s.peersSilent = true
+		s.scan(append(fleetRows(), rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}))...)
+		s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
+		if answerAfter == 0 {
+			s.list(0, gone)
+		}
+		s.scan(rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 2}))
+		if answerAfter > 0 {
+			s.list(answerAfter, gone)
+		}
+		for range 40 {
+			require.Empty(t, s.writes(quetzalfleet.TableRosters), "removed the new process")
+			for _, renewal := range s.writes(quetzalfleet.TableRenewals) {
+				s.commit(renewal)
+			}
+			s.tick(100 * time.Millisecond)
+		}
+		require.NotZero(t, s.w.HeldEpoch)
+		removed := false
+		for range 40 {
+			s.list(0, gone)
+			s.tick(500 * time.Millisecond)
+			removed = removed || len(s.writes(quetzalfleet.TableRosters)) > 0
+		}
+		require.True(t, removed, "a process that a new list shows as gone stays")
+	}
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -83,7 +83,7 @@
 	case quetzalfleet.ForFleetScan:
 		handleScanResult(w, result)
 	case quetzalfleet.ForHostList:
-		handleHostListResult(w, result)
+		handleHostListResult(w, call, result)
 	case quetzalfleet.ForRosterChange:
 		handleRosterResult(w, p, result)
 	case quetzalfleet.ForRosterRemoval:
@@ -148,7 +148,7 @@
 	}
 }
 
-func handleHostListResult(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+func handleHostListResult(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	w.ListCall = 0
 	listed, ok := result.(quetzalfleet.HostsListed)
 	if !ok {
@@ -160,7 +160,7 @@
 			continue
 		}
 		if p := w.Peers.At(w.PeerByID.Get(quetzalunit.EntryID(l.ID))); p != nil {
-			p.ListedState = l.State
+			p.ListedState, p.ListedAt = l.State, call.SentAt
 		}
 	}
 }
--- a/quetzalcore/quetzalsystem/roster.go
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -107,8 +107,8 @@
 	w.RosterCall = writeStore(w, quetzalfleet.ForRosterChange{Leave: true}, rosterTransaction(w, rosterWithout(w, w.Self.Entry)))
 }
 
-// removeDeadEntries removes from the roster the first silent entry whose host the platform
-// lists as gone, so at most one entry per plan.
+// removeDeadEntries removes from the roster the first entry that is silent and whose host the
+// platform lists as gone since, so at most one entry per plan.
 func removeDeadEntries(w *quetzalfleet.World) {
 	r := zoneRoster(w)
 	if r == nil {
@@ -116,7 +116,7 @@
 	}
 	for _, e := range r.Entries {
 		p := w.Peers.At(w.PeerByID.Get(e.Entry))
-		if p == nil || p.ListedState != quetzalfleet.ListedGone || w.Now.Sub(p.LastHeardAt) < peerRemovalSilence {
+		if p == nil || !listedGone(p, peerRemovalSilence) {
 			continue
 		}
 		t := rosterTransaction(w, rosterWithout(w, e.Entry))
@@ -129,6 +129,13 @@
 	}
 }
 
+// listedGone reports whether the platform lists the host of a peer as gone, in a list that was
+// requested after the peer had been silent for the given time. An older list may show the end of an
+// earlier process with the same entry id.
+func listedGone(p *quetzalfleet.Peer, silence time.Duration) bool {
+	return p.ListedState == quetzalfleet.ListedGone && p.ListedAt.Sub(p.LastHeardAt) >= silence
+}
+
 // applyRoster applies the row of a zone's roster and updates the peers in that zone.
 func applyRoster(w *quetzalfleet.World, v quetzalfleet.RosterRow, rev quetzalunit.Revision) {
 	row := w.RosterByZone.Get(v.Zone)
--- a/quetzalcore/quetzalsystem/singleentry_test.go
+++ b/quetzalcore/quetzalsystem/singleentry_test.go
@@ -21,6 +21,8 @@
 	// commands are the commands of the last tick.
 	commands []quetzalfleet.Command
 	revision quetzalunit.Revision
+	// peersSilent makes every message to a peer fail.
+	peersSilent bool
 }
 
 func newSingleEntry(t *testing.T) *singleEntry {
@@ -36,7 +38,7 @@
 func (s *singleEntry) tick(d time.Duration, inputs ...quetzalfleet.Input) {
 	for _, c := range s.commands {
 		if gossip, ok := c.(quetzalfleet.SendGossip); ok {
-			inputs = append(inputs, quetzalfleet.GossipAnswered{Peer: gossip.Peer})
+			inputs = append(inputs, quetzalfleet.GossipAnswered{Peer: gossip.Peer, Failed: s.peersSilent})
 		}
 	}
 	s.commands = quetzalsystem.Tick(s.w, s.w.Now.Add(d), inputs)
