Forget guests by a list that is newer than their silence

What callers would see: a guest that is restarted during an outage and then suspended for 3 s resumes and sends a request to a host that has been moved to another pool.

The sponsor of a guest forgot it, and confirmed hosts without it, once it was silent for 3 s and any list, of any age, showed its host as gone. The state in the list outlived the process that it was about.

Evidence: TestGuestIsNotForgottenByAnOldList. Before the change the sponsor confirms host0 without its guest.

Change: a guest is forgotten only by a list that was requested after 3 s of its silence.

Why it works: while the platform does not answer there is no such list, and the sponsor waits; a list that is requested later shows whether the host of the present process is gone.

--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -105,13 +105,13 @@
 
 // guestsConfirmed reports whether every guest has confirmed that it runs nothing on a
 // host and will send nothing to it. It deletes guests whose own hosts the platform
-// lists as gone and that have been silent for longer than guestLease.
+// lists as gone after they have been silent for guestLease.
 func guestsConfirmed(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
 	for row, p := range w.Peers.All() {
 		if !p.Guest {
 			continue
 		}
-		if p.ListedState == quetzalfleet.ListedGone && w.Now.Sub(p.LastHeardAt) > guestLease {
+		if listedGone(p, guestLease) {
 			w.PeerByID.Delete(p.ID)
 			w.Peers.Delete(row)
 			continue
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -186,3 +186,42 @@
 		require.True(t, removed, "a process that a new list shows as gone stays")
 	}
 }
+
+// drainedHosts returns the hosts that the entry has confirmed as drained in the last tick's gossip.
+func (s *singleEntry) drainedHosts() []quetzalfleet.HostGeneration {
+	var confirmed []quetzalfleet.HostGeneration
+	for _, c := range s.commands {
+		if gossip, ok := c.(quetzalfleet.SendGossip); ok {
+			confirmed = append(confirmed, gossip.Message.DrainedHosts...)
+		}
+	}
+	return confirmed
+}
+
+// An entry that serves as a guest is restarted, is granted again, and is suspended. The list still
+// shows the end of its first process. Its sponsor must go on waiting for it before it confirms a host.
+func TestGuestIsNotForgottenByAnOldList(t *testing.T) {
+	s := newSingleEntry(t)
+	s.peersSilent = true
+	s.scan(append(fleetRows(), rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}))...)
+	guest := quetzalfleet.Gossip{
+		From: "guest", Incarnation: 1, Zone: "a", Address: "guest:1", Guest: true,
+		KnownHosts: []quetzalfleet.HostGeneration{{Host: "host0", Generation: 1}, {Host: "host1", Generation: 1}},
+	}
+	s.tick(time.Millisecond, quetzalfleet.GossipArrived{Message: guest})
+	s.list(0, quetzalfleet.ListedHost{ID: "guest", State: quetzalfleet.ListedGone})
+	guest.Incarnation = 2
+	s.tick(time.Millisecond, quetzalfleet.GossipArrived{Message: guest})
+	s.scan(hostRow("host0", 2, quetzalfleet.HostLeaving))
+	for range 100 {
+		s.tick(100 * time.Millisecond)
+		require.Empty(t, s.drainedHosts(), "confirmed without its guest")
+	}
+	confirmed := false
+	for range 100 {
+		s.list(0, quetzalfleet.ListedHost{ID: "guest", State: quetzalfleet.ListedGone})
+		s.tick(100 * time.Millisecond)
+		confirmed = confirmed || len(s.drainedHosts()) > 0
+	}
+	require.True(t, confirmed, "waits for a guest that is gone")
+}
