Take no host out of service without a recent host list

What callers would see: after a restart of the holder of a zone's duties a pool falls below its budget. A host of the pool is listed as leaving, and the restarted process drains another one.

Cause: a host counts as live until a list says otherwise, and a restarted process has no list. It takes its own duties back at once and planned without waiting for one. With a list that cannot be read, also a running process planned on the last one, however old.

Evidence: TestNothingIsDrainedWithoutARecentList. Before the change the entry writes host0 as Leaving while host1 is listed as leaving.

Change: the planner takes hosts (for moves, waves and demand) only with a list that was requested within the duration of the lease. Steps of hosts that are out of service already go on. The harness of single entries answers calls for the list, which until now it left open; tests that need a list of their own give it.

Why it works: what is counted as available is at most one lease old, by the time at which the list was requested, so a suspended process and a late answer are covered too.

--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -103,6 +103,9 @@
 	// ScanCall is the read of the fleet tables in flight, ListCall that of the host list;
 	// zero if none.
 	ScanCall, ListCall Row
+	// HostsListedAt is the time at which the newest host list that was answered was requested; zero
+	// before the first answer.
+	HostsListedAt quetzalunit.Instant
 	// RosterCall is the call in flight that joins or leaves the roster; zero if none.
 	RosterCall Row
 	// DutyCall is the call in flight that takes over, renews or releases the lease on the
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -159,7 +159,7 @@
 	gone := quetzalfleet.ListedHost{ID: "f", State: quetzalfleet.ListedGone}
 	for _, answerAfter := range []time.Duration{0, 4 * time.Second} {
 		s := newSingleEntry(t)
-		s.peersSilent = true
+		s.peersSilent, s.ownLists = true, true
 		s.scan(append(fleetRows(), rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}))...)
 		s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
 		if answerAfter == 0 {
@@ -202,7 +202,7 @@
 // shows the end of its first process. Its sponsor must go on waiting for it before it confirms a host.
 func TestGuestIsNotForgottenByAnOldList(t *testing.T) {
 	s := newSingleEntry(t)
-	s.peersSilent = true
+	s.peersSilent, s.ownLists = true, true
 	s.scan(append(fleetRows(), rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}))...)
 	guest := quetzalfleet.Gossip{
 		From: "guest", Incarnation: 1, Zone: "a", Address: "guest:1", Guest: true,
@@ -225,3 +225,32 @@
 	}
 	require.True(t, confirmed, "waits for a guest that is gone")
 }
+
+// A restarted process holds its zone's duties before the platform has answered its first call for
+// the list, or when the calls have failed for some time. Until it knows which hosts are listed as
+// leaving, it must not drain another one.
+func TestNothingIsDrainedWithoutARecentList(t *testing.T) {
+	s := newSingleEntry(t)
+	s.ownLists = true
+	s.scan(append(fleetRows(), rosterRow(self))...)
+	s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
+	s.scan()
+	renew := func(d time.Duration) {
+		for range d / (100 * time.Millisecond) {
+			require.Empty(t, s.writes(quetzalfleet.TableHosts), "drained the only live host")
+			for _, renewal := range s.writes(quetzalfleet.TableRenewals) {
+				s.commit(renewal)
+			}
+			s.tick(100 * time.Millisecond)
+		}
+		require.NotZero(t, s.w.HeldEpoch)
+	}
+	renew(5 * time.Second)
+	s.list(0, quetzalfleet.ListedHost{ID: "host1", State: quetzalfleet.ListedLeaving})
+	renew(20 * time.Second)
+	s.list(0, quetzalfleet.ListedHost{ID: "host1", State: quetzalfleet.ListedLive})
+	s.tick(0)
+	renew(time.Second)
+	s.list(0, quetzalfleet.ListedHost{ID: "host1", State: quetzalfleet.ListedLive})
+	s.waitForWrite(quetzalfleet.TableHosts)
+}
--- a/quetzalcore/quetzalsystem/plan.go
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -23,7 +23,7 @@
 )
 
 // plan starts the next step of every move, reboot and wave in the zone, if this entry
-// holds the zone's duties.
+// holds the zone's duties. Without a recent host list it takes no more hosts out of service.
 func plan(w *quetzalfleet.World) {
 	if !w.PlanDirty || w.Now < w.PlanNotBefore {
 		return
@@ -38,12 +38,22 @@
 			advanceHost(w, row)
 		}
 	}
+	if !hostListFresh(w) {
+		return
+	}
 	replenishPools(w)
 	startRequestedMoves(w)
 	advanceWaves(w)
 	moveHostsForDemand(w)
 }
 
+// hostListFresh reports whether this process knows the states and boot counts of the hosts from a
+// list that is younger than the duties' lease. A restarted process takes every host for live until
+// its first list.
+func hostListFresh(w *quetzalfleet.World) bool {
+	return w.HostsListedAt > 0 && w.Now.Sub(w.HostsListedAt) < w.Self.LeaseDuration
+}
+
 // advanceHost starts the next step of a host that is out of service.
 func advanceHost(w *quetzalfleet.World, row quetzalfleet.Row) {
 	h := w.Hosts.At(row)
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -154,6 +154,7 @@
 	if !ok {
 		return
 	}
+	w.HostsListedAt = call.SentAt
 	for _, l := range listed.Hosts {
 		if h := w.Hosts.At(w.HostByID.Get(l.ID)); h != nil {
 			applyListedHost(w, h, l)
--- a/quetzalcore/quetzalsystem/singleentry_test.go
+++ b/quetzalcore/quetzalsystem/singleentry_test.go
@@ -23,6 +23,9 @@
 	revision quetzalunit.Revision
 	// peersSilent makes every message to a peer fail.
 	peersSilent bool
+	// ownLists leaves the calls for the platform's list to the test. Otherwise they are answered with
+	// an empty list, which leaves every host live.
+	ownLists bool
 }
 
 func newSingleEntry(t *testing.T) *singleEntry {
@@ -34,11 +37,16 @@
 }
 
 // tick advances the time and runs a tick with the inputs. Replies of the peers to the
-// messages of the last tick are added.
+// messages of the last tick, and of the platform to its calls for the list, are added.
 func (s *singleEntry) tick(d time.Duration, inputs ...quetzalfleet.Input) {
 	for _, c := range s.commands {
-		if gossip, ok := c.(quetzalfleet.SendGossip); ok {
-			inputs = append(inputs, quetzalfleet.GossipAnswered{Peer: gossip.Peer, Failed: s.peersSilent})
+		switch c := c.(type) {
+		case quetzalfleet.SendGossip:
+			inputs = append(inputs, quetzalfleet.GossipAnswered{Peer: c.Peer, Failed: s.peersSilent})
+		case quetzalfleet.ListHosts:
+			if !s.ownLists {
+				inputs = append(inputs, quetzalfleet.StoreAnswered{Call: c.Call, Result: quetzalfleet.HostsListed{}})
+			}
 		}
 	}
 	s.commands = quetzalsystem.Tick(s.w, s.w.Now.Add(d), inputs)
