Reboot a drained host only when its boot count is known

What operators would see: a wave finishes, and a host that it counts as done has not rebooted.

Cause: a reboot is done when the boot count in the list is above the one that the planner wrote into the host's row. A restarted planner that finds a drained host before its first list wrote zero. The platform ignores a reboot for that count, and the first list then shows a higher one.

Evidence: TestRebootWaitsForTheBootCount. Before the change the restarted planner writes the host as Rebooting with BootBefore 0; its count is 7.

Change: the step from Leaving to Rebooting needs a list that was requested within the duration of the lease.

Why it works: the count that is written is one that the platform had while the wave ran. A reboot on its own after that is a reboot all the same.

--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -254,3 +254,26 @@
 	s.list(0, quetzalfleet.ListedHost{ID: "host1", State: quetzalfleet.ListedLive})
 	s.waitForWrite(quetzalfleet.TableHosts)
 }
+
+// A restarted process finds a host that is drained for a wave. Without the list it does not know the
+// host's boot count, with which it could tell that the host has rebooted since: a count that is too
+// low would make a wave done with a host that has not rebooted.
+func TestRebootWaitsForTheBootCount(t *testing.T) {
+	s := newSingleEntry(t)
+	s.ownLists = true
+	leaving := hostRow("host0", 2, quetzalfleet.HostLeaving)
+	spec := leaving.Row.(quetzalfleet.HostRow).HostSpec
+	spec.Wave = "w"
+	leaving.Row = quetzalfleet.HostRow{HostSpec: spec}
+	s.scan(append(fleetRows(), rosterRow(self), leaving)...)
+	s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
+	s.scan()
+	for range 20 {
+		require.Empty(t, s.writes(quetzalfleet.TableHosts), "rebooted a host without its boot count")
+		s.tick(100 * time.Millisecond)
+	}
+	s.list(0, quetzalfleet.ListedHost{ID: "host0", Boot: 7})
+	next := s.waitForWrite(quetzalfleet.TableHosts).Transaction.Writes[0].Row.(quetzalfleet.HostRow)
+	require.Equal(t, quetzalfleet.HostRebooting, next.State)
+	require.Equal(t, quetzalunit.Boot(7), next.BootBefore)
+}
--- a/quetzalcore/quetzalsystem/plan.go
+++ b/quetzalcore/quetzalsystem/plan.go
@@ -82,6 +82,10 @@
 		}
 		return
 	}
+	if h.NextPool == "" && !hostListFresh(w) {
+		// A reboot is recognized by a boot count above the one in the list.
+		return
+	}
 	next := h.HostSpec
 	next.Generation++
 	if h.NextPool != "" {
