Wait for the host list before the first request is sent

What callers would see: after the restart of an entry a request is sent to a host that has left the fleet, and waits for the failure of the connection.

Cause: a host counts as live until a list says otherwise. An entry reads the rows and the list by separate calls, and served as soon as it had the rows and was in the roster.

Evidence: TestRestartedEntryWaitsForTheList. Before the change all 8 requests start before the list is there, also on a host that it shows as gone.

Change: an entry is ready and sends requests only once its first call for the list has ended. If that call fails, as in an outage of the platform, it serves on the rows.

Why it works: the first list precedes the first request.

--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -106,6 +106,9 @@
 	// HostsListedAt is the time at which the newest host list that was answered was requested; zero
 	// before the first answer.
 	HostsListedAt quetzalunit.Instant
+	// HostListTried is set once the first call for the host list has ended, with or without an
+	// answer.
+	HostListTried bool
 	// RosterCall is the call in flight that joins or leaves the roster; zero if none.
 	RosterCall Row
 	// DutyCall is the call in flight that takes over, renews or releases the lease on the
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -1,6 +1,7 @@
 package quetzalsystem_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalsimulation"
+	"quetzalstair/quetzalcore/quetzalsystem"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
@@ -277,3 +279,32 @@
 	require.Equal(t, quetzalfleet.HostRebooting, next.State)
 	require.Equal(t, quetzalunit.Boot(7), next.BootBefore)
 }
+
+// A restarted process reads the rows of the fleet and joins the roster before it gets the platform's
+// list. It must not send work to a host that has left.
+func TestRestartedEntryWaitsForTheList(t *testing.T) {
+	for _, unanswered := range []bool{false, true} {
+		s := newSingleEntry(t)
+		s.ownLists = true
+		s.scan(append(fleetRows(), rosterRow(self))...)
+		for n := range quetzalunit.CallerID(8) {
+			in := request(fmt.Sprint("q~", n), true)
+			in.ClaimExempt, in.Caller = true, n+1
+			s.tick(time.Millisecond, in)
+		}
+		require.Zero(t, s.w.Attempts.Len())
+		require.False(t, quetzalsystem.Ready(s.w))
+		if unanswered {
+			s.tick(time.Second, quetzalfleet.StoreAnswered{Call: s.w.ListCall, Result: quetzalfleet.NoAnswer{}})
+		} else {
+			s.list(time.Second, quetzalfleet.ListedHost{ID: "host0", State: quetzalfleet.ListedGone})
+		}
+		require.True(t, quetzalsystem.Ready(s.w))
+		require.Equal(t, 8, s.w.Attempts.Len())
+		hosts := make(map[quetzalunit.HostID]bool)
+		for _, a := range s.w.Attempts.All() {
+			hosts[s.w.Hosts.At(a.Host).ID] = true
+		}
+		require.Equal(t, unanswered, hosts["host0"])
+	}
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -150,6 +150,7 @@
 
 func handleHostListResult(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	w.ListCall = 0
+	w.HostListTried = true
 	listed, ok := result.(quetzalfleet.HostsListed)
 	if !ok {
 		return
