Tell guests which hosts have left

What callers would see: during an outage of the platform an entry is restarted and sends requests to a host that the list showed as leaving before the outage, and that every other entry of the zone avoids.

Cause: the state of a host in the list lives in the memory of each process. A process that starts during an outage has no list, and peers reported only hosts whose minions had told them directly.

Evidence: TestGuestAvoidsHostsThatItsPeersKnowAsLeaving.

Change: the gossip to a guest also lists the zone's hosts that are not live in the sponsor's last list, and a sponsor grants a guest only after the guest has replied to such a message. Entries of the roster get no such reports: they read the list themselves, and a sponsor that is cut off would keep a host that has returned out of their service. TestGuestMayServeOnceItKnowsTheHosts now lets the guest reply to a message before the grants that it checks, and checks also that there is no grant before.

Why it works: the grant follows the report. A guest keeps a report while it has no recent list.

--- a/quetzalcore/quetzalfleet/peer.go
+++ b/quetzalcore/quetzalfleet/peer.go
@@ -18,6 +18,9 @@
 	// Guest is set if the peer is not in the roster and serves with this entry as its
 	// sponsor. This entry confirms no host as drained before the guest has.
 	Guest bool
+	// LeavingSent is set once a message to the guest has listed the hosts that are not live,
+	// LeavingKnown once the guest has replied to such a message.
+	LeavingSent, LeavingKnown bool
 	// GossipSentAt is the time at which the last gossip was sent to the peer.
 	GossipSentAt quetzalunit.Instant
 	// SentRevision is the revision up to which rows were sent to the peer, acknowledged or not;
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -100,6 +100,7 @@
 		return
 	}
 	p.GossipInFlight, p.GossipSentAt = true, w.Now
+	p.LeavingSent = p.Guest
 	base := baseOf(w, p)
 	rows, seen := rowsSince(w, base)
 	p.SentRevision = max(p.SentRevision, seen)
@@ -118,7 +119,7 @@
 		SettingsVersion: w.SettingsVersion,
 		Rows:            rows,
 		DrainedHosts:    confirmedHosts(w),
-		LeavingHosts:    leavingHosts(w),
+		LeavingHosts:    leavingHosts(w, p),
 		Loads:           poolLoads(w),
 		LongTeams:       longTeams(w),
 		KnownHosts:      knownHosts(w),
@@ -166,11 +167,13 @@
 }
 
 // leavingHosts lists the hosts whose minions told this entry directly that they are
-// leaving. Reports received from peers are not passed on.
-func leavingHosts(w *quetzalfleet.World) []quetzalfleet.HostGeneration {
+// leaving, and for a guest, which cannot read the platform's list, also the zone's hosts that are
+// not live in the last list here. Reports received from peers are not passed on.
+func leavingHosts(w *quetzalfleet.World, p *quetzalfleet.Peer) []quetzalfleet.HostGeneration {
 	var leaving []quetzalfleet.HostGeneration
 	for _, h := range w.Hosts.All() {
-		if h.LeavingFromMinion && h.LeavingGeneration == h.Generation {
+		listed := p.Guest && h.Zone == w.Self.Zone && h.ListedState != quetzalfleet.ListedLive
+		if listed || h.LeavingFromMinion && h.LeavingGeneration == h.Generation {
 			leaving = append(leaving, quetzalfleet.HostGeneration{Host: h.ID, Generation: h.Generation})
 		}
 	}
@@ -297,6 +300,7 @@
 		dirtyAllPools(w)
 	}
 	p.LastHeardAt = w.Now
+	p.LeavingKnown = p.LeavingKnown || p.LeavingSent
 	p.SeenRevision = in.SeenRevision
 	p.SettingsVersion = max(p.SettingsVersion, in.SettingsVersion)
 	if w.NewestRevision > max(p.SentRevision, p.SeenRevision) {
--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -53,7 +53,8 @@
 // sponsorGuest accepts the sender of a gossip message as a guest if it is not in the
 // roster. From then on this entry confirms a host only after the guest has. It reports
 // whether the guest may serve. The guest must know the zone's hosts at the generations
-// known here, because this entry may already have confirmed some of them.
+// known here, because this entry may already have confirmed some of them, and which of them are not
+// live, because it cannot read the platform's list.
 func sponsorGuest(w *quetzalfleet.World, m *quetzalfleet.Gossip) bool {
 	if !m.Guest || m.Zone != w.Self.Zone || m.Stopping || w.Stop != quetzalfleet.StopNone || !inRoster(w) {
 		return false
@@ -70,8 +71,12 @@
 	if p.Incarnation != m.Incarnation {
 		p.SeenRevision, p.SentRevision, p.Loads = 0, 0, nil
 	}
+	if p.Incarnation != m.Incarnation || !p.Guest {
+		p.LeavingSent, p.LeavingKnown = false, false
+		w.GossipPending = true
+	}
 	p.Guest, p.Zone, p.Address, p.Incarnation, p.LastHeardAt = true, m.Zone, m.Address, m.Incarnation, w.Now
-	return knowsHosts(w, m.KnownHosts)
+	return p.LeavingKnown && knowsHosts(w, m.KnownHosts)
 }
 
 // knownHosts lists the zone's hosts, for the sponsors of a guest to check. An entry in
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -308,3 +308,28 @@
 		require.Equal(t, unanswered, hosts["host0"])
 	}
 }
+
+// During an outage of the platform an entry that starts cannot read the list. It must not send work
+// to a host that its peers know as leaving from their last list.
+func TestGuestAvoidsHostsThatItsPeersKnowAsLeaving(t *testing.T) {
+	for seed := range uint64(10) {
+		sim := newSimulation(t, seed, smallFleet())
+		sim.Minion("a-host0").ListedState = quetzalfleet.ListedLeaving
+		sim.Advance(5 * time.Second)
+		sim.Platform.Outage = true
+		sim.Advance(20 * time.Second)
+		sim.Kill("a-entry1")
+		sim.AddEntry("a-entry1", "a")
+		for at := time.Duration(0); at < 20*time.Second; at += 50 * time.Millisecond {
+			in := request(fmt.Sprint("q~fresh", at), true)
+			in.ClaimExempt = true
+			sim.After(at, func() { sim.Submit("a-entry1", in) })
+		}
+		before := sim.Runs.Len()
+		sim.Advance(25 * time.Second)
+		require.Greater(t, sim.Runs.Len(), before, "the guest does not serve")
+		for _, run := range sim.Runs.All() {
+			require.NotEqual(t, quetzalunit.HostID("a-host0"), run.Host, "seed %d", seed)
+		}
+	}
+}
--- a/quetzalcore/quetzalsystem/singleentry_test.go
+++ b/quetzalcore/quetzalsystem/singleentry_test.go
@@ -197,6 +197,9 @@
 	}
 	old, current := quetzalfleet.HostGeneration{Host: "host0", Generation: 1}, quetzalfleet.HostGeneration{Host: "host0", Generation: 2}
 	other := quetzalfleet.HostGeneration{Host: "host1", Generation: 1}
+	require.False(t, sponsored(current, other), "before it was told which hosts are leaving")
+	s.tick(time.Second)
+	s.tick(time.Millisecond)
 	require.False(t, sponsored())
 	require.False(t, sponsored(old, other))
 	require.False(t, sponsored(current))
