Run entries by the boot-time clock

What callers would see: the wall clock of an entry's host is set back by an hour. The entry's timers stand still for an hour: it reads no rows, sends no gossip and renews nothing, but its lease and its grant as a guest stay valid. Or the clock is set forward by a few seconds: the entry confirms a host as drained on which its work may still run, and the host serves two pools.

Cause: the World of an entry read the wall clock. It ignores steps back by standing still, and follows steps forward. The program for the users' platform reads the boot-time clock, which has no steps and counts the time for which a host is suspended.

TestJobKeepsItsDeadlineWhenItIsTakenOver fails when entries have clocks of their own and rows hold instants of the World's clock.

Rows and decisions hold times of the wall clock, in the new type WallTime, and the World converts them; the stored form is the same. The age of a peer in the view of versions is computed by the World. In the simulation every process has a clock of its own.

Why it works: what decides how long a process may act depends on one clock that only runs forward. The type keeps instants of one process out of rows that others read.

--- a/quetzalcore/quetzalcodec/claim.go
+++ b/quetzalcore/quetzalcodec/claim.go
@@ -30,7 +30,7 @@
 	v := quetzalfleet.ClaimRow{
 		Request: quetzalunit.RequestID(d.Request), Entry: quetzalunit.EntryID(d.Entry),
 		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, BodyDigest: quetzalunit.BodyDigest(d.BodySum),
-		WrittenAt: instantFromMs(d.AtMs),
+		WrittenAt: wallTimeFromMs(d.AtMs),
 	}
 	if state == quetzalfleet.ClaimDone {
 		v.Answer, err = decodeAnswer(d.Status, d.Fields, d.Answer)
--- a/quetzalcore/quetzalcodec/job.go
+++ b/quetzalcore/quetzalcodec/job.go
@@ -26,8 +26,8 @@
 		Request: quetzalunit.RequestID(d.Request), Entry: quetzalunit.EntryID(d.Entry),
 		Incarnation: quetzalunit.Incarnation(d.Incarnation), State: state, Queue: quetzalunit.QueueID(d.Queue),
 		Team: quetzalunit.TeamID(d.Team), Urgent: d.Urgent, Idempotent: d.Idempotent,
-		Deadline: instantFromMs(d.DeadlineMs), BodyDigest: quetzalunit.BodyDigest(d.BodySum),
-		WrittenAt: instantFromMs(d.AtMs),
+		Deadline: wallTimeFromMs(d.DeadlineMs), BodyDigest: quetzalunit.BodyDigest(d.BodySum),
+		WrittenAt: wallTimeFromMs(d.AtMs),
 	}
 	if d.Long {
 		j.Class = quetzalfleet.ClassLong
--- a/quetzalcore/quetzalcodec/row.go
+++ b/quetzalcore/quetzalcodec/row.go
@@ -111,7 +111,7 @@
 	case quetzalfleet.TableChanges:
 		return decodeJSON(data, func(d *quetzalwire.ChangeDoc) (quetzalfleet.StoredRow, error) {
 			return quetzalfleet.ChangeRow{
-				ID: quetzalunit.ChangeID(d.ChangeID), Subject: d.Subject, Version: quetzalunit.Version(d.Version), WrittenAt: instantFromMs(d.AtMs),
+				ID: quetzalunit.ChangeID(d.ChangeID), Subject: d.Subject, Version: quetzalunit.Version(d.Version), WrittenAt: wallTimeFromMs(d.AtMs),
 			}, nil
 		})
 	}
@@ -126,9 +126,9 @@
 	return convert(&doc)
 }
 
-// instantFromMs converts milliseconds since the Unix epoch to an Instant.
-func instantFromMs(ms int) quetzalunit.Instant {
-	return quetzalunit.Instant(ms) * quetzalunit.Instant(time.Millisecond)
+// wallTimeFromMs converts milliseconds since the Unix epoch.
+func wallTimeFromMs(ms int) quetzalunit.WallTime {
+	return quetzalunit.WallTime(ms) * quetzalunit.WallTime(time.Millisecond)
 }
 
 // EncodeHost returns the document of a host, for its stored row and for replies to operators.
--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -155,7 +155,7 @@
 		return a
 	}
 	a.Spec = &quetzalwork.JobSpec{
-		Payload: d.Text, Occurrences: quetzalunit.Occurrence(d.Repeats), FirstAt: instantFromMs(d.FirstAtMs), Interval: durationFromMs(d.IntervalMs),
+		Payload: d.Text, Occurrences: quetzalunit.Occurrence(d.Repeats), FirstAt: quetzalunit.Instant(wallTimeFromMs(d.FirstAtMs)), Interval: durationFromMs(d.IntervalMs),
 	}
 	for i := range d.Steps {
 		a.Spec.Steps = append(a.Spec.Steps, decodeStep(&d.Steps[i]))
--- a/quetzalcore/quetzalfleet/operator.go
+++ b/quetzalcore/quetzalfleet/operator.go
@@ -1,6 +1,10 @@
 package quetzalfleet
 
-import "quetzalstair/quetzalcore/quetzalunit"
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+)
 
 // OperatorAction is a query or change requested by an operator.
 type OperatorAction interface{ implementsOperatorAction() }
@@ -199,7 +203,8 @@
 		Entry           quetzalunit.EntryID
 		Zone            quetzalunit.ZoneID
 		SettingsVersion quetzalunit.Version
-		LastHeardAt     quetzalunit.Instant
+		// SilentFor is the time since the peer was last heard of.
+		SilentFor time.Duration
 	}
 	// PoolView is a pool and its hosts in the entry's zone.
 	PoolView struct {
--- a/quetzalcore/quetzalfleet/peer.go
+++ b/quetzalcore/quetzalfleet/peer.go
@@ -148,7 +148,7 @@
 
 // Decision records an action that an entry took on its own and the reason for it.
 type Decision struct {
-	At      quetzalunit.Instant
+	At      quetzalunit.WallTime
 	Kind    DecisionKind
 	Subject string
 	Reason  string
--- a/quetzalcore/quetzalfleet/rows.go
+++ b/quetzalcore/quetzalfleet/rows.go
@@ -106,7 +106,7 @@
 		// Answer is set in ClaimDone.
 		Answer *Payload
 		// WrittenAt is the time of the write by the writer's clock.
-		WrittenAt quetzalunit.Instant
+		WrittenAt quetzalunit.WallTime
 	}
 	// JobRow stores a job in TableJobs.
 	JobRow struct{ JobSpec }
@@ -117,7 +117,7 @@
 		Subject string
 		Version quetzalunit.Version
 		// WrittenAt is the time of the write by the writer's clock.
-		WrittenAt quetzalunit.Instant
+		WrittenAt quetzalunit.WallTime
 	}
 )
 
@@ -187,10 +187,10 @@
 	Class       Class
 	Urgent      bool
 	Idempotent  bool
-	Deadline    quetzalunit.Instant
+	Deadline    quetzalunit.WallTime
 	BodyDigest  quetzalunit.BodyDigest
 	// WrittenAt is the time of the write by the writer's clock.
-	WrittenAt quetzalunit.Instant
+	WrittenAt quetzalunit.WallTime
 }
 
 // RowAtRevision is a row of the table service with its key and the revision of its last
--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -40,6 +40,8 @@
 	StartedAt quetzalunit.Instant
 	// Now is the time of the current tick. It never decreases.
 	Now quetzalunit.Instant
+	// WallClockOffset is the offset of the wall clock from Now.
+	WallClockOffset time.Duration
 
 	Requests           quetzaltable.Table[Request]
 	TeamFIFOs          quetzaltable.Table[TeamFIFO]
@@ -226,6 +228,16 @@
 	return d/2 + time.Duration(w.Rand().Int64N(int64(d)+1))
 }
 
+// WallTime converts an instant of the World's clock.
+func (w *World) WallTime(t quetzalunit.Instant) quetzalunit.WallTime {
+	return quetzalunit.WallTime(t.Add(w.WallClockOffset))
+}
+
+// InstantOf converts a wall time to the World's clock.
+func (w *World) InstantOf(t quetzalunit.WallTime) quetzalunit.Instant {
+	return quetzalunit.Instant(t.Add(-w.WallClockOffset))
+}
+
 // After sets a timer that fires d from now.
 func (w *World) After(d time.Duration, t Timer) {
 	w.Timers.Push(w.Now.Add(d), t)
@@ -233,7 +245,7 @@
 
 // RecordDecision records a decision for operators' queries and emits it to the log.
 func (w *World) RecordDecision(kind DecisionKind, subject, reason string) {
-	d := Decision{At: w.Now, Kind: kind, Subject: subject, Reason: reason}
+	d := Decision{At: w.WallTime(w.Now), Kind: kind, Subject: subject, Reason: reason}
 	if len(w.Decisions) == MaxDecisions {
 		w.Decisions = append(w.Decisions[:0], w.Decisions[1:]...)
 	}
--- a/quetzalcore/quetzalfront/results.go
+++ b/quetzalcore/quetzalfront/results.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"reflect"
-	"time"
 
 	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalfleet"
@@ -93,11 +92,10 @@
 
 func versionsDoc(v *quetzalfleet.SettingsVersionsView) quetzalwire.VersionsReply {
 	d := quetzalwire.VersionsReply{Head: int(v.HeadVersion), Entries: []quetzalwire.EntryVersion{}}
-	now := time.Now()
 	for _, p := range v.Peers {
 		d.Entries = append(d.Entries, quetzalwire.EntryVersion{
 			Entry: string(p.Entry), Zone: string(p.Zone), Version: int(p.SettingsVersion),
-			AgeMs: int(max(0, now.UnixMilli()-p.LastHeardAt.Milliseconds())),
+			AgeMs: int(p.SilentFor.Milliseconds()),
 		})
 	}
 	return d
--- a/quetzalcore/quetzalsimulation/simulation.go
+++ b/quetzalcore/quetzalsimulation/simulation.go
@@ -18,6 +18,9 @@
 	PlatformLatency = 5 * time.Millisecond
 	// peerCallTimeout is the timeout of calls between entries.
 	peerCallTimeout = time.Second
+	// clockSpacing is the difference between the clocks of two Worlds that are started one after the
+	// other. The clock of the simulation is their wall clock.
+	clockSpacing = time.Minute
 	// startInstant is the time at which a simulation begins. It is far from zero, which stands for
 	// a time that is not set.
 	startInstant = quetzalunit.Instant(1_000_000 * time.Second)
@@ -216,9 +219,10 @@
 		Seed: sim.Seed*1000 + uint64(sim.incarnation), SeedAddresses: sim.zonePeers(id, zone),
 		Retention: sim.Retention,
 	}}
+	w.WallClockOffset = time.Duration(sim.incarnation) * clockSpacing
 	row := sim.Entries.Insert(Entry{ID: id, Zone: zone, World: w})
 	sim.entryByAddr.Put(address, row)
-	quetzalsystem.Start(w, sim.Now)
+	quetzalsystem.Start(w, sim.Now.Add(-w.WallClockOffset))
 	sim.tick(row)
 	return row
 }
@@ -364,13 +368,15 @@
 	}
 	inputs := e.inbox
 	e.inbox = nil
-	for _, c := range quetzalsystem.Tick(e.World, sim.Now, inputs) {
+	for _, c := range quetzalsystem.Tick(e.World, sim.Now.Add(-e.World.WallClockOffset), inputs) {
 		sim.executeCommand(row, c)
 	}
 	if sim.OnTick != nil {
 		sim.OnTick(e)
 	}
-	if at, ok := quetzalsystem.NextTick(e.World); ok && (at < e.nextTickAt || e.nextTickAt <= sim.Now) {
+	at, ok := quetzalsystem.NextTick(e.World)
+	at = at.Add(e.World.WallClockOffset)
+	if ok && (at < e.nextTickAt || e.nextTickAt <= sim.Now) {
 		e.nextTickAt = max(at, sim.Now)
 		sim.events.Push(e.nextTickAt, tickDue{entry: row})
 	}
--- a/quetzalcore/quetzalsystem/change.go
+++ b/quetzalcore/quetzalsystem/change.go
@@ -101,7 +101,7 @@
 		Conditions: []quetzalfleet.Condition{{Key: key, Revision: w.FleetRows[key].Revision}},
 		Writes: []quetzalfleet.Write{
 			{Key: key, Row: row},
-			{Key: changeKey(id), Row: quetzalfleet.ChangeRow{ID: id, Subject: string(table) + "/" + name, WrittenAt: w.Now}},
+			{Key: changeKey(id), Row: quetzalfleet.ChangeRow{ID: id, Subject: string(table) + "/" + name, WrittenAt: w.WallTime(w.Now)}},
 		},
 	}
 }
@@ -127,7 +127,7 @@
 	t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: head, Revision: w.HeadRevision})
 	t.Writes = append(t.Writes, quetzalfleet.Write{Key: head, Row: quetzalfleet.SettingsHeadRow{Version: version}})
 	// rowTransaction writes the change's row without a settings version.
-	t.Writes[1].Row = quetzalfleet.ChangeRow{ID: a.ID, Subject: string(a.Path), Version: version, WrittenAt: w.Now}
+	t.Writes[1].Row = quetzalfleet.ChangeRow{ID: a.ID, Subject: string(a.Path), Version: version, WrittenAt: w.WallTime(w.Now)}
 	return t, nil
 }
 
--- a/quetzalcore/quetzalsystem/claim.go
+++ b/quetzalcore/quetzalsystem/claim.go
@@ -85,7 +85,7 @@
 ) quetzalfleet.ClaimRow {
 	return quetzalfleet.ClaimRow{
 		Request: r.ID, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, State: s, BodyDigest: r.BodyDigest, Answer: a,
-		WrittenAt: w.Now,
+		WrittenAt: w.WallTime(w.Now),
 	}
 }
 
--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -56,7 +56,8 @@
 		{Key: jobKey(r.ID), Row: quetzalfleet.JobRow{JobSpec: quetzalfleet.JobSpec{
 			Request: r.ID, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, State: s,
 			Queue: w.Queues.At(r.Queue).ID, Team: w.Teams.At(r.Team).ID, Class: r.Class, Urgent: r.Urgent,
-			Idempotent: r.Idempotent, Deadline: r.Deadline, BodyDigest: r.BodyDigest, WrittenAt: w.Now,
+			Idempotent: r.Idempotent, Deadline: w.WallTime(r.Deadline), BodyDigest: r.BodyDigest,
+			WrittenAt: w.WallTime(w.Now),
 		}}},
 		{Key: claimKey(r.ID), Row: claim},
 	}
@@ -293,10 +294,11 @@
 func takeOverJob(w *quetzalfleet.World, row quetzalfleet.Row) {
 	job := w.PendingJobs.At(row)
 	next := job.JobSpec
-	next.WrittenAt = w.Now
+	next.WrittenAt = w.WallTime(w.Now)
 	next.Entry, next.Incarnation, next.State = w.Self.Entry, w.Self.Incarnation, quetzalfleet.JobAccepted
 	claim := quetzalfleet.ClaimRow{
-		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, BodyDigest: job.BodyDigest, WrittenAt: w.Now,
+		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, BodyDigest: job.BodyDigest,
+		WrittenAt: w.WallTime(w.Now),
 	}
 	if job.State == quetzalfleet.JobSent && !job.Idempotent {
 		next.State, claim.State = quetzalfleet.JobEnded, quetzalfleet.ClaimUnknown
@@ -332,7 +334,7 @@
 func adoptJob(w *quetzalfleet.World, spec *quetzalfleet.JobSpec, rev quetzalunit.Revision) {
 	row := w.Requests.Insert(quetzalfleet.Request{
 		ID: spec.Request, Queue: w.QueueByID.Get(spec.Queue), Team: resolveTeam(w, spec.Team), Class: spec.Class,
-		Urgent: spec.Urgent, Idempotent: spec.Idempotent, BodyDigest: spec.BodyDigest, ArrivedAt: w.Now, Deadline: spec.Deadline,
+		Urgent: spec.Urgent, Idempotent: spec.Idempotent, BodyDigest: spec.BodyDigest, ArrivedAt: w.Now, Deadline: w.InstantOf(spec.Deadline),
 		State: quetzalfleet.RequestStoring, IsJob: true, JobRevision: rev, ClaimRevision: rev,
 	})
 	w.LiveRequests++
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -108,7 +108,7 @@
 	joined := quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}
 	s.answerJobScan(quetzalfleet.JobSpec{
 		Request: "job", Entry: "f", Incarnation: 1, State: quetzalfleet.JobAccepted, Queue: "proofs",
-		Idempotent: true, Deadline: s.w.Now.Add(time.Hour),
+		Idempotent: true, Deadline: s.w.WallTime(s.w.Now.Add(time.Hour)),
 	})
 	require.Empty(t, s.writes(quetzalfleet.TableJobs), "took over the job of a live entry")
 	s.scan(rosterRow(self, joined))
@@ -333,3 +333,31 @@
 		}
 	}
 }
+
+// Entries have clocks of their own, which count from the boot of their hosts. A job that another entry
+// takes over keeps its deadline.
+func TestJobKeepsItsDeadlineWhenItIsTakenOver(t *testing.T) {
+	const timeout = 50 * time.Second
+	for seed := range uint64(5) {
+		sim := newSimulation(t, seed, smallFleet())
+		for _, m := range sim.Minions.All() {
+			m.ListedState = quetzalfleet.ListedLeaving
+		}
+		sim.Advance(3 * time.Second)
+		in := request("job", true)
+		in.Async, in.Timeout = true, timeout
+		submitted := sim.Now
+		sim.Submit("a-entry1", in)
+		sim.Advance(time.Second)
+		sim.Kill("a-entry1")
+		outcome := func() quetzalfleet.Outcome {
+			sim.RequestOutcome("b-entry0", "job")
+			sim.Advance(500 * time.Millisecond)
+			return sim.Answers[len(sim.Answers)-1].Outcome
+		}
+		sim.Advance(timeout - 6*time.Second - sim.Now.Sub(submitted))
+		require.IsType(t, quetzalfleet.Accepted{}, outcome(), "ended before its deadline")
+		sim.Advance(15 * time.Second)
+		require.IsType(t, quetzalfleet.NotRun{}, outcome(), "ends after its deadline")
+	}
+}
--- a/quetzalcore/quetzalsystem/sweep.go
+++ b/quetzalcore/quetzalsystem/sweep.go
@@ -60,7 +60,7 @@
 	var t quetzalfleet.Transaction
 	for _, f := range found.Rows {
 		at, known := writtenAt(f.Row)
-		if !known || w.Now.Sub(at) < w.Self.Retention {
+		if !known || w.WallTime(w.Now).Sub(at) < w.Self.Retention {
 			continue
 		}
 		t.Conditions = append(t.Conditions, quetzalfleet.Condition{Key: f.Key, Revision: f.Revision})
@@ -81,7 +81,7 @@
 }
 
 // writtenAt returns when a row was written, and false if its table is not swept.
-func writtenAt(row quetzalfleet.StoredRow) (quetzalunit.Instant, bool) {
+func writtenAt(row quetzalfleet.StoredRow) (quetzalunit.WallTime, bool) {
 	switch v := row.(type) {
 	case quetzalfleet.ClaimRow:
 		return v.WrittenAt, true
--- a/quetzalcore/quetzalsystem/view.go
+++ b/quetzalcore/quetzalsystem/view.go
@@ -81,11 +81,11 @@
 func versionsView(w *quetzalfleet.World) quetzalfleet.SettingsVersionsView {
 	v := quetzalfleet.SettingsVersionsView{HeadVersion: w.HeadVersion}
 	v.Peers = append(v.Peers, quetzalfleet.PeerView{
-		Entry: w.Self.Entry, Zone: w.Self.Zone, SettingsVersion: w.SettingsVersion, LastHeardAt: w.Now,
+		Entry: w.Self.Entry, Zone: w.Self.Zone, SettingsVersion: w.SettingsVersion,
 	})
 	for _, p := range w.Peers.All() {
 		v.Peers = append(v.Peers, quetzalfleet.PeerView{
-			Entry: p.ID, Zone: p.Zone, SettingsVersion: p.SettingsVersion, LastHeardAt: p.LastHeardAt,
+			Entry: p.ID, Zone: p.Zone, SettingsVersion: p.SettingsVersion, SilentFor: w.Now.Sub(p.LastHeardAt),
 		})
 	}
 	slices.SortFunc(v.Peers, func(a, b quetzalfleet.PeerView) int { return cmp.Compare(a.Entry, b.Entry) })
--- a/quetzalcore/quetzalunit/unit.go
+++ b/quetzalcore/quetzalunit/unit.go
@@ -78,6 +78,10 @@
 // Unix epoch or from the boot of the host depends on the clock that the program reads.
 type Instant int64
 
+// WallTime is a point in time on the wall clock, in nanoseconds since the Unix epoch. Rows hold wall
+// times, since entries do not share the clocks of their Worlds.
+type WallTime int64
+
 // InstantOf converts a time.Time to nanoseconds since the Unix epoch.
 func InstantOf(t time.Time) Instant {
 	return Instant(t.UnixNano())
@@ -98,6 +102,26 @@
 	return int64(t) / int64(time.Millisecond)
 }
 
+// WallTimeOf converts a time.Time.
+func WallTimeOf(t time.Time) WallTime {
+	return WallTime(t.UnixNano())
+}
+
+// Add returns the time d later.
+func (t WallTime) Add(d time.Duration) WallTime {
+	return t + WallTime(d)
+}
+
+// Sub returns the duration t-u.
+func (t WallTime) Sub(u WallTime) time.Duration {
+	return time.Duration(t - u)
+}
+
+// Milliseconds returns the time in milliseconds since the Unix epoch.
+func (t WallTime) Milliseconds() int64 {
+	return int64(t) / int64(time.Millisecond)
+}
+
 // Of returns p percent of n, rounded toward zero.
 func (p Percent) Of(n int64) int64 {
 	return n * int64(p) / 100
--- a/quetzalentry/engine.go
+++ b/quetzalentry/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"quetzalstair/quetzalcore/quetzalclock"
 	"quetzalstair/quetzalcore/quetzalfleet"
 	"quetzalstair/quetzalcore/quetzalinbox"
 	"quetzalstair/quetzalcore/quetzalmetric"
@@ -63,7 +64,7 @@
 		e.log.warn("A tick panicked; the process exits, since its state may be inconsistent.", eris.Errorf("%v\n%s", cause, stack))
 		os.Exit(exitFailure)
 	}
-	quetzalsystem.Start(&e.world, quetzalunit.InstantOf(time.Now()))
+	quetzalsystem.Start(&e.world, quetzalclock.Now())
 	stop := e.inbox.Start()
 	return func() {
 		stop()
@@ -83,13 +84,15 @@
 		}
 	}
 	isControl := !hasRequestInput(inputs)
-	commands := quetzalsystem.Tick(&e.world, quetzalunit.InstantOf(begin), inputs)
+	now := quetzalclock.Now()
+	e.world.WallClockOffset = quetzalclock.WallClockOffset(now)
+	commands := quetzalsystem.Tick(&e.world, now, inputs)
 	e.ready.Store(quetzalsystem.Ready(&e.world))
 	for _, c := range commands {
 		e.execute(c)
 	}
 	if next, ok := quetzalsystem.NextTick(&e.world); ok {
-		e.inbox.ArmTimer(next, e.world.Now, quetzalunit.InstantOf(time.Now()))
+		e.inbox.ArmTimer(next, e.world.Now, quetzalclock.Now())
 	}
 	e.addTickTime(time.Since(begin), isControl)
 	e.updateGauges()
--- a/quetzalentry/entry_test.go
+++ b/quetzalentry/entry_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// startEntry starts an entry in this process and returns the URL of its caller interface.
-func startEntry(tb testing.TB, minions ...string) string {
+// newEngine returns an engine that is not started yet and its settings.
+func newEngine(tb testing.TB, minions ...string) (*engine, *quetzalwire.EntrySettings) {
 	tb.Helper()
 	platform := stubPlatform(tb, minions)
 	file := tb.TempDir() + "/entry.yaml"
@@ -86,16 +86,23 @@
 	e := &engine{log: prefixLog{logger: newLogger("error"), prefix: "test: "}}
 	closeClients, err := e.openClients(&cfg)
 	require.NoError(tb, err)
+	tb.Cleanup(closeClients)
+	return e, &cfg
+}
+
+// startEntry starts an entry in this process and returns the URL of its caller interface.
+func startEntry(tb testing.TB, minions ...string) string {
+	tb.Helper()
+	e, cfg := newEngine(tb, minions...)
 	listeners, closeListeners, err := listen(cfg.CallerAddress, cfg.OperatorAddress)
 	require.NoError(tb, err)
-	stopEngine := e.start(identity(&cfg, testIncarnation))
+	stopEngine := e.start(identity(cfg, testIncarnation))
 	s := &servers{engine: e}
-	stopServers := s.start(&cfg, testIncarnation, listeners)
+	stopServers := s.start(cfg, testIncarnation, listeners)
 	tb.Cleanup(func() {
 		stopServers()
 		stopEngine()
 		closeListeners()
-		closeClients()
 	})
 	require.Eventually(tb, s.ready, 5*time.Second, 10*time.Millisecond)
 	return "http://" + listeners[0].Addr().String()
--- a/quetzalload/quetzalexperiment/move.go
+++ b/quetzalload/quetzalexperiment/move.go
@@ -121,7 +121,7 @@
 func (b *benchmark) moveCount() int {
 	n := 0
 	for _, d := range b.Decisions {
-		if d.Kind == quetzalfleet.DecisionMove && d.At > b.begin && len(d.Reason) > 6 && d.Reason[:6] == "leaves" {
+		if d.Kind == quetzalfleet.DecisionMove && quetzalunit.Instant(d.At) > b.begin && len(d.Reason) > 6 && d.Reason[:6] == "leaves" {
 			n++
 		}
 	}
