Forget the confirmations of an entry's earlier process

What callers would see: an entry is restarted after the wall clock of its host was set back. A host is moved to another pool while the new process still serves it in the old one.

Cause: a confirmation that a host is drained also counts when it comes from a process with a higher incarnation than the one in the roster, since that process has replaced it. Incarnations are taken from the wall clock. After it was set back, the earlier process has the higher one, and what it confirmed counted for its successor.

Evidence: TestConfirmationOfAnEarlierProcessDoesNotCount. Before the change the planner writes host0 as serving its next pool without the new process.

Change: a roster row with a new process of an entry deletes what its other processes have confirmed.

Why it works: what is left, or arrives later, comes from the process in the roster or from one that has started since.

Measured: the test fails before and passes after, with the tests of moves, waves and guests.

--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -361,3 +361,29 @@
 		require.IsType(t, quetzalfleet.NotRun{}, outcome(), "ends after its deadline")
 	}
 }
+
+// A process takes its incarnation from the wall clock, which may have been set back before a restart.
+// What the earlier process confirmed must not count for the later one, which may serve the host.
+func TestConfirmationOfAnEarlierProcessDoesNotCount(t *testing.T) {
+	s := newSingleEntry(t)
+	s.peersSilent, s.renews = true, true
+	s.scan(append(fleetRows()[:4], rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 9}))...)
+	s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
+	s.scan()
+	confirmation := quetzalfleet.Gossip{
+		From: "f", Incarnation: 9, Zone: "a", DrainedHosts: []quetzalfleet.HostGeneration{{Host: "host0", Generation: 2}},
+	}
+	s.tick(time.Second, quetzalfleet.GossipArrived{Message: confirmation})
+	leaving := hostRow("host0", 2, quetzalfleet.HostLeaving)
+	spec := leaving.Row.(quetzalfleet.HostRow).HostSpec
+	spec.NextPool = "proofs"
+	leaving.Row = quetzalfleet.HostRow{HostSpec: spec}
+	s.scan(rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 5}), leaving)
+	for range 40 {
+		require.Empty(t, s.writes(quetzalfleet.TableHosts), "moved the host without the new process")
+		s.tick(100 * time.Millisecond)
+	}
+	confirmation.Incarnation = 5
+	s.tick(time.Second, quetzalfleet.GossipArrived{Message: confirmation})
+	s.waitForWrite(quetzalfleet.TableHosts)
+}
--- a/quetzalcore/quetzalsystem/roster.go
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -168,10 +168,22 @@
 	if p.Incarnation != e.Incarnation {
 		p.SeenRevision, p.Stopping, p.Loads = 0, false, nil
 		p.LastHeardAt = w.Now
+		deleteConfirmations(w, e)
 	}
 	p.Zone, p.Incarnation, p.Address, p.Guest = zone, e.Incarnation, e.Address, false
 }
 
+// deleteConfirmations deletes what other processes of a roster entry have confirmed. They need not
+// have lower incarnations: incarnations are taken from the wall clock, which may be set back.
+func deleteConfirmations(w *quetzalfleet.World, e quetzalfleet.RosterEntry) {
+	for row, c := range w.DrainConfirmations.All() {
+		if c.Entry == e.Entry && c.Incarnation != e.Incarnation {
+			w.DrainConfirmationByKey.Delete(quetzalfleet.DrainConfirmationKey{Entry: c.Entry, Host: c.Host})
+			w.DrainConfirmations.Delete(row)
+		}
+	}
+}
+
 // deleteDepartedPeers deletes the peers that are no longer in a zone's roster. Guests and
 // seeds are kept, as they are never in the roster.
 func deleteDepartedPeers(w *quetzalfleet.World, r *quetzalfleet.Roster) {
--- a/quetzalcore/quetzalsystem/singleentry_test.go
+++ b/quetzalcore/quetzalsystem/singleentry_test.go
@@ -26,6 +26,8 @@
 	// ownLists leaves the calls for the platform's list to the test. Otherwise they are answered with
 	// an empty list, which leaves every host live.
 	ownLists bool
+	// renews commits every renewal of the duties.
+	renews bool
 }
 
 func newSingleEntry(t *testing.T) *singleEntry {
@@ -47,6 +49,11 @@
 			if !s.ownLists {
 				inputs = append(inputs, quetzalfleet.StoreAnswered{Call: c.Call, Result: quetzalfleet.HostsListed{}})
 			}
+		case quetzalfleet.WriteStore:
+			if s.renews && c.Transaction.Writes[0].Key.Table == quetzalfleet.TableRenewals {
+				s.revision++
+				inputs = append(inputs, quetzalfleet.StoreAnswered{Call: c.Call, Result: quetzalfleet.Committed{Revision: s.revision}})
+			}
 		}
 	}
 	s.commands = quetzalsystem.Tick(s.w, s.w.Now.Add(d), inputs)
