Treat no process of the roster as a guest

What callers would see: a host that has returned to service gets no requests from one entry, for as long as another entry of the zone, whose list is old, takes it for a guest and reports the host as not live.

Cause: a message that a process sent as a guest may arrive after it has joined the roster. The receiver then kept it as a guest until the roster changed again, which mattered little before guests were told which hosts are not live.

Evidence: TestEntryOfTheRosterIsNoGuest. Before the change the gossip to an entry of the roster lists host0, which is leaving in the sender's list.

Change: such a message makes no guest of a process that is in the roster.

Why it works: moves wait for the processes of the roster, so they need no sponsor.

--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -59,6 +59,10 @@
 	if !m.Guest || m.Zone != w.Self.Zone || m.Stopping || w.Stop != quetzalfleet.StopNone || !inRoster(w) {
 		return false
 	}
+	if processInRoster(zoneRoster(w), m.From, m.Incarnation) {
+		// The message was sent before the sender joined.
+		return false
+	}
 	row := w.PeerByID.Get(m.From)
 	if row == 0 {
 		row = w.Peers.Insert(quetzalfleet.Peer{ID: m.From})
--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -1,7 +1,6 @@
 package quetzalsystem
 
 import (
-	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
@@ -280,9 +279,7 @@
 // are read up to the revision of that row.
 func holderInRoster(w *quetzalfleet.World, job *quetzalfleet.JobSpec) bool {
 	for _, r := range w.Rosters.All() {
-		if slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
-			return e.Entry == job.Entry && e.Incarnation == job.Incarnation
-		}) {
+		if processInRoster(r, job.Entry, job.Incarnation) {
 			return true
 		}
 	}
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -387,3 +387,23 @@
 	s.tick(time.Second, quetzalfleet.GossipArrived{Message: confirmation})
 	s.waitForWrite(quetzalfleet.TableHosts)
 }
+
+// A message that an entry sent as a guest arrives after the entry has joined the roster. Its former
+// sponsor must treat it as an entry of the roster.
+func TestEntryOfTheRosterIsNoGuest(t *testing.T) {
+	s := newSingleEntry(t)
+	s.ownLists = true
+	s.scan(append(fleetRows(), rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}))...)
+	s.list(0, quetzalfleet.ListedHost{ID: "host0", State: quetzalfleet.ListedLeaving})
+	s.tick(time.Second, quetzalfleet.GossipArrived{Message: quetzalfleet.Gossip{
+		From: "f", Incarnation: 1, Zone: "a", Address: "f:1", Guest: true,
+	}})
+	for range 20 {
+		for _, c := range s.commands {
+			if gossip, ok := c.(quetzalfleet.SendGossip); ok {
+				require.Empty(t, gossip.Message.LeavingHosts, "treated as a guest")
+			}
+		}
+		s.tick(200 * time.Millisecond)
+	}
+}
--- a/quetzalcore/quetzalsystem/roster.go
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -27,11 +27,13 @@
 // send work to minions.
 func inRoster(w *quetzalfleet.World) bool {
 	r := zoneRoster(w)
-	if r == nil {
-		return false
-	}
+	return r != nil && processInRoster(r, w.Self.Entry, w.Self.Incarnation)
+}
+
+// processInRoster reports whether a process of an entry is in a roster.
+func processInRoster(r *quetzalfleet.Roster, id quetzalunit.EntryID, n quetzalunit.Incarnation) bool {
 	return slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
-		return e.Entry == w.Self.Entry && e.Incarnation == w.Self.Incarnation
+		return e.Entry == id && e.Incarnation == n
 	})
 }
 
