Check the duties again before old rows are deleted

What operators would see: two entries delete old rows at a time, and one goes on for as long as there are full batches. No row is lost by it: each deletion is conditional on the row's revision.

The deletion after it was fenced with the epoch row that the entry knew by then, which after a loss of the duties is that of its successor, and a full batch started the next scan without a check.

Evidence: TestFormerHolderSweepsNothing. Before the change the entry deletes a claim on the condition of the epoch row of its successor.

Change: the check is made before each scan and again before the deletion.

Why it works: the fence is that of this process only while it holds the duties, which is now checked in the tick that writes.

--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -407,3 +407,35 @@
 		s.tick(200 * time.Millisecond)
 	}
 }
+
+// An entry loses the duties while it scans for old rows. It must leave their deletion to the holder:
+// the fence that it knows by then is that of its successor.
+func TestFormerHolderSweepsNothing(t *testing.T) {
+	s := newSingleEntry(t)
+	s.renews = true
+	s.w.Self.Retention = time.Minute
+	s.scan(append(fleetRows()[:4], rosterRow(self, quetzalfleet.RosterEntry{Entry: "f", Incarnation: 1}))...)
+	s.commit(s.waitForWrite(quetzalfleet.TableEpochs))
+	s.scan()
+	sweep := func() quetzalfleet.Row {
+		for range 2000 {
+			for _, c := range s.commands {
+				if scan, ok := c.(quetzalfleet.ScanStore); ok && scan.Limit > 0 {
+					return scan.Call
+				}
+			}
+			s.tick(100 * time.Millisecond)
+		}
+		require.Fail(t, "no sweep")
+		return 0
+	}
+	call := sweep()
+	s.scan(epochRow("f", 2))
+	old := row(quetzalfleet.TableClaims, "old", quetzalfleet.ClaimRow{Request: "old"})
+	s.revision++
+	old.Revision = s.revision
+	s.tick(0, quetzalfleet.StoreAnswered{Call: call, Result: quetzalfleet.RowsRead{
+		Revision: s.revision, Rows: []quetzalfleet.RowAtRevision{old},
+	}})
+	require.Empty(t, s.writes(quetzalfleet.TableClaims), "deleted under the fence of its successor")
+}
--- a/quetzalcore/quetzalsystem/sweep.go
+++ b/quetzalcore/quetzalsystem/sweep.go
@@ -22,18 +22,23 @@
 	return []quetzalfleet.TableName{quetzalfleet.TableClaims, quetzalfleet.TableJobs, quetzalfleet.TableChanges}
 }
 
-// sweep starts a scan for old rows. Only one entry in the fleet does so: the holder of
-// the duties of the first zone, by name, that has entries in its roster.
+// sweep starts a scan for old rows.
 func sweep(w *quetzalfleet.World) {
 	w.After(w.Jitter(sweepPeriod), quetzalfleet.SweepDue{})
-	if w.Self.Retention == 0 || !holdsDuty(w) || !inFirstZone(w) || w.Stop != quetzalfleet.StopNone {
-		return
-	}
 	scanOldRows(w)
 }
 
+// maySweep reports whether this entry deletes old rows. Only one entry in the fleet does so: the
+// holder of the duties of the first zone, by name, that has entries in its roster.
+func maySweep(w *quetzalfleet.World) bool {
+	return w.Self.Retention > 0 && holdsDuty(w) && inFirstZone(w) && w.Stop == quetzalfleet.StopNone
+}
+
 // scanOldRows reads the oldest rows of the tables that are swept.
 func scanOldRows(w *quetzalfleet.World) {
+	if !maySweep(w) {
+		return
+	}
 	w.Emit(quetzalfleet.ScanStore{
 		Call: addStoreCall(w, quetzalfleet.ForSweepScan{}), Tables: sweptTables(), Limit: sweepBatch,
 	})
@@ -54,7 +59,7 @@
 // the revision of each row, so that none is deleted that has been written since.
 func handleSweepScanResult(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
 	found, ok := result.(quetzalfleet.RowsRead)
-	if !ok {
+	if !ok || !maySweep(w) {
 		return
 	}
 	var t quetzalfleet.Transaction
