Store the work of a job under its digest

What callers would see: two jobs are sent with the same id and different bodies, to two entries. The second is refused as a conflict. If the entry that accepted the first one dies, another entry runs the second one's body under the first one's id.

Cause: an entry stores a job's work before the transaction that claims the id. The object's key was the id alone, and the write is unconditional, so the work of a request that is refused, or a write that arrives late, replaced that of the accepted one.

Evidence: TestWorkOfAnAcceptedJobIsNotReplaced. Before the change the entry that takes the job over reads "second" instead of "first".

Change: the key has the digest of the request's queue and body, which is in the job's row. Work that an earlier version stored under the id alone is still found; earlier versions do not find that of this one.

Why it works: requests with different bodies write different objects, and requests with the same body write the same one.

Measured: the test fails before and passes after, as does TestWorkOfAnEarlierVersionIsFound.

--- a/quetzalcore/quetzalfleet/commands.go
+++ b/quetzalcore/quetzalfleet/commands.go
@@ -173,8 +173,16 @@
 // ObjectKey is the key of an object in the object store.
 type ObjectKey string
 
-// WorkKey returns the key of the object that holds the work of a job.
-func WorkKey(id quetzalunit.RequestID) ObjectKey {
+// WorkKey returns the key of the object that holds the work of a job. The digest is part of the key,
+// so that a request with the same id and another body does not replace the work before it is found
+// to conflict.
+func WorkKey(id quetzalunit.RequestID, digest quetzalunit.BodyDigest) ObjectKey {
+	return FormerWorkKey(id) + "/" + ObjectKey(digest)
+}
+
+// FormerWorkKey returns the key of the object that holds the work of a job stored by an earlier
+// version.
+func FormerWorkKey(id quetzalunit.RequestID) ObjectKey {
 	return ObjectKey("work/" + id)
 }
 
--- a/quetzalcore/quetzalfleet/timers.go
+++ b/quetzalcore/quetzalfleet/timers.go
@@ -112,8 +112,12 @@
 	ForJobScan struct{}
 	// ForJobTakeover takes over a job whose entry has gone.
 	ForJobTakeover struct{ Job Row }
-	// ForJobWorkRead reads the work of a job that was taken over from the object store.
-	ForJobWorkRead struct{ Request Row }
+	// ForJobWorkRead reads the work of a job that was taken over from the object store. FormerKey is
+	// set if it reads FormerWorkKey, since there is no object under WorkKey.
+	ForJobWorkRead struct {
+		Request   Row
+		FormerKey bool
+	}
 	// ForSweepScan reads the oldest rows of the tables whose rows expire.
 	ForSweepScan struct{}
 	// ForSweepDelete deletes expired rows.
--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -27,7 +27,8 @@
 	r := w.Requests.At(row)
 	r.State = quetzalfleet.RequestStoring
 	w.Emit(quetzalfleet.PutObject{
-		Call: addStoreCall(w, quetzalfleet.ForJobWorkWrite{Request: row}), Key: quetzalfleet.WorkKey(r.ID), Object: r.Work,
+		Call: addStoreCall(w, quetzalfleet.ForJobWorkWrite{Request: row}),
+		Key:  quetzalfleet.WorkKey(r.ID, r.BodyDigest), Object: r.Work,
 	})
 }
 
@@ -343,12 +344,14 @@
 }
 
 func readJobWork(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
 	w.Emit(quetzalfleet.GetObject{
-		Call: addStoreCall(w, quetzalfleet.ForJobWorkRead{Request: row}), Key: quetzalfleet.WorkKey(w.Requests.At(row).ID),
+		Call: addStoreCall(w, quetzalfleet.ForJobWorkRead{Request: row}), Key: quetzalfleet.WorkKey(r.ID, r.BodyDigest),
 	})
 }
 
-func handleJobWorkRead(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
+func handleJobWorkRead(w *quetzalfleet.World, p quetzalfleet.ForJobWorkRead, result quetzalfleet.StoreResult) {
+	row := p.Request
 	r := w.Requests.At(row)
 	if r == nil || r.State != quetzalfleet.RequestStoring {
 		return
@@ -358,6 +361,12 @@
 		w.After(storeRetryDelay, quetzalfleet.RetryDue{Request: row})
 		return
 	}
+	if object.Object == nil && !p.FormerKey {
+		w.Emit(quetzalfleet.GetObject{
+			Call: addStoreCall(w, quetzalfleet.ForJobWorkRead{Request: row, FormerKey: true}), Key: quetzalfleet.FormerWorkKey(r.ID),
+		})
+		return
+	}
 	if object.Object == nil {
 		finishRequest(w, row, quetzalfleet.Unknown{Reason: quetzalfleet.NotStored})
 		return
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -439,3 +439,50 @@
 	}})
 	require.Empty(t, s.writes(quetzalfleet.TableClaims), "deleted under the fence of its successor")
 }
+
+// adoptedWork returns the body of a job's work at the live entry that holds it.
+func adoptedWork(sim *quetzalsimulation.Simulation, id quetzalunit.RequestID) string {
+	for _, e := range sim.Entries.All() {
+		if r := e.World.Requests.At(e.World.RequestByID.Get(id)); r != nil && r.Work != nil && !e.Dead {
+			return string(r.Work.Body)
+		}
+	}
+	return ""
+}
+
+// Two requests with the same id and different bodies reach two entries. The work of the one that was
+// accepted must stay, or an entry that takes it over runs the other one's.
+func TestWorkOfAnAcceptedJobIsNotReplaced(t *testing.T) {
+	sim := newSimulation(t, 1, smallFleet())
+	sim.RunTime = func(quetzalunit.RequestID) time.Duration { return time.Minute }
+	first, second := request("job", true), request("job", true)
+	first.Async, first.Timeout, first.Work = true, time.Hour, &quetzalfleet.Payload{Body: []byte("first")}
+	second.Async, second.Timeout, second.Work = true, time.Hour, &quetzalfleet.Payload{Body: []byte("second")}
+	second.BodyDigest = "other"
+	sim.Submit("a-entry1", first)
+	sim.Advance(time.Second)
+	sim.Submit("a-entry2", second)
+	sim.Advance(time.Second)
+	require.IsType(t, quetzalfleet.Accepted{}, sim.Answers[0].Outcome)
+	require.IsType(t, quetzalfleet.RequestIDConflict{}, sim.Answers[1].Outcome)
+	sim.Kill("a-entry1")
+	sim.Advance(20 * time.Second)
+	require.Equal(t, "first", adoptedWork(sim, "job"))
+}
+
+// Earlier versions stored the work of a job under its id alone.
+func TestWorkOfAnEarlierVersionIsFound(t *testing.T) {
+	sim := newSimulation(t, 1, smallFleet())
+	sim.RunTime = func(quetzalunit.RequestID) time.Duration { return time.Minute }
+	in := request("job", true)
+	in.Async, in.Timeout, in.Work = true, time.Hour, &quetzalfleet.Payload{Body: []byte("first")}
+	sim.Submit("a-entry1", in)
+	sim.Advance(time.Second)
+	key := quetzalfleet.WorkKey(in.ID, in.BodyDigest)
+	require.Contains(t, sim.Platform.Objects, key)
+	sim.Platform.Objects[quetzalfleet.FormerWorkKey(in.ID)] = sim.Platform.Objects[key]
+	delete(sim.Platform.Objects, key)
+	sim.Kill("a-entry1")
+	sim.Advance(20 * time.Second)
+	require.Equal(t, "first", adoptedWork(sim, in.ID))
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -129,7 +129,7 @@
 	case quetzalfleet.ForJobTakeover:
 		handleJobTakeoverResult(w, p.Job, call, result)
 	case quetzalfleet.ForJobWorkRead:
-		handleJobWorkRead(w, p.Request, result)
+		handleJobWorkRead(w, p, result)
 	case quetzalfleet.ForSweepScan:
 		handleSweepScanResult(w, result)
 	case quetzalfleet.ForSweepDelete:
