Serve only once all rows of the fleet are known

What callers would see: an entry that is restarted during an outage, in a fleet of more than 200 rows, answers a request with "unknown queue" as invalid, although the queue exists. Pools are served by the default settings until the rows of their settings arrive.

Cause: peers send the rows in messages of 200, and an entry counted as loaded once the first message had given it a revision.

Evidence: TestEntryServesOnceItHasAllRows. Before the change the request between two messages is answered as invalid.

Change: an entry is loaded after a scan, or after a message that was not cut off at its limit. Until then it is not ready, starts no request, and refuses requests for queues that it does not know with EntryStarting. It reports no revision, so that its own messages load no one.

Why it works: a message that is not cut off has every row above a revision up to which the receiver has all rows.

--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -147,6 +147,9 @@
 
 	// SeenRevision is the revision up to which every row of FleetTables has been applied.
 	SeenRevision quetzalunit.Revision
+	// FleetLoaded is set once every row of FleetTables that existed at some revision was applied: after
+	// a scan, or after a message of a peer that was not cut off at its limit of rows.
+	FleetLoaded bool
 	// FleetRows holds the latest applied rows of FleetTables, to be sent to peers that lack them.
 	FleetRows map[RowKey]RowAtRevision
 	// HeadVersion is the newest settings version known.
--- a/quetzalcore/quetzalsystem/gossip.go
+++ b/quetzalcore/quetzalsystem/gossip.go
@@ -107,6 +107,10 @@
 	if len(rows) < gossipRowLimit {
 		p.SentRevision = w.NewestRevision
 	}
+	if !w.FleetLoaded {
+		// The peer must not take the rows known here for all rows.
+		seen = 0
+	}
 	w.Emit(quetzalfleet.SendGossip{Peer: p.ID, Address: p.Address, Message: quetzalfleet.Gossip{
 		From:            w.Self.Entry,
 		Incarnation:     w.Self.Incarnation,
@@ -228,6 +232,7 @@
 	m := in.Message
 	applyRows(w, m.Rows)
 	if m.SinceRevision <= w.SeenRevision {
+		w.FleetLoaded = w.FleetLoaded || (m.SeenRevision > 0 && len(m.Rows) < gossipRowLimit)
 		advanceSeen(w, m.SeenRevision)
 	}
 	sponsors := sponsorGuest(w, &m)
--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -17,10 +17,11 @@
 const seedIDPrefix quetzalunit.EntryID = "~"
 
 // mayServe reports whether this entry may send work to minions: it is in the roster,
-// or an entry in the roster sponsors it as a guest. A process that has just started waits for the
-// platform's list, which shows the hosts that have left, unless the platform does not answer.
+// or an entry in the roster sponsors it as a guest. A process that has just started waits for all
+// rows of the fleet, and for the platform's list, which shows the hosts that have left, unless the
+// platform does not answer.
 func mayServe(w *quetzalfleet.World) bool {
-	return w.HostListTried && (inRoster(w) || w.Now < w.GuestUntil)
+	return w.FleetLoaded && w.HostListTried && (inRoster(w) || w.Now < w.GuestUntil)
 }
 
 // updateSeedPeers adds the seed addresses from the settings as peers while no other peer
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -486,3 +486,52 @@
 	sim.Advance(20 * time.Second)
 	require.Equal(t, "first", adoptedWork(sim, in.ID))
 }
+
+// During an outage a restarted entry learns the rows from its peers, 200 in a message. Until it has
+// all of them it must not reject a request for a queue that it does not know yet as invalid, or serve
+// by the defaults of settings that it does not know yet.
+func TestEntryServesOnceItHasAllRows(t *testing.T) {
+	s := newSingleEntry(t)
+	s.w.Self.SeedAddresses = []quetzalunit.Address{"f:1"}
+	ask := func(caller quetzalunit.CallerID) quetzalfleet.Outcome {
+		in := request(fmt.Sprint("q~", caller), true)
+		in.ClaimExempt, in.Caller = true, caller
+		s.tick(time.Millisecond, in)
+		if outcomes := s.answers(caller); len(outcomes) > 0 {
+			return outcomes[0]
+		}
+		return nil
+	}
+	var rows []quetzalfleet.RowAtRevision
+	for n := range 200 {
+		id := quetzalunit.TeamID(fmt.Sprint("team", n))
+		rows = append(rows, row(quetzalfleet.TableTeams, string(id), quetzalfleet.TeamRow{ID: id, Weight: 1}))
+	}
+	rows = append(append(rows, fleetRows()...), rosterRow(self))
+	for i := range rows {
+		rows[i].Revision = quetzalunit.Revision(i + 1)
+	}
+	require.Equal(t, quetzalfleet.EntryStarting, ask(1).(quetzalfleet.NotRun).Reason)
+	s.tick(time.Millisecond, quetzalfleet.GossipArrived{Message: quetzalfleet.Gossip{
+		From: "f", Incarnation: 1, Zone: "a", SeenRevision: 199, Rows: rows[:200],
+	}})
+	refused := ask(2)
+	require.IsType(t, quetzalfleet.NotRun{}, refused)
+	require.Equal(t, quetzalfleet.EntryStarting, refused.(quetzalfleet.NotRun).Reason)
+	require.False(t, quetzalsystem.Ready(s.w))
+	s.tick(2 * time.Second)
+	sent := false
+	for _, c := range s.commands {
+		if gossip, ok := c.(quetzalfleet.SendGossip); ok {
+			sent = true
+			require.Zero(t, gossip.Message.SeenRevision)
+		}
+	}
+	require.True(t, sent)
+	s.tick(time.Millisecond, quetzalfleet.GossipArrived{Message: quetzalfleet.Gossip{
+		From: "f", Incarnation: 1, Zone: "a", SinceRevision: 199, SeenRevision: 206, Rows: rows[199:],
+	}})
+	require.True(t, quetzalsystem.Ready(s.w))
+	require.Nil(t, ask(3))
+	require.Equal(t, 1, s.w.Attempts.Len())
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -144,6 +144,7 @@
 	w.ScanCall = 0
 	if read, ok := result.(quetzalfleet.RowsRead); ok {
 		advanceSeen(w, read.Revision)
+		w.FleetLoaded = true
 		joinRoster(w)
 	}
 }
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -93,7 +93,7 @@
 		return quetzalfleet.NotRun{Reason: quetzalfleet.EntryStopping, RetryAfter: refusedRetryAfter}
 	}
 	q := w.Queues.At(queueRow)
-	if q == nil && w.SeenRevision == 0 {
+	if q == nil && !w.FleetLoaded {
 		return quetzalfleet.NotRun{Reason: quetzalfleet.EntryStarting, RetryAfter: refusedRetryAfter}
 	}
 	if q == nil {
--- a/quetzalcore/quetzalsystem/view.go
+++ b/quetzalcore/quetzalsystem/view.go
@@ -206,5 +206,5 @@
 // Ready reports whether the entry accepts requests: it has loaded the fleet's rows, may
 // send work to minions and is not stopping.
 func Ready(w *quetzalfleet.World) bool {
-	return w.Stop == quetzalfleet.StopNone && w.SeenRevision > 0 && mayServe(w)
+	return w.Stop == quetzalfleet.StopNone && mayServe(w)
 }
