Send a forwarded request again only if it was not sent

What callers would see: a request that an entry has forwarded to another zone runs twice. The entry is suspended while the peer runs the request and then dies; on resuming, another call over the same connection times out as the end of the connection is read.

Cause: a call is repeated over a new connection after rpc.ErrShutdown, which was taken to mean that it had not been sent. net/rpc gives the same error to calls that wait for a reply when the connection ends while it is being closed at this end.

Change: the client notes whether a call has written to the connection, and repeats it only if it has not.

Why it works: calls are sent one at a time, so bytes written while a call is sent are its own.

--- a/quetzalcore/quetzalpeer/client.go
+++ b/quetzalcore/quetzalpeer/client.go
@@ -28,13 +28,37 @@
 type Client struct {
 	mu sync.Mutex
 	// conns holds the connection to each peer, until a call over it fails.
-	conns map[quetzalunit.Address]*rpc.Client
+	conns map[quetzalunit.Address]*peerConn
 	bytes atomic.Int64
 }
 
+// peerConn is a connection to a peer.
+type peerConn struct {
+	*rpc.Client
+	// mu is held while a call is sent, so that written shows whether it was sent.
+	mu sync.Mutex
+	// written counts the bytes written to the connection.
+	written *atomic.Int64
+}
+
+// newPeerConn returns a peerConn over a connection, whose traffic it adds to n.
+func newPeerConn(conn net.Conn, n *atomic.Int64) *peerConn {
+	counting := &countingConn{Conn: conn, n: n}
+	return &peerConn{Client: rpc.NewClient(counting), written: &counting.written}
+}
+
+// send sends a call and reports whether any part of it was written to the connection.
+func (p *peerConn) send(method string, args, reply any) (*rpc.Call, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := p.written.Load()
+	call := p.Go(method, args, reply, make(chan *rpc.Call, 1))
+	return call, p.written.Load() > before
+}
+
 // New returns a client and a function that closes its connections.
 func New() (*Client, func()) {
-	c := &Client{conns: make(map[quetzalunit.Address]*rpc.Client)}
+	c := &Client{conns: make(map[quetzalunit.Address]*peerConn)}
 	return c, c.close
 }
 
@@ -101,36 +125,38 @@
 // connection, and the next call opens another: a connection whose other end has vanished shows
 // nothing but calls that time out.
 func (c *Client) Call(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
-	err := c.callOnce(address, method, args, reply, timeout)
-	if errors.Is(err, rpc.ErrShutdown) {
+	sent, err := c.callOnce(address, method, args, reply, timeout)
+	if !sent && errors.Is(err, rpc.ErrShutdown) {
 		// The connection was closed before the call was sent, as after a restart of the peer.
-		err = c.callOnce(address, method, args, reply, timeout)
+		_, err = c.callOnce(address, method, args, reply, timeout)
 	}
 	return err
 }
 
-func (c *Client) callOnce(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
+// callOnce calls a method over one connection and reports whether the call was sent. A call that was
+// sent may end with rpc.ErrShutdown too, when both ends close the connection.
+func (c *Client) callOnce(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) (bool, error) {
 	client, err := c.connect(address)
 	if err != nil {
-		return err
+		return false, err
 	}
-	done := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	call, sent := client.send(method, args, reply)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case <-done.Done:
-		err = done.Error
+	case <-call.Done:
+		err = call.Error
 	case <-timer.C:
 		err = &TimeoutError{Method: method}
 	}
 	if _, remote := err.(rpc.ServerError); err != nil && !remote { //nolint:errorlint // net/rpc does not wrap
 		c.discard(address, client)
 	}
-	return eris.Wrap(err, "call peer")
+	return sent, eris.Wrap(err, "call peer")
 }
 
 // connect returns the open connection to a peer, or opens one.
-func (c *Client) connect(address quetzalunit.Address) (*rpc.Client, error) {
+func (c *Client) connect(address quetzalunit.Address) (*peerConn, error) {
 	c.mu.Lock()
 	client := c.conns[address]
 	c.mu.Unlock()
@@ -141,7 +167,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "dial peer")
 	}
-	client = rpc.NewClient(&countingConn{Conn: conn, n: &c.bytes})
+	client = newPeerConn(conn, &c.bytes)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[address]; other != nil {
@@ -153,7 +179,7 @@
 }
 
 // discard closes a connection and removes it, unless it has been replaced already.
-func (c *Client) discard(address quetzalunit.Address, client *rpc.Client) {
+func (c *Client) discard(address quetzalunit.Address, client *peerConn) {
 	_ = client.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -171,10 +197,11 @@
 	}
 }
 
-// countingConn adds the bytes read and written to n.
+// countingConn adds the bytes read and written to n, and those written to written.
 type countingConn struct {
 	net.Conn
-	n *atomic.Int64
+	n       *atomic.Int64
+	written atomic.Int64
 }
 
 // Read implements net.Conn.
@@ -188,5 +215,6 @@
 func (c *countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.n.Add(int64(n))
+	c.written.Add(int64(n))
 	return n, err //nolint:wrapcheck // part of net.Conn
 }
