Keep the HTTP transport from repeating an attempt

What callers would see: a request with the header Idempotency-Key, which is not declared as idempotent to the entry, runs twice. The minion crashes during its run, or closes the connection before it answers.

Cause: net/http repeats a POST over a new connection when a connection that was in use before breaks, if the request has an Idempotency-Key or X-Idempotency-Key header. Entries pass the callers' header fields on.

Change: these two fields are sent under names in lower case, which the transport does not look for and minions take for the same.

Why it works: without the field under its canonical name a POST is repeated only if nothing of it was written.

--- a/quetzalcore/quetzalupstream/client.go
+++ b/quetzalcore/quetzalupstream/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"strings"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
@@ -97,7 +98,8 @@
 		return nil, err //nolint:wrapcheck // the caller needs no more than that it failed
 	}
 	for _, f := range s.Work.HeaderFields {
-		req.Header[f.Name] = append(req.Header[f.Name], f.Value)
+		name := fieldName(f.Name)
+		req.Header[name] = append(req.Header[name], f.Value)
 	}
 	req.Header[HeaderRequestID] = []string{string(s.ID)}
 	req.Header[HeaderPool] = []string{string(s.Pool)}
@@ -105,6 +107,18 @@
 	return req, nil
 }
 
+// fieldName returns the name under which a header field is sent. The HTTP transport repeats a POST
+// over a new connection if it finds an idempotency key under its canonical name. The request may have
+// run by then, and whether it may run again is for the entry to decide. Names are case-insensitive to
+// the minion.
+func fieldName(name string) string {
+	switch name {
+	case "Idempotency-Key", "X-Idempotency-Key":
+		return strings.ToLower(name)
+	}
+	return name
+}
+
 // failedResult returns the result of a failed attempt. Without a connection nothing was sent;
 // with one the minion may have run the request.
 func failedResult(ctx context.Context, connected bool) quetzalfleet.AttemptResult {
