Keep a replaced process out of the roster

What callers would see: a host that does not answer is replaced by another one with the same entry name, and its process resumes later. The two take each other's place in the roster at every poll. Each sends requests while the other is in the roster, and moves do not wait for it.

Cause: a process that is not in the roster joins, in the place of whatever process has its entry's name there.

Evidence: TestReplacedProcessStaysOut. Before the change the process with incarnation 7 writes itself in the place of incarnation 8.

Change: a process that was in the roster, and finds another process of its entry there, does not join. It is not ready and logs the decision. It joins again once the entry is no longer in the roster.

Why it works: a process joins in the place of another one at its start only, so of two processes the one that joined last stays. Incarnations are not compared, since the wall clock may be set back between two starts.

Measured: the test fails before and passes after, with the other tests of the package.

--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -111,6 +111,8 @@
 	// HostListTried is set once the first call for the host list has ended, with or without an
 	// answer.
 	HostListTried bool
+	// WasInRoster is set once this process has been in its zone's roster.
+	WasInRoster bool
 	// RosterCall is the call in flight that joins or leaves the roster; zero if none.
 	RosterCall Row
 	// DutyCall is the call in flight that takes over, renews or releases the lease on the
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -535,3 +535,19 @@
 	require.Nil(t, ask(3))
 	require.Equal(t, 1, s.w.Attempts.Len())
 }
+
+// A host that does not answer is replaced by another one with the same entry name, and then its
+// process resumes. It must not take the place of its successor in the roster.
+func TestReplacedProcessStaysOut(t *testing.T) {
+	s := newSingleEntry(t)
+	s.scan(append(fleetRows()[:4], rosterRow(self))...)
+	require.True(t, quetzalsystem.Ready(s.w))
+	s.scan(rosterRow(quetzalfleet.RosterEntry{Entry: "e", Incarnation: 8}))
+	require.False(t, quetzalsystem.Ready(s.w))
+	for range 20 {
+		require.Empty(t, s.writes(quetzalfleet.TableRosters), "took the place of its successor")
+		s.scan()
+	}
+	s.scan(rosterRow())
+	s.waitForWrite(quetzalfleet.TableRosters)
+}
--- a/quetzalcore/quetzalsystem/roster.go
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -48,9 +48,17 @@
 	return len(r.Entries), max(0, i)
 }
 
-// joinRoster adds this process to its zone's roster.
+// replacedInRoster reports whether another process of this entry has taken the place that this one had
+// in the roster. The order of the incarnations does not show it: the wall clock may be set back.
+func replacedInRoster(w *quetzalfleet.World) bool {
+	r := zoneRoster(w)
+	return w.WasInRoster && r != nil && !inRoster(w) &&
+		slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool { return e.Entry == w.Self.Entry })
+}
+
+// joinRoster adds this process to its zone's roster, unless it has been replaced there.
 func joinRoster(w *quetzalfleet.World) {
-	if w.RosterCall != 0 || w.Stop != quetzalfleet.StopNone || inRoster(w) {
+	if w.RosterCall != 0 || w.Stop != quetzalfleet.StopNone || inRoster(w) || replacedInRoster(w) {
 		return
 	}
 	self := quetzalfleet.RosterEntry{
@@ -146,7 +154,12 @@
 		w.RosterByZone.Put(v.Zone, row)
 	}
 	r := w.Rosters.At(row)
+	wasIn := inRoster(w)
 	r.Entries, r.Revision = v.Entries, rev
+	w.WasInRoster = w.WasInRoster || inRoster(w)
+	if wasIn && replacedInRoster(w) {
+		w.RecordDecision(quetzalfleet.DecisionRoster, string(w.Self.Entry), "another process has taken this one's place in the roster; no longer serves")
+	}
 	for _, e := range v.Entries {
 		upsertPeer(w, v.Zone, e)
 	}
