Read the roster before serving after a suspension

What callers would see: the host of an entry is suspended, listed as gone, and resumes. The entry has been removed from the roster and hosts have been moved without it. It sends the requests that wait, and new ones for up to a poll period, to hosts that serve another pool.

Cause: an entry serves while the roster that it knows has it. A removal needs 3 s of silence, and a process that does not run for that long cannot see it. On resuming it served by what it knew.

Evidence: TestResumedEntryReadsTheRosterBeforeItServes. Before the change the entry starts a request in the tick after a gap of 10 s.

Change: after a gap of 3 s or more between two ticks an entry is not ready and starts no request until a scan that was sent after the gap has ended. If the platform does not answer, it goes on by what it knows. A scan from before the gap is followed by another one at once.

Why it works: ticks are at most half a second apart, so such a gap is a suspension, and a shorter one is too short for a removal. While the platform answers, its rows show a removal. An attempt that was decided on before the gap is not covered.

--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -113,6 +113,11 @@
 	HostListTried bool
 	// WasInRoster is set once this process has been in its zone's roster.
 	WasInRoster bool
+	// ResumedAt is the time at which this process last resumed after it had not run for so long that it
+	// may have been removed from the roster; zero if it never did. RosterOutdated is set from then
+	// until a scan that was sent later has ended, with or without an answer.
+	ResumedAt      quetzalunit.Instant
+	RosterOutdated bool
 	// RosterCall is the call in flight that joins or leaves the roster; zero if none.
 	RosterCall Row
 	// DutyCall is the call in flight that takes over, renews or releases the lease on the
--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -19,9 +19,9 @@
 // mayServe reports whether this entry may send work to minions: it is in the roster,
 // or an entry in the roster sponsors it as a guest. A process that has just started waits for all
 // rows of the fleet, and for the platform's list, which shows the hosts that have left, unless the
-// platform does not answer.
+// platform does not answer. One that resumes after a suspension likewise reads the roster again.
 func mayServe(w *quetzalfleet.World) bool {
-	return w.FleetLoaded && w.HostListTried && (inRoster(w) || w.Now < w.GuestUntil)
+	return w.FleetLoaded && w.HostListTried && !w.RosterOutdated && (inRoster(w) || w.Now < w.GuestUntil)
 }
 
 // updateSeedPeers adds the seed addresses from the settings as peers while no other peer
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -551,3 +551,31 @@
 	s.scan(rosterRow())
 	s.waitForWrite(quetzalfleet.TableRosters)
 }
+
+// The host of an entry is suspended for so long that the entry is removed from the roster. When it
+// resumes it must not send requests before it has asked the platform whether it is still in the roster:
+// hosts may have been moved without it.
+func TestResumedEntryReadsTheRosterBeforeItServes(t *testing.T) {
+	for _, removed := range []bool{true, false} {
+		s := newSingleEntry(t)
+		s.scan(append(fleetRows()[:4], rosterRow(self))...)
+		for s.w.ScanCall == 0 {
+			s.tick(100 * time.Millisecond)
+		}
+		before := s.w.ScanCall
+		in := request("q~1", true)
+		in.ClaimExempt, in.Caller, in.Timeout = true, 1, time.Hour
+		s.tick(10*time.Second, in)
+		require.Zero(t, s.w.Attempts.Len(), "served by an old roster")
+		s.tick(time.Millisecond, quetzalfleet.StoreAnswered{Call: before, Result: quetzalfleet.RowsRead{Revision: s.revision}})
+		require.Zero(t, s.w.Attempts.Len(), "served by a roster read before it was suspended")
+		if removed {
+			s.scan(rosterRow())
+			require.Zero(t, s.w.Attempts.Len())
+			continue
+		}
+		require.NotZero(t, s.w.ScanCall, "waits for the next poll")
+		s.tick(time.Millisecond, quetzalfleet.StoreAnswered{Call: s.w.ScanCall, Result: quetzalfleet.NoAnswer{}})
+		require.Equal(t, 1, s.w.Attempts.Len(), "an outage of the platform stops service")
+	}
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -16,8 +16,7 @@
 func pollPlatform(w *quetzalfleet.World) {
 	w.After(w.Jitter(w.Self.PollPeriod), quetzalfleet.PollDue{})
 	if w.ScanCall == 0 {
-		w.ScanCall = addStoreCall(w, quetzalfleet.ForFleetScan{})
-		w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, Tables: quetzalfleet.FleetTables(), SinceRevision: w.SeenRevision})
+		scanFleet(w)
 	}
 	if w.ListCall == 0 {
 		w.ListCall = addStoreCall(w, quetzalfleet.ForHostList{})
@@ -25,6 +24,12 @@
 	}
 }
 
+// scanFleet reads the rows of FleetTables that changed.
+func scanFleet(w *quetzalfleet.World) {
+	w.ScanCall = addStoreCall(w, quetzalfleet.ForFleetScan{})
+	w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, Tables: quetzalfleet.FleetTables(), SinceRevision: w.SeenRevision})
+}
+
 func addStoreCall(w *quetzalfleet.World, purpose quetzalfleet.StorePurpose) quetzalfleet.Row {
 	return w.StoreCalls.Insert(quetzalfleet.StoreCall{Purpose: purpose, SentAt: w.Now})
 }
@@ -81,7 +86,7 @@
 func routeAnswer(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	switch p := call.Purpose.(type) {
 	case quetzalfleet.ForFleetScan:
-		handleScanResult(w, result)
+		handleScanResult(w, call, result)
 	case quetzalfleet.ForHostList:
 		handleHostListResult(w, call, result)
 	case quetzalfleet.ForRosterChange:
@@ -140,8 +145,14 @@
 	}
 }
 
-func handleScanResult(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+func handleScanResult(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	w.ScanCall = 0
+	if w.RosterOutdated {
+		w.RosterOutdated = call.SentAt < w.ResumedAt
+		if w.RosterOutdated {
+			scanFleet(w)
+		}
+	}
 	if read, ok := result.(quetzalfleet.RowsRead); ok {
 		advanceSeen(w, read.Revision)
 		w.FleetLoaded = true
--- a/quetzalcore/quetzalsystem/tick.go
+++ b/quetzalcore/quetzalsystem/tick.go
@@ -31,6 +31,9 @@
 // Tick advances the World to now, applies the inputs, fires the due timers, runs
 // every system and returns the commands to perform. A now before w.Now counts as w.Now.
 func Tick(w *quetzalfleet.World, now quetzalunit.Instant, inputs []quetzalfleet.Input) []quetzalfleet.Command {
+	if now.Sub(w.Now) >= peerRemovalSilence {
+		w.ResumedAt, w.RosterOutdated = now, true
+	}
 	w.Now = max(w.Now, now)
 	for _, in := range inputs {
 		applyInput(w, in)
