End a leaving report by a newer list only

What callers would see: a host that has announced that it leaves gets new requests again after 10 s, while it still leaves: the platform's list could not be read since, or the entry was suspended.

Cause: a report that a host is leaving ends after 10 s if the list was received within 10 s. The list may have been requested before the report, or within the 2 s by which it lags, and its age counted from the receipt of the answer, which a suspension delays.

Evidence: TestOldListDoesNotEndALeavingReport, with a list that is answered after the report and no list for 10 s, and with an entry that is suspended for 12 s. Before the change requests start on the leaving host in both.

Change: the age of a host's state in the list counts from the request for the list. A report ends only if a list with the host was requested 2 s after it or later; otherwise it is kept for another 10 s.

Why it works: such a list shows the host as leaving if it still is.

Measured: the test fails before and passes after, with the other tests of leaving hosts.

--- a/quetzalcore/quetzalfleet/host.go
+++ b/quetzalcore/quetzalfleet/host.go
@@ -120,8 +120,8 @@
 	PoolRow     Row
 	ListedState ListedState
 	Boot        quetzalunit.Boot
-	// ListedAt is the time at which the host list last contained the host; zero if it
-	// never did.
+	// ListedAt is the time at which the last host list that contains the host was requested; zero
+	// if none did.
 	ListedAt quetzalunit.Instant
 	// LeavingGeneration is the generation of the host that is known to be leaving, from a
 	// minion's refusal or a peer; zero if none. A host that leaves is sent no new work.
--- a/quetzalcore/quetzalsystem/eject.go
+++ b/quetzalcore/quetzalsystem/eject.go
@@ -22,6 +22,8 @@
 	// hostPause is the mean pause of a host after a failure that is part of a
 	// correlated failure.
 	hostPause = 200 * time.Millisecond
+	// hostListLag is how much later the platform's list shows that a host is leaving.
+	hostListLag = 2 * time.Second
 	// maxEjectionDoublings limits the exponential growth of the ejection time.
 	maxEjectionDoublings = 5
 )
@@ -100,14 +102,14 @@
 }
 
 // expireLeaving clears the leaving state of a host that was not observed to leave again
-// within leavingTTL. The state is kept while the platform's list cannot be read.
+// within leavingTTL. The state is kept while no list has been requested since that could show it.
 func expireLeaving(w *quetzalfleet.World, row quetzalfleet.Row) {
 	h := w.Hosts.At(row)
 	if h == nil || h.LeavingUntil > w.Now || h.LeavingGeneration == 0 {
 		return
 	}
-	if w.Now.Sub(h.ListedAt) > leavingTTL {
-		// Without a recent list nothing shows that the host is not leaving.
+	if observedAt := h.LeavingUntil.Add(-leavingTTL); h.ListedAt.Sub(observedAt) < hostListLag {
+		// Without a newer list nothing shows that the host is not leaving.
 		h.LeavingUntil = w.Now.Add(leavingTTL)
 		w.After(leavingTTL, quetzalfleet.LeavingExpired{Host: row})
 		return
--- a/quetzalcore/quetzalsystem/lease_test.go
+++ b/quetzalcore/quetzalsystem/lease_test.go
@@ -579,3 +579,45 @@
 		require.Equal(t, 1, s.w.Attempts.Len(), "an outage of the platform stops service")
 	}
 }
+
+// A peer reports that a host is leaving. A list that was requested before, or whose answer waited while
+// this entry was suspended, must not end the report: it does not show that the host stays.
+func TestOldListDoesNotEndALeavingReport(t *testing.T) {
+	for _, suspended := range []bool{false, true} {
+		s := newSingleEntry(t)
+		s.ownLists = true
+		s.scan(append(fleetRows()[:4], rosterRow(self))...)
+		s.list(0)
+		for s.w.ListCall == 0 {
+			s.tick(100 * time.Millisecond)
+		}
+		live := quetzalfleet.ListedHost{ID: "host0"}
+		s.tick(100*time.Millisecond, quetzalfleet.GossipArrived{Message: quetzalfleet.Gossip{
+			From: "f", Incarnation: 1, Zone: "a", LeavingHosts: []quetzalfleet.HostGeneration{{Host: "host0", Generation: 1}},
+		}})
+		if suspended {
+			s.list(12*time.Second, live)
+		} else {
+			s.list(100*time.Millisecond, live)
+			for range 105 {
+				s.tick(100 * time.Millisecond)
+			}
+		}
+		s.scan()
+		s.scan() // the first one may have been sent before the suspension
+		for n := range quetzalunit.CallerID(8) {
+			in := request(fmt.Sprint("q~", n), true)
+			in.ClaimExempt, in.Caller = true, n+1
+			s.tick(time.Millisecond, in)
+		}
+		require.Equal(t, 8, s.w.Attempts.Len())
+		for _, a := range s.w.Attempts.All() {
+			require.Equal(t, quetzalunit.HostID("host1"), s.w.Hosts.At(a.Host).ID)
+		}
+		for range 20 {
+			s.list(0, live)
+			s.tick(time.Second)
+		}
+		require.Zero(t, s.w.Hosts.At(s.w.HostByID.Get("host0")).LeavingGeneration, "never ends")
+	}
+}
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -170,7 +170,7 @@
 	w.HostsListedAt = call.SentAt
 	for _, l := range listed.Hosts {
 		if h := w.Hosts.At(w.HostByID.Get(l.ID)); h != nil {
-			applyListedHost(w, h, l)
+			applyListedHost(w, h, l, call.SentAt)
 			continue
 		}
 		if p := w.Peers.At(w.PeerByID.Get(quetzalunit.EntryID(l.ID))); p != nil {
@@ -179,8 +179,8 @@
 	}
 }
 
-func applyListedHost(w *quetzalfleet.World, h *quetzalfleet.Host, l quetzalfleet.ListedHost) {
-	h.ListedAt = w.Now
+func applyListedHost(w *quetzalfleet.World, h *quetzalfleet.Host, l quetzalfleet.ListedHost, requestedAt quetzalunit.Instant) {
+	h.ListedAt = requestedAt
 	if h.ListedState == l.State && h.Boot == l.Boot {
 		return
 	}
