--- a/quetzalcore/quetzalfleet/world.go
+++ b/quetzalcore/quetzalfleet/world.go
@@ -40,6 +40,8 @@
 	StartedAt quetzalunit.Instant
 	// Now is the time of the current tick. It never decreases.
 	Now quetzalunit.Instant
+	// WallClockOffset is the offset of the wall clock from Now.
+	WallClockOffset time.Duration
 
 	Requests           quetzaltable.Table[Request]
 	TeamFIFOs          quetzaltable.Table[TeamFIFO]
@@ -103,6 +105,19 @@
 	// ScanCall is the read of the fleet tables in flight, ListCall that of the host list;
 	// zero if none.
 	ScanCall, ListCall Row
+	// HostsListedAt is the time at which the newest host list that was answered was requested; zero
+	// before the first answer.
+	HostsListedAt quetzalunit.Instant
+	// HostListTried is set once the first call for the host list has ended, with or without an
+	// answer.
+	HostListTried bool
+	// WasInRoster is set once this process has been in its zone's roster.
+	WasInRoster bool
+	// ResumedAt is the time at which this process last resumed after it had not run for so long that it
+	// may have been removed from the roster; zero if it never did. RosterOutdated is set from then
+	// until a scan that was sent later has ended, with or without an answer.
+	ResumedAt      quetzalunit.Instant
+	RosterOutdated bool
 	// RosterCall is the call in flight that joins or leaves the roster; zero if none.
 	RosterCall Row
 	// DutyCall is the call in flight that takes over, renews or releases the lease on the
@@ -139,6 +154,9 @@
 
 	// SeenRevision is the revision up to which every row of FleetTables has been applied.
 	SeenRevision quetzalunit.Revision
+	// FleetLoaded is set once every row of FleetTables that existed at some revision was applied: after
+	// a scan, or after a message of a peer that was not cut off at its limit of rows.
+	FleetLoaded bool
 	// FleetRows holds the latest applied rows of FleetTables, to be sent to peers that lack them.
 	FleetRows map[RowKey]RowAtRevision
 	// HeadVersion is the newest settings version known.
@@ -220,6 +238,16 @@
 	return d/2 + time.Duration(w.Rand().Int64N(int64(d)+1))
 }
 
+// WallTime converts an instant of the World's clock.
+func (w *World) WallTime(t quetzalunit.Instant) quetzalunit.WallTime {
+	return quetzalunit.WallTime(t.Add(w.WallClockOffset))
+}
+
+// InstantOf converts a wall time to the World's clock.
+func (w *World) InstantOf(t quetzalunit.WallTime) quetzalunit.Instant {
+	return quetzalunit.Instant(t.Add(-w.WallClockOffset))
+}
+
 // After sets a timer that fires d from now.
 func (w *World) After(d time.Duration, t Timer) {
 	w.Timers.Push(w.Now.Add(d), t)
@@ -227,7 +255,7 @@
 
 // RecordDecision records a decision for operators' queries and emits it to the log.
 func (w *World) RecordDecision(kind DecisionKind, subject, reason string) {
-	d := Decision{At: w.Now, Kind: kind, Subject: subject, Reason: reason}
+	d := Decision{At: w.WallTime(w.Now), Kind: kind, Subject: subject, Reason: reason}
 	if len(w.Decisions) == MaxDecisions {
 		w.Decisions = append(w.Decisions[:0], w.Decisions[1:]...)
 	}
--- a/quetzalcore/quetzalsystem/guest.go
+++ b/quetzalcore/quetzalsystem/guest.go
@@ -17,9 +17,11 @@
 const seedIDPrefix quetzalunit.EntryID = "~"
 
 // mayServe reports whether this entry may send work to minions: it is in the roster,
-// or an entry in the roster sponsors it as a guest.
+// or an entry in the roster sponsors it as a guest. A process that has just started waits for all
+// rows of the fleet, and for the platform's list, which shows the hosts that have left, unless the
+// platform does not answer. One that resumes after a suspension likewise reads the roster again.
 func mayServe(w *quetzalfleet.World) bool {
-	return inRoster(w) || w.Now < w.GuestUntil
+	return w.FleetLoaded && w.HostListTried && !w.RosterOutdated && (inRoster(w) || w.Now < w.GuestUntil)
 }
 
 // updateSeedPeers adds the seed addresses from the settings as peers while no other peer
@@ -52,11 +54,16 @@
 // sponsorGuest accepts the sender of a gossip message as a guest if it is not in the
 // roster. From then on this entry confirms a host only after the guest has. It reports
 // whether the guest may serve. The guest must know the zone's hosts at the generations
-// known here, because this entry may already have confirmed some of them.
+// known here, because this entry may already have confirmed some of them, and which of them are not
+// live, because it cannot read the platform's list.
 func sponsorGuest(w *quetzalfleet.World, m *quetzalfleet.Gossip) bool {
 	if !m.Guest || m.Zone != w.Self.Zone || m.Stopping || w.Stop != quetzalfleet.StopNone || !inRoster(w) {
 		return false
 	}
+	if processInRoster(zoneRoster(w), m.From, m.Incarnation) {
+		// The message was sent before the sender joined.
+		return false
+	}
 	row := w.PeerByID.Get(m.From)
 	if row == 0 {
 		row = w.Peers.Insert(quetzalfleet.Peer{ID: m.From})
@@ -69,8 +76,12 @@
 	if p.Incarnation != m.Incarnation {
 		p.SeenRevision, p.SentRevision, p.Loads = 0, 0, nil
 	}
+	if p.Incarnation != m.Incarnation || !p.Guest {
+		p.LeavingSent, p.LeavingKnown = false, false
+		w.GossipPending = true
+	}
 	p.Guest, p.Zone, p.Address, p.Incarnation, p.LastHeardAt = true, m.Zone, m.Address, m.Incarnation, w.Now
-	return knowsHosts(w, m.KnownHosts)
+	return p.LeavingKnown && knowsHosts(w, m.KnownHosts)
 }
 
 // knownHosts lists the zone's hosts, for the sponsors of a guest to check. An entry in
@@ -105,13 +116,13 @@
 
 // guestsConfirmed reports whether every guest has confirmed that it runs nothing on a
 // host and will send nothing to it. It deletes guests whose own hosts the platform
-// lists as gone and that have been silent for longer than guestLease.
+// lists as gone after they have been silent for guestLease.
 func guestsConfirmed(w *quetzalfleet.World, h *quetzalfleet.Host) bool {
 	for row, p := range w.Peers.All() {
 		if !p.Guest {
 			continue
 		}
-		if p.ListedState == quetzalfleet.ListedGone && w.Now.Sub(p.LastHeardAt) > guestLease {
+		if listedGone(p, guestLease) {
 			w.PeerByID.Delete(p.ID)
 			w.Peers.Delete(row)
 			continue
--- a/quetzalcore/quetzalsystem/job.go
+++ b/quetzalcore/quetzalsystem/job.go
@@ -1,7 +1,6 @@
 package quetzalsystem
 
 import (
-	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalfleet"
@@ -28,7 +27,8 @@
 	r := w.Requests.At(row)
 	r.State = quetzalfleet.RequestStoring
 	w.Emit(quetzalfleet.PutObject{
-		Call: addStoreCall(w, quetzalfleet.ForJobWorkWrite{Request: row}), Key: quetzalfleet.WorkKey(r.ID), Object: r.Work,
+		Call: addStoreCall(w, quetzalfleet.ForJobWorkWrite{Request: row}),
+		Key:  quetzalfleet.WorkKey(r.ID, r.BodyDigest), Object: r.Work,
 	})
 }
 
@@ -56,7 +56,8 @@
 		{Key: jobKey(r.ID), Row: quetzalfleet.JobRow{JobSpec: quetzalfleet.JobSpec{
 			Request: r.ID, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, State: s,
 			Queue: w.Queues.At(r.Queue).ID, Team: w.Teams.At(r.Team).ID, Class: r.Class, Urgent: r.Urgent,
-			Idempotent: r.Idempotent, Deadline: r.Deadline, BodyDigest: r.BodyDigest, WrittenAt: w.Now,
+			Idempotent: r.Idempotent, Deadline: w.WallTime(r.Deadline), BodyDigest: r.BodyDigest,
+			WrittenAt: w.WallTime(w.Now),
 		}}},
 		{Key: claimKey(r.ID), Row: claim},
 	}
@@ -252,7 +253,7 @@
 		}
 	}
 	for row, job := range w.PendingJobs.All() {
-		if job.TakeoverCall == 0 && !holderInRoster(w, &job.JobSpec) {
+		if job.TakeoverCall == 0 && job.Revision <= w.SeenRevision && !holderInRoster(w, &job.JobSpec) {
 			takeOverJob(w, row)
 		}
 	}
@@ -274,12 +275,12 @@
 	job.JobSpec, job.Revision = spec, rev
 }
 
-// holderInRoster reports whether the process that holds a job is in the roster of any zone.
+// holderInRoster reports whether the process that holds a job is in the roster of any zone. A holder
+// writes the job's row after it has joined, so the rosters show whether it has left only once they
+// are read up to the revision of that row.
 func holderInRoster(w *quetzalfleet.World, job *quetzalfleet.JobSpec) bool {
 	for _, r := range w.Rosters.All() {
-		if slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
-			return e.Entry == job.Entry && e.Incarnation == job.Incarnation
-		}) {
+		if processInRoster(r, job.Entry, job.Incarnation) {
 			return true
 		}
 	}
@@ -291,10 +292,11 @@
 func takeOverJob(w *quetzalfleet.World, row quetzalfleet.Row) {
 	job := w.PendingJobs.At(row)
 	next := job.JobSpec
-	next.WrittenAt = w.Now
+	next.WrittenAt = w.WallTime(w.Now)
 	next.Entry, next.Incarnation, next.State = w.Self.Entry, w.Self.Incarnation, quetzalfleet.JobAccepted
 	claim := quetzalfleet.ClaimRow{
-		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, BodyDigest: job.BodyDigest, WrittenAt: w.Now,
+		Request: job.Request, Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, BodyDigest: job.BodyDigest,
+		WrittenAt: w.WallTime(w.Now),
 	}
 	if job.State == quetzalfleet.JobSent && !job.Idempotent {
 		next.State, claim.State = quetzalfleet.JobEnded, quetzalfleet.ClaimUnknown
@@ -330,7 +332,7 @@
 func adoptJob(w *quetzalfleet.World, spec *quetzalfleet.JobSpec, rev quetzalunit.Revision) {
 	row := w.Requests.Insert(quetzalfleet.Request{
 		ID: spec.Request, Queue: w.QueueByID.Get(spec.Queue), Team: resolveTeam(w, spec.Team), Class: spec.Class,
-		Urgent: spec.Urgent, Idempotent: spec.Idempotent, BodyDigest: spec.BodyDigest, ArrivedAt: w.Now, Deadline: spec.Deadline,
+		Urgent: spec.Urgent, Idempotent: spec.Idempotent, BodyDigest: spec.BodyDigest, ArrivedAt: w.Now, Deadline: w.InstantOf(spec.Deadline),
 		State: quetzalfleet.RequestStoring, IsJob: true, JobRevision: rev, ClaimRevision: rev,
 	})
 	w.LiveRequests++
@@ -342,12 +344,14 @@
 }
 
 func readJobWork(w *quetzalfleet.World, row quetzalfleet.Row) {
+	r := w.Requests.At(row)
 	w.Emit(quetzalfleet.GetObject{
-		Call: addStoreCall(w, quetzalfleet.ForJobWorkRead{Request: row}), Key: quetzalfleet.WorkKey(w.Requests.At(row).ID),
+		Call: addStoreCall(w, quetzalfleet.ForJobWorkRead{Request: row}), Key: quetzalfleet.WorkKey(r.ID, r.BodyDigest),
 	})
 }
 
-func handleJobWorkRead(w *quetzalfleet.World, row quetzalfleet.Row, result quetzalfleet.StoreResult) {
+func handleJobWorkRead(w *quetzalfleet.World, p quetzalfleet.ForJobWorkRead, result quetzalfleet.StoreResult) {
+	row := p.Request
 	r := w.Requests.At(row)
 	if r == nil || r.State != quetzalfleet.RequestStoring {
 		return
@@ -357,6 +361,12 @@
 		w.After(storeRetryDelay, quetzalfleet.RetryDue{Request: row})
 		return
 	}
+	if object.Object == nil && !p.FormerKey {
+		w.Emit(quetzalfleet.GetObject{
+			Call: addStoreCall(w, quetzalfleet.ForJobWorkRead{Request: row, FormerKey: true}), Key: quetzalfleet.FormerWorkKey(r.ID),
+		})
+		return
+	}
 	if object.Object == nil {
 		finishRequest(w, row, quetzalfleet.Unknown{Reason: quetzalfleet.NotStored})
 		return
--- a/quetzalcore/quetzalsystem/poll.go
+++ b/quetzalcore/quetzalsystem/poll.go
@@ -16,8 +16,7 @@
 func pollPlatform(w *quetzalfleet.World) {
 	w.After(w.Jitter(w.Self.PollPeriod), quetzalfleet.PollDue{})
 	if w.ScanCall == 0 {
-		w.ScanCall = addStoreCall(w, quetzalfleet.ForFleetScan{})
-		w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, Tables: quetzalfleet.FleetTables(), SinceRevision: w.SeenRevision})
+		scanFleet(w)
 	}
 	if w.ListCall == 0 {
 		w.ListCall = addStoreCall(w, quetzalfleet.ForHostList{})
@@ -25,6 +24,12 @@
 	}
 }
 
+// scanFleet reads the rows of FleetTables that changed.
+func scanFleet(w *quetzalfleet.World) {
+	w.ScanCall = addStoreCall(w, quetzalfleet.ForFleetScan{})
+	w.Emit(quetzalfleet.ScanStore{Call: w.ScanCall, Tables: quetzalfleet.FleetTables(), SinceRevision: w.SeenRevision})
+}
+
 func addStoreCall(w *quetzalfleet.World, purpose quetzalfleet.StorePurpose) quetzalfleet.Row {
 	return w.StoreCalls.Insert(quetzalfleet.StoreCall{Purpose: purpose, SentAt: w.Now})
 }
@@ -81,9 +86,9 @@
 func routeAnswer(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	switch p := call.Purpose.(type) {
 	case quetzalfleet.ForFleetScan:
-		handleScanResult(w, result)
+		handleScanResult(w, call, result)
 	case quetzalfleet.ForHostList:
-		handleHostListResult(w, result)
+		handleHostListResult(w, call, result)
 	case quetzalfleet.ForRosterChange:
 		handleRosterResult(w, p, result)
 	case quetzalfleet.ForRosterRemoval:
@@ -129,7 +134,7 @@
 	case quetzalfleet.ForJobTakeover:
 		handleJobTakeoverResult(w, p.Job, call, result)
 	case quetzalfleet.ForJobWorkRead:
-		handleJobWorkRead(w, p.Request, result)
+		handleJobWorkRead(w, p, result)
 	case quetzalfleet.ForSweepScan:
 		handleSweepScanResult(w, result)
 	case quetzalfleet.ForSweepDelete:
@@ -140,33 +145,42 @@
 	}
 }
 
-func handleScanResult(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+func handleScanResult(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	w.ScanCall = 0
+	if w.RosterOutdated {
+		w.RosterOutdated = call.SentAt < w.ResumedAt
+		if w.RosterOutdated {
+			scanFleet(w)
+		}
+	}
 	if read, ok := result.(quetzalfleet.RowsRead); ok {
 		advanceSeen(w, read.Revision)
+		w.FleetLoaded = true
 		joinRoster(w)
 	}
 }
 
-func handleHostListResult(w *quetzalfleet.World, result quetzalfleet.StoreResult) {
+func handleHostListResult(w *quetzalfleet.World, call *quetzalfleet.StoreCall, result quetzalfleet.StoreResult) {
 	w.ListCall = 0
+	w.HostListTried = true
 	listed, ok := result.(quetzalfleet.HostsListed)
 	if !ok {
 		return
 	}
+	w.HostsListedAt = call.SentAt
 	for _, l := range listed.Hosts {
 		if h := w.Hosts.At(w.HostByID.Get(l.ID)); h != nil {
-			applyListedHost(w, h, l)
+			applyListedHost(w, h, l, call.SentAt)
 			continue
 		}
 		if p := w.Peers.At(w.PeerByID.Get(quetzalunit.EntryID(l.ID))); p != nil {
-			p.ListedState = l.State
+			p.ListedState, p.ListedAt = l.State, call.SentAt
 		}
 	}
 }
 
-func applyListedHost(w *quetzalfleet.World, h *quetzalfleet.Host, l quetzalfleet.ListedHost) {
-	h.ListedAt = w.Now
+func applyListedHost(w *quetzalfleet.World, h *quetzalfleet.Host, l quetzalfleet.ListedHost, requestedAt quetzalunit.Instant) {
+	h.ListedAt = requestedAt
 	if h.ListedState == l.State && h.Boot == l.Boot {
 		return
 	}
--- a/quetzalcore/quetzalsystem/request.go
+++ b/quetzalcore/quetzalsystem/request.go
@@ -93,12 +93,16 @@
 		return quetzalfleet.NotRun{Reason: quetzalfleet.EntryStopping, RetryAfter: refusedRetryAfter}
 	}
 	q := w.Queues.At(queueRow)
-	if q == nil && w.SeenRevision == 0 {
+	if q == nil && !w.FleetLoaded {
 		return quetzalfleet.NotRun{Reason: quetzalfleet.EntryStarting, RetryAfter: refusedRetryAfter}
 	}
 	if q == nil {
 		return quetzalfleet.Invalid{Reason: quetzalfleet.UnknownQueue}
 	}
+	if in.Async && !inRoster(w) {
+		// Other entries take over the jobs of entries that are not in the roster.
+		return quetzalfleet.NotRun{Reason: quetzalfleet.EntryStarting, RetryAfter: refusedRetryAfter}
+	}
 	return checkQueueLimits(w, queueRow, in)
 }
 
--- a/quetzalcore/quetzalsystem/roster.go
+++ b/quetzalcore/quetzalsystem/roster.go
@@ -27,11 +27,13 @@
 // send work to minions.
 func inRoster(w *quetzalfleet.World) bool {
 	r := zoneRoster(w)
-	if r == nil {
-		return false
-	}
+	return r != nil && processInRoster(r, w.Self.Entry, w.Self.Incarnation)
+}
+
+// processInRoster reports whether a process of an entry is in a roster.
+func processInRoster(r *quetzalfleet.Roster, id quetzalunit.EntryID, n quetzalunit.Incarnation) bool {
 	return slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool {
-		return e.Entry == w.Self.Entry && e.Incarnation == w.Self.Incarnation
+		return e.Entry == id && e.Incarnation == n
 	})
 }
 
@@ -46,9 +48,17 @@
 	return len(r.Entries), max(0, i)
 }
 
-// joinRoster adds this process to its zone's roster.
+// replacedInRoster reports whether another process of this entry has taken the place that this one had
+// in the roster. The order of the incarnations does not show it: the wall clock may be set back.
+func replacedInRoster(w *quetzalfleet.World) bool {
+	r := zoneRoster(w)
+	return w.WasInRoster && r != nil && !inRoster(w) &&
+		slices.ContainsFunc(r.Entries, func(e quetzalfleet.RosterEntry) bool { return e.Entry == w.Self.Entry })
+}
+
+// joinRoster adds this process to its zone's roster, unless it has been replaced there.
 func joinRoster(w *quetzalfleet.World) {
-	if w.RosterCall != 0 || w.Stop != quetzalfleet.StopNone || inRoster(w) {
+	if w.RosterCall != 0 || w.Stop != quetzalfleet.StopNone || inRoster(w) || replacedInRoster(w) {
 		return
 	}
 	self := quetzalfleet.RosterEntry{
@@ -107,8 +117,8 @@
 	w.RosterCall = writeStore(w, quetzalfleet.ForRosterChange{Leave: true}, rosterTransaction(w, rosterWithout(w, w.Self.Entry)))
 }
 
-// removeDeadEntries removes from the roster the first silent entry whose host the platform
-// lists as gone, so at most one entry per plan.
+// removeDeadEntries removes from the roster the first entry that is silent and whose host the
+// platform lists as gone since, so at most one entry per plan.
 func removeDeadEntries(w *quetzalfleet.World) {
 	r := zoneRoster(w)
 	if r == nil {
@@ -116,7 +126,7 @@
 	}
 	for _, e := range r.Entries {
 		p := w.Peers.At(w.PeerByID.Get(e.Entry))
-		if p == nil || p.ListedState != quetzalfleet.ListedGone || w.Now.Sub(p.LastHeardAt) < peerRemovalSilence {
+		if p == nil || !listedGone(p, peerRemovalSilence) {
 			continue
 		}
 		t := rosterTransaction(w, rosterWithout(w, e.Entry))
@@ -129,6 +139,13 @@
 	}
 }
 
+// listedGone reports whether the platform lists the host of a peer as gone, in a list that was
+// requested after the peer had been silent for the given time. An older list may show the end of an
+// earlier process with the same entry id.
+func listedGone(p *quetzalfleet.Peer, silence time.Duration) bool {
+	return p.ListedState == quetzalfleet.ListedGone && p.ListedAt.Sub(p.LastHeardAt) >= silence
+}
+
 // applyRoster applies the row of a zone's roster and updates the peers in that zone.
 func applyRoster(w *quetzalfleet.World, v quetzalfleet.RosterRow, rev quetzalunit.Revision) {
 	row := w.RosterByZone.Get(v.Zone)
@@ -137,7 +154,12 @@
 		w.RosterByZone.Put(v.Zone, row)
 	}
 	r := w.Rosters.At(row)
+	wasIn := inRoster(w)
 	r.Entries, r.Revision = v.Entries, rev
+	w.WasInRoster = w.WasInRoster || inRoster(w)
+	if wasIn && replacedInRoster(w) {
+		w.RecordDecision(quetzalfleet.DecisionRoster, string(w.Self.Entry), "another process has taken this one's place in the roster; no longer serves")
+	}
 	for _, e := range v.Entries {
 		upsertPeer(w, v.Zone, e)
 	}
@@ -161,10 +183,22 @@
 	if p.Incarnation != e.Incarnation {
 		p.SeenRevision, p.Stopping, p.Loads = 0, false, nil
 		p.LastHeardAt = w.Now
+		deleteConfirmations(w, e)
 	}
 	p.Zone, p.Incarnation, p.Address, p.Guest = zone, e.Incarnation, e.Address, false
 }
 
+// deleteConfirmations deletes what other processes of a roster entry have confirmed. They need not
+// have lower incarnations: incarnations are taken from the wall clock, which may be set back.
+func deleteConfirmations(w *quetzalfleet.World, e quetzalfleet.RosterEntry) {
+	for row, c := range w.DrainConfirmations.All() {
+		if c.Entry == e.Entry && c.Incarnation != e.Incarnation {
+			w.DrainConfirmationByKey.Delete(quetzalfleet.DrainConfirmationKey{Entry: c.Entry, Host: c.Host})
+			w.DrainConfirmations.Delete(row)
+		}
+	}
+}
+
 // deleteDepartedPeers deletes the peers that are no longer in a zone's roster. Guests and
 // seeds are kept, as they are never in the roster.
 func deleteDepartedPeers(w *quetzalfleet.World, r *quetzalfleet.Roster) {
--- a/quetzalcore/quetzalsystem/singleentry_test.go
+++ b/quetzalcore/quetzalsystem/singleentry_test.go
@@ -21,6 +21,13 @@
 	// commands are the commands of the last tick.
 	commands []quetzalfleet.Command
 	revision quetzalunit.Revision
+	// peersSilent makes every message to a peer fail.
+	peersSilent bool
+	// ownLists leaves the calls for the platform's list to the test. Otherwise they are answered with
+	// an empty list, which leaves every host live.
+	ownLists bool
+	// renews commits every renewal of the duties.
+	renews bool
 }
 
 func newSingleEntry(t *testing.T) *singleEntry {
@@ -32,11 +39,21 @@
 }
 
 // tick advances the time and runs a tick with the inputs. Replies of the peers to the
-// messages of the last tick are added.
+// messages of the last tick, and of the platform to its calls for the list, are added.
 func (s *singleEntry) tick(d time.Duration, inputs ...quetzalfleet.Input) {
 	for _, c := range s.commands {
-		if gossip, ok := c.(quetzalfleet.SendGossip); ok {
-			inputs = append(inputs, quetzalfleet.GossipAnswered{Peer: gossip.Peer})
+		switch c := c.(type) {
+		case quetzalfleet.SendGossip:
+			inputs = append(inputs, quetzalfleet.GossipAnswered{Peer: c.Peer, Failed: s.peersSilent})
+		case quetzalfleet.ListHosts:
+			if !s.ownLists {
+				inputs = append(inputs, quetzalfleet.StoreAnswered{Call: c.Call, Result: quetzalfleet.HostsListed{}})
+			}
+		case quetzalfleet.WriteStore:
+			if s.renews && c.Transaction.Writes[0].Key.Table == quetzalfleet.TableRenewals {
+				s.revision++
+				inputs = append(inputs, quetzalfleet.StoreAnswered{Call: c.Call, Result: quetzalfleet.Committed{Revision: s.revision}})
+			}
 		}
 	}
 	s.commands = quetzalsystem.Tick(s.w, s.w.Now.Add(d), inputs)
@@ -187,6 +204,9 @@
 	}
 	old, current := quetzalfleet.HostGeneration{Host: "host0", Generation: 1}, quetzalfleet.HostGeneration{Host: "host0", Generation: 2}
 	other := quetzalfleet.HostGeneration{Host: "host1", Generation: 1}
+	require.False(t, sponsored(current, other), "before it was told which hosts are leaving")
+	s.tick(time.Second)
+	s.tick(time.Millisecond)
 	require.False(t, sponsored())
 	require.False(t, sponsored(old, other))
 	require.False(t, sponsored(current))
--- a/quetzalcore/quetzalsystem/view.go
+++ b/quetzalcore/quetzalsystem/view.go
@@ -81,11 +81,11 @@
 func versionsView(w *quetzalfleet.World) quetzalfleet.SettingsVersionsView {
 	v := quetzalfleet.SettingsVersionsView{HeadVersion: w.HeadVersion}
 	v.Peers = append(v.Peers, quetzalfleet.PeerView{
-		Entry: w.Self.Entry, Zone: w.Self.Zone, SettingsVersion: w.SettingsVersion, LastHeardAt: w.Now,
+		Entry: w.Self.Entry, Zone: w.Self.Zone, SettingsVersion: w.SettingsVersion,
 	})
 	for _, p := range w.Peers.All() {
 		v.Peers = append(v.Peers, quetzalfleet.PeerView{
-			Entry: p.ID, Zone: p.Zone, SettingsVersion: p.SettingsVersion, LastHeardAt: p.LastHeardAt,
+			Entry: p.ID, Zone: p.Zone, SettingsVersion: p.SettingsVersion, SilentFor: w.Now.Sub(p.LastHeardAt),
 		})
 	}
 	slices.SortFunc(v.Peers, func(a, b quetzalfleet.PeerView) int { return cmp.Compare(a.Entry, b.Entry) })
@@ -206,5 +206,5 @@
 // Ready reports whether the entry accepts requests: it has loaded the fleet's rows, may
 // send work to minions and is not stopping.
 func Ready(w *quetzalfleet.World) bool {
-	return w.Stop == quetzalfleet.StopNone && w.SeenRevision > 0 && mayServe(w)
+	return w.Stop == quetzalfleet.StopNone && mayServe(w)
 }
