--- /dev/null
+++ b/quetzalcore/quetzalscheduler/predecessor_test.go
@@ -0,0 +1,171 @@
+package quetzalscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalscheduler"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// successor runs the World of entry e0, which can take over testPool from e1. The minion m0 never
+// answers e0; m1 does and runs nothing. testJob was accepted under an earlier duty, so its task may
+// run on m0 and must not start on m1 before the leases that e1 can have granted to m0 have expired.
+type successor struct {
+	*dispatcher
+	// other is the stored row of e1, duty that of the pool's duty.
+	other quetzalwork.Member
+	duty  quetzalwork.Duty
+	// takenOverAt is when the store carried out the last takeover by e0. Its answer arrives
+	// answerDelay later, at answerAt.
+	takenOverAt, answerAt quetzalunit.Instant
+	answerDelay           time.Duration
+	answer                quetzalwork.DutyWritten
+	// startedAt is when the task was started, zero if it was not.
+	startedAt quetzalunit.Instant
+}
+
+const (
+	// extendTime is how long after a takeover the predecessor may extend leases, if it learns nothing
+	// of the takeover.
+	extendTime = 3 * time.Second
+	// longestLease is the duration of a lease on a minion whose clock is 2 % slow.
+	longestLease = 4500 * time.Millisecond * 100 / 98
+	// startsWithin is the time after the end of the last lease within which the task must start.
+	startsWithin = 1500 * time.Millisecond
+)
+
+func newSuccessor(t *testing.T, duty quetzalwork.Duty, other quetzalwork.Member) *successor {
+	t.Helper()
+	s := &successor{duty: duty, other: other}
+	s.dispatcher = &dispatcher{t: t, w: &quetzalwork.World{}, now: quetzalunit.InstantOf(time.Unix(1000, 0)), rows: []quetzalwork.JobRow{accepted(testJob, oldDuty-10)}}
+	silent, idle := testMinions[0], testMinions[0]
+	idle.ID, idle.Address, idle.Host = "m1", "m1", "h1"
+	s.minions = []quetzalwork.MinionRecord{silent, idle}
+	s.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		if c.Target.Minion == silent.ID {
+			return quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, Result: quetzalwork.OrderUnanswered{}}
+		}
+		return s.idle(c)
+	}
+	s.w.Self = quetzalwork.Identity{Entry: "e0", Incarnation: 1, PeerAddress: "e0"}
+	s.w.Bounds = quetzalwork.Bounds{StopTimeout: 400 * time.Millisecond}
+	quetzalscheduler.Start(s.w, s.now)
+	cfg := testConfig()
+	s.tick(quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: 1})
+	return s
+}
+
+// tick is dispatcher.tick with the rows of the successor.
+func (s *successor) tick(inputs ...quetzalwork.Input) {
+	for {
+		var next []quetzalwork.Input
+		for _, cmd := range quetzalscheduler.Tick(s.w, s.now, inputs) {
+			if in := s.perform(cmd); in != nil {
+				next = append(next, in)
+			}
+		}
+		if len(next) == 0 {
+			return
+		}
+		inputs = next
+	}
+}
+
+func (s *successor) perform(cmd quetzalwork.Command) quetzalwork.Input {
+	hosts := quetzalwork.Duty{Holder: "e3", Incarnation: 1, Address: "e3", Revision: 5}
+	switch cmd := cmd.(type) {
+	case quetzalwork.ReadMembers:
+		if s.readsFail {
+			return quetzalwork.MembersRead{Result: quetzalwork.StoreUnanswered}
+		}
+		return quetzalwork.MembersRead{
+			Full: true, SeenRevision: testToken, SentAt: cmd.SentAt,
+			Members: []quetzalwork.Member{
+				{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(s.now)}, s.other, {Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(s.now)},
+			},
+			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: s.duty, "(hosts)": hosts},
+		}
+	case quetzalwork.WriteDuty:
+		if cmd.Pool != testPool || cmd.Release || cmd.Expected != s.duty.Revision {
+			return s.dispatcher.perform(cmd)
+		}
+		s.duty = cmd.Duty
+		s.duty.Revision = testToken
+		s.takenOverAt = s.now
+		answer := quetzalwork.DutyWritten{Pool: cmd.Pool, SentAt: cmd.SentAt, Revision: testToken}
+		if s.answerDelay == 0 {
+			return answer
+		}
+		s.answer, s.answerAt = answer, s.now.Add(s.answerDelay)
+		return nil
+	case quetzalwork.StartRun:
+		if s.startedAt == 0 {
+			s.startedAt = s.now
+		}
+		return s.dispatcher.perform(cmd)
+	default:
+		return s.dispatcher.perform(cmd)
+	}
+}
+
+// run advances the clock in steps of 20 ms with a tick at each.
+func (s *successor) run(duration time.Duration) {
+	end := s.now.Add(duration)
+	for s.now < end {
+		s.now = s.now.Add(20 * time.Millisecond)
+		if s.answerAt != 0 && s.now >= s.answerAt {
+			s.answerAt = 0
+			s.tick(s.answer)
+			continue
+		}
+		s.tick()
+	}
+}
+
+// runUntilTakeover runs until the store has carried out a takeover and e0 knows it.
+func (s *successor) runUntilTakeover() {
+	s.t.Helper()
+	for range 500 {
+		if s.run(20 * time.Millisecond); s.takenOverAt != 0 && s.answerAt == 0 {
+			return
+		}
+	}
+	s.t.Fatal("no takeover")
+}
+
+// requireStartAfter requires that the task starts after an instant and soon after it.
+func (s *successor) requireStartAfter(end quetzalunit.Instant) {
+	s.t.Helper()
+	s.run(end.Add(startsWithin).Sub(s.now))
+	require.NotZero(s.t, s.startedAt)
+	require.Greater(s.t, s.startedAt.Sub(s.takenOverAt), end.Sub(s.takenOverAt), "the predecessor may have extended a lease up to this time")
+}
+
+// e1 has renewed nothing for a while when e0 takes over. Its next renewal is carried out after e0 has
+// read the rows, and the reads of e0 fail from then on. With that renewal e1 may extend leases until
+// 3 s after its last read of the duties, which can be as late as the takeover.
+func TestSuccessorWaitsForLeasesAfterARenewalThatItCannotSee(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	s.answerDelay = 900 * time.Millisecond
+	s.runUntilTakeover()
+	s.run(1100 * time.Millisecond)
+	s.other.Heartbeat++
+	s.readsFail = true
+	s.run(3500 * time.Millisecond)
+	s.readsFail = false
+	s.requireStartAfter(s.takenOverAt.Add(extendTime + longestLease))
+}
+
+// The member row of e1 is not renewed before or after the takeover. From the last renewal on, e1 may
+// have extended leases for 3 s, so the task need not wait as long as after a takeover from a process
+// that may be alive.
+func TestSuccessorOfADeadDispatcherWaitsFromItsLastRenewal(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	started := s.now
+	s.runUntilTakeover()
+	s.requireStartAfter(started.Add(extendTime + longestLease))
+}
