Take only a later process as proof that a holder has ended

What callers would see: a task runs twice after a pool was taken over from a dispatcher that is alive.

Cause: a renewal of a member row has no condition, so the store can carry out one of an earlier process seconds late, over the row of the later process that holds the duty. The successor compared the incarnations for equality only: it took the holder for ended and waited for leases of 4.74 s from the takeover, without the 3 s in which a living holder may still extend them.

Evidence: TestRowOfAnEarlierProcessDoesNotEndTheLeasesOfTheHolder failed before the change: the task started 4.76 s after the takeover, where leases can last until 7.59 s after it. Each of the two comparisons, put back alone, makes it fail again (4.76 s and 5.56 s).

Change: holderMayBeRunning and updatePredecessorEnd require a larger incarnation.

Why it works: an incarnation is the wall-clock time of the process's start, so a row of an earlier process has a smaller one and changes nothing. If the clock was set back between two starts, a later process looks earlier, which only prolongs the wait to that for a living holder.

Result: both tests of the rows of other processes pass (TestRowOfALaterProcessEndsTheLeasesOfTheHolder keeps the short wait).

Open: isHolderLive still takes such a holder for dead and lets the duty be taken over at once. That is safe now, but needless; a condition on the revision of the member row in each renewal would prevent it.

--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -44,13 +44,14 @@
 // process of the same entry runs. Only rows that were read after the takeover prove either. A renewal
 // may be carried out after such a read and still permit the predecessor to extend leases until
 // dutyValidity after the takeover, so only a read that was sent later shows the last one that counts.
+// A row of an earlier process proves neither.
 func updatePredecessorEnd(w *quetzalwork.World, p *quetzalwork.Pool) {
 	m := w.Members.At(w.MemberByID.Get(p.Predecessor.Holder))
 	switch {
 	case m == nil:
-	case m.Incarnation != p.Predecessor.Incarnation:
+	case m.Incarnation > p.Predecessor.Incarnation:
 		p.PredecessorLeasesEnd = min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime))
-	case w.Membership.ReadSentAt >= p.HeldSince.Add(dutyValidity):
+	case m.Incarnation == p.Predecessor.Incarnation && w.Membership.ReadSentAt >= p.HeldSince.Add(dutyValidity):
 		p.PredecessorLeasesEnd = min(p.HeldSince, m.RenewalSeenAt).Add(dutyValidity + leaseExpiryTime)
 	}
 }
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -279,10 +279,11 @@
 }
 
 // holderMayBeRunning reports whether the holder of a duty may still be running: it has not released
-// the duty, and no later process of the same entry is known.
+// the duty, and no later process of the same entry is known. A member row of an earlier process proves
+// nothing: the store may have carried out its renewal late, over the row of the holder.
 func holderMayBeRunning(w *quetzalwork.World, d *quetzalwork.Duty) bool {
 	holder := w.Members.At(w.MemberByID.Get(d.Holder))
-	return d.Holder != "" && (holder == nil || holder.Incarnation == d.Incarnation)
+	return d.Holder != "" && (holder == nil || holder.Incarnation <= d.Incarnation)
 }
 
 // announceDuty sends the new row of a duty to every other live entry.
--- a/quetzalcore/quetzalscheduler/predecessor_test.go
+++ b/quetzalcore/quetzalscheduler/predecessor_test.go
@@ -169,3 +169,29 @@
 	s.runUntilTakeover()
 	s.requireStartAfter(started.Add(extendTime + longestLease))
 }
+
+// A renewal of an earlier process of e1 is carried out late, over the row of the process that holds the
+// duty. The holder may be alive and extend leases, so e0 must wait as after any other takeover.
+func TestRowOfAnEarlierProcessDoesNotEndTheLeasesOfTheHolder(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 2, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 2, Address: "e1"})
+	for range 100 {
+		s.run(20 * time.Millisecond)
+		s.other.Heartbeat++
+	}
+	require.Zero(t, s.takenOverAt)
+	s.other = quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: 7}
+	s.runUntilTakeover()
+	s.requireStartAfter(s.takenOverAt.Add(extendTime + longestLease))
+}
+
+// A later process of e1 shows that the holder has ended, which extends no more leases.
+func TestRowOfALaterProcessEndsTheLeasesOfTheHolder(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 2, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 2, Address: "e1"})
+	for range 100 {
+		s.run(20 * time.Millisecond)
+		s.other.Heartbeat++
+	}
+	s.other = quetzalwork.Member{Entry: "e1", Incarnation: 3, Address: "e1"}
+	s.runUntilTakeover()
+	s.requireStartAfter(s.takenOverAt.Add(longestLease))
+}
