Store a wave as running only if it has no state

What callers would see: operators read that a completed maintenance wave is running. The next host controller takes up the wave again.

Cause: the state of a wave was written without a condition. The store can carry out a write seconds late, and a former host controller can send it late; both replaced the state Completed, which its successor had stored.

Evidence: TestRunningIsNotStoredOverCompleted failed before the change: the late write was accepted. TestConflictingWaveStateIsRead failed without the change of handleWaveStateStored: the state was not read.

Change: Running is written on condition that the wave has no state. After a conflict the host controller reads the states again. A read in the middle of a term leaves hosts alone whose maintenance is known to be active.

Why it works: a wave has the states none, Running and Completed in this order. Running can now only follow none, and Completed, which needs no condition, only replaces Running. Completed from a former holder is true: it is sent when all hosts of the wave have had their maintenance.

Result: both tests pass, and the tests of quetzalrows and those of waves.

--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -60,7 +60,9 @@
 			continue
 		}
 		for i, host := range wave.Hosts {
-			if maintenance := &wave.Maintenance[i]; slices.Contains(done, host) && maintenance.State != quetzalwork.MaintenanceDone {
+			maintenance := &wave.Maintenance[i]
+			known := maintenance.State == quetzalwork.MaintenanceActive || maintenance.State == quetzalwork.MaintenanceDone
+			if !known && slices.Contains(done, host) {
 				// The host may still be in maintenance and counts as such until it is listed as up.
 				*maintenance = quetzalwork.HostMaintenance{State: quetzalwork.MaintenanceActive, DispatcherNotified: true}
 			}
@@ -96,13 +98,18 @@
 	}
 }
 
-// handleWaveStateStored applies the result of storing the state of a wave.
+// handleWaveStateStored applies the result of storing the state of a wave. After a conflict the wave has
+// a state that another host controller stored, or this one in a transaction without an answer.
 func handleWaveStateStored(w *quetzalwork.World, in *quetzalwork.WaveStateStored) {
 	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
 	if wave == nil {
 		return
 	}
 	wave.StoringState = quetzalwork.WaveUnstored
+	if in.Result == quetzalwork.StoreConflict && w.HostController.Held {
+		wave.StoredState = quetzalwork.WaveRunning
+		w.Emit(quetzalwork.ReadWaves{})
+	}
 	if in.Result == quetzalwork.StoreDone {
 		wave.StoredState = in.State
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Message: "The state of a wave was stored.", Reason: string(in.Wave) + string(in.State), Age: w.Now.Sub(wave.FirstSeenAt)})
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -135,7 +135,8 @@
 		Wave quetzalunit.WaveID
 		Done []quetzalunit.HostID
 	}
-	// StoreWaveState stores the state of a wave, which the operators read.
+	// StoreWaveState stores the state of a wave, which the operators read. WaveRunning conflicts with
+	// any stored state.
 	StoreWaveState struct {
 		Wave  quetzalunit.WaveID
 		State WaveState
