Store the hosts of a wave on condition of the row's revision

What callers would see: a host of a wave that has had its maintenance is evacuated once more, and its maintenance is ordered again.

Cause: the list of maintained hosts was written without a condition. A write of a former host controller that is carried out late, or sent after the takeover, replaced the list of its successor with an older one. The next host controller read the older list.

Change: StoreWaveHosts has the revision of the row as a condition. After a conflict the stored hosts are merged with the known ones and stored again. A read of the waves returns the revisions.

Why it works: a write replaces only a list that its sender has read or written, and a sender's list has all hosts of it that are still listed. A write without an answer may have been carried out; the next one then conflicts and merges.

--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -36,6 +36,8 @@
 	// each.
 	takeovers  []quetzalwork.WriteDuty
 	onTakeover func()
+	// onStoreWaveHosts, if not nil, answers the transactions that store the maintained hosts of a wave.
+	onStoreWaveHosts func(quetzalwork.StoreWaveHosts) quetzalwork.WaveHostsStored
 }
 
 func newHostController(t *testing.T, hosts []quetzalwork.Host, plan quetzalwork.WavePlan) *hostController {
@@ -97,6 +99,11 @@
 		return []quetzalwork.Input{quetzalwork.HostsListed{OK: true, Hosts: c.hosts}}
 	case quetzalwork.ReadWaves:
 		return []quetzalwork.Input{quetzalwork.WavesRead{}}
+	case quetzalwork.StoreWaveHosts:
+		if c.onStoreWaveHosts == nil {
+			return nil
+		}
+		return []quetzalwork.Input{c.onStoreWaveHosts(cmd)}
 	case quetzalwork.StoreWaveState:
 		c.waveStates = append(c.waveStates, cmd.State)
 		return []quetzalwork.Input{quetzalwork.WaveStateStored{Wave: cmd.Wave, State: cmd.State}}
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -54,18 +54,26 @@
 			wave.StoredState = state
 		}
 	}
+	for id, revision := range in.HostsRevisions {
+		if wave := w.Waves.At(w.WaveByID.Get(id)); wave != nil {
+			wave.HostsRevision = max(wave.HostsRevision, revision)
+		}
+	}
 	for id, done := range in.Done {
-		wave := w.Waves.At(w.WaveByID.Get(id))
-		if wave == nil {
-			continue
+		if wave := w.Waves.At(w.WaveByID.Get(id)); wave != nil {
+			mergeWaveHosts(wave, done)
 		}
-		for i, host := range wave.Hosts {
-			maintenance := &wave.Maintenance[i]
-			known := maintenance.State == quetzalwork.MaintenanceActive || maintenance.State == quetzalwork.MaintenanceDone
-			if !known && slices.Contains(done, host) {
-				// The host may still be in maintenance and counts as such until it is listed as up.
-				*maintenance = quetzalwork.HostMaintenance{State: quetzalwork.MaintenanceActive, DispatcherNotified: true}
-			}
+	}
+}
+
+// mergeWaveHosts marks the hosts of a wave whose maintenance another host controller has ordered.
+func mergeWaveHosts(wave *quetzalwork.Wave, done []quetzalunit.HostID) {
+	for i, host := range wave.Hosts {
+		maintenance := &wave.Maintenance[i]
+		known := maintenance.State == quetzalwork.MaintenanceActive || maintenance.State == quetzalwork.MaintenanceDone
+		if !known && slices.Contains(done, host) {
+			// The host may still be in maintenance and counts as such until it is listed as up.
+			*maintenance = quetzalwork.HostMaintenance{State: quetzalwork.MaintenanceActive, DispatcherNotified: true}
 		}
 	}
 }
@@ -78,7 +86,7 @@
 		return
 	}
 	wave.StoreInFlight, wave.StoreAgain = true, false
-	c := quetzalwork.StoreWaveHosts{Wave: wave.ID}
+	c := quetzalwork.StoreWaveHosts{Wave: wave.ID, Expected: wave.HostsRevision}
 	for i, host := range wave.Hosts {
 		if s := wave.Maintenance[i].State; s == quetzalwork.MaintenanceActive || s == quetzalwork.MaintenanceDone {
 			c.Done = append(c.Done, host)
@@ -87,12 +95,19 @@
 	w.Emit(c)
 }
 
+// handleWaveHostsStored applies the result of storing the maintained hosts of a wave. After a conflict
+// the stored hosts are merged with those that this process knows and stored again.
 func handleWaveHostsStored(w *quetzalwork.World, in *quetzalwork.WaveHostsStored) {
 	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
 	if wave == nil {
 		return
 	}
 	wave.StoreInFlight = false
+	wave.HostsRevision = max(wave.HostsRevision, in.Revision)
+	if in.Result == quetzalwork.StoreConflict {
+		mergeWaveHosts(wave, in.Done)
+		wave.StoreAgain = true
+	}
 	if wave.StoreAgain && w.HostController.Held {
 		storeWaveHosts(w, wave)
 	}
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -130,10 +130,12 @@
 	// ReadWaves reads the stored states of the waves.
 	ReadWaves struct{}
 	// StoreWaveHosts stores the hosts of a wave whose maintenance order was accepted, so that a
-	// later host controller does not repeat the order.
+	// later host controller does not repeat the order. The condition is that the row still has the
+	// revision Expected, 0 if it must not exist.
 	StoreWaveHosts struct {
-		Wave quetzalunit.WaveID
-		Done []quetzalunit.HostID
+		Wave     quetzalunit.WaveID
+		Expected quetzalunit.Revision
+		Done     []quetzalunit.HostID
 	}
 	// StoreWaveState stores the state of a wave, which the operators read. WaveRunning conflicts with
 	// any stored state.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -158,11 +158,16 @@
 		// Done has, for each wave, the hosts whose maintenance order was accepted; they may still
 		// be out of service.
 		Done map[quetzalunit.WaveID][]quetzalunit.HostID
+		// HostsRevisions has the revisions of the rows with Done.
+		HostsRevisions map[quetzalunit.WaveID]quetzalunit.Revision
 	}
-	// WaveHostsStored is the result of StoreWaveHosts.
+	// WaveHostsStored is the result of StoreWaveHosts. Revision is that of the row after a success or
+	// a conflict; after a conflict Done has the stored hosts.
 	WaveHostsStored struct {
-		Result StoreResult
-		Wave   quetzalunit.WaveID
+		Result   StoreResult
+		Wave     quetzalunit.WaveID
+		Revision quetzalunit.Revision
+		Done     []quetzalunit.HostID
 	}
 	// WaveStateStored is the result of StoreWaveState.
 	WaveStateStored struct {
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -205,6 +205,8 @@
 	// StoreInFlight reports whether a transaction with the maintained hosts is in flight, StoreAgain
 	// whether another one must follow because more hosts were added since.
 	StoreInFlight, StoreAgain bool
+	// HostsRevision is the revision of the row with the maintained hosts, zero if none is known.
+	HostsRevision quetzalunit.Revision
 	// StoredState is the stored state, StoringState the state that is being stored. WaveUnstored
 	// stands for none.
 	StoredState, StoringState WaveState
