Store how long leases of earlier dispatchers may last

What callers would see: a task runs twice after two takeovers of a pool within seconds: e0 takes the pool over from e1, which may be alive, and then releases the duty, or its process restarts.

Cause: the next holder knew only its direct predecessor. It took a release, or a later process of e0, as proof that nobody extends leases, and waited for 4.74 s. But e1 may extend leases until 3 s after the first takeover. The wait that e0 knew of ended with its term.

Evidence: TestSuccessorOfAReleaseWaitsForEarlierHolders, TestRestartedSuccessorWaitsForEarlierHolders and, for a release and takeover by the same process, TestNextTermOfTheSameProcessWaitsForEarlierHolders.

Change: the row of a pool's duty has EarlierLeasesMs, how long after its write such leases may last. A takeover from a holder that may be running stores dutyValidity + leaseExpiryTime, a release what is left of the wait. A takeover waits for it, counted from when the row was first seen. Neither a notice of the predecessor nor a later process of it shortens that wait.

Why it works: the row is written before it is first seen, so the wait ends no earlier than the leases. Leases that end within leaseExpiryTime need no mention, since every successor waits as long from its takeover.

Rows without the field mean 0, as before.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -228,6 +228,7 @@
 func encodeDuty(d *quetzalwork.Duty) quetzalwire.PoolDutyDoc {
 	return quetzalwire.PoolDutyDoc{
 		Holder: string(d.Holder), Incarnation: int(d.Incarnation), Address: string(d.Address), Ordered: toStrings(d.OrderedHosts),
+		EarlierLeasesMs: int(d.EarlierLeases.Milliseconds()),
 	}
 }
 
@@ -242,5 +243,6 @@
 	return quetzalwork.Duty{
 		Holder: quetzalunit.EntryID(d.Holder), Incarnation: quetzalunit.Incarnation(d.Incarnation),
 		Address: quetzalunit.Address(d.Address), Revision: revision, OrderedHosts: FromStrings[quetzalunit.HostID](d.Ordered),
+		EarlierLeases: durationFromMs(d.EarlierLeasesMs),
 	}
 }
--- a/quetzalcore/quetzalcodec/workmessage_test.go
+++ b/quetzalcore/quetzalcodec/workmessage_test.go
@@ -15,7 +15,7 @@
 	duty := quetzalwork.Duty{OrderedHosts: []quetzalunit.HostID{"h1", "h2"}, Revision: 9}
 	for _, want := range []quetzalwork.PeerMessage{
 		quetzalwork.NotifyDuty{Pool: "p", Duty: duty},
-		quetzalwork.NotifyDuty{Pool: "p", Duty: quetzalwork.Duty{Holder: "e", Incarnation: 3, Address: "a", OrderedHosts: []quetzalunit.HostID{}, Revision: 10}},
+		quetzalwork.NotifyDuty{Pool: "p", Duty: quetzalwork.Duty{Holder: "e", Incarnation: 3, Address: "a", OrderedHosts: []quetzalunit.HostID{}, EarlierLeases: 7 * time.Second, Revision: 10}},
 		quetzalwork.NotifyDutyDropped{Pool: "p", Token: 8},
 		quetzalwork.EvacuateHost{Pool: "p", Host: "h", Wave: "1"},
 		quetzalwork.NotifyHostWithdrawn{Pool: "p", Host: "h"},
--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -16,8 +16,45 @@
 	leaseExpiryTime = leaseDuration*100/minClockPercent + leaseExpiryMargin
 )
 
+// leasesAtTakeover returns how long leases of dispatchers before this process may last after it has
+// taken a duty over, zero if every successor of this process waits as long anyway.
+func leasesAtTakeover(w *quetzalwork.World, d *quetzalwork.Duty) time.Duration {
+	if holderMayBeRunning(w, d) {
+		return dutyValidity + leaseExpiryTime
+	}
+	return remainingLeases(w, d.EarlierLeasesEnd)
+}
+
+// leasesAtRelease is leasesAtTakeover for the release of a pool's duty. Once the predecessors' work is
+// known, the minions reject their tokens.
+func leasesAtRelease(w *quetzalwork.World, p *quetzalwork.Pool) time.Duration {
+	if p.PredecessorWorkKnown {
+		return 0
+	}
+	return remainingLeases(w, p.PredecessorLeasesEnd)
+}
+
+// remainingLeases returns how long leases last that end at an instant, zero if that is no more than
+// leaseExpiryTime.
+func remainingLeases(w *quetzalwork.World, end quetzalunit.Instant) time.Duration {
+	if left := end.Sub(w.Now); left > leaseExpiryTime {
+		return left
+	}
+	return 0
+}
+
+// setEarlierLeasesEnd sets the EarlierLeasesEnd of a row of a duty that this process sees now. The row
+// was written before.
+func setEarlierLeasesEnd(w *quetzalwork.World, d *quetzalwork.Duty) {
+	d.EarlierLeasesEnd = 0
+	if d.EarlierLeases > 0 {
+		d.EarlierLeasesEnd = w.Now.Add(d.EarlierLeases)
+	}
+}
+
 // beginDispatch makes this process the dispatcher of a pool. A predecessor that may still be running
-// can extend leases for another dutyValidity; one that released the duty extends none.
+// can extend leases for another dutyValidity; one that released the duty extends none. Dispatchers
+// before the predecessor may extend leases for as long as its row of the duty says.
 func beginDispatch(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, predecessor quetzalwork.Duty, mayBeRunning bool) {
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
@@ -25,7 +62,8 @@
 	p.RunNumbersExhausted = false
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
 	p.Predecessor = quetzalwork.Duty{}
-	p.PredecessorLeasesEnd = w.Now.Add(leaseExpiryTime)
+	p.EarlierLeasesEnd = predecessor.EarlierLeasesEnd
+	p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, w.Now.Add(leaseExpiryTime))
 	if mayBeRunning {
 		p.Predecessor = predecessor
 		p.PredecessorLeasesEnd = w.Now.Add(dutyValidity + leaseExpiryTime)
@@ -50,9 +88,9 @@
 	switch {
 	case m == nil:
 	case m.Incarnation > p.Predecessor.Incarnation:
-		p.PredecessorLeasesEnd = min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime))
+		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime)))
 	case m.Incarnation == p.Predecessor.Incarnation && w.Membership.ReadSentAt >= p.HeldSince.Add(dutyValidity):
-		p.PredecessorLeasesEnd = min(p.HeldSince, m.RenewalSeenAt).Add(dutyValidity + leaseExpiryTime)
+		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.HeldSince, m.RenewalSeenAt).Add(dutyValidity+leaseExpiryTime))
 	}
 }
 
@@ -62,7 +100,7 @@
 	p := w.Pools.At(poolRow(w, m.Pool))
 	if p.Held && p.Predecessor.Holder != "" && p.Predecessor.Revision == quetzalunit.Revision(m.Token) {
 		p.Predecessor = quetzalwork.Duty{}
-		p.PredecessorLeasesEnd = min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime))
+		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime)))
 		p.NeedsPlacement = true
 	}
 }
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -43,6 +43,7 @@
 		return
 	}
 	seen.Acquiring, seen.RetryAt = d.Acquiring, d.RetryAt
+	setEarlierLeasesEnd(w, &seen)
 	predecessor := *d
 	*d = seen
 	if seen.Holder == "" {
@@ -138,7 +139,7 @@
 		}
 		d.Acquiring = true
 		w.Emit(quetzalwork.WriteDuty{Pool: id, OfHosts: id == hostControlDuty, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
-			Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
+			Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, EarlierLeases: leasesAtTakeover(w, d),
 		}})
 	}
 }
@@ -255,12 +256,16 @@
 		return
 	}
 	written := quetzalwork.Duty{Revision: in.Revision}
-	if in.Release && in.Pool == hostControlDuty {
-		written.OrderedHosts = recentlyOrderedHosts(w)
-	}
-	if !in.Release {
+	switch {
+	case !in.Release:
 		written.Holder, written.Incarnation, written.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
+		written.EarlierLeases = leasesAtTakeover(w, d)
+	case in.Pool == hostControlDuty:
+		written.OrderedHosts = recentlyOrderedHosts(w)
+	default:
+		written.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, in.Pool)))
 	}
+	setEarlierLeasesEnd(w, &written)
 	if in.Revision > d.Revision {
 		predecessor := *d
 		mayBeRunning, first := holderMayBeRunning(w, d), d.Revision == 0
--- a/quetzalcore/quetzalscheduler/predecessor_test.go
+++ b/quetzalcore/quetzalscheduler/predecessor_test.go
@@ -41,7 +41,7 @@
 func newSuccessor(t *testing.T, duty quetzalwork.Duty, other quetzalwork.Member) *successor {
 	t.Helper()
 	s := &successor{duty: duty, other: other}
-	s.dispatcher = &dispatcher{t: t, w: &quetzalwork.World{}, now: quetzalunit.InstantOf(time.Unix(1000, 0)), rows: []quetzalwork.JobRow{accepted(testJob, oldDuty-10)}}
+	s.dispatcher = &dispatcher{t: t, now: quetzalunit.InstantOf(time.Unix(1000, 0)), rows: []quetzalwork.JobRow{accepted(testJob, oldDuty-10)}}
 	silent, idle := testMinions[0], testMinions[0]
 	idle.ID, idle.Address, idle.Host = "m1", "m1", "h1"
 	s.minions = []quetzalwork.MinionRecord{silent, idle}
@@ -51,12 +51,19 @@
 		}
 		return s.idle(c)
 	}
-	s.w.Self = quetzalwork.Identity{Entry: "e0", Incarnation: 1, PeerAddress: "e0"}
+	s.start("e0", 1)
+	return s
+}
+
+// start starts the process of an entry, which replaces the one that ran before.
+func (s *successor) start(id quetzalunit.EntryID, incarnation quetzalunit.Incarnation) {
+	s.w = &quetzalwork.World{}
+	s.w.Self = quetzalwork.Identity{Entry: id, Incarnation: incarnation, PeerAddress: quetzalunit.Address(id)}
 	s.w.Bounds = quetzalwork.Bounds{StopTimeout: 400 * time.Millisecond}
+	s.takenOverAt = 0
 	quetzalscheduler.Start(s.w, s.now)
 	cfg := testConfig()
 	s.tick(quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: 1})
-	return s
 }
 
 // tick is dispatcher.tick with the rows of the successor.
@@ -85,18 +92,21 @@
 		return quetzalwork.MembersRead{
 			Full: true, SeenRevision: testToken, SentAt: cmd.SentAt,
 			Members: []quetzalwork.Member{
-				{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(s.now)}, s.other, {Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(s.now)},
+				{Entry: s.w.Self.Entry, Incarnation: s.w.Self.Incarnation, Heartbeat: quetzalunit.Heartbeat(s.now)}, s.other, {Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(s.now)},
 			},
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: s.duty, "(hosts)": hosts},
 		}
 	case quetzalwork.WriteDuty:
-		if cmd.Pool != testPool || cmd.Release || cmd.Expected != s.duty.Revision {
+		if cmd.Pool != testPool || cmd.Expected != s.duty.Revision {
 			return s.dispatcher.perform(cmd)
 		}
 		s.duty = cmd.Duty
-		s.duty.Revision = testToken
+		s.duty.Revision = max(testToken, cmd.Expected+1)
+		answer := quetzalwork.DutyWritten{Pool: cmd.Pool, Release: cmd.Release, SentAt: cmd.SentAt, Revision: s.duty.Revision}
+		if cmd.Release {
+			return answer
+		}
 		s.takenOverAt = s.now
-		answer := quetzalwork.DutyWritten{Pool: cmd.Pool, SentAt: cmd.SentAt, Revision: testToken}
 		if s.answerDelay == 0 {
 			return answer
 		}
@@ -195,3 +205,62 @@
 	s.runUntilTakeover()
 	s.requireStartAfter(s.takenOverAt.Add(longestLease))
 }
+
+// e1 may be alive when e0 takes over, and e0 releases the duty a moment later. The next holder must wait
+// for the leases that e1 can still grant, which the release does not end.
+func TestSuccessorOfAReleaseWaitsForEarlierHolders(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	s.runUntilTakeover()
+	first := s.takenOverAt
+	s.run(200 * time.Millisecond)
+	s.tick(quetzalwork.StopRequested{})
+	s.run(300 * time.Millisecond)
+	require.Empty(t, s.duty.Holder)
+	s.start("e2", 1)
+	s.runUntilTakeover()
+	s.requireStartAfter(first.Add(extendTime + longestLease))
+}
+
+// e1 may be alive when e0 takes over, and the process of e0 restarts a moment later. The second process
+// must wait for the leases that e1 can still grant, although the first one has ended.
+func TestRestartedSuccessorWaitsForEarlierHolders(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	s.runUntilTakeover()
+	first := s.takenOverAt
+	s.run(200 * time.Millisecond)
+	s.start("e0", 2)
+	s.runUntilTakeover()
+	s.requireStartAfter(first.Add(extendTime + longestLease))
+}
+
+// Whatever shows that the predecessor extends no more leases proves nothing of the dispatchers before it.
+func TestEarlierLeasesOutlastThoseOfThePredecessor(t *testing.T) {
+	const earlier = 12 * time.Second
+	for name, end := range map[string]func(s *successor){
+		"no renewal":    func(*successor) {},
+		"later process": func(s *successor) { s.other.Incarnation++ },
+		"notice": func(s *successor) {
+			s.tick(quetzalwork.PeerMessageReceived{Caller: 1, Message: quetzalwork.NotifyDutyDropped{Pool: testPool, Token: quetzalunit.FencingToken(oldDuty)}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", EarlierLeases: earlier, Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+			seen := s.now
+			s.runUntilTakeover()
+			end(s)
+			s.requireStartAfter(seen.Add(earlier))
+		})
+	}
+}
+
+// A dispatcher releases its duty and takes it over again while leases of its predecessor may last.
+func TestNextTermOfTheSameProcessWaitsForEarlierHolders(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	s.runUntilTakeover()
+	first := s.takenOverAt
+	s.takenOverAt = 0
+	s.w.Pools.At(s.w.PoolByID.Get(testPool)).RunNumbersExhausted = true
+	s.runUntilTakeover()
+	require.Less(t, s.takenOverAt.Sub(first), extendTime-startsWithin/10, "the wait for the last holder alone must end too early")
+	s.requireStartAfter(first.Add(extendTime + longestLease))
+}
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -27,12 +27,15 @@
 }
 
 // releaseDuty writes a duty's row without a holder. The row of the host controller's duty lists the
-// hosts that were ordered recently.
+// hosts that were ordered recently; that of a pool's tells how long the leases of dispatchers before
+// this one may last.
 func releaseDuty(w *quetzalwork.World, id quetzalunit.PoolID) {
 	w.PendingReleases++
 	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == hostControlDuty, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
 	if id == hostControlDuty {
 		c.Duty.OrderedHosts = recentlyOrderedHosts(w)
+	} else {
+		c.Duty.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, id)))
 	}
 	w.Emit(c)
 }
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -802,6 +802,10 @@
 	// Address corresponds to the JSON schema field "Address".
 	Address string `json:"Address" yaml:"Address"`
 
+	// Time from the write of the row within which the leases of earlier dispatchers
+	// have expired; 0 if any successor waits as long anyway.
+	EarlierLeasesMs int `json:"EarlierLeasesMs" yaml:"EarlierLeasesMs"`
+
 	// Holder corresponds to the JSON schema field "Holder".
 	Holder string `json:"Holder" yaml:"Holder"`
 
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -113,6 +113,9 @@
 	// PredecessorLeasesEnd is the instant after which the leases granted by earlier dispatchers
 	// have expired, so that none of their runs is active on a minion that does not answer.
 	PredecessorLeasesEnd quetzalunit.Instant
+	// EarlierLeasesEnd is the same for the dispatchers before the predecessor, zero if their leases end
+	// before those of the predecessor in any case. PredecessorLeasesEnd is never before it.
+	EarlierLeasesEnd quetzalunit.Instant
 	// Minions are the pool's minions.
 	Minions []Row
 	// ReadySteps are the runnable steps with waiting tasks whose jobs can still meet their
@@ -201,6 +204,12 @@
 	// OrderedHosts are the hosts that the host controller ordered shortly before it released its
 	// duty; its successor must not order them yet.
 	OrderedHosts []quetzalunit.HostID
+	// EarlierLeases is how long after the write of the row leases may last that earlier dispatchers than
+	// the one that wrote it granted. It is zero if every successor waits as long anyway.
+	EarlierLeases time.Duration
+	// EarlierLeasesEnd is the instant by which these leases have ended, counted from when this process
+	// first saw the row. It is zero if EarlierLeases is.
+	EarlierLeasesEnd quetzalunit.Instant
 	// Revision is the revision of the row, zero if it does not exist.
 	Revision quetzalunit.Revision
 	// Acquiring reports whether an attempt of this process to acquire the duty is in flight.
