Store that the leases of earlier dispatchers have ended

What callers would see: after all entries restarted, tasks start up to 2.3 s later than necessary, if the pool had once been taken over from an entry that died.

A process that has just started cannot know that the row was written long ago.

Evidence: TestRestartLongAfterATakeoverWaitsForTheLastHolderOnly fails if applySettledRows changes nothing: the task does not start within 1.5 s after the leases of the last holder.

Change: once the leases have ended, or the work of the predecessors is known, the dispatcher stores the revision of its row of the duty in a row Settled. A row of the duty with that revision tells of no leases any more. It is one write for each takeover from a holder that may be alive, repeated with each read of the duties until it is read back.

Why it works: the row counts only for the revision that it names, so one of an earlier term, or one that is carried out late, changes nothing for a later term.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -239,6 +239,20 @@
 	return decodeDuty(&d, revision), eris.Wrap(err, "decode duty")
 }
 
+// EncodeDutySettled returns the JSON of the row that names the revision of a duty's row for which the
+// leases of earlier dispatchers have ended.
+func EncodeDutySettled(revision quetzalunit.Revision) ([]byte, error) {
+	data, err := json.Marshal(quetzalwire.DutySettledDoc{Revision: int(revision)})
+	return data, eris.Wrap(err, "encode settled duty")
+}
+
+// DecodeDutySettled decodes the row that names such a revision.
+func DecodeDutySettled(data []byte) (quetzalunit.Revision, error) {
+	var d quetzalwire.DutySettledDoc
+	err := json.Unmarshal(data, &d)
+	return quetzalunit.Revision(d.Revision), eris.Wrap(err, "decode settled duty")
+}
+
 func decodeDuty(d *quetzalwire.PoolDutyDoc, revision quetzalunit.Revision) quetzalwork.Duty {
 	return quetzalwork.Duty{
 		Holder: quetzalunit.EntryID(d.Holder), Incarnation: quetzalunit.Incarnation(d.Incarnation),
--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -52,6 +52,24 @@
 	}
 }
 
+// applySettledRows applies the stored rows that tell that the leases of earlier dispatchers have ended.
+// Such a row counts only for the revision of the duty's row that it names.
+func applySettledRows(w *quetzalwork.World, settled map[quetzalunit.PoolID]quetzalunit.Revision) {
+	for id, revision := range settled {
+		if d := dutyOf(w, id); d.Revision == revision {
+			d.EarlierLeases, d.EarlierLeasesEnd = 0, 0
+		}
+	}
+}
+
+// markSettled stores that the leases of the dispatchers before this one have ended. Otherwise a process
+// that starts later, and cannot know when the duty was taken over, would wait for them again.
+func markSettled(w *quetzalwork.World, p *quetzalwork.Pool) {
+	if p.Duty.EarlierLeases > 0 && (p.PredecessorWorkKnown || w.Now > p.PredecessorLeasesEnd) {
+		w.Emit(quetzalwork.SettleDuty{Pool: p.ID, Revision: p.Duty.Revision})
+	}
+}
+
 // beginDispatch makes this process the dispatcher of a pool. A predecessor that may still be running
 // can extend leases for another dutyValidity; one that released the duty extends none. Dispatchers
 // before the predecessor may extend leases for as long as its row of the duty says.
@@ -86,7 +104,7 @@
 func updatePredecessorEnd(w *quetzalwork.World, p *quetzalwork.Pool) {
 	m := w.Members.At(w.MemberByID.Get(p.Predecessor.Holder))
 	switch {
-	case m == nil:
+	case p.PredecessorWorkKnown || m == nil:
 	case m.Incarnation > p.Predecessor.Incarnation:
 		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime)))
 	case m.Incarnation == p.Predecessor.Incarnation && w.Membership.ReadSentAt >= p.HeldSince.Add(dutyValidity):
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -16,6 +16,7 @@
 	revision quetzalunit.Revision
 	duties   map[quetzalunit.PoolID]quetzalwork.Duty
 	members  map[quetzalunit.EntryID]versionedMember
+	settled  map[quetzalunit.PoolID]quetzalunit.Revision
 	rows     map[string]quetzalwork.JobRow
 	list     map[quetzalunit.MinionID]versionedRecord
 	// pageSize is the maximum number of rows in one answer to a full read; zero means no limit.
@@ -93,6 +94,8 @@
 		return quetzalwork.MembersRead{Result: r}
 	case quetzalwork.RenewMember:
 		return quetzalwork.MemberRenewed{Result: r}
+	case quetzalwork.SettleDuty:
+		return nil
 	case quetzalwork.WriteDuty:
 		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release}
 	case quetzalwork.ListMinions:
@@ -137,7 +140,11 @@
 				in.Duties[id] = d
 			}
 		}
+		in.Settled = maps.Clone(s.settled)
 		return in
+	case quetzalwork.SettleDuty:
+		s.settled[c.Pool] = c.Revision
+		return nil
 	case quetzalwork.RenewMember:
 		s.revision++
 		s.members[c.Member.Entry] = versionedMember{c.Member, s.revision}
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -105,6 +105,7 @@
 	for id, duty := range in.Duties {
 		applyDutyRow(w, id, duty)
 	}
+	applySettledRows(w, in.Settled)
 	if c := &w.HostController; c.Held && c.Predecessor.Holder != "" && in.SentAt >= c.HeldSince {
 		updateOrdersAllowedFrom(w)
 	}
@@ -115,8 +116,9 @@
 		// Tasks may have waited for this read: for new minions, or for leases that could not be
 		// extended during an outage of the store.
 		p.NeedsPlacement = p.NeedsPlacement || len(p.ReadySteps)+len(p.LateSteps) > 0
-		if p.Held && !p.PredecessorWorkKnown && in.SentAt > p.HeldSince {
+		if p.Held && in.SentAt > p.HeldSince {
 			updatePredecessorEnd(w, p)
+			markSettled(w, p)
 		}
 	}
 }
--- a/quetzalcore/quetzalscheduler/predecessor_test.go
+++ b/quetzalcore/quetzalscheduler/predecessor_test.go
@@ -26,6 +26,8 @@
 	answer                quetzalwork.DutyWritten
 	// startedAt is when the task was started, zero if it was not.
 	startedAt quetzalunit.Instant
+	// settled is the revision of the duty's row that is stored as settled.
+	settled quetzalunit.Revision
 }
 
 const (
@@ -94,8 +96,12 @@
 			Members: []quetzalwork.Member{
 				{Entry: s.w.Self.Entry, Incarnation: s.w.Self.Incarnation, Heartbeat: quetzalunit.Heartbeat(s.now)}, s.other, {Entry: "e3", Incarnation: 1, Address: "e3", Heartbeat: quetzalunit.Heartbeat(s.now)},
 			},
-			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: s.duty, "(hosts)": hosts},
+			Duties:  map[quetzalunit.PoolID]quetzalwork.Duty{testPool: s.duty, "(hosts)": hosts},
+			Settled: map[quetzalunit.PoolID]quetzalunit.Revision{testPool: s.settled},
 		}
+	case quetzalwork.SettleDuty:
+		s.settled = cmd.Revision
+		return nil
 	case quetzalwork.WriteDuty:
 		if cmd.Pool != testPool || cmd.Expected != s.duty.Revision {
 			return s.dispatcher.perform(cmd)
@@ -264,3 +270,18 @@
 	require.Less(t, s.takenOverAt.Sub(first), extendTime-startsWithin/10, "the wait for the last holder alone must end too early")
 	s.requireStartAfter(first.Add(extendTime + longestLease))
 }
+
+// The pool was taken over from a process that might be alive, and its leases have ended since. A process
+// that starts then must not wait for them again.
+func TestRestartLongAfterATakeoverWaitsForTheLastHolderOnly(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	s.runUntilTakeover()
+	s.run(extendTime)
+	require.Zero(t, s.settled, "leases may last")
+	s.run(longestLease + time.Second)
+	require.Equal(t, testToken, s.settled)
+	s.start("e0", 2)
+	s.startedAt = 0
+	s.runUntilTakeover()
+	s.requireStartAfter(s.takenOverAt.Add(longestLease))
+}
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -76,7 +76,7 @@
 		answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.CallerID]quetzalunit.JobID),
 	}
 	f.checker.f = f
-	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[string]quetzalwork.JobRow), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
+	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), settled: make(map[quetzalunit.PoolID]quetzalunit.Revision), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[string]quetzalwork.JobRow), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
 	for i := range minions {
 		f.addMinion(zones[i%len(zones)], i/2)
 	}
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -124,6 +124,13 @@
 	Decisions []DecisionDoc `json:"Decisions" yaml:"Decisions"`
 }
 
+// DutySettledDoc names the revision of a pool's duty row for which EarlierLeasesMs
+// has passed.
+type DutySettledDoc struct {
+	// Revision corresponds to the JSON schema field "Revision".
+	Revision int `json:"Revision" yaml:"Revision"`
+}
+
 // EntrySettings are the settings of one quetzalentry process.
 type EntrySettings struct {
 	// IP:port to listen on for callers' requests.
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -75,6 +75,12 @@
 		Release bool
 		SentAt  quetzalunit.Instant
 	}
+	// SettleDuty stores that the leases have ended that Duty.EarlierLeases tells of in the row of the given
+	// revision. It has no result: ReadMembers shows whether it was carried out.
+	SettleDuty struct {
+		Pool     quetzalunit.PoolID
+		Revision quetzalunit.Revision
+	}
 	// ListMinions reads the list of minions.
 	ListMinions struct{ SinceRevision quetzalunit.Revision }
 	// ReadPoolJobs reads the rows of a pool's jobs: if Full is set, the page of all rows that begins
@@ -231,6 +237,7 @@
 func (ReadMembers) implementsCommand()    {}
 func (RenewMember) implementsCommand()    {}
 func (WriteDuty) implementsCommand()      {}
+func (SettleDuty) implementsCommand()     {}
 func (ListMinions) implementsCommand()    {}
 func (ReadPoolJobs) implementsCommand()   {}
 func (StoreJobs) implementsCommand()      {}
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -69,6 +69,8 @@
 		Members []Member
 		// Duties has the duties by pool. The duty of the host controller has a reserved id.
 		Duties map[quetzalunit.PoolID]Duty
+		// Settled has, by pool, the revision of the duty's row for which SettleDuty was carried out.
+		Settled map[quetzalunit.PoolID]quetzalunit.Revision
 		// Full reports whether Members and Duties are complete; otherwise they hold only what
 		// changed.
 		Full         bool
