Bound the lease on a minion whose clock was read long ago

What callers would see: a task runs twice: a successor takes the leases of its predecessor for expired while a minion that it does not reach still has one.

Cause: a lease ends at a time on the minion's clock. The dispatcher computed that time from the last answer of the minion as if its clock had kept pace since. A minion that runs nothing is not polled, so that answer can be minutes old, and its clock may be 2 % slow. After 149 s the lease was 7.48 s instead of 4.5 s on that clock; the settings allow 6 to 10 s. Successors wait for leases of 4.5 s.

Evidence: TestLeaseAfterALongIdleTimeIsBoundedOnASlowClock failed before the change (7.476 s).

Change: grantLease counts the time since the answer at the lowest rate of the clock. A minion that runs nothing is polled every 30 s, so that a lease on an exact clock is shortened by no more than 0.62 s.

Why it works: the clock has advanced by at least 98 % of the elapsed time, so the lease is at most 4.5 s on it, or 4.59 s on that of a successor, which waits for 4.74 s. The first poll after a start reads the clock again and extends the lease.

Result: the test passes for a slow and an exact clock; without the polls it fails for the exact one.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -37,6 +37,9 @@
 	// pollRetryDelay is the delay after a poll without an answer. It is multiplied by the
 	// number of consecutive missed answers, up to 4.
 	pollRetryDelay = 200 * time.Millisecond
+	// clockReadPeriod is the time between two polls of a minion that runs nothing. They read its clock:
+	// a lease on a minion with an exact clock is shorter by 2 % of the time since the last answer.
+	clockReadPeriod = 30 * time.Second
 	// leaseExpiryMargin is the margin after the end of a lease before its runs are treated as
 	// ended.
 	leaseExpiryMargin = 150 * time.Millisecond
@@ -299,9 +302,11 @@
 }
 
 // grantLease returns the end, on the minion's clock, of a lease that begins now, and raises the
-// minion's LeaseEnd to it.
+// minion's LeaseEnd to it. The clock may have run at minClockRate since the minion's last answer. A lease
+// that assumed more would last longer than leaseExpiryTime, for which a successor waits.
 func grantLease(w *quetzalwork.World, m *quetzalwork.Minion) quetzalunit.MinionTime {
-	lease := m.Clock.Add(w.Now.Sub(m.ClockAt) + min(leaseDuration, maxLeaseDuration(w)))
+	elapsed := w.Now.Sub(m.ClockAt) * minClockPercent / 100
+	lease := m.Clock.Add(elapsed + min(leaseDuration, maxLeaseDuration(w)))
 	m.LeaseEnd = max(m.LeaseEnd, lease)
 	return lease
 }
@@ -358,8 +363,9 @@
 	}
 }
 
-// scheduleNextPoll schedules the next poll of a minion that missed a poll or has active runs or
-// unacknowledged ends. It deletes a minion that has left the list and is no longer needed.
+// scheduleNextPoll schedules the next poll of a minion: soon if it missed a poll or has active runs or
+// unacknowledged ends, otherwise after clockReadPeriod. It deletes a minion that has left the list and is
+// no longer needed.
 func scheduleNextPoll(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
 	switch {
@@ -375,6 +381,8 @@
 		schedulePoll(w, row, 0)
 	case !m.Listed && w.Now.Sub(m.RemovedAt) > removedMinionRetention:
 		deleteMinion(w, row)
+	default:
+		schedulePoll(w, row, clockReadPeriod)
 	}
 }
 
