Repeat a release only for the term that ended

What callers would see: two entries dispatch a pool at once, and tasks run twice; or two entries order the same hosts.

If the lost release had been carried out and another entry had taken the duty over, the repeated release took the duty from the successor, whose row it named as the condition. The next holder took the release as proof that nobody extends leases or orders hosts, while the successor went on until its next read. A process that had taken the duty over again released its own new term without ending it.

Change: DutyWritten and DutyReleaseDue name the revision that the release was conditional on. The release is repeated only while the row has that revision.

Why it works: revisions grow with each write. The row with the old revision is that of the ended term; a later one shows that the release was carried out or overtaken. If this process has not read the later row, the condition fails at the store.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -97,7 +97,7 @@
 	case quetzalwork.SettleDuty:
 		return nil
 	case quetzalwork.WriteDuty:
-		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release}
+		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release, Expected: c.Expected}
 	case quetzalwork.ListMinions:
 		return quetzalwork.MinionsListed{Result: r}
 	case quetzalwork.ReadPoolJobs:
@@ -150,7 +150,7 @@
 		s.members[c.Member.Entry] = versionedMember{c.Member, s.revision}
 		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
-		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
+		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, Expected: c.Expected, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
 		if s.duties[c.Pool].Revision == c.Expected {
 			s.revision++
 			d := c.Duty
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -43,17 +43,20 @@
 // handleReleaseResult schedules another release if the row of the duty may still name this entry.
 // As long as it does, other entries take the duty over only after memberTimeout without a renewal.
 func handleReleaseResult(w *quetzalwork.World, in *quetzalwork.DutyWritten) {
-	if in.Result > quetzalwork.StoreConflict && dutyOf(w, in.Pool).Holder == w.Self.Entry {
-		w.After(releaseRetryDelay, quetzalwork.DutyReleaseDue{Pool: in.Pool})
+	if in.Result > quetzalwork.StoreConflict {
+		w.After(releaseRetryDelay, quetzalwork.DutyReleaseDue{Pool: in.Pool, Expected: in.Expected})
 		return
 	}
 	w.PendingReleases--
 }
 
-// retryRelease repeats a release that failed.
-func retryRelease(w *quetzalwork.World, id quetzalunit.PoolID) {
+// retryRelease repeats a release that failed. A later row of the duty shows that the release was carried
+// out, and may name a successor or a new term of this process, which must not be released.
+func retryRelease(w *quetzalwork.World, t quetzalwork.DutyReleaseDue) {
 	w.PendingReleases--
-	releaseDuty(w, id)
+	if dutyOf(w, t.Pool).Revision == t.Expected {
+		releaseDuty(w, t.Pool)
+	}
 }
 
 // finishStop releases the duties of a stopping entry. It releases a pool's duty once the pool's
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -146,7 +146,7 @@
 	case quetzalwork.WatchdogDue:
 		watchRuns(w, t.Pool, t.Token)
 	case quetzalwork.DutyReleaseDue:
-		retryRelease(w, t.Pool)
+		retryRelease(w, t)
 	case quetzalwork.HostControllerDue:
 		controlHosts(w)
 	}
--- a/quetzalcore/quetzalwork/front.go
+++ b/quetzalcore/quetzalwork/front.go
@@ -90,8 +90,11 @@
 		Pool  Row
 		Token quetzalunit.FencingToken
 	}
-	// DutyReleaseDue retries the release of a duty.
-	DutyReleaseDue struct{ Pool quetzalunit.PoolID }
+	// DutyReleaseDue retries the release of a duty whose row has the revision Expected.
+	DutyReleaseDue struct {
+		Pool     quetzalunit.PoolID
+		Expected quetzalunit.Revision
+	}
 	// HostControllerDue advances the maintenance waves and the moves of hosts.
 	HostControllerDue struct{}
 )
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -87,6 +87,8 @@
 		Result  StoreResult
 		Pool    quetzalunit.PoolID
 		Release bool
+		// Expected is the revision that the row was to have.
+		Expected quetzalunit.Revision
 		// Revision is the revision of the written row.
 		Revision quetzalunit.Revision
 		SentAt   quetzalunit.Instant
