Assume a lease of the predecessor when a minion first answers

What callers would see: a task runs twice after a takeover: it is started again while a minion that fell silent still runs it under the predecessor's lease.

Cause: a dispatcher knows the leases that it granted itself. A minion that answers once after a takeover and then falls silent counted as having no lease, if the dispatcher could not extend one because its own renewals had failed. Its runs were ended 150 ms after that answer.

Evidence: TestRunOfAPredecessorLastsAsLongAsItsLease failed before the change: the task was started again 1.08 s after the takeover; the lease of the predecessor can last for 4.59 s after the minion's answer.

Change: at the first answer in a term the end of the lease is set to the minion's clock plus leaseDuration.

Why it works: the predecessor grants at most leaseDuration on the minion's clock, and none once the minion has accepted the token of this dispatcher, which came with the poll that was answered.

Result: the test passes. In the usual case nothing changes: the next poll, which is sent at once if the minion runs anything, grants as long a lease.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -413,12 +413,13 @@
 	if !m.Answered || m.MissedAnswers > 0 {
 		p.NeedsPlacement = true
 	}
+	m.LeaseEnd = max(m.LeaseEnd, clock)
 	if !m.Answered {
-		m.FirstAnsweredAt = w.Now
+		// The minion may have a lease of the predecessor, whose token it has accepted until now.
+		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(leaseDuration))
 	}
 	m.Answered, m.MissedAnswers = true, 0
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
-	m.LeaseEnd = max(m.LeaseEnd, clock)
 	unknown := false
 	for i := range in.Ends {
 		if in.Ends[i].Number <= m.SeenThrough {
--- a/quetzalcore/quetzalscheduler/predecessor_test.go
+++ b/quetzalcore/quetzalscheduler/predecessor_test.go
@@ -28,6 +28,8 @@
 	startedAt quetzalunit.Instant
 	// settled is the revision of the duty's row that is stored as settled.
 	settled quetzalunit.Revision
+	// renewalsFail makes the renewals of this entry's row fail.
+	renewalsFail bool
 }
 
 const (
@@ -87,6 +89,11 @@
 func (s *successor) perform(cmd quetzalwork.Command) quetzalwork.Input {
 	hosts := quetzalwork.Duty{Holder: "e3", Incarnation: 1, Address: "e3", Revision: 5}
 	switch cmd := cmd.(type) {
+	case quetzalwork.RenewMember:
+		if s.renewalsFail {
+			return quetzalwork.MemberRenewed{Result: quetzalwork.StoreUnanswered, SentAt: cmd.SentAt}
+		}
+		return s.dispatcher.perform(cmd)
 	case quetzalwork.ReadMembers:
 		if s.readsFail {
 			return quetzalwork.MembersRead{Result: quetzalwork.StoreUnanswered}
@@ -285,3 +292,32 @@
 	s.runUntilTakeover()
 	s.requireStartAfter(s.takenOverAt.Add(longestLease))
 }
+
+// The minion m0 answers once after the takeover, reports a run of the predecessor and falls silent. This
+// process may not extend its lease, since its own renewals fail. The run lasts until the lease of the
+// predecessor ends, which the answer does not tell.
+func TestRunOfAPredecessorLastsAsLongAsItsLease(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	for s.now < quetzalunit.InstantOf(time.Unix(1020, 0)) { // long enough to know all minions that left the list
+		s.run(500 * time.Millisecond)
+		s.other.Heartbeat++
+	}
+	require.Zero(t, s.takenOverAt)
+	s.renewalsFail = true
+	var answeredAt quetzalunit.Instant
+	silent := s.answerPoll
+	s.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		if c.Target.Minion != "m0" || answeredAt != 0 {
+			return silent(c)
+		}
+		answeredAt = s.now
+		in := s.idle(c)
+		in.Running = []quetzalwork.ReportedRun{{Task: quetzalwork.TaskID{Job: testJob}, Number: quetzalunit.RunNumber(oldDuty)<<10 | 1}}
+		return in
+	}
+	s.run(4 * time.Second)
+	require.NotZero(t, s.takenOverAt)
+	require.NotZero(t, answeredAt)
+	s.renewalsFail = false
+	s.requireStartAfter(answeredAt.Add(longestLease))
+}
