Ignore the notice of a withdrawn host after its replacement

What callers would see: a task runs twice. It runs on the new minion of a host that is back from its maintenance, and is started again elsewhere.

Cause: the host controller notifies the dispatcher that a host was withdrawn, which ended its runs. The message named the host only. If a network cut holds it up, the kernel delivers it when the cut heals, although the call was given up. By then the host can have another minion, whose runs the dispatcher then took for ended.

Change: the message names the minion that the host had when its evacuation or move began. The dispatcher ignores it if the host has another minion since.

Why it works: the host's minions differ in their ids, and the runs of the earlier minion end when the dispatcher sees its replacement. A message without a minion, as of an older process or after a takeover of the host controller's duty, is applied as before; it can still be late.

--- a/quetzalcore/quetzalcodec/workmessage.go
+++ b/quetzalcore/quetzalcodec/workmessage.go
@@ -32,7 +32,7 @@
 	case quetzalwork.QueryLoad:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindLoad, Pool: string(m.Pool)}
 	case quetzalwork.NotifyHostWithdrawn:
-		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host)}
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host), Minion: string(m.Minion)}
 	}
 	return quetzalwire.WorkMessage{}
 }
@@ -62,7 +62,7 @@
 	case quetzalwire.WorkMessageKindLoad:
 		return quetzalwork.QueryLoad{Pool: pool}, nil
 	case quetzalwire.WorkMessageKindTaken:
-		return quetzalwork.NotifyHostWithdrawn{Pool: pool, Host: quetzalunit.HostID(d.Host)}, nil
+		return quetzalwork.NotifyHostWithdrawn{Pool: pool, Host: quetzalunit.HostID(d.Host), Minion: quetzalunit.MinionID(d.Minion)}, nil
 	}
 	return nil, &FieldError{Field: "Kind", Problem: string(d.Kind)}
 }
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -36,6 +36,8 @@
 	// each.
 	takeovers  []quetzalwork.WriteDuty
 	onTakeover func()
+	// notices are the notices of withdrawn hosts so far.
+	notices []quetzalwork.NotifyHostWithdrawn
 	// onStoreWaveHosts, if not nil, answers the transactions that store the maintained hosts of a wave.
 	onStoreWaveHosts func(quetzalwork.StoreWaveHosts) quetzalwork.WaveHostsStored
 }
@@ -147,6 +149,9 @@
 		return quetzalwork.LoadReply{Load: l}
 	case quetzalwork.EvacuateHost:
 		return quetzalwork.EvacuationReply{Empty: true, SafeToInterrupt: true}
+	case quetzalwork.NotifyHostWithdrawn:
+		c.notices = append(c.notices, m)
+		return quetzalwork.Acknowledged{}
 	default:
 		return quetzalwork.Acknowledged{}
 	}
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -165,7 +165,7 @@
 
 // beginMove adds a move to the table of moves and starts it.
 func beginMove(w *quetzalwork.World, plan *hostPlan, host quetzalunit.HostID, from, to quetzalunit.PoolID, reason string) {
-	row := w.Moves.Insert(quetzalwork.HostMove{Host: host, From: from, To: to, Since: w.Now})
+	row := w.Moves.Insert(quetzalwork.HostMove{Host: host, From: from, To: to, Minion: minionOf(w, host), Since: w.Now})
 	w.MoveByHost.Put(host, row)
 	plan.arriving[to]++
 	plan.leaving[from]++
@@ -173,6 +173,14 @@
 	advanceMove(w, row)
 }
 
+// minionOf returns the minion of a host according to the list of hosts.
+func minionOf(w *quetzalwork.World, host quetzalunit.HostID) quetzalunit.MinionID {
+	if h := w.Hosts.At(w.HostByID.Get(host)); h != nil {
+		return h.Minion
+	}
+	return ""
+}
+
 func endMove(w *quetzalwork.World, row quetzalwork.Row) {
 	w.MoveByHost.Delete(w.Moves.At(row).Host)
 	w.Moves.Delete(row)
@@ -262,7 +270,7 @@
 		if p := w.Pools.At(poolRow(w, m.From)); p.Held {
 			endRunsOnHost(w, m.From, m.Host)
 		} else if p.Duty.Address != "" {
-			w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: m.From, Host: m.Host}, Timeout: peerTimeout})
+			w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: m.From, Host: m.Host, Minion: m.Minion}, Timeout: peerTimeout})
 		}
 	case quetzalwork.HostResultFenced:
 		endHostControl(w, "Fenced")
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -50,7 +50,7 @@
 	case quetzalwork.EvacuateHost:
 		return evacuateHost(w, &m)
 	case quetzalwork.NotifyHostWithdrawn:
-		endRunsOnHost(w, m.Pool, m.Host)
+		handleHostWithdrawn(w, &m)
 	case quetzalwork.NotifyDutyDropped:
 		handlePredecessorDropped(w, &m)
 	case quetzalwork.QueryLoad:
@@ -63,6 +63,17 @@
 	return quetzalwork.Acknowledged{}
 }
 
+// handleHostWithdrawn ends the runs on a host that was withdrawn. If the host has got another minion since,
+// the message was late, and the runs of the earlier one have ended with its replacement.
+func handleHostWithdrawn(w *quetzalwork.World, m *quetzalwork.NotifyHostWithdrawn) {
+	for _, minion := range w.Minions.All() {
+		if m.Minion != "" && minion.Host == m.Host && minion.ID != m.Minion && !minion.Replaced {
+			return
+		}
+	}
+	endRunsOnHost(w, m.Pool, m.Host)
+}
+
 // handlePeerReply applies another entry's reply to a message. The reply is nil if none arrived in
 // time.
 func handlePeerReply(w *quetzalwork.World, in *quetzalwork.PeerReplyReceived) {
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -242,7 +242,7 @@
 	case maintenance.State == quetzalwork.MaintenanceActive:
 		if h.State == quetzalwork.HostInMaintenance && !maintenance.DispatcherNotified {
 			maintenance.DispatcherNotified = true
-			notifyHostWithdrawn(w, h)
+			notifyHostWithdrawn(w, h, maintenance.Minion)
 		}
 		if h.State != quetzalwork.HostInMaintenance && w.HostController.HostsReadAt.Sub(maintenance.Since) > w.Bounds.MaintenanceTime {
 			maintenance.State = quetzalwork.MaintenanceDone
@@ -277,6 +277,7 @@
 	if pool == nil || h.State != quetzalwork.HostUp {
 		return
 	}
+	maintenance.Minion = h.Minion
 	request := quetzalwork.EvacuateHost{Pool: h.Pool, Host: h.ID, Wave: wave.ID}
 	switch {
 	case pool.Spare:
@@ -380,13 +381,13 @@
 // is called when the list of hosts shows the maintenance, not when the order is answered: the answer
 // is the same if the order was carried out earlier, and by then a new minion may be running on the
 // host.
-func notifyHostWithdrawn(w *quetzalwork.World, h *quetzalwork.Host) {
+func notifyHostWithdrawn(w *quetzalwork.World, h *quetzalwork.Host, minion quetzalunit.MinionID) {
 	p := w.Pools.At(w.PoolByID.Get(h.Pool))
 	switch {
 	case p == nil:
 	case p.Held:
 		endRunsOnHost(w, h.Pool, h.ID)
 	case p.Duty.Address != "":
-		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID}, Timeout: peerTimeout})
+		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID, Minion: minion}, Timeout: peerTimeout})
 	}
 }
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1405,6 +1405,9 @@
 	// Kind corresponds to the JSON schema field "Kind".
 	Kind WorkMessageKind `json:"Kind" yaml:"Kind"`
 
+	// Minion corresponds to the JSON schema field "Minion".
+	Minion string `json:"Minion" yaml:"Minion"`
+
 	// Pool corresponds to the JSON schema field "Pool".
 	Pool string `json:"Pool" yaml:"Pool"`
 
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -247,6 +247,8 @@
 	// RequestInFlight reports whether a request to the dispatcher, or an order to the host, is in
 	// flight.
 	RequestInFlight bool
+	// Minion is the minion of the host when its evacuation was requested, empty if it was not.
+	Minion quetzalunit.MinionID
 	// DispatcherNotified reports whether the dispatcher was told that the host is in maintenance.
 	DispatcherNotified bool
 	// SafeToInterrupt reports whether the host's minion runs no long-running task: its other runs
@@ -261,6 +263,8 @@
 type HostMove struct {
 	Host     quetzalunit.HostID
 	From, To quetzalunit.PoolID
+	// Minion is the minion of the host when the move began.
+	Minion quetzalunit.MinionID
 	// Ordered reports whether the host has been ordered to move, RequestInFlight whether a request
 	// to the dispatcher or the order is in flight.
 	Ordered, RequestInFlight bool
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -59,10 +59,12 @@
 	// QueryLoad queries the load of a pool from its dispatcher.
 	QueryLoad struct{ Pool quetzalunit.PoolID }
 	// NotifyHostWithdrawn notifies the dispatcher that a host was ordered to move or into
-	// maintenance, which ended all of its runs.
+	// maintenance, which ended all of its runs. Minion is the minion that ran on the host before, empty
+	// if it is not known: the message may arrive when the host has another one.
 	NotifyHostWithdrawn struct {
-		Pool quetzalunit.PoolID
-		Host quetzalunit.HostID
+		Pool   quetzalunit.PoolID
+		Host   quetzalunit.HostID
+		Minion quetzalunit.MinionID
 	}
 )
 
