--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -16,8 +16,63 @@
 	leaseExpiryTime = leaseDuration*100/minClockPercent + leaseExpiryMargin
 )
 
+// leasesAtTakeover returns how long leases of dispatchers before this process may last after it has
+// taken a duty over, zero if every successor of this process waits as long anyway.
+func leasesAtTakeover(w *quetzalwork.World, d *quetzalwork.Duty) time.Duration {
+	if holderMayBeRunning(w, d) {
+		return dutyValidity + leaseExpiryTime
+	}
+	return remainingLeases(w, d.EarlierLeasesEnd)
+}
+
+// leasesAtRelease is leasesAtTakeover for the release of a pool's duty. Once the predecessors' work is
+// known, the minions reject their tokens.
+func leasesAtRelease(w *quetzalwork.World, p *quetzalwork.Pool) time.Duration {
+	if p.PredecessorWorkKnown {
+		return 0
+	}
+	return remainingLeases(w, p.PredecessorLeasesEnd)
+}
+
+// remainingLeases returns how long leases last that end at an instant, zero if that is no more than
+// leaseExpiryTime.
+func remainingLeases(w *quetzalwork.World, end quetzalunit.Instant) time.Duration {
+	if left := end.Sub(w.Now); left > leaseExpiryTime {
+		return left
+	}
+	return 0
+}
+
+// setEarlierLeasesEnd sets the EarlierLeasesEnd of a row of a duty that this process sees now. The row
+// was written before.
+func setEarlierLeasesEnd(w *quetzalwork.World, d *quetzalwork.Duty) {
+	d.EarlierLeasesEnd = 0
+	if d.EarlierLeases > 0 {
+		d.EarlierLeasesEnd = w.Now.Add(d.EarlierLeases)
+	}
+}
+
+// applySettledRows applies the stored rows that tell that the leases of earlier dispatchers have ended.
+// Such a row counts only for the revision of the duty's row that it names.
+func applySettledRows(w *quetzalwork.World, settled map[quetzalunit.PoolID]quetzalunit.Revision) {
+	for id, revision := range settled {
+		if d := dutyOf(w, id); d.Revision == revision {
+			d.EarlierLeases, d.EarlierLeasesEnd = 0, 0
+		}
+	}
+}
+
+// markSettled stores that the leases of the dispatchers before this one have ended. Otherwise a process
+// that starts later, and cannot know when the duty was taken over, would wait for them again.
+func markSettled(w *quetzalwork.World, p *quetzalwork.Pool) {
+	if p.Duty.EarlierLeases > 0 && (p.PredecessorWorkKnown || w.Now > p.PredecessorLeasesEnd) {
+		w.Emit(quetzalwork.SettleDuty{Pool: p.ID, Revision: p.Duty.Revision})
+	}
+}
+
 // beginDispatch makes this process the dispatcher of a pool. A predecessor that may still be running
-// can extend leases for another dutyValidity; one that released the duty extends none.
+// can extend leases for another dutyValidity; one that released the duty extends none. Dispatchers
+// before the predecessor may extend leases for as long as its row of the duty says.
 func beginDispatch(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, predecessor quetzalwork.Duty, mayBeRunning bool) {
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
@@ -25,7 +80,8 @@
 	p.RunNumbersExhausted = false
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
 	p.Predecessor = quetzalwork.Duty{}
-	p.PredecessorLeasesEnd = w.Now.Add(leaseExpiryTime)
+	p.EarlierLeasesEnd = predecessor.EarlierLeasesEnd
+	p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, w.Now.Add(leaseExpiryTime))
 	if mayBeRunning {
 		p.Predecessor = predecessor
 		p.PredecessorLeasesEnd = w.Now.Add(dutyValidity + leaseExpiryTime)
@@ -41,15 +97,18 @@
 
 // updatePredecessorEnd moves PredecessorLeasesEnd to an earlier instant if possible. A predecessor
 // extends leases for at most dutyValidity from its last renewal, and not at all once a later
-// process of the same entry runs. Only rows that were read after the takeover prove either.
+// process of the same entry runs. Only rows that were read after the takeover prove either. A renewal
+// may be carried out after such a read and still permit the predecessor to extend leases until
+// dutyValidity after the takeover, so only a read that was sent later shows the last one that counts.
+// A row of an earlier process proves neither.
 func updatePredecessorEnd(w *quetzalwork.World, p *quetzalwork.Pool) {
 	m := w.Members.At(w.MemberByID.Get(p.Predecessor.Holder))
 	switch {
-	case m == nil:
-	case m.Incarnation != p.Predecessor.Incarnation:
-		p.PredecessorLeasesEnd = min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime))
-	default:
-		p.PredecessorLeasesEnd = min(p.HeldSince, m.RenewalSeenAt).Add(dutyValidity + leaseExpiryTime)
+	case p.PredecessorWorkKnown || m == nil:
+	case m.Incarnation > p.Predecessor.Incarnation:
+		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime)))
+	case m.Incarnation == p.Predecessor.Incarnation && w.Membership.ReadSentAt >= p.HeldSince.Add(dutyValidity):
+		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.HeldSince, m.RenewalSeenAt).Add(dutyValidity+leaseExpiryTime))
 	}
 }
 
@@ -59,7 +118,7 @@
 	p := w.Pools.At(poolRow(w, m.Pool))
 	if p.Held && p.Predecessor.Holder != "" && p.Predecessor.Revision == quetzalunit.Revision(m.Token) {
 		p.Predecessor = quetzalwork.Duty{}
-		p.PredecessorLeasesEnd = min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime))
+		p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, min(p.PredecessorLeasesEnd, w.Now.Add(leaseExpiryTime)))
 		p.NeedsPlacement = true
 	}
 }
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -39,6 +39,7 @@
 		return
 	}
 	seen.Acquiring, seen.RetryAt = d.Acquiring, d.RetryAt
+	setEarlierLeasesEnd(w, &seen)
 	predecessor := *d
 	*d = seen
 	if seen.Holder == "" {
@@ -143,7 +144,7 @@
 func acquireDuty(w *quetzalwork.World, id quetzalunit.PoolID, d *quetzalwork.Duty) {
 	d.Acquiring = true
 	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == quetzalwork.HostControlDuty, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
-		Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress,
+		Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, EarlierLeases: leasesAtTakeover(w, d),
 	}}
 	if c.OfHosts && d.Holder != "" {
 		c.CheckLease, c.ExpectedLease = true, w.HostController.Lease.Revision
@@ -269,12 +270,16 @@
 		return
 	}
 	written := quetzalwork.Duty{Revision: in.Revision}
-	if in.Release && in.Pool == quetzalwork.HostControlDuty {
-		written.OrderedHosts = recentlyOrderedHosts(w)
-	}
-	if !in.Release {
+	switch {
+	case !in.Release:
 		written.Holder, written.Incarnation, written.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
+		written.EarlierLeases = leasesAtTakeover(w, d)
+	case in.Pool == quetzalwork.HostControlDuty:
+		written.OrderedHosts = recentlyOrderedHosts(w)
+	default:
+		written.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, in.Pool)))
 	}
+	setEarlierLeasesEnd(w, &written)
 	if in.Revision > d.Revision {
 		predecessor := *d
 		mayBeRunning, first := holderMayBeRunning(w, d), d.Revision == 0
@@ -293,10 +298,11 @@
 }
 
 // holderMayBeRunning reports whether the holder of a duty may still be running: it has not released
-// the duty, and no later process of the same entry is known.
+// the duty, and no later process of the same entry is known. A member row of an earlier process proves
+// nothing: the store may have carried out its renewal late, over the row of the holder.
 func holderMayBeRunning(w *quetzalwork.World, d *quetzalwork.Duty) bool {
 	holder := w.Members.At(w.MemberByID.Get(d.Holder))
-	return d.Holder != "" && (holder == nil || holder.Incarnation == d.Incarnation)
+	return d.Holder != "" && (holder == nil || holder.Incarnation <= d.Incarnation)
 }
 
 // announceDuty sends the new row of a duty to every other live entry.
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -18,6 +18,7 @@
 	// hostLease is the revision of the host controller's lease.
 	hostLease quetzalunit.Revision
 	members   map[quetzalunit.EntryID]versionedMember
+	settled   map[quetzalunit.PoolID]quetzalunit.Revision
 	rows      map[string]quetzalwork.JobRow
 	list      map[quetzalunit.MinionID]versionedRecord
 	// pageSize is the maximum number of rows in one answer to a full read; zero means no limit.
@@ -115,8 +116,10 @@
 		return quetzalwork.MembersRead{Result: r}
 	case quetzalwork.RenewMember:
 		return quetzalwork.MemberRenewed{Result: r}
+	case quetzalwork.SettleDuty:
+		return nil
 	case quetzalwork.WriteDuty:
-		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release}
+		return quetzalwork.DutyWritten{Result: r, Pool: c.Pool, Release: c.Release, Expected: c.Expected}
 	case quetzalwork.RenewHostLease:
 		return quetzalwork.HostLeaseRenewed{Result: r, Token: c.Token, SentAt: c.SentAt}
 	case quetzalwork.ListMinions:
@@ -164,13 +167,17 @@
 				in.Duties[id] = d
 			}
 		}
+		in.Settled = maps.Clone(s.settled)
 		return in
+	case quetzalwork.SettleDuty:
+		s.settled[c.Pool] = c.Revision
+		return nil
 	case quetzalwork.RenewMember:
 		s.revision++
 		s.members[c.Member.Entry] = versionedMember{c.Member, s.revision}
 		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
-		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
+		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, Expected: c.Expected, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
 		if s.duties[c.Pool].Revision == c.Expected && (!c.CheckLease || s.hostLease == c.ExpectedLease) {
 			s.revision++
 			d := c.Duty
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -40,6 +40,10 @@
 	// each.
 	takeovers  []quetzalwork.WriteDuty
 	onTakeover func()
+	// notices are the notices of withdrawn hosts so far.
+	notices []quetzalwork.NotifyHostWithdrawn
+	// onStoreWaveHosts, if not nil, answers the transactions that store the maintained hosts of a wave.
+	onStoreWaveHosts func(quetzalwork.StoreWaveHosts) quetzalwork.WaveHostsStored
 }
 
 func newHostController(t *testing.T, hosts []quetzalwork.Host, plan quetzalwork.WavePlan) *hostController {
@@ -103,6 +107,11 @@
 		return []quetzalwork.Input{quetzalwork.HostsListed{OK: true, Hosts: c.hosts}}
 	case quetzalwork.ReadWaves:
 		return []quetzalwork.Input{quetzalwork.WavesRead{}}
+	case quetzalwork.StoreWaveHosts:
+		if c.onStoreWaveHosts == nil {
+			return nil
+		}
+		return []quetzalwork.Input{c.onStoreWaveHosts(cmd)}
 	case quetzalwork.StoreWaveState:
 		c.waveStates = append(c.waveStates, cmd.State)
 		return []quetzalwork.Input{quetzalwork.WaveStateStored{Wave: cmd.Wave, State: cmd.State}}
@@ -150,6 +159,9 @@
 		return quetzalwork.LoadReply{Load: l}
 	case quetzalwork.EvacuateHost:
 		return quetzalwork.EvacuationReply{Empty: true, SafeToInterrupt: true}
+	case quetzalwork.NotifyHostWithdrawn:
+		c.notices = append(c.notices, m)
+		return quetzalwork.Acknowledged{}
 	default:
 		return quetzalwork.Acknowledged{}
 	}
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -108,6 +108,7 @@
 	// The lease is applied after the duties: a takeover by this process that this read shows is judged
 	// by the lease that the takeover was conditional on.
 	applyHostLease(w, in.HostLease)
+	applySettledRows(w, in.Settled)
 	updateStandbys(w)
 	publishRelays(w)
 	takeOverDuties(w)
@@ -115,8 +116,9 @@
 		// Tasks may have waited for this read: for new minions, or for leases that could not be
 		// extended during an outage of the store.
 		p.NeedsPlacement = p.NeedsPlacement || len(p.ReadySteps)+len(p.LateSteps) > 0
-		if p.Held && !p.PredecessorWorkKnown && in.SentAt > p.HeldSince {
+		if p.Held && in.SentAt > p.HeldSince {
 			updatePredecessorEnd(w, p)
+			markSettled(w, p)
 		}
 	}
 }
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -54,16 +54,26 @@
 			wave.StoredState = state
 		}
 	}
+	for id, revision := range in.HostsRevisions {
+		if wave := w.Waves.At(w.WaveByID.Get(id)); wave != nil {
+			wave.HostsRevision = max(wave.HostsRevision, revision)
+		}
+	}
 	for id, done := range in.Done {
-		wave := w.Waves.At(w.WaveByID.Get(id))
-		if wave == nil {
-			continue
+		if wave := w.Waves.At(w.WaveByID.Get(id)); wave != nil {
+			mergeWaveHosts(wave, done)
 		}
-		for i, host := range wave.Hosts {
-			if maintenance := &wave.Maintenance[i]; slices.Contains(done, host) && maintenance.State != quetzalwork.MaintenanceDone {
-				// The host may still be in maintenance and counts as such until it is listed as up.
-				*maintenance = quetzalwork.HostMaintenance{State: quetzalwork.MaintenanceActive, DispatcherNotified: true}
-			}
+	}
+}
+
+// mergeWaveHosts marks the hosts of a wave whose maintenance another host controller has ordered.
+func mergeWaveHosts(wave *quetzalwork.Wave, done []quetzalunit.HostID) {
+	for i, host := range wave.Hosts {
+		maintenance := &wave.Maintenance[i]
+		known := maintenance.State == quetzalwork.MaintenanceActive || maintenance.State == quetzalwork.MaintenanceDone
+		if !known && slices.Contains(done, host) {
+			// The host may still be in maintenance and counts as such until it is listed as up.
+			*maintenance = quetzalwork.HostMaintenance{State: quetzalwork.MaintenanceActive, DispatcherNotified: true}
 		}
 	}
 }
@@ -76,7 +86,7 @@
 		return
 	}
 	wave.StoreInFlight, wave.StoreAgain = true, false
-	c := quetzalwork.StoreWaveHosts{Wave: wave.ID}
+	c := quetzalwork.StoreWaveHosts{Wave: wave.ID, Expected: wave.HostsRevision}
 	for i, host := range wave.Hosts {
 		if s := wave.Maintenance[i].State; s == quetzalwork.MaintenanceActive || s == quetzalwork.MaintenanceDone {
 			c.Done = append(c.Done, host)
@@ -85,24 +95,36 @@
 	w.Emit(c)
 }
 
+// handleWaveHostsStored applies the result of storing the maintained hosts of a wave. After a conflict
+// the stored hosts are merged with those that this process knows and stored again.
 func handleWaveHostsStored(w *quetzalwork.World, in *quetzalwork.WaveHostsStored) {
 	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
 	if wave == nil {
 		return
 	}
 	wave.StoreInFlight = false
+	wave.HostsRevision = max(wave.HostsRevision, in.Revision)
+	if in.Result == quetzalwork.StoreConflict {
+		mergeWaveHosts(wave, in.Done)
+		wave.StoreAgain = true
+	}
 	if wave.StoreAgain && w.HostController.Held {
 		storeWaveHosts(w, wave)
 	}
 }
 
-// handleWaveStateStored applies the result of storing the state of a wave.
+// handleWaveStateStored applies the result of storing the state of a wave. After a conflict the wave has
+// a state that another host controller stored, or this one in a transaction without an answer.
 func handleWaveStateStored(w *quetzalwork.World, in *quetzalwork.WaveStateStored) {
 	wave := w.Waves.At(w.WaveByID.Get(in.Wave))
 	if wave == nil {
 		return
 	}
 	wave.StoringState = quetzalwork.WaveUnstored
+	if in.Result == quetzalwork.StoreConflict && w.HostController.Held {
+		wave.StoredState = quetzalwork.WaveRunning
+		w.Emit(quetzalwork.ReadWaves{})
+	}
 	if in.Result == quetzalwork.StoreDone {
 		wave.StoredState = in.State
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Message: "The state of a wave was stored.", Reason: string(in.Wave) + string(in.State), Age: w.Now.Sub(wave.FirstSeenAt)})
@@ -220,7 +242,7 @@
 	case maintenance.State == quetzalwork.MaintenanceActive:
 		if h.State == quetzalwork.HostInMaintenance && !maintenance.DispatcherNotified {
 			maintenance.DispatcherNotified = true
-			notifyHostWithdrawn(w, h)
+			notifyHostWithdrawn(w, h, maintenance.Minion)
 		}
 		if h.State != quetzalwork.HostInMaintenance && w.HostController.HostsReadAt.Sub(maintenance.Since) > w.Bounds.MaintenanceTime {
 			maintenance.State = quetzalwork.MaintenanceDone
@@ -255,6 +277,7 @@
 	if pool == nil || h.State != quetzalwork.HostUp {
 		return
 	}
+	maintenance.Minion = h.Minion
 	request := quetzalwork.EvacuateHost{Pool: h.Pool, Host: h.ID, Wave: wave.ID}
 	switch {
 	case pool.Spare:
@@ -361,13 +384,13 @@
 // is called when the list of hosts shows the maintenance, not when the order is answered: the answer
 // is the same if the order was carried out earlier, and by then a new minion may be running on the
 // host.
-func notifyHostWithdrawn(w *quetzalwork.World, h *quetzalwork.Host) {
+func notifyHostWithdrawn(w *quetzalwork.World, h *quetzalwork.Host, minion quetzalunit.MinionID) {
 	p := w.Pools.At(w.PoolByID.Get(h.Pool))
 	switch {
 	case p == nil:
 	case p.Held:
 		endRunsOnHost(w, h.Pool, h.ID)
 	case p.Duty.Address != "":
-		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID}, Timeout: peerTimeout})
+		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID, Minion: minion}, Timeout: peerTimeout})
 	}
 }
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -124,6 +124,13 @@
 	Decisions []DecisionDoc `json:"Decisions" yaml:"Decisions"`
 }
 
+// DutySettledDoc names the revision of a pool's duty row for which EarlierLeasesMs
+// has passed.
+type DutySettledDoc struct {
+	// Revision corresponds to the JSON schema field "Revision".
+	Revision int `json:"Revision" yaml:"Revision"`
+}
+
 // EntrySettings are the settings of one quetzalentry process.
 type EntrySettings struct {
 	// IP:port to listen on for callers' requests.
@@ -809,6 +816,10 @@
 	// Address corresponds to the JSON schema field "Address".
 	Address string `json:"Address" yaml:"Address"`
 
+	// Time from the write of the row within which the leases of earlier dispatchers
+	// have expired; 0 if any successor waits as long anyway.
+	EarlierLeasesMs int `json:"EarlierLeasesMs" yaml:"EarlierLeasesMs"`
+
 	// Holder corresponds to the JSON schema field "Holder".
 	Holder string `json:"Holder" yaml:"Holder"`
 
@@ -1401,6 +1412,9 @@
 	// Kind corresponds to the JSON schema field "Kind".
 	Kind WorkMessageKind `json:"Kind" yaml:"Kind"`
 
+	// Minion corresponds to the JSON schema field "Minion".
+	Minion string `json:"Minion" yaml:"Minion"`
+
 	// Pool corresponds to the JSON schema field "Pool".
 	Pool string `json:"Pool" yaml:"Pool"`
 
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -85,6 +85,12 @@
 		Token  quetzalunit.FencingToken
 		SentAt quetzalunit.Instant
 	}
+	// SettleDuty stores that the leases have ended that Duty.EarlierLeases tells of in the row of the given
+	// revision. It has no result: ReadMembers shows whether it was carried out.
+	SettleDuty struct {
+		Pool     quetzalunit.PoolID
+		Revision quetzalunit.Revision
+	}
 	// ListMinions reads the list of minions.
 	ListMinions struct{ SinceRevision quetzalunit.Revision }
 	// ReadPoolJobs reads the rows of a pool's jobs: if Full is set, the page of all rows that begins
@@ -140,12 +146,15 @@
 	// ReadWaves reads the stored states of the waves.
 	ReadWaves struct{}
 	// StoreWaveHosts stores the hosts of a wave whose maintenance order was accepted, so that a
-	// later host controller does not repeat the order.
+	// later host controller does not repeat the order. The condition is that the row still has the
+	// revision Expected, 0 if it must not exist.
 	StoreWaveHosts struct {
-		Wave quetzalunit.WaveID
-		Done []quetzalunit.HostID
+		Wave     quetzalunit.WaveID
+		Expected quetzalunit.Revision
+		Done     []quetzalunit.HostID
 	}
-	// StoreWaveState stores the state of a wave, which the operators read.
+	// StoreWaveState stores the state of a wave, which the operators read. WaveRunning conflicts with
+	// any stored state.
 	StoreWaveState struct {
 		Wave  quetzalunit.WaveID
 		State WaveState
@@ -239,6 +248,7 @@
 func (RenewMember) implementsCommand()    {}
 func (WriteDuty) implementsCommand()      {}
 func (RenewHostLease) implementsCommand() {}
+func (SettleDuty) implementsCommand()     {}
 func (ListMinions) implementsCommand()    {}
 func (ReadPoolJobs) implementsCommand()   {}
 func (StoreJobs) implementsCommand()      {}
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -71,6 +71,8 @@
 		Duties map[quetzalunit.PoolID]Duty
 		// HostLease is the revision of the host controller's lease, 0 if it did not change.
 		HostLease quetzalunit.Revision
+		// Settled has, by pool, the revision of the duty's row for which SettleDuty was carried out.
+		Settled map[quetzalunit.PoolID]quetzalunit.Revision
 		// Full reports whether Members and Duties are complete; otherwise they hold only what
 		// changed.
 		Full         bool
@@ -87,6 +89,8 @@
 		Result  StoreResult
 		Pool    quetzalunit.PoolID
 		Release bool
+		// Expected is the revision that the row was to have.
+		Expected quetzalunit.Revision
 		// Revision is the revision of the written row.
 		Revision quetzalunit.Revision
 		SentAt   quetzalunit.Instant
@@ -166,11 +170,16 @@
 		// Done has, for each wave, the hosts whose maintenance order was accepted; they may still
 		// be out of service.
 		Done map[quetzalunit.WaveID][]quetzalunit.HostID
+		// HostsRevisions has the revisions of the rows with Done.
+		HostsRevisions map[quetzalunit.WaveID]quetzalunit.Revision
 	}
-	// WaveHostsStored is the result of StoreWaveHosts.
+	// WaveHostsStored is the result of StoreWaveHosts. Revision is that of the row after a success or
+	// a conflict; after a conflict Done has the stored hosts.
 	WaveHostsStored struct {
-		Result StoreResult
-		Wave   quetzalunit.WaveID
+		Result   StoreResult
+		Wave     quetzalunit.WaveID
+		Revision quetzalunit.Revision
+		Done     []quetzalunit.HostID
 	}
 	// WaveStateStored is the result of StoreWaveState.
 	WaveStateStored struct {
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -205,6 +205,8 @@
 	// StoreInFlight reports whether a transaction with the maintained hosts is in flight, StoreAgain
 	// whether another one must follow because more hosts were added since.
 	StoreInFlight, StoreAgain bool
+	// HostsRevision is the revision of the row with the maintained hosts, zero if none is known.
+	HostsRevision quetzalunit.Revision
 	// StoredState is the stored state, StoringState the state that is being stored. WaveUnstored
 	// stands for none.
 	StoredState, StoringState WaveState
@@ -245,6 +247,8 @@
 	// RequestInFlight reports whether a request to the dispatcher, or an order to the host, is in
 	// flight.
 	RequestInFlight bool
+	// Minion is the minion of the host when its evacuation was requested, empty if it was not.
+	Minion quetzalunit.MinionID
 	// DispatcherNotified reports whether the dispatcher was told that the host is in maintenance.
 	DispatcherNotified bool
 	// SafeToInterrupt reports whether the host's minion runs no long-running task: its other runs
@@ -259,6 +263,8 @@
 type HostMove struct {
 	Host     quetzalunit.HostID
 	From, To quetzalunit.PoolID
+	// Minion is the minion of the host when the move began.
+	Minion quetzalunit.MinionID
 	// Ordered reports whether the host has been ordered to move, RequestInFlight whether a request
 	// to the dispatcher or the order is in flight.
 	Ordered, RequestInFlight bool
