Take no member row of an earlier process for a replacement

What callers would see: the duties of an entry that has just restarted change hands although it lives, and two entries order the same hosts if its successor is then stopped as planned (ONE).

Cause: a renewal of a member row has no condition. The store can carry out the last one of an earlier process seconds late, over the row of the process that holds duties. Others compared the incarnations for equality, took the holder for replaced, and took its duties over at once.

Evidence: found by a reviewer.

Change: only a later incarnation shows a replacement; the entry itself knows which of its processes runs, also if its clock was set back between two starts.

--- a/quetzalcore/quetzalscheduler/controllerpair_test.go
+++ b/quetzalcore/quetzalscheduler/controllerpair_test.go
@@ -91,6 +91,17 @@
 	return p
 }
 
+// addEntry adds an entry that may hold the duty, or a new process of one.
+func (p *controllerPair) addEntry(id quetzalunit.EntryID, incarnation quetzalunit.Incarnation) *pairEntry {
+	e := &pairEntry{id: id, w: &quetzalwork.World{}}
+	e.w.Self = quetzalwork.Identity{Entry: id, Incarnation: incarnation, PeerAddress: quetzalunit.Address(id), Seed: 77}
+	e.w.Bounds = p.entries[0].w.Bounds
+	quetzalscheduler.Start(e.w, p.now)
+	cfg := quetzalwork.FleetConfig{Version: 1, Pools: []quetzalwork.PoolSpec{{ID: "busy"}, {ID: "off", Spare: true}}}
+	p.tick(e, quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: 1})
+	return e
+}
+
 // run advances the clock in steps of 20 ms with a tick of each entry.
 func (p *controllerPair) run(d time.Duration) {
 	end := p.now.Add(d)
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -161,7 +161,18 @@
 // isHolderLive reports whether the process that holds a duty is live.
 func isHolderLive(w *quetzalwork.World, d *quetzalwork.Duty) bool {
 	holder := w.Members.At(w.MemberByID.Get(d.Holder))
-	return d.Holder != "" && holder != nil && holder.Incarnation == d.Incarnation && isLive(w, holder)
+	return d.Holder != "" && holder != nil && !isReplaced(w, d, holder) && isLive(w, holder)
+}
+
+// isReplaced reports whether another process of the holder's entry has replaced the one that holds a
+// duty. A member row of an earlier process shows no replacement: the store may have carried out its
+// renewal late, over the row of the holder. Incarnations are taken from the wall clock, so only the
+// entry itself knows for certain which of its processes runs.
+func isReplaced(w *quetzalwork.World, d *quetzalwork.Duty, holder *quetzalwork.Member) bool {
+	if d.Holder == w.Self.Entry {
+		return d.Incarnation != w.Self.Incarnation
+	}
+	return holder.Incarnation > d.Incarnation
 }
 
 // dutiesPerCore returns the number of duties per core of an entry.
--- a/quetzalcore/quetzalscheduler/hostlease.go
+++ b/quetzalcore/quetzalscheduler/hostlease.go
@@ -69,7 +69,7 @@
 func hostLeaseMayBeRenewed(w *quetzalwork.World) bool {
 	c := &w.HostController
 	holder := w.Members.At(w.MemberByID.Get(c.Duty.Holder))
-	return c.Duty.Holder != "" && holder != nil && holder.Incarnation == c.Duty.Incarnation &&
+	return c.Duty.Holder != "" && holder != nil && !isReplaced(w, &c.Duty, holder) &&
 		c.Lease.Revision >= c.Duty.Revision && w.Membership.ReadSentAt.Sub(c.Lease.SeenAt) < memberTimeout
 }
 
