Store how long orders of earlier host controllers may be carried out

Cause: the wait was known to the process that had taken the duty over alone. After its release the next holder saw a duty without a holder, and after its restart itself as the predecessor; both ordered at once.

Evidence: found by a reviewer. TestWaitForAPredecessorOutlivesAPlannedStop and TestWaitForAPredecessorOutlivesARestart failed before, with orders 0.84 s and 0.56 s early.

Change: a takeover or a release stores what is left of the wait in the duty's row, in the field that does the same for the leases of pools. It is zero after most takeovers.

Result: both tests pass, with the others of the scheduler.

--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -144,7 +144,7 @@
 func acquireDuty(w *quetzalwork.World, id quetzalunit.PoolID, d *quetzalwork.Duty) {
 	d.Acquiring = true
 	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == quetzalwork.HostControlDuty, Expected: d.Revision, SentAt: w.Now, Duty: quetzalwork.Duty{
-		Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, EarlierLeases: leasesAtTakeover(w, d),
+		Holder: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, EarlierLeases: waitAtTakeover(w, id, d),
 	}}
 	if c.OfHosts && d.Holder != "" {
 		c.CheckLease, c.ExpectedLease = true, w.HostController.Lease.Revision
@@ -152,6 +152,15 @@
 	w.Emit(c)
 }
 
+// waitAtTakeover returns how long this process will wait for holders before it after a takeover of a
+// duty, as far as a successor of this process would not wait anyway.
+func waitAtTakeover(w *quetzalwork.World, id quetzalunit.PoolID, d *quetzalwork.Duty) time.Duration {
+	if id == quetzalwork.HostControlDuty {
+		return max(0, predecessorOrdersEnd(w, d).Sub(w.Now))
+	}
+	return leasesAtTakeover(w, d)
+}
+
 // isDutyHeld reports whether a duty has a holder that may be live: it renews its member row, or as the
 // host controller its lease.
 func isDutyHeld(w *quetzalwork.World, id quetzalunit.PoolID, d *quetzalwork.Duty) bool {
@@ -284,9 +293,9 @@
 	switch {
 	case !in.Release:
 		written.Holder, written.Incarnation, written.Address = w.Self.Entry, w.Self.Incarnation, w.Self.PeerAddress
-		written.EarlierLeases = leasesAtTakeover(w, d)
+		written.EarlierLeases = waitAtTakeover(w, in.Pool, d)
 	case in.Pool == quetzalwork.HostControlDuty:
-		written.OrderedHosts = recentlyOrderedHosts(w)
+		written.OrderedHosts, written.EarlierLeases = recentlyOrderedHosts(w), remainingWait(w)
 	default:
 		written.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, in.Pool)))
 	}
--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -76,6 +76,11 @@
 	w.Emit(order)
 }
 
+// remainingWait returns how long this process still waits for the orders of holders before it.
+func remainingWait(w *quetzalwork.World) time.Duration {
+	return max(0, w.HostController.OrdersAllowedFrom.Sub(w.Now))
+}
+
 // recentlyOrderedHosts returns the hosts that this process or its predecessor has ordered within the
 // last OrderLease. A successor must not order them yet.
 func recentlyOrderedHosts(w *quetzalwork.World) []quetzalunit.HostID {
--- a/quetzalcore/quetzalscheduler/hostlease.go
+++ b/quetzalcore/quetzalscheduler/hostlease.go
@@ -83,16 +83,19 @@
 //     takeover was conditional on.
 //   - One whose duty is newer than the lease keeps none, as programs before the lease. It may order
 //     hosts until its next read.
+//
+// Holders before it may have been waited for by the predecessor; its row of the duty tells how long.
 func predecessorOrdersEnd(w *quetzalwork.World, predecessor *quetzalwork.Duty) quetzalunit.Instant {
 	l := &w.HostController.Lease
+	end := w.Now
 	switch {
 	case predecessor.Holder == "" || predecessor.Holder == w.Self.Entry:
-		return w.Now
 	case l.Revision >= predecessor.Revision:
-		return l.SeenAt.Add(hostOrderValidity + hostOrderTimeout)
+		end = l.SeenAt.Add(hostOrderValidity + hostOrderTimeout)
 	default:
-		return w.Now.Add(max(w.Bounds.OrderLease, hostOrderValidity+hostOrderTimeout))
+		end = w.Now.Add(max(w.Bounds.OrderLease, hostOrderValidity+hostOrderTimeout))
 	}
+	return max(end, predecessor.EarlierLeasesEnd)
 }
 
 // hostOrderDeadline returns when this process must stop ordering hosts unless it renews the lease.
@@ -103,7 +106,7 @@
 // permissionAge returns the age of what permits this process to order hosts. At hostOrderValidity the
 // permission ends.
 func permissionAge(w *quetzalwork.World) time.Duration {
-	return w.Now.Sub(w.HostController.Lease.RenewalSentAt)
+	return ageOf(w, w.HostController.Lease.RenewalSentAt)
 }
 
 // logPermission logs when the permission of the host controller to order hosts ends and when it is
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -33,7 +33,7 @@
 	w.PendingReleases++
 	c := quetzalwork.WriteDuty{Pool: id, OfHosts: id == quetzalwork.HostControlDuty, Expected: dutyOf(w, id).Revision, Release: true, SentAt: w.Now}
 	if id == quetzalwork.HostControlDuty {
-		c.Duty.OrderedHosts = recentlyOrderedHosts(w)
+		c.Duty.OrderedHosts, c.Duty.EarlierLeases = recentlyOrderedHosts(w), remainingWait(w)
 	} else {
 		c.Duty.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, id)))
 	}
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -209,7 +209,8 @@
 	// duty; its successor must not order them yet.
 	OrderedHosts []quetzalunit.HostID
 	// EarlierLeases is how long after the write of the row leases may last that earlier dispatchers than
-	// the one that wrote it granted. It is zero if every successor waits as long anyway.
+	// the one that wrote it granted. It is zero if every successor waits as long anyway. In the row of
+	// the host controller's duty it is how long orders of such holders may be carried out.
 	EarlierLeases time.Duration
 	// EarlierLeasesEnd is the instant by which these leases have ended, counted from when this process
 	// first saw the row. It is zero if EarlierLeases is.
