Count hosts that a predecessor has ordered as active in their wave

What callers would see: more hosts of a wave are in maintenance at once than its cap allows (LIMIT), after a planned stop of the host controller.

Cause: a host controller that stops names the hosts that it has ordered, and its successor orders none of these for a while. It did not count them as active: the order of one may still be under way, the list shows the host as up, and the successor orders another host of the wave beside it.

Evidence: found by a reviewer.

Change: a host of a wave that is blocked for a predecessor's order counts as active.

Result: the test passes, with the others of the scheduler.

--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -384,3 +384,20 @@
 	}
 	return hosts
 }
+
+// A predecessor that was stopped as planned has ordered the maintenance of h2, and the order is still
+// under way when its successor reads the list of hosts. The wave allows one host at a time, so h1 must
+// not be ordered beside it.
+func TestHostOrderedByAPredecessorCountsAsActiveInItsWave(t *testing.T) {
+	plan := quetzalwork.WavePlan{ID: "1", Hosts: []quetzalunit.HostID{"h1", "h2"}, TimeLimit: 40 * time.Second, MaxConcurrent: 1}
+	c := newHostControllerAfter(t, quetzalwork.Duty{Revision: 6, OrderedHosts: []quetzalunit.HostID{"h2"}},
+		[]quetzalwork.Host{upHost("h1", "off"), upHost("h2", "off"), upHost("b1", "busy")}, plan)
+	c.w.Bounds.OrderLease = 3 * time.Second
+	for len(c.takeovers) == 0 {
+		c.run(50 * time.Millisecond)
+	}
+	c.run(400 * time.Millisecond)
+	c.hosts[1].State = quetzalwork.HostInMaintenance // the order of the predecessor has arrived
+	c.run(1500 * time.Millisecond)
+	require.NotContains(t, hostsOf(c.orders), quetzalunit.HostID("h1"), "two hosts are in maintenance")
+}
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -144,8 +144,12 @@
 		updateWaveHost(w, wave, i)
 		switch maintenance.State {
 		case quetzalwork.MaintenanceWaiting:
-			if mayOmitWaveHost(w, wave, i) {
+			switch {
+			case mayOmitWaveHost(w, wave, i):
 				done++
+			case w.Now < w.HostController.BlockedUntil[wave.Hosts[i]]:
+				// A predecessor's order to the host may still be under way.
+				active++
 			}
 		case quetzalwork.MaintenanceDone:
 			done++
