Store the maintained hosts of a wave again after a failure

What callers would see: after a change of the host controller a host that has had its maintenance is evacuated and ordered once more.

Cause: the list of a wave's maintained hosts was stored when a host was added to it. If the store refused the transaction or did not answer, nothing stored the list until the next host was added.

Evidence: found by reading. TestWaveHostsAreStoredAfterAFailure failed before, with one transaction for a refused one and for one without an answer.

Change: the next pass of the host controller stores the list again.

--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -401,3 +401,22 @@
 	c.run(1500 * time.Millisecond)
 	require.NotContains(t, hostsOf(c.orders), quetzalunit.HostID("h1"), "two hosts are in maintenance")
 }
+
+// The store refuses the list of a wave's maintained hosts, or does not answer. The list must be stored
+// later: without it the next host controller orders the maintenance of these hosts again.
+func TestWaveHostsAreStoredAfterAFailure(t *testing.T) {
+	for _, result := range []quetzalwork.StoreResult{quetzalwork.StoreRefused, quetzalwork.StoreUnanswered} {
+		plan := quetzalwork.WavePlan{ID: "1", Hosts: []quetzalunit.HostID{"h1"}, TimeLimit: 20 * time.Second, MaxConcurrent: 1}
+		c := newHostController(t, []quetzalwork.Host{upHost("h1", "off")}, plan)
+		stored := 0
+		c.onStoreWaveHosts = func(cmd quetzalwork.StoreWaveHosts) quetzalwork.WaveHostsStored {
+			require.Equal(t, []quetzalunit.HostID{"h1"}, cmd.Done)
+			if stored++; stored < 3 {
+				return quetzalwork.WaveHostsStored{Wave: cmd.Wave, Result: result}
+			}
+			return quetzalwork.WaveHostsStored{Wave: cmd.Wave, Revision: 9}
+		}
+		c.run(6 * time.Second)
+		require.Equal(t, 3, stored)
+	}
+}
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -104,9 +104,15 @@
 	}
 	wave.StoreInFlight = false
 	wave.HostsRevision = max(wave.HostsRevision, in.Revision)
-	if in.Result == quetzalwork.StoreConflict {
+	switch in.Result {
+	case quetzalwork.StoreConflict:
 		mergeWaveHosts(wave, in.Done)
 		wave.StoreAgain = true
+	case quetzalwork.StoreCompacted, quetzalwork.StoreRefused, quetzalwork.StoreUnanswered:
+		// advanceWave stores the hosts again.
+		wave.StoreAgain = true
+		return
+	case quetzalwork.StoreDone:
 	}
 	if wave.StoreAgain && w.HostController.Held {
 		storeWaveHosts(w, wave)
@@ -138,6 +144,9 @@
 	if wave.StoredState == quetzalwork.WaveCompleted || w.HostController.HostsReadAt <= w.HostController.HeldSince {
 		return
 	}
+	if wave.StoreAgain {
+		storeWaveHosts(w, wave)
+	}
 	active, done := 0, 0
 	for i := range wave.Maintenance {
 		maintenance := &wave.Maintenance[i]
