Repeat a failed read of the waves in the next pass

What operators would see: an entry that has just become the host controller calls the store as fast as it answers, for as long as it refuses the read of the waves.

Cause: a read that failed was repeated at once.

Evidence: found by reading. TestWavesAreReadAgainAfterAPause failed before: six reads in one instant.

Result: the test passes, with the others of the scheduler.

--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -39,6 +39,7 @@
 		Part: quetzalwork.PartDuty, Message: "This entry now gives the orders to hosts.", Version: int64(c.Token),
 		Age: c.OrdersAllowedFrom.Sub(w.Now), Reason: string(predecessor.Holder),
 	})
+	c.WavesReadDue = false
 	w.Emit(quetzalwork.ReadWaves{})
 	renewHostLease(w)
 }
@@ -117,6 +118,10 @@
 		c.HostsReadInFlight = true
 		w.Emit(quetzalwork.ListHosts{})
 	}
+	if c.WavesReadDue {
+		c.WavesReadDue = false
+		w.Emit(quetzalwork.ReadWaves{})
+	}
 	advanceMoves(w)
 	requestLoads(w)
 	plan := newHostPlan(w)
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -42,6 +42,10 @@
 	onTakeover func()
 	// notices are the notices of withdrawn hosts so far.
 	notices []quetzalwork.NotifyHostWithdrawn
+	// refusedWaveReads is the number of reads of the waves that are still refused. waveReads counts the
+	// reads at each instant.
+	refusedWaveReads int
+	waveReads        map[quetzalunit.Instant]int
 	// onStoreWaveHosts, if not nil, answers the transactions that store the maintained hosts of a wave.
 	onStoreWaveHosts func(quetzalwork.StoreWaveHosts) quetzalwork.WaveHostsStored
 }
@@ -106,6 +110,14 @@
 	case quetzalwork.ListHosts:
 		return []quetzalwork.Input{quetzalwork.HostsListed{OK: true, Hosts: c.hosts}}
 	case quetzalwork.ReadWaves:
+		if c.waveReads == nil {
+			c.waveReads = make(map[quetzalunit.Instant]int)
+		}
+		c.waveReads[c.now]++
+		if c.refusedWaveReads > 0 {
+			c.refusedWaveReads--
+			return []quetzalwork.Input{quetzalwork.WavesRead{Result: quetzalwork.StoreRefused}}
+		}
 		return []quetzalwork.Input{quetzalwork.WavesRead{}}
 	case quetzalwork.StoreWaveHosts:
 		if c.onStoreWaveHosts == nil {
@@ -420,3 +432,16 @@
 		require.Equal(t, 3, stored)
 	}
 }
+
+// The store refuses reads of the waves at once. They must be repeated in the passes of the host
+// controller, not without a pause.
+func TestWavesAreReadAgainAfterAPause(t *testing.T) {
+	c := newHostControllerAfter(t, quetzalwork.Duty{Revision: 6}, []quetzalwork.Host{upHost("h1", "off")}, quetzalwork.WavePlan{ID: "1"})
+	c.refusedWaveReads = 5
+	c.run(3 * time.Second)
+	require.Zero(t, c.refusedWaveReads)
+	require.True(t, c.w.HostController.WavesLoaded)
+	for at, n := range c.waveReads {
+		require.Equal(t, 1, n, "reads at %v", at)
+	}
+}
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -39,13 +39,11 @@
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Message: "A maintenance wave was requested.", Reason: string(plan.ID), Version: int64(len(plan.Hosts)), Age: plan.TimeLimit})
 }
 
-// handleWaves applies the stored states of the waves and their hosts, or reads them again if the
-// read failed.
+// handleWaves applies the stored states of the waves and their hosts. If the read failed, the next pass
+// of the host controller reads them again.
 func handleWaves(w *quetzalwork.World, in *quetzalwork.WavesRead) {
 	if in.Result != quetzalwork.StoreDone {
-		if w.HostController.Held {
-			w.Emit(quetzalwork.ReadWaves{})
-		}
+		w.HostController.WavesReadDue = true
 		return
 	}
 	w.HostController.WavesLoaded = true
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -318,6 +318,7 @@
 	HostsReadAt quetzalunit.Instant
 	// HostsReadInFlight reports whether a read of the hosts is in flight.
 	HostsReadInFlight bool
-	// WavesLoaded reports whether the stored states of the waves are known.
-	WavesLoaded bool
+	// WavesLoaded reports whether the stored states of the waves are known, WavesReadDue whether the
+	// last read of them failed and must be repeated.
+	WavesLoaded, WavesReadDue bool
 }
