--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -71,7 +71,7 @@
 	order.Token, order.ValidUntil = w.HostController.Token, hostOrderDeadline(w)
 	w.HostController.OrderedAt[order.Host] = w.Now
 	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartHost, Message: "An order to a host is sent.", Host: order.Host, Pool: order.Pool, Version: int64(order.Token),
+		Part: quetzalwork.PartHost, Message: "An order to a host is issued.", Host: order.Host, Pool: order.Pool, Version: int64(order.Token),
 		Age: permissionAge(w), Reason: hostOrderName(order.Order),
 	})
 	w.Emit(order)
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -343,9 +343,9 @@
 	require.NotEmpty(t, c.takeovers)
 }
 
-// The holder of the duty was cut off from the store and renews its row again just before the
-// takeover. It may order hosts on the strength of that renewal, so the successor must wait for the
-// end of these orders.
+// The holder of the duty keeps no lease, as programs before the lease. It was cut off from the store and
+// renews its member row again just before the takeover, which permits it to order hosts. The successor
+// must wait for the end of these orders.
 func TestSuccessorWaitsForOrdersAfterALastRenewal(t *testing.T) {
 	c := newHostControllerAfter(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Revision: 6},
 		[]quetzalwork.Host{upHost("s1", "off"), upHost("b1", "busy")}, quetzalwork.WavePlan{ID: "1"})
--- a/quetzalcore/quetzalscheduler/hostlease.go
+++ b/quetzalcore/quetzalscheduler/hostlease.go
@@ -22,8 +22,8 @@
 	// hostOrderTimeout is the longest time from sending an order until it is answered or its
 	// connection is reset.
 	hostOrderTimeout = 900 * time.Millisecond
-	// leaseRenewalPeriod is the time between two renewals. A failed one can be repeated before
-	// hostOrderValidity has passed.
+	// leaseRenewalPeriod is the minimum time between two renewals, which are sent in the passes of the
+	// host controller. A failed one can be repeated before hostOrderValidity has passed.
 	leaseRenewalPeriod = 500 * time.Millisecond
 )
 
