Simulate minions whose capacity changes

The simulated minions had a fixed capacity and rejected what did not fit, so that no test showed a start over a capacity that had shrunk, or one of a pool with EnforcesCapacity false.

A minion can now be resized; its record shows the new capacity up to a beat later. A fleet can be unguarded: its minions start whatever they are told. The checker reports LIMIT if a start brings a minion over its capacity, with all runs counted that have not ended. A capacity that has shrunk counts from 4.5 s on; an order that is carried out late is judged by the time at which it was sent.

--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
@@ -98,6 +99,20 @@
 	return r
 }
 
+// maxGrantedLease is the longest lease that an order to start grants. The order was sent no earlier
+// than this long before the end of the lease.
+const maxGrantedLease = 4500 * time.Millisecond
+
+// checkLimit checks that a start does not bring a minion over its capacity. used are the resources
+// of all runs on the minion, with those of the new one and of those that are being stopped. An order
+// that is carried out late is judged by the capacity at the time at which it was sent.
+func (c *checker) checkLimit(m *minion, start quetzalwork.StartRun, used quetzalunit.Resources) {
+	sent := quetzalunit.Instant(0).Add(time.Duration(start.LeaseEnd)*time.Millisecond + clockOffset - maxGrantedLease)
+	if limit := m.limit(min(sent, c.f.now)); !used.FitsIn(limit) {
+		c.violationf("LIMIT: %v run %d brings %s to %v of %v", start.Task, start.Number, m.record.ID, used, limit)
+	}
+}
+
 // isDone reports whether a run of a task has ended as done.
 func (c *checker) isDone(t quetzalwork.TaskID) bool {
 	for _, r := range c.records[t] {
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -27,6 +27,8 @@
 	// executed one after the other; busyUntil is when each shard has executed those that wait.
 	transactionTime time.Duration
 	busyUntil       map[quetzalunit.Shard]quetzalunit.Instant
+	// listDown makes the store ignore reads of the minion list.
+	listDown bool
 	// compactedThrough is the revision up to which the change history has been compacted.
 	compactedThrough quetzalunit.Revision
 }
@@ -54,7 +56,7 @@
 		return
 	}
 	f.call(e.zone, storeZone, timeout, func() func() {
-		if f.storeDown {
+		if _, ok := c.(quetzalwork.ListMinions); f.storeDown || ok && s.listDown {
 			return nil
 		}
 		in := s.serve(e, c)
@@ -249,10 +251,21 @@
 	return rows
 }
 
-// minion simulates a minion that rejects runs exceeding its capacity.
+const (
+	// beat is the time between two writes of a minion's record.
+	beat = 1500 * time.Millisecond
+	// shrinkNotice is the time after which a reduced capacity limits the starts on a minion: one
+	// beat until its record shows the capacity, and three seconds for the dispatcher to read it.
+	shrinkNotice = 3*time.Second + beat
+)
+
+// minion simulates a minion. It rejects runs exceeding its capacity, unless the fleet is unguarded.
 type minion struct {
-	f            *fleet
-	record       quetzalwork.MinionRecord
+	f *fleet
+	// record is what the minion writes to the list. Its Capacity is outdated by up to a beat.
+	record quetzalwork.MinionRecord
+	// capacities are the capacities of this incarnation in the order of time, the present one last.
+	capacities   []timedCapacity
 	zone         quetzalunit.ZoneID
 	up           bool
 	token        quetzalunit.FencingToken
@@ -274,6 +287,12 @@
 	record *runRecord
 }
 
+// timedCapacity is a minion's capacity from an instant on.
+type timedCapacity struct {
+	since quetzalunit.Instant
+	quetzalunit.Resources
+}
+
 // addMinion adds a running minion to the fleet and to the store's minion list.
 func (f *fleet) addMinion(zone quetzalunit.ZoneID, rack int) *minion {
 	id := quetzalunit.MinionID(fmt.Sprint("m", len(f.minions)))
@@ -284,12 +303,72 @@
 			Rack: quetzalunit.RackID(fmt.Sprint("r", rack)), Incarnation: 1, Host: quetzalunit.HostID(id),
 		},
 	}
+	m.setCapacity(m.record.Capacity)
 	f.minions[id] = m
 	f.order = append(f.order, m)
 	m.publish(false)
 	return m
 }
 
+// capacity returns the present capacity.
+func (m *minion) capacity() quetzalunit.Resources {
+	return m.capacities[len(m.capacities)-1].Resources
+}
+
+// setCapacity sets the capacity with which an incarnation starts.
+func (m *minion) setCapacity(capacity quetzalunit.Resources) {
+	m.record.Capacity, m.capacities = capacity, []timedCapacity{{m.f.now, capacity}}
+}
+
+// resize changes the capacity. The minion's record shows it from the next beat on.
+func (m *minion) resize(capacity quetzalunit.Resources) {
+	m.capacities = append(m.capacities, timedCapacity{m.f.now, capacity})
+	m.f.after(time.Duration(m.f.rng.Int64N(int64(beat))), m.publishCapacity)
+}
+
+// publishCapacity writes the present capacity to the minion's record. It tries again with the next
+// beat while the store cannot be reached. A minion that is not listed shows it once it is listed again.
+func (m *minion) publishCapacity() {
+	if !m.up || m.record.Capacity == m.capacity() {
+		return
+	}
+	if m.f.storeDown || !m.f.reaches(m.zone, storeZone) {
+		m.f.after(beat, m.publishCapacity)
+		return
+	}
+	m.record.Capacity = m.capacity()
+	if !m.f.store.list[m.record.ID].removed {
+		m.publish(false)
+	}
+}
+
+// restart starts a new incarnation with a capacity of its own, which knows nothing of the earlier
+// one. The numbers of its ends continue, since the checker identifies ends by them.
+func (m *minion) restart(capacity quetzalunit.Resources) {
+	m.kill()
+	m.up, m.token, m.lease, m.ends, m.waitingPolls = true, 0, 0, nil, nil
+	clear(m.endedThrough)
+	m.record.Incarnation++
+	m.capacities = []timedCapacity{{m.f.now, capacity}}
+	m.f.after(time.Duration(m.f.rng.Int64N(int64(beat))), func() {
+		m.record.Capacity = capacity
+		m.publish(false)
+	})
+}
+
+// limit returns the capacity that a start must not exceed: for each resource the largest amount that
+// the minion had from shrinkNotice before the order was sent until now.
+func (m *minion) limit(sent quetzalunit.Instant) quetzalunit.Resources {
+	limit := m.capacity()
+	for i, c := range m.capacities[:len(m.capacities)-1] {
+		if m.capacities[i+1].since >= sent.Add(-shrinkNotice) {
+			limit.Cores, limit.Memory = max(limit.Cores, c.Cores), max(limit.Memory, c.Memory)
+			limit.Accelerators = max(limit.Accelerators, c.Accelerators)
+		}
+	}
+	return limit
+}
+
 // publish writes the minion's record in the store's minion list, or removes it.
 func (m *minion) publish(removed bool) {
 	m.f.store.revision++
@@ -303,9 +382,12 @@
 	return names
 }
 
-// clock returns the time on the minion's clock, which is 5 s behind the fleet's.
+// clockOffset is how far the minions' clocks are behind the fleet's.
+const clockOffset = 5 * time.Second
+
+// clock returns the time on the minion's clock.
 func (m *minion) clock() quetzalunit.MinionTime {
-	return quetzalunit.MinionTime(m.f.now.Milliseconds() - 5000)
+	return quetzalunit.MinionTime(m.f.now.Milliseconds() - clockOffset.Milliseconds())
 }
 
 // kill stops the minion and all its runs. Their ends are never reported.
@@ -358,9 +440,10 @@
 	for _, r := range m.runs {
 		used = used.Plus(r.needs)
 	}
-	if !used.FitsIn(m.record.Capacity) {
+	if !m.f.unguarded && !used.FitsIn(m.capacity()) {
 		return quetzalwork.OrderNoCapacity{Clock: clock}
 	}
+	m.f.checker.checkLimit(m, c, used)
 	run := &fakeRun{number: c.Number, needs: needs, record: m.f.checker.started(c.Task, c.Number, m.record.ID)}
 	m.runs[c.Task] = run
 	spec := m.f.checker.step(c.Task)
--- a/quetzalcore/quetzalscheduler/peak_test.go
+++ b/quetzalcore/quetzalscheduler/peak_test.go
@@ -85,7 +85,7 @@
 		runTimes: make(map[quetzalunit.JobID][]time.Duration), submittedAt: make(map[quetzalunit.JobID]quetzalunit.Instant),
 	}
 	for _, m := range p.order {
-		m.record.Capacity = quetzalunit.Resources{Cores: peakMinionCores, Memory: peakMinionMemory}
+		m.setCapacity(quetzalunit.Resources{Cores: peakMinionCores, Memory: peakMinionMemory})
 		m.publish(false)
 	}
 	p.runTime = func(t quetzalwork.TaskID) time.Duration {
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -32,7 +32,9 @@
 	// without an answer.
 	storeDown               bool
 	loseAnswers, lateOrders float64
-	checker                 checker
+	// unguarded makes the minions start whatever they are ordered to start.
+	unguarded bool
+	checker   checker
 	// answers are the answers that callers received, by job.
 	answers map[quetzalunit.JobID][]quetzalwork.Answer
 	callers map[quetzalunit.CallerID]quetzalunit.JobID
