Count the runs that no task needs

What was seen: in a simulated pool with EnforcesCapacity false, a successor started tasks on minions that were still stopping the runs of a job that had been cancelled before the takeover: 10 cores of work on 8. Callers would have seen their tasks slowed down, and the start breaks the minion's capacity.

Cause: a reported run without a row in the table of runs (its job cancelled or unknown, its task done or running elsewhere) gets an order to stop, but Used counts only rows. If the minion had no other runs it was not polled again either, so that neither a lost order nor the end was noticed.

Change: each report sets Untracked, the sum of such runs; Free subtracts it. If the job's specification is not known, a minion that rejects nothing gets no work until the run has ended; one that enforces its capacity still does. A minion with such runs is polled until they have ended.

Evidence: TestRunsOfACancelledJobUseCapacityAfterATakeover, TestMinionWithARunOfAnUnknownJobGetsNoWork and TestRunOfATaskThatIsDoneUsesCapacity fail without the change (LIMIT, the last with 5 runs for 4) and pass with it; all tests of quetzalscheduler pass.

--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -51,3 +51,85 @@
 	f.run(beat + 2*time.Second)
 	runAndVerify(t, f, 0)
 }
+
+// cancel sends the cancellation of a job to an entry.
+func (f *fleet) cancel(e *entry, id quetzalunit.JobID) {
+	caller := quetzalunit.CallerID(len(f.callers) + 1)
+	f.callers[caller] = id
+	e.post(e.boot, quetzalwork.CancelRequested{Caller: caller, HTTPHost: "host", Path: "/proofs/" + string(id), Timeout: 3 * time.Second})
+}
+
+// A dispatcher was killed and one of its jobs cancelled before a successor took over. The successor
+// does not know the resources of the job's runs, which use the capacity until they have been stopped.
+func TestRunsOfACancelledJobUseCapacityAfterATakeover(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newUnguardedFleet(seed, 3, 2)
+		old := f.submit(f.entries[0], longStep(8))
+		f.run(time.Second)
+		require.Equal(t, 8, f.checker.running(old))
+		holder := f.holder()
+		holder.kill()
+		for _, e := range f.entries {
+			if e != holder {
+				f.cancel(e, old)
+				f.run(300 * time.Millisecond)
+				break
+			}
+		}
+		for range 40 {
+			for _, e := range f.entries {
+				if e != holder {
+					f.submit(e, testStep(2))
+				}
+			}
+			f.run(200 * time.Millisecond)
+		}
+		runAndVerify(t, f, 20*time.Second)
+	}
+}
+
+// runUnknown makes a minion run a task of which the dispatcher has no run, as after an order of an
+// earlier dispatcher. The checker does not judge this start.
+func (m *minion) runUnknown(task quetzalwork.TaskID) {
+	m.runs[task] = &fakeRun{number: 1, needs: m.f.checker.step(task).Resources, record: &runRecord{task: task, run: 1, minion: m.record.ID}}
+	for _, answer := range m.waitingPolls {
+		answer()
+	}
+	m.waitingPolls = nil
+}
+
+// A minion runs a task of a job that the dispatcher does not know, with unknown resources.
+func TestMinionWithARunOfAnUnknownJobGetsNoWork(t *testing.T) {
+	f := newUnguardedFleet(1, 1, 1)
+	spec := quetzalwork.JobSpec{Steps: []quetzalwork.StepSpec{longStep(1)}}
+	spec.Steps[0].Resources = resources(7000)
+	f.checker.submitted("00000000000000ff", &spec)
+	keep := f.submit(f.entries[0], longStep(1))
+	f.run(time.Second)
+	f.order[0].runUnknown(quetzalwork.TaskID{Job: "00000000000000ff"})
+	f.cancel(f.entries[0], keep)
+	f.run(time.Second)
+	for range 20 {
+		f.submit(f.entries[0], testStep(1))
+		f.run(100 * time.Millisecond)
+	}
+	runAndVerify(t, f, 20*time.Second)
+}
+
+// A minion still runs a task that is done. The run uses its capacity until it has been stopped.
+func TestRunOfATaskThatIsDoneUsesCapacity(t *testing.T) {
+	f := newUnguardedFleet(1, 1, 1)
+	last := longStep(1)
+	last.DependsOn = []quetzalunit.StepIndex{0}
+	id := f.submit(f.entries[0], testStep(1), last)
+	f.run(3 * time.Second)
+	require.Equal(t, 1, f.checker.running(id))
+	f.order[0].runUnknown(quetzalwork.TaskID{Job: id})
+	f.run(10 * time.Millisecond)
+	f.submit(f.entries[0], testStep(3))
+	f.run(100 * time.Millisecond)
+	require.Len(t, f.order[0].runs, 4, "two of the three tasks have to wait")
+	f.cancel(f.entries[0], id)
+	f.run(20 * time.Second)
+	require.Empty(t, f.checker.violations)
+}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -225,6 +225,7 @@
 // continues.
 func endMinionRuns(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	m := w.Minions.At(row)
+	m.Untracked = quetzalwork.UntrackedRuns{}
 	for _, run := range slices.Clone(m.Runs) {
 		endRun(w, run, quetzalwork.OutcomeLapsed, "", reason)
 	}
@@ -358,7 +359,7 @@
 	}
 }
 
-// scheduleNextPoll schedules the next poll of a minion that missed a poll or has active runs or
+// scheduleNextPoll schedules the next poll of a minion that missed a poll or has runs or
 // unacknowledged ends. It deletes a minion that has left the list and is no longer needed.
 func scheduleNextPoll(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
@@ -371,7 +372,7 @@
 		schedulePoll(w, row, pollRetryDelay*time.Duration(min(m.MissedAnswers, 4)))
 	case len(m.UnackedEnds) > 0:
 		schedulePoll(w, row, ackPollDelay)
-	case len(m.Runs) > 0:
+	case len(m.Runs) > 0 || m.Untracked.Count > 0:
 		schedulePoll(w, row, 0)
 	case !m.Listed && w.Now.Sub(m.RemovedAt) > removedMinionRetention:
 		deleteMinion(w, row)
@@ -422,16 +423,33 @@
 		}
 	}
 	reported := make(map[quetzalwork.Row]bool, len(in.Running))
+	p.NeedsPlacement = p.NeedsPlacement || m.Untracked.Count > 0
+	m.Untracked = quetzalwork.UntrackedRuns{}
 	for i := range in.Running {
 		run, known := applyReportedRun(w, in.Minion, &in.Running[i])
 		unknown = unknown || !known
 		reported[run] = true
+		if run == 0 {
+			addUntrackedRun(w, m, &in.Running[i])
+		}
 	}
 	endUnreportedRuns(w, in, reported)
 	trackUnknownWork(w, in.Minion, unknown)
 	ackEnds(w, p)
 }
 
+// addUntrackedRun adds a reported run without a row in the table of runs to a minion's Untracked.
+func addUntrackedRun(w *quetzalwork.World, m *quetzalwork.Minion, reported *quetzalwork.ReportedRun) {
+	u := &m.Untracked
+	u.Count++
+	j := w.Jobs.At(w.JobByID.Get(reported.Task.Job))
+	if step := int(reported.Task.Step); j != nil && j.Spec != nil && step >= 0 && step < len(j.Spec.Steps) {
+		u.Used = u.Used.Plus(needsOf(&j.Spec.Steps[step]))
+		return
+	}
+	u.UnknownUse = true
+}
+
 // trackUnknownWork records since when a minion has reported runs or ends of unknown jobs, and
 // reads the pool's rows to find these jobs.
 func trackUnknownWork(w *quetzalwork.World, row quetzalwork.Row, unknown bool) {
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -258,6 +258,10 @@
 
 // usable reports whether a minion takes new work.
 func usable(w *quetzalwork.World, m *quetzalwork.Minion) bool {
+	if m.Untracked.UnknownUse && !w.Pools.At(m.PoolRow).EnforcesCapacity {
+		// The free capacity is not known, and the minion rejects nothing.
+		return false
+	}
 	// A read of the duties that was sent after the minion joined shows that no successor as the
 	// pool's dispatcher has used the minion.
 	return m.Listed && m.Answered && !m.HostWithdrawn && !m.Replaced && w.Membership.ReadSentAt >= m.FirstSeenAt && m.MissedAnswers == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.FailureBackoffUntil && w.Now >= m.RejectionBackoffUntil
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -44,6 +44,8 @@
 	Used quetzalunit.Resources
 	// Runs are the active runs.
 	Runs []Row
+	// Untracked are the runs of the last report that have no row in the table of runs.
+	Untracked UntrackedRuns
 
 	// Answered reports whether the minion has accepted an order with this process's token. It then
 	// accepts none of earlier dispatchers, and its active runs are known. FirstAnsweredAt is when it
@@ -99,9 +101,19 @@
 	CordonedUntil quetzalunit.Instant
 }
 
-// Free returns the resources that no active run reserves.
+// Free returns the resources that no run uses.
 func (m *Minion) Free() quetzalunit.Resources {
-	return m.Capacity.Minus(m.Used)
+	return m.Capacity.Minus(m.Used).Minus(m.Untracked.Used)
+}
+
+// UntrackedRuns sums up the runs that a minion reports and that have no row in the table of runs,
+// because no task needs them or their job is unknown. They use capacity until they have ended.
+type UntrackedRuns struct {
+	// Count is their number, Used the resources of those whose specification is known.
+	Count int
+	Used  quetzalunit.Resources
+	// UnknownUse reports whether the specification of any of them is not known.
+	UnknownUse bool
 }
 
 // UnackedEnd is an end that is applied but not acknowledged. The acknowledgement must wait until
