Keep runs that a restarted minion may have started

What was seen: a simulated minion restarted under its id while an order to start was on its way. The new incarnation carried the order out, and the task ran on two minions at once (TWICE).

Cause: resetRestartedMinion ended all runs of the minion, also those whose order to start the new incarnation may have carried out, and the task was placed again at once.

Change: only runs that the earlier incarnation had reported end at once. The others stay active, and use their capacity, until the first report of the new incarnation: endUnreportedRuns ends those that it would show and does not, and an unanswered start is stopped again, since the new incarnation does not know of an earlier stop. If the minion stays silent they end after the longest lease that it grants.

Not covered: an order that is carried out seconds late, after the earlier incarnation accepted the stop of its run and the minion restarted. No row is left of such a run.

--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -133,3 +133,20 @@
 	f.run(20 * time.Second)
 	require.Empty(t, f.checker.violations)
 }
+
+// A minion restarts while orders to start are on their way, and its new incarnation carries them out.
+// They must not be given to other minions as well.
+func TestRestartedMinionMayCarryOutOrdersInFlight(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newFleet(seed, threeZones[:1], 2, 3, testConfig())
+		f.run(5 * time.Second)
+		for i := range 60 {
+			f.submit(f.entries[0], testStep(3))
+			f.run(50 * time.Millisecond)
+			if i%10 == 5 {
+				f.order[i/10%3].restart(resources(8000))
+			}
+		}
+		runAndVerify(t, f, 30*time.Second)
+	}
+}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -211,13 +211,27 @@
 }
 
 // resetRestartedMinion ends the runs of a minion's earlier incarnation and clears what this
-// process knew of it.
+// process knew of it. The new incarnation may have carried out the orders to start the runs that no
+// report has shown yet: these stay active until its first report shows whether they run.
 func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation) {
 	m := w.Minions.At(row)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has restarted.", Minion: m.ID, Pool: m.Pool, Version: int64(incarnation)})
-	endMinionRuns(w, row, "Restarted")
+	m.Untracked = quetzalwork.UntrackedRuns{}
+	for _, run := range slices.Clone(m.Runs) {
+		if r := w.Runs.At(run); r.Reported {
+			endRun(w, run, quetzalwork.OutcomeLapsed, "", "Restarted")
+		} else {
+			// The new incarnation knows of no order to stop that the earlier one accepted.
+			r.StopAnsweredAt = 0
+		}
+	}
 	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
-	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, 0, 0, false
+	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, 0, false
+	if len(m.Runs) > 0 {
+		// Their orders to start name a time of another clock as the end of the lease. The minion
+		// shortens it to the longest one.
+		m.LeaseEnd = m.Clock.Add(maxLeaseDuration(w))
+	}
 	schedulePoll(w, row, 0)
 }
 
@@ -409,6 +423,10 @@
 	if !m.Answered {
 		m.FirstAnsweredAt = w.Now
 	}
+	if !m.Answered && len(m.Runs) > 0 {
+		// The minion has restarted, see resetRestartedMinion.
+		m.LeaseEnd = clock.Add(maxLeaseDuration(w))
+	}
 	m.Answered, m.MissedAnswers = true, 0
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
 	m.LeaseEnd = max(m.LeaseEnd, clock)
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -45,7 +45,7 @@
 		if m == nil {
 			continue
 		}
-		if m.MissedAnswers > 0 && m.Answered && len(m.Runs) > 0 && w.Now > leaseExpiry(m) {
+		if m.MissedAnswers > 0 && len(m.Runs) > 0 && w.Now > leaseExpiry(m) {
 			expireMinionLease(w, row)
 			m = w.Minions.At(row)
 		}
