Give restarted minions no work before their record is read

What was seen: a simulated minion restarted under its id with a quarter of the capacity. Its answer to a poll showed the new incarnation before the list had its record, and it got tasks for the capacity of the earlier one: 8 cores of work on 2. Its labels and rack may differ as well.

Cause: a report of a later incarnation makes the minion usable at once, with the earlier record.

Change: RecordIncarnation names the incarnation that wrote the record. A minion whose report shows a later one is not usable until the record of that one is read. Records that name no incarnation are used as before.

Evidence: TestRestartedMinionGetsNoWorkBeforeItsRecordIsRead fails without the change (LIMIT: m0 to {8000 4000 0} of {2000 16000 0}) and passes with it. An order that is sent before any answer of the new incarnation cannot know of the restart: the checker counts the earlier capacity until then.

--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -150,3 +150,19 @@
 		runAndVerify(t, f, 30*time.Second)
 	}
 }
+
+// A minion restarts with less capacity. Its answer to a poll shows the new incarnation before the
+// list has a record of it.
+func TestRestartedMinionGetsNoWorkBeforeItsRecordIsRead(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newUnguardedFleet(seed, 2, 2)
+		for range 60 {
+			f.submit(f.entries[0], testStep(3))
+			f.run(50 * time.Millisecond)
+			if len(f.checker.specs) == 30 {
+				f.order[0].restart(resources(2000))
+			}
+		}
+		runAndVerify(t, f, 20*time.Second)
+	}
+}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -187,7 +187,7 @@
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion is draining.", Minion: r.ID, Pool: r.Pool, Age: r.DrainRemaining})
 	}
 	m.MinionRecord = *r
-	m.Incarnation, m.Listed = incarnation, true
+	m.Incarnation, m.RecordIncarnation, m.Listed = incarnation, r.Incarnation, true
 	p.NeedsPlacement = true
 }
 
@@ -401,7 +401,7 @@
 		removeRun(w, run)
 	}
 	*m = quetzalwork.Minion{
-		MinionRecord: m.MinionRecord, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowdown: 1,
+		MinionRecord: m.MinionRecord, RecordIncarnation: m.RecordIncarnation, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowdown: 1,
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -262,6 +262,10 @@
 		// The free capacity is not known, and the minion rejects nothing.
 		return false
 	}
+	if m.RecordIncarnation != 0 && m.RecordIncarnation < m.Incarnation {
+		// Capacity and labels of the present incarnation are not known.
+		return false
+	}
 	// A read of the duties that was sent after the minion joined shows that no successor as the
 	// pool's dispatcher has used the minion.
 	return m.Listed && m.Answered && !m.HostWithdrawn && !m.Replaced && w.Membership.ReadSentAt >= m.FirstSeenAt && m.MissedAnswers == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.FailureBackoffUntil && w.Now >= m.RejectionBackoffUntil
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -33,6 +33,9 @@
 	PoolRow Row
 	// FirstSeenAt is when this process first saw the minion.
 	FirstSeenAt quetzalunit.Instant
+	// RecordIncarnation is the incarnation that wrote the record, zero if the record names none. The
+	// minion itself may have reported a later one.
+	RecordIncarnation quetzalunit.MinionIncarnation
 	// Listed reports whether the minion is in the list. One that has left it gets no new runs.
 	Listed bool
 	// RemovedAt is when the minion left the list.
