Start nothing on outdated capacities

What was seen: simulated minions without a guard shrank from 8 to 2 cores while reads of the minion list had no answer, or while the store was away. The dispatcher went on starting tasks for 8 cores: in the first case as long as the reads of members were answered, in the second at once after the return of the store, before each minion had written its record.

Cause: a start needs a recent read of the duties and a renewal, but not a recent read of the list.

Change: in a pool without EnforcesCapacity, tasks start only if the last successful read of the list was sent within 2.5 s, and, after a longer gap (a standby's reads are 2.5 s apart and may be 3 s apart), only once a read was sent 1.7 s after the first answer, when each minion has had a beat. One lost answer is no gap. The first read of a process counts as one after a gap. Pools that enforce capacity are not affected.

--- a/quetzalcore/quetzalscheduler/capacity.go
+++ b/quetzalcore/quetzalscheduler/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
@@ -11,6 +12,42 @@
 // once a search has found no minion with enough capacity, the search is skipped for all other
 // steps of the same pass that need as much or more.
 
+// Minions of a pool without EnforcesCapacity start whatever they are ordered to start. Their records
+// must therefore show a capacity that has shrunk within 4.5 s.
+const (
+	// maxMinionListAge is the maximum age of the minion list for starts on such minions, and the
+	// longest gap between two reads that counts as no outage. It leaves time for a beat that the
+	// outage has delayed and for the next read.
+	maxMinionListAge = 2500 * time.Millisecond
+	// standbyListMargin is the margin on the period of a standby's reads before a gap counts as an
+	// outage.
+	standbyListMargin = 500 * time.Millisecond
+	// recordPeriod is the time between two beats of a minion, in which it writes its record, with a
+	// margin.
+	recordPeriod = 1700 * time.Millisecond
+)
+
+// recordListRead records a successful read of the minion list that followed the one before after the
+// planned delay or later. During a longer gap the store may have been unavailable to the minions, too:
+// each writes its record within recordPeriod after the first answer.
+func recordListRead(w *quetzalwork.World, planned time.Duration) {
+	l := &w.MinionList
+	if l.AnsweredAt == 0 || l.SentAt.Sub(l.ReadSentAt) > max(maxMinionListAge, planned+standbyListMargin) {
+		l.CurrentFrom = w.Now.Add(recordPeriod)
+	}
+	l.ReadSentAt = l.SentAt
+	for _, p := range w.Pools.All() {
+		p.NeedsPlacement = p.NeedsPlacement || !p.EnforcesCapacity
+	}
+}
+
+// capacitiesKnown reports whether the records of a pool's minions are recent enough for starts. A
+// minion that enforces its capacity rejects a start that exceeds it.
+func capacitiesKnown(w *quetzalwork.World, p *quetzalwork.Pool) bool {
+	l := &w.MinionList
+	return p.EnforcesCapacity || w.Now.Sub(l.ReadSentAt) <= maxMinionListAge && l.ReadSentAt >= l.CurrentFrom
+}
+
 // freeCapacity has the usable minions of a pool during one placement pass. Placement only reduces
 // their free capacity, so needs that did not fit once do not fit later in the same pass.
 type freeCapacity struct {
@@ -20,9 +57,13 @@
 	misfits []quetzalunit.Resources
 }
 
-// freeCapacityOf returns the free capacity of a pool's usable minions.
+// freeCapacityOf returns the free capacity of a pool's usable minions, none while their capacities are
+// not known.
 func freeCapacityOf(w *quetzalwork.World, p *quetzalwork.Pool) *freeCapacity {
 	fc := &freeCapacity{minions: make([]quetzalwork.Row, 0, len(p.Minions))}
+	if !capacitiesKnown(w, p) {
+		return fc
+	}
 	for _, row := range p.Minions {
 		if usable(w, w.Minions.At(row)) {
 			fc.minions = append(fc.minions, row)
--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -166,3 +166,37 @@
 		runAndVerify(t, f, 20*time.Second)
 	}
 }
+
+// The store answers the reads of members but not those of the minion list.
+func TestNoStartsOnAnOldMinionList(t *testing.T) {
+	f := newUnguardedFleet(1, 1, 2)
+	f.store.listDown = true
+	for _, m := range f.order {
+		m.resize(resources(2000))
+	}
+	for range 60 {
+		f.submit(f.entries[0], testStep(2))
+		f.run(200 * time.Millisecond)
+	}
+	f.store.listDown = false
+	runAndVerify(t, f, 60*time.Second)
+}
+
+// The capacities shrink during an outage of the store. The first reads after it return the records
+// from before, until each minion has written its own again.
+func TestCapacitiesThatShrankDuringAnOutageLimitStarts(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newUnguardedFleet(seed, 2, 2)
+		f.storeDown = true
+		for _, m := range f.order {
+			m.resize(resources(2000))
+		}
+		f.run(6 * time.Second)
+		f.storeDown = false
+		for range 40 {
+			f.submit(f.entries[0], testStep(3))
+			f.run(50 * time.Millisecond)
+		}
+		runAndVerify(t, f, 60*time.Second)
+	}
+}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -60,7 +60,7 @@
 		w.After(standbyListPeriod, quetzalwork.MinionListDue{})
 		return
 	}
-	w.MinionList.ReadInFlight = true
+	w.MinionList.ReadInFlight, w.MinionList.SentAt = true, w.Now
 	w.Emit(quetzalwork.ListMinions{SinceRevision: w.MinionList.SeenRevision})
 }
 
@@ -79,13 +79,16 @@
 func handleMinionList(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
 	l := &w.MinionList
 	l.ReadInFlight = false
-	w.After(minionListDelay(w), quetzalwork.MinionListDue{})
+	planned := l.Delay
+	l.Delay = minionListDelay(w)
+	w.After(l.Delay, quetzalwork.MinionListDue{})
 	if in.Result == quetzalwork.StoreCompacted {
 		l.SeenRevision = 0
 	}
 	if in.Result != quetzalwork.StoreDone {
 		return
 	}
+	recordListRead(w, planned)
 	l.AnsweredAt = w.Now
 	if l.KnownSince == 0 {
 		l.KnownSince = w.Now
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -273,6 +273,13 @@
 	ReadInFlight bool
 	// AnsweredAt is the instant of the last successful answer.
 	AnsweredAt quetzalunit.Instant
+	// SentAt is when the last read was sent, ReadSentAt when the last successful one was.
+	SentAt, ReadSentAt quetzalunit.Instant
+	// Delay is the delay that was set between the last answer and the next read.
+	Delay time.Duration
+	// CurrentFrom is the instant from which a read shows the present records: after a gap in the
+	// reads, the minions may not have been able to write theirs either.
+	CurrentFrom quetzalunit.Instant
 	// KnownSince is the instant of the first successful answer. Minions that left the list
 	// before it are not known.
 	KnownSince quetzalunit.Instant
