--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -200,3 +200,22 @@
 		runAndVerify(t, f, 60*time.Second)
 	}
 }
+
+// A minion's record becomes invalid for some seconds. The minion gets no new work meanwhile, and its
+// runs continue.
+func TestMinionWithoutAValidRecordKeepsItsRuns(t *testing.T) {
+	f := newUnguardedFleet(1, 2, 1)
+	m := f.order[0]
+	id := f.submit(f.entries[0], longStep(2))
+	f.run(time.Second)
+	require.Equal(t, 2, f.checker.running(id))
+	m.publish(true)
+	f.run(beat)
+	waiting := f.submit(f.entries[1], testStep(1))
+	f.run(10 * time.Second)
+	require.Zero(t, f.checker.running(waiting))
+	require.Equal(t, 2, f.checker.running(id))
+	m.publish(false)
+	runAndVerify(t, f, 5*time.Second)
+	require.Len(t, f.checker.records[quetzalwork.TaskID{Job: id}], 1, "the runs were not started again")
+}
