Plan shrunk hosts by their capacity

A pool that lacked 24 cores got two hosts of 4 cores, and no more until these had joined.

Cause: the plan counted each host with the mean capacity of the fleet's hosts.

Change: needsAllHosts uses the mean capacity of the pool's own usable hosts. Hosts that are moving to a pool count with the capacity that the list of hosts has of them, and a pass moves hosts until the missing capacity is covered. With hosts of one size both are what they were.

Evidence: TestPoolOfShrunkHostsKeepsWhatItNeeds (4 orders for 1) and TestShrunkHostsAreMovedByTheirCapacity (2 orders for 6) fail without the change and pass with it.

--- a/quetzalcore/quetzalscheduler/hostplan.go
+++ b/quetzalcore/quetzalscheduler/hostplan.go
@@ -14,9 +14,11 @@
 	// hosts is the number of hosts in the fleet, size their mean number of millicores.
 	hosts int
 	size  quetzalunit.MilliCores
-	// arriving is the number of hosts that are moving to each pool, leaving the number of those that
-	// are about to leave it for a move or a wave.
-	arriving, leaving map[quetzalunit.PoolID]int
+	// arriving is the capacity of the hosts that are moving to each pool. Hosts may differ in size, and
+	// that of a minion may shrink.
+	arriving map[quetzalunit.PoolID]quetzalunit.MilliCores
+	// leaving is the number of hosts that are about to leave each pool for a move or a wave.
+	leaving map[quetzalunit.PoolID]int
 	// inMaintenance are the hosts that waves have taken or are about to take.
 	inMaintenance map[quetzalunit.HostID]bool
 	// spare are the hosts of the spare pools that have not been considered yet.
@@ -30,7 +32,7 @@
 
 func newHostPlan(w *quetzalwork.World) *hostPlan {
 	plan := &hostPlan{
-		hosts: w.Hosts.Len(), arriving: make(map[quetzalunit.PoolID]int), leaving: make(map[quetzalunit.PoolID]int),
+		hosts: w.Hosts.Len(), arriving: make(map[quetzalunit.PoolID]quetzalunit.MilliCores), leaving: make(map[quetzalunit.PoolID]int),
 		inMaintenance: make(map[quetzalunit.HostID]bool), nextMovable: make(map[quetzalunit.PoolID]int),
 	}
 	for _, p := range w.Pools.All() {
@@ -45,7 +47,7 @@
 	}
 	plan.size = cores / quetzalunit.MilliCores(max(1, plan.hosts))
 	for _, m := range w.Moves.All() {
-		plan.arriving[m.To]++
+		plan.arriving[m.To] += plan.capacityOf(w, m.Host)
 		if p := w.Pools.At(w.PoolByID.Get(m.From)); p != nil && (!m.Accepted || p.LoadAt <= m.Since) {
 			plan.leaving[m.From]++
 		}
@@ -79,24 +81,31 @@
 	}
 }
 
-// missingHosts returns the number of hosts that a pool needs in addition to those that it has or
-// that are moving to it.
-func (plan *hostPlan) missingHosts(p *quetzalwork.Pool) int {
-	if plan.size == 0 {
-		return 0
+// capacityOf returns the capacity of a host, or the mean capacity if the host is not listed.
+func (plan *hostPlan) capacityOf(w *quetzalwork.World, id quetzalunit.HostID) quetzalunit.MilliCores {
+	if h := w.Hosts.At(w.HostByID.Get(id)); h != nil {
+		return h.Capacity.Cores
 	}
-	have := p.Load.Usable + quetzalunit.MilliCores(plan.arriving[p.ID])*plan.size
-	if p.Load.Wanted <= have {
+	return plan.size
+}
+
+// missingCapacity returns the capacity that a pool needs in addition to that of the hosts that it has
+// or that are moving to it.
+func (plan *hostPlan) missingCapacity(p *quetzalwork.Pool) quetzalunit.MilliCores {
+	if plan.size == 0 {
 		return 0
 	}
-	return int((p.Load.Wanted - have + plan.size - 1) / plan.size)
+	return max(0, p.Load.Wanted-p.Load.Usable-plan.arriving[p.ID])
 }
 
 // needsAllHosts reports whether a pool needs all hosts that it has. Hosts that are about to leave it
 // for a move or a wave do not count as its hosts.
 func (plan *hostPlan) needsAllHosts(p *quetzalwork.Pool) bool {
 	left := p.Load.UsableHosts - plan.leaving[p.ID] - 1
-	return left < minKeptHosts || quetzalunit.MilliCores(left)*plan.size < p.Load.Wanted || float64(left) < keptHostShare*plan.fairHostCount(p)
+	if left < minKeptHosts || float64(left) < keptHostShare*plan.fairHostCount(p) {
+		return true
+	}
+	return p.Load.Usable*quetzalunit.MilliCores(left) < p.Load.Wanted*quetzalunit.MilliCores(p.Load.UsableHosts)
 }
 
 // fairHostCount returns the number of the fleet's hosts that is proportional to a pool's mean
--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -219,3 +219,36 @@
 	runAndVerify(t, f, 5*time.Second)
 	require.Len(t, f.checker.records[quetzalwork.TaskID{Job: id}], 1, "the runs were not started again")
 }
+
+// The hosts of an idle pool have shrunk. They must not be given away as if they were full hosts.
+func TestPoolOfShrunkHostsKeepsWhatItNeeds(t *testing.T) {
+	var hosts []quetzalwork.Host
+	var idle []quetzalwork.MovableHost
+	for _, id := range []quetzalunit.HostID{"c1", "c2", "c3", "c4", "c5", "c6"} {
+		hosts = append(hosts, upHost(id, "calm"))
+		idle = append(idle, quetzalwork.MovableHost{Host: id, IdleFor: time.Second})
+	}
+	c := newHostController(t, append(hosts, upHost("b1", "busy")), quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{Wanted: 20000, Usable: 6 * 4000, MovableHosts: idle, UsableHosts: 6}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 10 * 32000, Usable: 32000, UsableHosts: 1}
+	c.run(2 * time.Second)
+	require.Len(t, c.orders, 1, "five hosts have the capacity that the pool wants")
+}
+
+// The only hosts that can be moved have shrunk. As many are moved as have the missing capacity.
+func TestShrunkHostsAreMovedByTheirCapacity(t *testing.T) {
+	hosts := []quetzalwork.Host{upHost("b1", "busy")}
+	for _, id := range []quetzalunit.HostID{"c1", "c2", "c3", "c4", "c5"} {
+		hosts = append(hosts, upHost(id, "calm"))
+	}
+	for _, id := range []quetzalunit.HostID{"s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8"} {
+		host := upHost(id, "off")
+		host.Capacity = resources(4000)
+		hosts = append(hosts, host)
+	}
+	c := newHostController(t, hosts, quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{Wanted: 5 * 32000, Usable: 5 * 32000, UsableHosts: 5}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 32000 + 24000, Usable: 32000, UsableHosts: 1}
+	c.run(2 * time.Second)
+	require.Len(t, c.orders, 6)
+}
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -87,7 +87,7 @@
 	pools := loadedPools(w)
 	for _, p := range pools {
 		moveLabeledHosts(w, plan, p, pools)
-		for range plan.missingHosts(p) {
+		for plan.missingCapacity(p) > 0 {
 			host, from := plan.findHostFor(w, p, pools, "")
 			if host == "" {
 				logShortage(w, plan, p)
@@ -119,8 +119,9 @@
 
 // logShortage logs that no host can be moved to a pool that needs one.
 func logShortage(w *quetzalwork.World, plan *hostPlan, p *quetzalwork.Pool) {
+	missing := (plan.missingCapacity(p) + plan.size - 1) / plan.size
 	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartHost, Message: "No host is available for the pool.", Pool: p.ID, Version: int64(plan.missingHosts(p)), Age: w.Now.Sub(p.LoadAt),
+		Part: quetzalwork.PartHost, Message: "No host is available for the pool.", Pool: p.ID, Version: int64(missing), Age: w.Now.Sub(p.LoadAt),
 		Reason: fmt.Sprintf("Wanted%dUsable%dHosts%d", p.Load.Wanted, p.Load.Usable, p.Load.UsableHosts), Routine: true,
 	})
 }
@@ -167,7 +168,7 @@
 func beginMove(w *quetzalwork.World, plan *hostPlan, host quetzalunit.HostID, from, to quetzalunit.PoolID, reason string) {
 	row := w.Moves.Insert(quetzalwork.HostMove{Host: host, From: from, To: to, Since: w.Now})
 	w.MoveByHost.Put(host, row)
-	plan.arriving[to]++
+	plan.arriving[to] += plan.capacityOf(w, host)
 	plan.leaving[from]++
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartHost, Message: "The host is being moved to another pool.", Host: host, Pool: to, Version: int64(w.HostController.Token), Reason: reason})
 	advanceMove(w, row)
