Ask for advice again when no permitted minion has room

What callers would see: a step of a queue with advice has tickets for minions that shrink below what its tasks need. It waits until the tickets expire, 30 s in the test, while other minions have room.

Cause: the advisor was asked only once the validity of the last answer had ended.

Change: an answer counts only while a task fits the capacity of a permitted minion that is listed and not draining. Minions that are merely full or in backoff cause no new request.

The simulated advisor, which did not exist before, permits every minion that is named.

--- a/quetzalcore/quetzalscheduler/advice.go
+++ b/quetzalcore/quetzalscheduler/advice.go
@@ -19,10 +19,22 @@
 )
 
 // needsAdvice reports whether the advisor must be asked before the step can be placed: its
-// queue requires advice, and the step has no valid answer.
+// queue requires advice, and the step has no valid answer that permits a minion that could run it.
 func needsAdvice(w *quetzalwork.World, s *quetzalwork.Step) bool {
 	q := w.Queues.At(w.QueueByID.Get(w.Jobs.At(s.Job).Queue))
-	return q != nil && q.Advice != nil && w.Now >= s.Advice.ValidUntil
+	return q != nil && q.Advice != nil && (w.Now >= s.Advice.ValidUntil || !fitsTicketed(w, s))
+}
+
+// fitsTicketed reports whether a task of a step fits on a minion for which the step has a ticket, now
+// or when other runs have ended. The minion may have shrunk or left since the advisor answered.
+func fitsTicketed(w *quetzalwork.World, s *quetzalwork.Step) bool {
+	for id := range s.Advice.Tickets {
+		m := w.Minions.At(w.MinionByID.Get(id))
+		if m != nil && m.Listed && !m.Replaced && !m.Draining && needsOf(s.Spec).FitsIn(m.Capacity) {
+			return true
+		}
+	}
+	return false
 }
 
 // requestAdvice asks the advisor which minions may run a step. It names up to maxAdviceMinions
--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -252,3 +252,21 @@
 	c.run(2 * time.Second)
 	require.Len(t, c.orders, 6)
 }
+
+// The only minion for which a step has a ticket shrinks, and another one grows. The step must not wait
+// until the advisor's answer expires.
+func TestAdviceIsRequestedAgainAfterMinionsHaveShrunk(t *testing.T) {
+	cfg := testConfig()
+	cfg.Queues[0].Advice = &quetzalwork.AdviceSpec{}
+	f := newFleet(1, threeZones[:1], 1, 2, cfg)
+	f.order[1].resize(resources(1000))
+	f.run(5 * time.Second)
+	f.submit(f.entries[0], longStep(4))
+	f.run(time.Second)
+	waiting := f.submit(f.entries[0], testStep(2))
+	f.run(time.Second)
+	require.Zero(t, f.checker.running(waiting))
+	f.order[0].resize(resources(1000))
+	f.order[1].resize(resources(8000))
+	runAndVerify(t, f, beat+3*time.Second)
+}
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -236,7 +236,13 @@
 	case quetzalwork.StopRun:
 		m := f.minions[c.Target.Minion]
 		e.order(m, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.StopAnswered{Run: c.Run, Result: r}) })
-	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.RequestAdvice, quetzalwork.ListHosts, quetzalwork.OrderHost:
+	case quetzalwork.RequestAdvice:
+		in := quetzalwork.AdviceAnswered{Step: c.Step, OK: true, ValidFor: 30 * time.Second, Tickets: make(map[quetzalunit.MinionID]quetzalunit.Ticket)}
+		for _, id := range c.Minions {
+			in.Tickets[id] = "ticket"
+		}
+		f.after(50*time.Millisecond, func() { post(in) })
+	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.ListHosts, quetzalwork.OrderHost:
 	default:
 		f.store.perform(e, c, post)
 	}
