Log changed capacities and gaps in the minion list

A pool whose minions have shrunk, or which waits for their records after an outage, showed only that no task was placed. A changed capacity is logged with its amounts, and the first read of the minion list after a gap with the length of the gap.

--- a/quetzalcore/quetzalscheduler/capacity.go
+++ b/quetzalcore/quetzalscheduler/capacity.go
@@ -32,8 +32,11 @@
 // each writes its record within recordPeriod after the first answer.
 func recordListRead(w *quetzalwork.World, planned time.Duration) {
 	l := &w.MinionList
-	if l.AnsweredAt == 0 || l.SentAt.Sub(l.ReadSentAt) > max(maxMinionListAge, planned+standbyListMargin) {
+	if gap := l.SentAt.Sub(l.ReadSentAt); l.AnsweredAt == 0 || gap > max(maxMinionListAge, planned+standbyListMargin) {
 		l.CurrentFrom = w.Now.Add(recordPeriod)
+		if l.AnsweredAt != 0 {
+			w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The minion list can be read again. Minions that do not enforce their capacity get no work before their next records.", Age: gap})
+		}
 	}
 	l.ReadSentAt = l.SentAt
 	for _, p := range w.Pools.All() {
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -189,6 +190,12 @@
 	if r.Draining && !m.Draining && p.Held {
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion is draining.", Minion: r.ID, Pool: r.Pool, Age: r.DrainRemaining})
 	}
+	if r.Capacity != m.Capacity && p.Held {
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartMinion, Message: "The minion's capacity has changed.", Minion: r.ID, Pool: r.Pool,
+			Reason: fmt.Sprintf("Cores%dMemory%dAccelerators%d", r.Capacity.Cores, r.Capacity.Memory, r.Capacity.Accelerators),
+		})
+	}
 	m.MinionRecord = *r
 	m.Incarnation, m.RecordIncarnation, m.Listed = incarnation, r.Incarnation, true
 	p.NeedsPlacement = true
