--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -39,6 +39,8 @@
 	answers map[quetzalunit.JobID][]quetzalwork.Answer
 	callers map[quetzalunit.CallerID]quetzalunit.JobID
 	lastID  int
+	// shortLived are long-running jobs that are cancelled.
+	shortLived []quetzalunit.JobID
 	// runTime returns the run time of a task on a healthy minion. If nil, it is random around the
 	// task's estimate.
 	runTime func(quetzalwork.TaskID) time.Duration
