Merge starts and plans for minions whose capacity changes

The users' new rule: a minion's capacity may shrink and grow while it runs, and a start must not bring a minion that does not guard its capacity over it (LIMIT).

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -63,7 +64,7 @@
 		w.After(standbyListPeriod, quetzalwork.MinionListDue{})
 		return
 	}
-	w.MinionList.ReadInFlight = true
+	w.MinionList.ReadInFlight, w.MinionList.SentAt = true, w.Now
 	w.Emit(quetzalwork.ListMinions{SinceRevision: w.MinionList.SeenRevision})
 }
 
@@ -82,13 +83,16 @@
 func handleMinionList(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
 	l := &w.MinionList
 	l.ReadInFlight = false
-	w.After(minionListDelay(w), quetzalwork.MinionListDue{})
+	planned := l.Delay
+	l.Delay = minionListDelay(w)
+	w.After(l.Delay, quetzalwork.MinionListDue{})
 	if in.Result == quetzalwork.StoreCompacted {
 		l.SeenRevision = 0
 	}
 	if in.Result != quetzalwork.StoreDone {
 		return
 	}
+	recordListRead(w, planned)
 	l.AnsweredAt = w.Now
 	if l.KnownSince == 0 {
 		l.KnownSince = w.Now
@@ -189,8 +193,14 @@
 	if r.Draining && !m.Draining && p.Held {
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion is draining.", Minion: r.ID, Pool: r.Pool, Age: r.DrainRemaining})
 	}
+	if r.Capacity != m.Capacity && p.Held {
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartMinion, Message: "The minion's capacity has changed.", Minion: r.ID, Pool: r.Pool,
+			Reason: fmt.Sprintf("Cores%dMemory%dAccelerators%d", r.Capacity.Cores, r.Capacity.Memory, r.Capacity.Accelerators),
+		})
+	}
 	m.MinionRecord = *r
-	m.Incarnation, m.Listed = incarnation, true
+	m.Incarnation, m.RecordIncarnation, m.Listed = incarnation, r.Incarnation, true
 	p.NeedsPlacement = true
 }
 
@@ -214,13 +224,27 @@
 }
 
 // resetRestartedMinion ends the runs of a minion's earlier incarnation and clears what this
-// process knew of it.
+// process knew of it. The new incarnation may have carried out the orders to start the runs that no
+// report has shown yet: these stay active until its first report shows whether they run.
 func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation) {
 	m := w.Minions.At(row)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has restarted.", Minion: m.ID, Pool: m.Pool, Version: int64(incarnation)})
-	endMinionRuns(w, row, "Restarted")
+	m.Untracked = quetzalwork.UntrackedRuns{}
+	for _, run := range slices.Clone(m.Runs) {
+		if r := w.Runs.At(run); r.Reported {
+			endRun(w, run, quetzalwork.OutcomeLapsed, "", "Restarted")
+		} else {
+			// The new incarnation knows of no order to stop that the earlier one accepted.
+			r.StopAnsweredAt = 0
+		}
+	}
 	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
-	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, 0, 0, false
+	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, 0, false
+	if len(m.Runs) > 0 {
+		// Their orders to start name a time of another clock as the end of the lease. The minion
+		// shortens it to the longest one.
+		m.LeaseEnd = m.Clock.Add(maxLeaseDuration(w))
+	}
 	schedulePoll(w, row, 0)
 }
 
@@ -228,6 +252,7 @@
 // continues.
 func endMinionRuns(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	m := w.Minions.At(row)
+	m.Untracked = quetzalwork.UntrackedRuns{}
 	for _, run := range slices.Clone(m.Runs) {
 		endRun(w, run, quetzalwork.OutcomeLapsed, "", reason)
 	}
@@ -363,7 +388,7 @@
 	}
 }
 
-// scheduleNextPoll schedules the next poll of a minion: soon if it missed a poll or has active runs or
+// scheduleNextPoll schedules the next poll of a minion: soon if it missed a poll, has runs or has
 // unacknowledged ends, otherwise after clockReadPeriod. It deletes a minion that has left the list and is
 // no longer needed.
 func scheduleNextPoll(w *quetzalwork.World, row quetzalwork.Row) {
@@ -377,7 +402,7 @@
 		schedulePoll(w, row, pollRetryDelay*time.Duration(min(m.MissedAnswers, 4)))
 	case len(m.UnackedEnds) > 0:
 		schedulePoll(w, row, ackPollDelay)
-	case len(m.Runs) > 0:
+	case len(m.Runs) > 0 || m.Untracked.Count > 0:
 		schedulePoll(w, row, 0)
 	case !m.Listed && w.Now.Sub(m.RemovedAt) > removedMinionRetention:
 		deleteMinion(w, row)
@@ -394,7 +419,7 @@
 		removeRun(w, run)
 	}
 	*m = quetzalwork.Minion{
-		MinionRecord: m.MinionRecord, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowdown: 1,
+		MinionRecord: m.MinionRecord, RecordIncarnation: m.RecordIncarnation, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowdown: 1,
 	}
 }
 
@@ -417,6 +442,10 @@
 	if !m.Answered {
 		// The minion may have a lease of the predecessor, whose token it has accepted until now.
 		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(leaseDuration))
+		if len(m.Runs) > 0 {
+			// The minion has restarted, see resetRestartedMinion.
+			m.LeaseEnd = clock.Add(maxLeaseDuration(w))
+		}
 	}
 	m.Answered, m.MissedAnswers = true, 0
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
@@ -431,16 +460,33 @@
 		}
 	}
 	reported := make(map[quetzalwork.Row]bool, len(in.Running))
+	p.NeedsPlacement = p.NeedsPlacement || m.Untracked.Count > 0
+	m.Untracked = quetzalwork.UntrackedRuns{}
 	for i := range in.Running {
 		run, known := applyReportedRun(w, in.Minion, &in.Running[i])
 		unknown = unknown || !known
 		reported[run] = true
+		if run == 0 {
+			addUntrackedRun(w, m, &in.Running[i])
+		}
 	}
 	endUnreportedRuns(w, in, reported)
 	trackUnknownWork(w, in.Minion, unknown)
 	ackEnds(w, p)
 }
 
+// addUntrackedRun adds a reported run without a row in the table of runs to a minion's Untracked.
+func addUntrackedRun(w *quetzalwork.World, m *quetzalwork.Minion, reported *quetzalwork.ReportedRun) {
+	u := &m.Untracked
+	u.Count++
+	j := w.Jobs.At(w.JobByID.Get(reported.Task.Job))
+	if step := int(reported.Task.Step); j != nil && j.Spec != nil && step >= 0 && step < len(j.Spec.Steps) {
+		u.Used = u.Used.Plus(needsOf(&j.Spec.Steps[step]))
+		return
+	}
+	u.UnknownUse = true
+}
+
 // trackUnknownWork records since when a minion has reported runs or ends of unknown jobs, and
 // reads the pool's rows to find these jobs.
 func trackUnknownWork(w *quetzalwork.World, row quetzalwork.Row, unknown bool) {
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -32,11 +32,15 @@
 	// without an answer.
 	storeDown               bool
 	loseAnswers, lateOrders float64
-	checker                 checker
+	// unguarded makes the minions start whatever they are ordered to start.
+	unguarded bool
+	checker   checker
 	// answers are the answers that callers received, by job.
 	answers map[quetzalunit.JobID][]quetzalwork.Answer
 	callers map[quetzalunit.CallerID]quetzalunit.JobID
 	lastID  int
+	// shortLived are long-running jobs that are cancelled.
+	shortLived []quetzalunit.JobID
 	// runTime returns the run time of a task on a healthy minion. If nil, it is random around the
 	// task's estimate.
 	runTime func(quetzalwork.TaskID) time.Duration
@@ -234,7 +238,13 @@
 	case quetzalwork.StopRun:
 		m := f.minions[c.Target.Minion]
 		e.order(m, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.StopAnswered{Run: c.Run, Result: r}) })
-	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.RequestAdvice, quetzalwork.ListHosts, quetzalwork.OrderHost:
+	case quetzalwork.RequestAdvice:
+		in := quetzalwork.AdviceAnswered{Step: c.Step, OK: true, ValidFor: 30 * time.Second, Tickets: make(map[quetzalunit.MinionID]quetzalunit.Ticket)}
+		for _, id := range c.Minions {
+			in.Tickets[id] = "ticket"
+		}
+		f.after(50*time.Millisecond, func() { post(in) })
+	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.ListHosts, quetzalwork.OrderHost:
 	default:
 		f.store.perform(e, c, post)
 	}
