Give up tasks that crash the minions that start them

Cause: the end of a run by the crash of its minion counted as nothing, and the task went to the next minion at once. While the crashed minion was silent, the run also looked like a straggler, so that a copy crashed another one.

Change: crashes count against tasks and are stored with the job's progress, so that a successor knows them (Progress.Crashes, optional in WorkProgressDoc; rows without it decode, earlier code ignores it). Only the proof by a later process counts: a higher incarnation, a later minion on the host in the same pool, or the answer that another process is at the address; not silence, not the end of a draining minion, and not that of a host that was ordered away or cordoned after the start. Runs whose lease expired before the proof are remembered for it. A task is given up, and its job fails, - after two crashes if the last minion ran nothing else, fell silent within a second of the start, and no other busy minion can have crashed at the same time, - after three if its run was among the latest on the minion, - after four in any case; for long-running tasks, crashes count only within a second of the start, and never once a run has survived that second. A likely cause starts again on a minion without runs if one is free within a second, and the minion takes no other run in the first second of it. At most a third of a pool is reserved so, except for tasks with two crashes. A task with a crash is not copied; a run whose minion fell silent within 250 ms of the start is not either, and before the first proof there is one copy at most.

The simulated fleet has minions that restart, under the same ID or a new one; they reject orders to an earlier process.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -78,13 +78,33 @@
 		}
 		p.Done = append(p.Done, decodeTaskRef(n))
 	}
-	for _, n := range d.Failures {
+	var err error
+	if p.Failures, err = decodeTaskFailures("Failures", d.Failures); err != nil {
+		return quetzalwork.JobProgress{}, err
+	}
+	if p.Crashes, err = decodeTaskFailures("Crashes", d.Crashes); err != nil {
+		return quetzalwork.JobProgress{}, err
+	}
+	return quetzalwork.JobProgress{Progress: p}, nil
+}
+
+func decodeTaskFailures(field string, rows [][]int) ([]quetzalwork.TaskFailure, error) {
+	var failures []quetzalwork.TaskFailure
+	for _, n := range rows {
 		if len(n) != taskRefLength+1 {
-			return quetzalwork.JobProgress{}, &FieldError{Field: "Failures", Problem: "row does not have 4 integers"}
+			return nil, &FieldError{Field: field, Problem: "row does not have 4 integers"}
 		}
-		p.Failures = append(p.Failures, quetzalwork.TaskFailure{TaskRef: decodeTaskRef(n), Run: quetzalunit.RunNumber(n[taskRefLength])})
+		failures = append(failures, quetzalwork.TaskFailure{TaskRef: decodeTaskRef(n), Run: quetzalunit.RunNumber(n[taskRefLength])})
 	}
-	return quetzalwork.JobProgress{Progress: p}, nil
+	return failures, nil
+}
+
+func encodeTaskFailures(failures []quetzalwork.TaskFailure) [][]int {
+	var rows [][]int
+	for _, f := range failures {
+		rows = append(rows, append(encodeTaskRef(f.TaskRef), int(f.Run)))
+	}
+	return rows
 }
 
 func decodeTaskRef(n []int) quetzalwork.TaskRef {
@@ -109,9 +129,7 @@
 	for _, r := range p.Done {
 		d.Done = append(d.Done, encodeTaskRef(r))
 	}
-	for _, f := range p.Failures {
-		d.Failures = append(d.Failures, append(encodeTaskRef(f.TaskRef), int(f.Run)))
-	}
+	d.Failures, d.Crashes = encodeTaskFailures(p.Failures), encodeTaskFailures(p.Crashes)
 	return d
 }
 
--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
@@ -33,6 +34,8 @@
 	acknowledged bool
 	// leaseExpired is true if the minion's lease expired after the run had ended.
 	leaseExpired bool
+	// crashed is true if the minion went down under the run.
+	crashed bool
 }
 
 // submitted records a job that is sent to an entry.
@@ -87,6 +90,9 @@
 	if failed >= 3 {
 		c.violationf("BUDGET: %v run %d after %d failures", t, run, failed)
 	}
+	if n := c.startsAfterCrashes(t) + 1; c.f.deadly[t.Job] && n >= maxDeadlyStarts {
+		c.violationf("BUDGET: %v run %d is start %d after three minions had crashed under it", t, run, n)
+	}
 	for _, dependency := range c.step(t).DependsOn {
 		for n := range c.specs[t.Job].Steps[dependency].TaskCount {
 			if !c.isDone(quetzalwork.TaskID{Job: t.Job, TaskRef: quetzalwork.TaskRef{Step: dependency, Task: quetzalunit.TaskIndex(n)}}) {
@@ -98,6 +104,32 @@
 	return r
 }
 
+// maxDeadlyStarts is the number of starts, after the crash of three minions under a task that
+// crashes each of them, from which on the task has been started too often.
+const maxDeadlyStarts = 3
+
+// startsAfterCrashes returns how often a task has been started since the third minion crashed under
+// it.
+func (c *checker) startsAfterCrashes(t quetzalwork.TaskID) int {
+	var crashes []quetzalunit.Instant
+	for _, r := range c.records[t] {
+		if r.crashed {
+			crashes = append(crashes, r.endedAt)
+		}
+	}
+	if len(crashes) < 3 {
+		return 0
+	}
+	slices.Sort(crashes)
+	n := 0
+	for _, r := range c.records[t] {
+		if r.startedAt > crashes[2] {
+			n++
+		}
+	}
+	return n
+}
+
 // isDone reports whether a run of a task has ended as done.
 func (c *checker) isDone(t quetzalwork.TaskID) bool {
 	for _, r := range c.records[t] {
@@ -113,6 +145,7 @@
 	r.over, r.endedAt = true, c.f.now
 	if cause != "" {
 		r.end = quetzalwork.OutcomeLapsed
+		r.crashed = true
 	}
 }
 
@@ -159,10 +192,17 @@
 	return n
 }
 
-// unfinished returns the accepted jobs with a task that is not done, except for long-running jobs.
+// unfinished returns the accepted jobs with a task that is not done, except for long-running jobs,
+// and those whose tasks crash their minions and that are not stored as failed.
 func (c *checker) unfinished() []quetzalunit.JobID {
 	var ids []quetzalunit.JobID
 	for id := range c.accepted {
+		if c.f.deadly[id] {
+			if c.f.storedState(id) != quetzalwork.JobFailed {
+				ids = append(ids, id)
+			}
+			continue
+		}
 		if c.specs[id].Steps[0].LongRunning {
 			continue
 		}
@@ -179,6 +219,15 @@
 	return ids
 }
 
+// storedState returns the state in the stored progress of a job, JobQueued if there is none.
+func (f *fleet) storedState(id quetzalunit.JobID) quetzalwork.JobState {
+	key := quetzalwork.JobRow{Job: id, Content: quetzalwork.JobProgress{}}
+	if row, ok := f.store.rows[rowKey(&key)]; ok {
+		return row.Content.(quetzalwork.JobProgress).Progress.State
+	}
+	return quetzalwork.JobQueued
+}
+
 // explain describes the dispatcher's state of a job and its pool, for the message of a failed test.
 func (f *fleet) explain(id quetzalunit.JobID) string {
 	h := f.holder()
--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -18,6 +18,7 @@
 //	progress.go     storing of jobs' progress, acknowledgement of ended runs
 //	minion.go       list of minions, leases, runs that minions report
 //	run.go          start, stop and end of runs
+//	crash.go        tasks that crash the minions that start them
 //	rank.go         order of the ready steps
 //	place.go        choice of a minion for each task
 //	capacity.go     free capacity of a pool's minions during one placement pass
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -265,6 +265,9 @@
 	failing      bool
 	slowdown     float64
 	waitingPolls []func()
+	// successor is the minion under whose ID the host's next process runs; nil while this one is the
+	// last.
+	successor *minion
 }
 
 // fakeRun is an active run on a simulated minion.
@@ -317,6 +320,40 @@
 	clear(m.runs)
 }
 
+// crash stops the minion as kill does. It is back after 2 to 3 s, or after the fleet's downtime. After
+// a while it leaves the list until then.
+func (m *minion) crash() {
+	m.kill()
+	m.f.after(3500*time.Millisecond, func() {
+		if !m.up {
+			m.publish(true)
+		}
+	})
+	downtime := m.f.downtime
+	if downtime == 0 {
+		downtime = 2*time.Second + time.Duration(m.f.rng.Int64N(int64(time.Second)))
+	}
+	m.f.after(downtime, m.restart)
+}
+
+// restart starts a later process of a minion that is down. It has the same ID, or a new one on the
+// same host.
+func (m *minion) restart() {
+	next := m
+	if m.f.newIDs {
+		next = m.f.addMinion(m.zone, 0)
+		m.successor = next
+		next.record.Rack, next.record.Host, next.record.Incarnation = m.record.Rack, m.record.Host, m.record.Incarnation
+		m.publish(true)
+	}
+	next.record.Incarnation++
+	next.record.Draining = false
+	next.up, next.token, next.lease, next.lastEnd = true, 0, 0, 0
+	next.ends, next.waitingPolls = nil, nil
+	clear(next.endedThrough)
+	next.publish(false)
+}
+
 // extendLease extends the lease and schedules the end of all runs at its expiry, unless it has
 // been extended again by then.
 func (m *minion) extendLease(to quetzalunit.MinionTime) {
@@ -327,8 +364,9 @@
 		m.f.checker.leaseExpired(m.record.ID)
 	}
 	m.lease = to
+	incarnation := m.record.Incarnation
 	m.f.after(time.Duration(to-m.clock()+1)*time.Millisecond, func() {
-		if m.up && m.clock() > m.lease {
+		if m.up && m.record.Incarnation == incarnation && m.clock() > m.lease {
 			for _, name := range m.runningTasks() {
 				m.end(name, quetzalwork.OutcomeLapsed)
 			}
@@ -363,6 +401,14 @@
 	}
 	run := &fakeRun{number: c.Number, needs: needs, record: m.f.checker.started(c.Task, c.Number, m.record.ID)}
 	m.runs[c.Task] = run
+	if m.f.deadly[c.Task.Job] {
+		m.f.after(10*time.Millisecond, func() {
+			if m.up && m.runs[c.Task] == run {
+				m.crash()
+			}
+		})
+		return quetzalwork.OrderAccepted{Clock: clock}
+	}
 	spec := m.f.checker.step(c.Task)
 	if spec.LongRunning {
 		return quetzalwork.OrderAccepted{Clock: clock}
@@ -421,10 +467,14 @@
 // poll serves a poll, which also extends the lease. If the command allows a wait and there is no
 // end to report, the answer is delayed until a run ends or the wait is over.
 func (m *minion) poll(from quetzalunit.ZoneID, c quetzalwork.PollMinion, post func(quetzalwork.Input)) func() {
+	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
+	if m.successor != nil {
+		in.Result = quetzalwork.OrderMisdirected{}
+		return func() { post(in) }
+	}
 	if !m.up {
 		return nil
 	}
-	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
 	if c.Target.Token < m.token {
 		in.Result = quetzalwork.OrderFenced{}
 		return func() { post(in) }
--- a/quetzalcore/quetzalscheduler/guarantee_test.go
+++ b/quetzalcore/quetzalscheduler/guarantee_test.go
@@ -219,9 +219,10 @@
 		f := newFleet(seed, threeZones, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(3, 9).Draw(t, "minions"), testConfig())
 		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
 		f.store.pageSize = rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "page")
+		f.newIDs = rapid.Bool().Draw(t, "new IDs")
 		f.run(3 * time.Second)
 		rng := rand.New(rand.NewPCG(seed, 2))
-		faults := rapid.SliceOfN(rapid.IntRange(0, 8), 1, 6).Draw(t, "faults")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 6).Draw(t, "faults")
 		longRunning := testStep(3)
 		longRunning.LongRunning, longRunning.MaxUnavailable, longRunning.MaxPerMinion = true, 1, 2
 		longRunningJob := f.submit(f.entries[0], longRunning)
@@ -252,7 +253,7 @@
 	})
 }
 
-// injectFault starts one of the faults 0 to 8. Faults with a duration end by themselves; a killed
+// injectFault starts one of the faults 0 to 9. Faults with a duration end by themselves; a killed
 // minion is replaced by a new one.
 func injectFault(f *fleet, rng *rand.Rand, fault, i int) {
 	e := f.entries[rng.IntN(len(f.entries))]
@@ -296,6 +297,10 @@
 				break
 			}
 		}
+	case 9:
+		step := testStep(1)
+		step.Speculative = rng.IntN(2) == 0
+		f.submitDeadly(f.entries[rng.IntN(len(f.entries))], step)
 	case 8:
 		f.store.compactedThrough = f.store.revision
 	case 7:
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -111,6 +111,11 @@
 			t.Failures++
 		}
 	}
+	for _, c := range j.Progress.Crashes {
+		if c.Occurrence == occurrence {
+			countCrash(w, row, c.TaskRef)
+		}
+	}
 	for _, ref := range slices.Clone(j.Progress.Done) {
 		if ref.Occurrence == occurrence {
 			if task := findTask(w, row, ref); task != 0 {
@@ -291,7 +296,7 @@
 	}
 	deleteSteps(w, row)
 	j.Spec = nil
-	j.Progress.Done, j.Progress.Failures = nil, nil
+	j.Progress.Done, j.Progress.Failures, j.Progress.Crashes = nil, nil, nil
 }
 
 // deleteSteps deletes the steps of a job with their tasks and runs.
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -206,7 +206,12 @@
 			continue
 		}
 		m.Replaced, m.UnackedEnds = true, nil
-		endMinionRuns(w, row, "Replaced")
+		if m.Pool == r.Pool {
+			endCrashedRuns(w, row, "Replaced")
+		} else {
+			// The host has moved to another pool.
+			endMinionRuns(w, row, "Replaced")
+		}
 	}
 }
 
@@ -215,7 +220,7 @@
 func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation) {
 	m := w.Minions.At(row)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has restarted.", Minion: m.ID, Pool: m.Pool, Version: int64(incarnation)})
-	endMinionRuns(w, row, "Restarted")
+	endCrashedRuns(w, row, "Restarted")
 	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
 	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, 0, 0, false
 	schedulePoll(w, row, 0)
@@ -292,7 +297,7 @@
 			c.LeaseEnd = grantLease(w, m)
 		}
 		if len(m.UnackedEnds) == 0 {
-			c.Wait = pollWait
+			c.Wait = min(pollWait, isolationLeft(w, m))
 		}
 	}
 	w.Emit(c)
@@ -338,7 +343,7 @@
 		endDispatch(w, m.PoolRow, "Fenced")
 		return
 	case quetzalwork.OrderMisdirected:
-		endMinionRuns(w, in.Minion, "Astray")
+		endCrashedRuns(w, in.Minion, "Astray")
 		m.UnackedEnds = nil
 		recordMissedPoll(w, in.Minion, "Astray")
 	default:
@@ -354,6 +359,7 @@
 	m := w.Minions.At(row)
 	m.MissedAnswers++
 	if m.MissedAnswers == 1 {
+		recordSilence(w, m)
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion does not answer.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.LastAnsweredAt), Reason: reason})
 	}
 }
@@ -365,7 +371,7 @@
 	switch {
 	case m.Replaced:
 		// A later minion has replaced it on the host.
-	case m.MissedAnswers > 0 && !m.Listed && len(m.Runs) == 0 && (m.Answered || w.Now > w.Pools.At(m.PoolRow).PredecessorLeasesEnd):
+	case m.MissedAnswers > 0 && !m.Listed && len(m.Runs) == 0 && !mayProveCrash(w, m) && (m.Answered || w.Now > w.Pools.At(m.PoolRow).PredecessorLeasesEnd):
 		deleteMinion(w, row)
 	case m.MissedAnswers > 0:
 		schedulePoll(w, row, pollRetryDelay*time.Duration(min(m.MissedAnswers, 4)))
@@ -408,7 +414,7 @@
 	if !m.Answered {
 		m.FirstAnsweredAt = w.Now
 	}
-	m.Answered, m.MissedAnswers = true, 0
+	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
 	m.LeaseEnd = max(m.LeaseEnd, clock)
 	unknown := false
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -25,6 +25,9 @@
 	// minion's rack.
 	unsharedPenalty = 1.0
 	rackPenalty     = 0.7
+	// sharedPenalty is added to the score of a minion for each of its runs when a suspect task is
+	// placed. It outweighs the other penalties.
+	sharedPenalty = 100.0
 	// slowdownPenalty times the slowdown is added to the score of a minion above
 	// slowdownThreshold.
 	slowdownPenalty = 2.0
@@ -109,9 +112,15 @@
 	if s == nil || pass.predecessorWorkUnknown && pass.w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(pass.pool.Token) {
 		return
 	}
-	if at := placeStep(pass.w, pass.pool, pass.fc, row); at != 0 && (pass.retryAt == 0 || at < pass.retryAt) {
-		pass.retryAt = at
+	pass.retryAt = earliest(pass.retryAt, placeStep(pass.w, pass.pool, pass.fc, row))
+}
+
+// earliest returns the earlier of two instants, of which zero ones do not count.
+func earliest(a, b quetzalunit.Instant) quetzalunit.Instant {
+	if a == 0 || b == 0 {
+		return max(a, b)
 	}
+	return min(a, b)
 }
 
 // placeLateSteps places the late steps for which there is room.
@@ -191,15 +200,17 @@
 			continue
 		}
 		if t.NotBefore > w.Now {
-			if retryAt == 0 || t.NotBefore < retryAt {
-				retryAt = t.NotBefore
-			}
+			retryAt = earliest(retryAt, t.NotBefore)
 			continue
 		}
 		minion := chooseMinion(w, fc, s, t, nil)
 		if minion == 0 {
 			break
 		}
+		if at := isolationWait(w, p, t, minion); at != 0 {
+			retryAt = earliest(retryAt, at)
+			continue
+		}
 		startRun(w, taskRow, minion, ticketFor(w, s, minion), 0)
 	}
 	return retryAt
@@ -239,7 +250,7 @@
 		for range reserved[row] {
 			free = free.Minus(needs)
 		}
-		if !needs.FitsIn(free) {
+		if m.IsolatedRun != 0 || !needs.FitsIn(free) {
 			continue
 		}
 		fits = true
@@ -288,6 +299,9 @@
 	if t.AvoidMinion == row {
 		score += avoidPenalty
 	}
+	if t.Suspect && !s.Spec.Gang {
+		score += sharedPenalty * float64(len(m.Runs))
+	}
 	if m.Slowdown > slowdownThreshold {
 		score += slowdownPenalty * m.Slowdown
 	}
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// mergeProgress merges stored progress into a job. Completed tasks and failed runs are only
-// ever added, so the result does not depend on the order of the writers.
+// mergeProgress merges stored progress into a job. Completed tasks, failed runs and crashes are
+// only ever added, so the result does not depend on the order of the writers.
 func mergeProgress(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, stored *quetzalwork.Progress) {
 	j := w.Jobs.At(row)
 	if revision <= j.ProgressRevision {
@@ -161,6 +161,10 @@
 		j.Started = true
 		recordFailure(w, row, f)
 	}
+	for _, c := range stored.Crashes {
+		j.Started = true
+		recordCrash(w, row, c)
+	}
 }
 
 // recordFailure records a failed run of a task. It returns false if the run is recorded already.
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -87,13 +87,14 @@
 }
 
 // progressRow returns the progress row to store. The row of a job in a final state has no list
-// of done tasks and failures.
+// of done tasks, failures and crashes.
 func progressRow(j *quetzalwork.Job) quetzalwork.JobRow {
 	progress := quetzalwork.Progress{State: j.Progress.State}
 	if !progress.State.Final() {
 		progress.State = quetzalwork.JobRunning
 		progress.Done = slices.Clone(j.Progress.Done)
 		progress.Failures = slices.Clone(j.Progress.Failures)
+		progress.Crashes = slices.Clone(j.Progress.Crashes)
 	}
 	return quetzalwork.JobRow{Job: j.ID, Revision: j.ProgressRevision, Content: quetzalwork.JobProgress{Progress: progress}}
 }
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -48,6 +48,10 @@
 	row := addRun(w, taskRow, minionRow, quetzalwork.Run{
 		Number: number, State: quetzalwork.RunStarting, StartedAt: w.Now, StartDeadline: lease, Pace: 100,
 	})
+	t.IsolationDeadline = 0
+	if t.Suspect && !s.Spec.Gang && mayIsolate(w, p, t) {
+		m.IsolatedRun = row
+	}
 	w.Emit(quetzalwork.StartRun{
 		Run: row, Target: targetOf(w, m), Task: taskName(w, t), Number: number, Payload: j.Spec.Payload, LeaseEnd: lease,
 		Checkpoint: t.Checkpoint, Ticket: ticket,
@@ -115,6 +119,9 @@
 		m.Runs = slices.DeleteFunc(m.Runs, isRow)
 		m.Used = m.Used.Minus(r.Resources)
 		m.IdleSince = w.Now
+		if m.IsolatedRun == row {
+			m.IsolatedRun = 0
+		}
 		w.Pools.At(m.PoolRow).NeedsPlacement = true
 	}
 	if s.Spec.MaxPerMinion > 0 {
@@ -342,6 +349,9 @@
 		r.State, r.AnsweredAt = quetzalwork.RunStarted, w.Now
 	}
 	r.Reported = true
+	if w.Now.Sub(r.StartedAt) >= crashWindow {
+		markStartSurvived(w, row)
+	}
 	if reported.Percent != r.Percent {
 		r.Percent, r.ChangedAt = reported.Percent, w.Now
 	}
@@ -424,6 +434,9 @@
 		w.Timers.Push(m.RejectionBackoffUntil, quetzalwork.PlacementDue{Pool: m.PoolRow})
 		rejectRun(w, in.Run, "Refused")
 	case quetzalwork.OrderMisdirected:
+		if m.MissedAnswers == 0 {
+			recordSilence(w, m)
+		}
 		m.MissedAnswers++
 		schedulePoll(w, r.Minion, pollRetryDelay)
 		rejectRun(w, in.Run, "Astray")
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -33,6 +33,12 @@
 	storeDown               bool
 	loseAnswers, lateOrders float64
 	checker                 checker
+	// deadly are the jobs whose tasks crash each minion 10 ms after it has started them. downtime is
+	// how long a minion is down after a crash; if zero, 2 to 3 s. newIDs makes minions restart under a
+	// new ID.
+	deadly   map[quetzalunit.JobID]bool
+	downtime time.Duration
+	newIDs   bool
 	// answers are the answers that callers received, by job.
 	answers map[quetzalunit.JobID][]quetzalwork.Answer
 	callers map[quetzalunit.CallerID]quetzalunit.JobID
@@ -73,7 +79,7 @@
 	f := &fleet{
 		now: quetzalunit.InstantOf(time.Unix(1000, 0)), rng: rand.New(rand.NewPCG(seed, 1)),
 		minions: make(map[quetzalunit.MinionID]*minion), partitionedZones: make(map[quetzalunit.ZoneID]bool),
-		answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.CallerID]quetzalunit.JobID),
+		deadly: make(map[quetzalunit.JobID]bool), answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.CallerID]quetzalunit.JobID),
 	}
 	f.checker.f = f
 	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[string]quetzalwork.JobRow), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
@@ -263,12 +269,13 @@
 }
 
 // order sends an order to a minion. The fraction lateOrders of all orders is carried out late and
-// without an answer.
+// without an answer. A later process on the minion's host rejects the order.
 func (e *entry) order(m *minion, serve func() quetzalwork.OrderResult, answer func(quetzalwork.OrderResult)) {
 	f := e.f
+	incarnation := m.record.Incarnation
 	if f.rng.Float64() < f.lateOrders {
 		f.after(2*time.Second+time.Duration(f.rng.Int64N(int64(6*time.Second))), func() {
-			if m.up {
+			if m.up && m.record.Incarnation == incarnation {
 				serve()
 			}
 		})
@@ -276,6 +283,9 @@
 		return
 	}
 	f.call(e.zone, m.zone, 900*time.Millisecond, func() func() {
+		if m.successor != nil || m.up && m.record.Incarnation != incarnation {
+			return func() { answer(quetzalwork.OrderMisdirected{}) }
+		}
 		if !m.up {
 			return nil
 		}
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -67,6 +67,7 @@
 		return
 	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The lease of a minion that does not answer has expired.", Minion: m.ID, Pool: m.Pool, Age: w.Now.Sub(m.LastAnsweredAt), Reason: "Lapsed"})
+	keepLostRuns(w, row)
 	endMinionRuns(w, row, "Silent")
 }
 
@@ -112,7 +113,7 @@
 	r := w.Runs.At(row)
 	t := w.Tasks.At(r.Task)
 	s := w.Steps.At(t.Step)
-	if len(t.Runs) > 1 || t.State != quetzalwork.TaskActive || !mayStart(p, t) || !mayExtendLeases(w) {
+	if len(t.Runs) > 1 || t.State != quetzalwork.TaskActive || !mayStart(p, t) || !mayExtendLeases(w) || !mayCopy(w, p, row) {
 		return
 	}
 	usual := time.Duration(estimateFactor * float64(expectedRunTime(p, w.Jobs.At(s.Job).Queue, s)))
@@ -133,6 +134,9 @@
 		Part: quetzalwork.PartPlacement, Message: "A copy of a slow run is started.", Job: w.Jobs.At(s.Job).ID, Task: taskRef(w, t), Run: r.Number,
 		Minion: w.Minions.At(minion).ID, Age: w.Now.Sub(r.StartedAt), Reason: "Straggler", Routine: true,
 	})
+	if !r.SurvivedStart {
+		t.EarlyCopies++
+	}
 	startRun(w, r.Task, minion, ticketFor(w, s, minion), 0)
 }
 
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1424,10 +1424,14 @@
 	WorkMessageKindTaken     WorkMessageKind = "Taken"
 )
 
-// WorkProgressDoc records which tasks of a job are done and which runs failed.
-// Each row of Done has the numbers of occurrence, step and task; each row of
-// Failures has these and the number of the failed run.
+// WorkProgressDoc records which tasks of a job are done, which runs failed and
+// under which runs their minion crashed. Each row of Done has the numbers of
+// occurrence, step and task; each row of Failures and Crashes has these and the
+// number of the run.
 type WorkProgressDoc struct {
+	// Crashes corresponds to the JSON schema field "Crashes".
+	Crashes [][]int `json:"Crashes,omitempty,omitzero" yaml:"Crashes,omitempty"`
+
 	// Done corresponds to the JSON schema field "Done".
 	Done [][]int `json:"Done,omitempty,omitzero" yaml:"Done,omitempty"`
 
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -149,6 +149,9 @@
 	RunNumbersExhausted bool
 	// ShortOfCapacity reports whether the pool's work wants more cores than its usable minions have.
 	ShortOfCapacity bool
+	// Silences are the recent times at which minions have begun to miss answers, without those that
+	// are idle, are to leave or have an isolated run.
+	Silences []Silence
 	// RunTimeStats has the measured run times of each queue's tasks.
 	RunTimeStats map[quetzalunit.QueueID]*RunTimeStats
 }
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -115,13 +115,16 @@
 	StoringState JobState
 }
 
-// Progress is the state of a job with its completed tasks and failed runs. It is stored, so that
-// a later dispatcher repeats no completed task and grants no additional attempts.
+// Progress is the state of a job with its completed tasks, failed runs and crashes. It is stored, so
+// that a later dispatcher repeats no completed task and grants no additional attempts.
 type Progress struct {
 	State JobState
 	Done  []TaskRef
 	// Failures has each failed run once, however often it is reported.
 	Failures []TaskFailure
+	// Crashes has each run once under which its minion crashed, as far as crashes count against the
+	// task.
+	Crashes []TaskFailure
 }
 
 // TaskRef identifies a task within its job.
@@ -131,7 +134,7 @@
 	Task       quetzalunit.TaskIndex
 }
 
-// TaskFailure is a failed run of a task.
+// TaskFailure is a failed run of a task, or one under which its minion crashed.
 type TaskFailure struct {
 	TaskRef
 	Run quetzalunit.RunNumber
@@ -235,6 +238,19 @@
 	Starts quetzalunit.RunNumber
 	// Failures counts the failed runs.
 	Failures quetzalunit.Failures
+	// Crashes counts the runs under which their minion crashed, as in Progress.
+	Crashes quetzalunit.Failures
+	// Suspect reports whether the task is a likely cause of a minion's crash, and no later run has
+	// survived its start.
+	Suspect bool
+	// SurvivedStart reports whether any run has survived its start.
+	SurvivedStart bool
+	// EarlyCopies counts the copies of runs that had not survived their start, LostStarts the runs
+	// that had not when the lease of their minion expired.
+	EarlyCopies, LostStarts int
+	// IsolationDeadline is the instant up to which a suspect task waits for a minion without runs;
+	// zero until its first placement after a run.
+	IsolationDeadline quetzalunit.Instant
 	// Runs are the active runs. Only a speculative step's tasks have more than one.
 	Runs []Row
 	// Checkpoint is the last saved checkpoint.
@@ -283,6 +299,9 @@
 	StartDeadline quetzalunit.MinionTime
 	// Reported is set once the minion has reported the run as active.
 	Reported bool
+	// SurvivedStart is set once the minion has reported the run long enough after the start that the
+	// start cannot crash the minion any more.
+	SurvivedStart bool
 	// Percent is the progress that the minion last reported; for a long-running task its readiness.
 	Percent int
 	// ChangedAt is when Percent or Pace last changed.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -44,6 +44,12 @@
 	Used quetzalunit.Resources
 	// Runs are the active runs.
 	Runs []Row
+	// IsolatedRun is the run of a suspect task next to which the minion gets no others; zero if there
+	// is none.
+	IsolatedRun Row
+	// LostRuns are the runs that were active when the lease expired. They are kept until the minion
+	// answers again or turns out to have crashed.
+	LostRuns []LostRun
 
 	// Answered reports whether the minion has accepted an order with this process's token. It then
 	// accepts none of earlier dispatchers, and its active runs are known. FirstAnsweredAt is when it
@@ -72,6 +78,8 @@
 	NextPollAt quetzalunit.Instant
 	// MissedAnswers counts the calls in a row that had no answer.
 	MissedAnswers int
+	// Silence is the begin of these.
+	Silence Silence
 
 	// ConsecutiveFailures counts the failures in a row: refused starts, and the first failed run of
 	// each task.
@@ -104,6 +112,25 @@
 	return m.Capacity.Minus(m.Used)
 }
 
+// LostRun is what remains to be known of a run whose minion may have crashed.
+type LostRun struct {
+	Task      TaskID
+	Number    quetzalunit.RunNumber
+	StartedAt quetzalunit.Instant
+	// SurvivedStart is that of the run.
+	SurvivedStart bool
+	// Latest reports whether the run is one of those that the minion started last, Alone whether the
+	// minion had no other active run.
+	Latest, Alone bool
+}
+
+// Silence is the begin of a time in which a minion does not answer. It lies between the last answer
+// and the first one that is missed.
+type Silence struct {
+	Minion                    quetzalunit.MinionID
+	AnsweredAt, FirstMissedAt quetzalunit.Instant
+}
+
 // UnackedEnd is an end that is applied but not acknowledged. The acknowledgement must wait until
 // the job's progress is stored: the minion forgets the end with it, and another dispatcher would
 // run the task again.
