Suspect fewer tasks of a minion's crash

Cause: all runs that were started within 100 ms of the last one on the crashed minion counted as the latest. Orders overtake each other by the latency to the minion only, 12 ms across regions.

Change: 25 ms.

--- a/quetzalcore/quetzalscheduler/crash.go
+++ b/quetzalcore/quetzalscheduler/crash.go
@@ -21,7 +21,7 @@
 	promptCrash = 250 * time.Millisecond
 	// latestStartMargin is by how much earlier than the last start on a minion another one counts as
 	// equally late: the orders of both may have overtaken each other.
-	latestStartMargin = 100 * time.Millisecond
+	latestStartMargin = 25 * time.Millisecond
 	// maxCrashes is the number of crashes after which a task is given up. maxLikelyCrashes is that
 	// number if the task is a likely cause of the last one: its run was one of the latest on the minion
 	// and at most crashWindow old. maxSoleCrashes is that number if it was also the only run on the
