--- a/quetzalcore/quetzalscheduler/crash.go
+++ b/quetzalcore/quetzalscheduler/crash.go
@@ -126,7 +126,8 @@
 		return
 	}
 	for i := range runs {
-		// A cordon after the start precedes an order to the host, whose notice may be lost.
+		// After a cordon that began later than the run, the host may have been ordered away without a
+		// notice.
 		if runs[i].StartedAt >= m.CordonedUntil {
 			handleCrash(w, m, &runs[i])
 		}
@@ -213,9 +214,9 @@
 	}
 }
 
-// mayIsolate reports whether another minion of a pool may be reserved for a suspect task. It always
-// may from the second crash on: two tasks that were started next to each other twice must not be a
-// third time, since the crash would count against both.
+// mayIsolate reports whether another minion of a pool may be reserved for a suspect task. From the
+// second crash on it always may: if two such tasks ran on one minion, the third crash would be the
+// end of both.
 func mayIsolate(w *quetzalwork.World, p *quetzalwork.Pool, t *quetzalwork.Task) bool {
 	if t.Crashes > 1 {
 		return true
