--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -139,6 +139,7 @@
 func TestRestartedMinionMayCarryOutOrdersInFlight(t *testing.T) {
 	for seed := range uint64(40) {
 		f := newFleet(seed, threeZones[:1], 2, 3, testConfig())
+		f.restarting = true
 		f.run(5 * time.Second)
 		for i := range 60 {
 			f.submit(f.entries[0], testStep(3))
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -49,6 +49,15 @@
 	Runs []Row
 	// Untracked are the runs of the last report that have no row in the table of runs.
 	Untracked UntrackedRuns
+	// IsolatedRun is the run of a suspect task next to which the minion gets no others; zero if there
+	// is none.
+	IsolatedRun Row
+	// LostRuns are the runs that were active when the lease expired. They are kept until the minion
+	// answers again or turns out to have crashed.
+	LostRuns []LostRun
+	// UnconfirmedRuns are runs of an earlier incarnation that crashed. The present one may have carried
+	// out their orders to start; its first report shows whether it has.
+	UnconfirmedRuns []LostRun
 
 	// Answered reports whether the minion has accepted an order with this process's token. It then
 	// accepts none of earlier dispatchers, and its active runs are known. FirstAnsweredAt is when it
@@ -77,6 +86,8 @@
 	NextPollAt quetzalunit.Instant
 	// MissedAnswers counts the calls in a row that had no answer.
 	MissedAnswers int
+	// Silence is the begin of these.
+	Silence Silence
 
 	// ConsecutiveFailures counts the failures in a row: refused starts, and the first failed run of
 	// each task.
@@ -119,6 +130,27 @@
 	UnknownUse bool
 }
 
+// LostRun is what remains to be known of a run whose minion may have crashed.
+type LostRun struct {
+	Task      TaskID
+	Number    quetzalunit.RunNumber
+	StartedAt quetzalunit.Instant
+	// SurvivedStart is that of the run.
+	SurvivedStart bool
+	// Latest reports whether the run is one of those that the minion started last, Alone whether the
+	// minion had no other active run.
+	Latest, Alone bool
+	// OthersSilent reports whether another minion may have crashed at the same time.
+	OthersSilent bool
+}
+
+// Silence is the begin of a time in which a minion does not answer. It lies between the last answer
+// and the first one that is missed.
+type Silence struct {
+	Minion                    quetzalunit.MinionID
+	AnsweredAt, FirstMissedAt quetzalunit.Instant
+}
+
 // UnackedEnd is an end that is applied but not acknowledged. The acknowledgement must wait until
 // the job's progress is stored: the minion forgets the end with it, and another dispatcher would
 // run the task again.
