Split the polls of minions from their list

Functions and constants moved only; one comment says what TestMinionsUnlistedForLongBeforeATakeoverAreWaitedFor shows.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -395,7 +395,8 @@
 }
 
 // restart starts a new incarnation with a capacity of its own, which knows nothing of the earlier
-// one. Until it has answered a poll, the dispatcher can know only the earlier capacity. The numbers of its ends continue, since the checker identifies ends by them.
+// one. Until it has answered a poll, the dispatcher can know only the earlier capacity. The numbers of
+// its ends continue, since the checker identifies ends by them.
 func (m *minion) restart(capacity quetzalunit.Resources) {
 	m.kill()
 	m.up, m.token, m.lease, m.ends, m.waitingPolls = true, 0, 0, nil, nil
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -0,0 +1,296 @@
+package quetzalscheduler
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const (
+	// leaseDuration is the length of a minion's lease: its runs end unless the lease is renewed
+	// within this time. A shorter lease frees the tasks of a crashed minion sooner; a longer
+	// one outlasts a takeover of the pool.
+	leaseDuration = 4500 * time.Millisecond
+	// pollWait is how long a minion may delay its answer to a poll until a run ends.
+	pollWait = 800 * time.Millisecond
+	// minPollInterval is the shortest time between two polls of a minion. In a large pool at
+	// peak load a run ends during every poll; pollRatePerCore limits the polls of a pool per
+	// second for each core that this process has, so that one answer reports several ended
+	// runs.
+	minPollInterval = 15 * time.Millisecond
+	pollRatePerCore = 3000
+	// ackPollDelay is the delay before the next poll while the outcome of ended runs is being
+	// stored.
+	ackPollDelay = 60 * time.Millisecond
+	// pollRetryDelay is the delay after a poll without an answer. It is multiplied by the
+	// number of consecutive missed answers, up to 4.
+	pollRetryDelay = 200 * time.Millisecond
+	// clockReadPeriod is the time between two polls of a minion that runs nothing. They read its clock:
+	// a lease on a minion with an exact clock is shorter by 2 % of the time since the last answer.
+	clockReadPeriod = 30 * time.Second
+	// leaseExpiryMargin is the margin after the end of a lease before its runs are treated as
+	// ended.
+	leaseExpiryMargin = 150 * time.Millisecond
+	// minClockPercent is the lowest rate of a minion's clock relative to the clock of this process,
+	// in hundredths. minClockRate is the same as a fraction.
+	minClockPercent = 98
+	minClockRate    = minClockPercent / 100.0
+	// unknownJobGrace is how long a minion's runs of an unknown job may continue: another entry
+	// may be about to report the job.
+	unknownJobGrace = 4 * time.Second
+)
+
+// schedulePoll schedules the next poll of a minion, or brings a scheduled one forward.
+func schedulePoll(w *quetzalwork.World, row quetzalwork.Row, delay time.Duration) {
+	m := w.Minions.At(row)
+	at := max(w.Now.Add(delay), m.PolledAt.Add(pollInterval(w, m)))
+	if m.NextPollAt != 0 && m.NextPollAt <= at {
+		return
+	}
+	m.NextPollAt = at
+	w.Timers.Push(at, quetzalwork.MinionPollDue{Minion: row})
+}
+
+// pollInterval returns the shortest time between two polls of a minion. It grows with the
+// number of minions per core of this process.
+func pollInterval(w *quetzalwork.World, m *quetzalwork.Minion) time.Duration {
+	minions := float64(len(w.Pools.At(m.PoolRow).Minions))
+	return max(minPollInterval, time.Duration(minions/(coresOf(w.Self.CPUShare)*pollRatePerCore)*float64(time.Second)))
+}
+
+// pollMinions polls the minions whose next poll is due.
+func pollMinions(w *quetzalwork.World) {
+	for _, p := range w.Pools.All() {
+		if !p.Held || !p.JobsLoaded {
+			continue
+		}
+		for _, row := range p.Minions {
+			if m := w.Minions.At(row); m.NextPollAt != 0 && m.NextPollAt <= w.Now && !m.PollInFlight {
+				pollMinion(w, row)
+			}
+		}
+	}
+}
+
+func targetOf(w *quetzalwork.World, m *quetzalwork.Minion) quetzalwork.MinionTarget {
+	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token}
+}
+
+// pollMinion asks a minion which runs are active and which have ended, and acknowledges ends
+// whose progress is stored. If the minion answered the previous poll, this one also renews the
+// lease, provided that this process may extend leases now, and lets the minion delay its answer
+// until a run ends, unless an end still waits for its acknowledgement.
+func pollMinion(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Minions.At(row)
+	m.PollInFlight, m.PolledAt, m.NextPollAt = true, w.Now, 0
+	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), AckedThrough: m.AckedThrough, SentAt: w.Now}
+	if m.Answered && m.MissedAnswers == 0 {
+		if mayExtendLeases(w) {
+			c.LeaseEnd = grantLease(w, m)
+		}
+		if len(m.UnackedEnds) == 0 {
+			c.Wait = min(pollWait, isolationLeft(w, m))
+		}
+	}
+	w.Emit(c)
+}
+
+// grantLease returns the end, on the minion's clock, of a lease that begins now, and raises the
+// minion's LeaseEnd to it. The clock may have run at minClockRate since the minion's last answer. A lease
+// that assumed more would last longer than leaseExpiryTime, for which a successor waits.
+func grantLease(w *quetzalwork.World, m *quetzalwork.Minion) quetzalunit.MinionTime {
+	elapsed := w.Now.Sub(m.ClockAt) * minClockPercent / 100
+	lease := m.Clock.Add(elapsed + min(leaseDuration, maxLeaseDuration(w)))
+	m.LeaseEnd = max(m.LeaseEnd, lease)
+	return lease
+}
+
+func maxLeaseDuration(w *quetzalwork.World) time.Duration {
+	if w.Bounds.MaxLease == 0 {
+		return leaseDuration
+	}
+	return w.Bounds.MaxLease
+}
+
+// leaseExpiry returns the instant at which a minion's lease has certainly expired, even if the
+// minion's clock is slow, unless it is renewed.
+func leaseExpiry(m *quetzalwork.Minion) quetzalunit.Instant {
+	left := time.Duration(m.LeaseEnd-m.Clock) * time.Millisecond
+	return m.ClockAt.Add(time.Duration(float64(left)/minClockRate) + leaseExpiryMargin)
+}
+
+// handleMinionPoll applies the answer to a poll and schedules the next one.
+func handleMinionPoll(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
+	m := w.Minions.At(in.Minion)
+	if m == nil {
+		return
+	}
+	p := w.Pools.At(m.PoolRow)
+	if !p.Held || p.Token != in.Token {
+		return
+	}
+	m.PollInFlight = false
+	switch r := in.Result.(type) {
+	case quetzalwork.OrderAccepted:
+		applyMinionReport(w, in, r.Clock)
+	case quetzalwork.OrderFenced:
+		endDispatch(w, m.PoolRow, "Fenced")
+		return
+	case quetzalwork.OrderMisdirected:
+		endCrashedRuns(w, in.Minion, "Astray")
+		m.UnackedEnds = nil
+		recordMissedPoll(w, in.Minion, "Astray")
+	default:
+		recordMissedPoll(w, in.Minion, "Silent")
+	}
+	if m = w.Minions.At(in.Minion); m != nil {
+		scheduleNextPoll(w, in.Minion)
+	}
+}
+
+// recordMissedPoll counts a poll without success and logs the first of a series.
+func recordMissedPoll(w *quetzalwork.World, row quetzalwork.Row, reason string) {
+	m := w.Minions.At(row)
+	m.MissedAnswers++
+	if m.MissedAnswers == 1 {
+		recordSilence(w, m)
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion does not answer.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.LastAnsweredAt), Reason: reason})
+	}
+}
+
+// scheduleNextPoll schedules the next poll of a minion: soon if it missed a poll, has runs or has
+// unacknowledged ends, otherwise after clockReadPeriod. It deletes a minion that has left the list and is
+// no longer needed.
+func scheduleNextPoll(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Minions.At(row)
+	switch {
+	case m.Replaced:
+		// A later minion has replaced it on the host.
+	case m.MissedAnswers > 0 && !m.Listed && len(m.Runs) == 0 && !mayProveCrash(w, m) && (m.Answered || w.Now > w.Pools.At(m.PoolRow).PredecessorLeasesEnd):
+		deleteMinion(w, row)
+	case m.MissedAnswers > 0:
+		schedulePoll(w, row, pollRetryDelay*time.Duration(min(m.MissedAnswers, 4)))
+	case len(m.UnackedEnds) > 0:
+		schedulePoll(w, row, ackPollDelay)
+	case len(m.Runs) > 0 || m.Untracked.Count > 0:
+		schedulePoll(w, row, 0)
+	case !m.Listed && w.Now.Sub(m.RemovedAt) > removedMinionRetention:
+		deleteMinion(w, row)
+	default:
+		schedulePoll(w, row, clockReadPeriod)
+	}
+}
+
+// applyMinionReport applies the active and ended runs that a minion reports in its answer to a
+// poll.
+func applyMinionReport(w *quetzalwork.World, in *quetzalwork.MinionPolled, clock quetzalunit.MinionTime) {
+	m := w.Minions.At(in.Minion)
+	p := w.Pools.At(m.PoolRow)
+	if in.Incarnation != 0 && m.Incarnation != 0 && in.Incarnation > m.Incarnation {
+		resetRestartedMinion(w, in.Minion, in.Incarnation)
+	}
+	m.Incarnation = max(m.Incarnation, in.Incarnation)
+	if m.MissedAnswers > 0 {
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion answers again.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.LastAnsweredAt)})
+	}
+	if !m.Answered || m.MissedAnswers > 0 {
+		p.NeedsPlacement = true
+	}
+	m.LeaseEnd = max(m.LeaseEnd, clock)
+	if !m.Answered {
+		// The minion may have a lease of the predecessor, whose token it has accepted until now.
+		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(leaseDuration))
+		if len(m.Runs) > 0 {
+			// The minion has restarted, see resetRestartedMinion.
+			m.LeaseEnd = clock.Add(maxLeaseDuration(w))
+		}
+	}
+	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
+	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
+	unknown := false
+	for i := range in.Ends {
+		if in.Ends[i].Number <= m.SeenThrough {
+			continue
+		}
+		if !handleReportedEnd(w, in.Minion, &in.Ends[i]) {
+			unknown = true
+			break
+		}
+	}
+	reported := make(map[quetzalwork.Row]bool, len(in.Running))
+	p.NeedsPlacement = p.NeedsPlacement || m.Untracked.Count > 0
+	m.Untracked = quetzalwork.UntrackedRuns{}
+	for i := range in.Running {
+		run, known := applyReportedRun(w, in.Minion, &in.Running[i])
+		unknown = unknown || !known
+		reported[run] = true
+		if run == 0 {
+			addUntrackedRun(w, m, &in.Running[i])
+		}
+	}
+	endUnreportedRuns(w, in, reported)
+	confirmCrashes(w, in)
+	trackUnknownWork(w, in.Minion, unknown)
+	ackEnds(w, p)
+}
+
+// addUntrackedRun adds a reported run without a row in the table of runs to a minion's Untracked.
+func addUntrackedRun(w *quetzalwork.World, m *quetzalwork.Minion, reported *quetzalwork.ReportedRun) {
+	u := &m.Untracked
+	u.Count++
+	j := w.Jobs.At(w.JobByID.Get(reported.Task.Job))
+	if step := int(reported.Task.Step); j != nil && j.Spec != nil && step >= 0 && step < len(j.Spec.Steps) {
+		u.Used = u.Used.Plus(needsOf(&j.Spec.Steps[step]))
+		return
+	}
+	u.UnknownUse = true
+}
+
+// trackUnknownWork records since when a minion has reported runs or ends of unknown jobs, and
+// reads the pool's rows to find these jobs.
+func trackUnknownWork(w *quetzalwork.World, row quetzalwork.Row, unknown bool) {
+	m := w.Minions.At(row)
+	if !unknown {
+		m.UnknownWorkSince = 0
+		return
+	}
+	if m.UnknownWorkSince == 0 {
+		m.UnknownWorkSince = w.Now
+	}
+	readPool(w, m.PoolRow, w.Pools.At(m.PoolRow).Token)
+}
+
+// unknownWorkExpired reports whether a minion has reported runs or ends of unknown jobs for
+// longer than unknownJobGrace.
+func unknownWorkExpired(w *quetzalwork.World, m *quetzalwork.Minion) bool {
+	return m.UnknownWorkSince != 0 && w.Now.Sub(m.UnknownWorkSince) > unknownJobGrace
+}
+
+// endUnreportedRuns ends the runs that a minion's answer would report if they were active, but
+// does not. Their start was answered before the poll was sent, or cannot be carried out any more.
+func endUnreportedRuns(w *quetzalwork.World, in *quetzalwork.MinionPolled, reported map[quetzalwork.Row]bool) {
+	m := w.Minions.At(in.Minion)
+	for _, row := range slices.Clone(m.Runs) {
+		r := w.Runs.At(row)
+		if reported[row] {
+			continue
+		}
+		switch r.State {
+		case quetzalwork.RunStarted:
+			if r.AnsweredAt < in.SentAt {
+				endRun(w, row, quetzalwork.OutcomeLapsed, "", "Absent")
+			}
+		case quetzalwork.RunStartUnanswered:
+			// An unanswered order to start has no effect once the minion has accepted an order to
+			// stop the run, or once the start deadline has passed.
+			cancelled := r.StopAnsweredAt != 0 && r.StopAnsweredAt < in.SentAt
+			if cancelled || m.Clock > r.StartDeadline.Add(leaseExpiryMargin) {
+				endRun(w, row, quetzalwork.OutcomeStopped, "", "NeverStarted")
+			}
+		case quetzalwork.RunStarting:
+			// The answer to the start order is still in flight.
+		}
+	}
+}
