--- a/quetzalcore/quetzalscheduler/controllerpair_test.go
+++ b/quetzalcore/quetzalscheduler/controllerpair_test.go
@@ -91,6 +91,17 @@
 	return p
 }
 
+// newOrderingPair returns a controllerPair, and which of its entries holds the duty and orders hosts.
+func newOrderingPair(t *testing.T, seed uint64) (*controllerPair, *pairEntry) {
+	t.Helper()
+	p := newControllerPair(seed)
+	p.run(4 * time.Second)
+	holder := p.holder()
+	require.NotNil(t, holder)
+	require.NotEmpty(t, p.orders)
+	return p, holder
+}
+
 // addEntry adds an entry that may hold the duty, or a new process of one.
 func (p *controllerPair) addEntry(id quetzalunit.EntryID, incarnation quetzalunit.Incarnation) *pairEntry {
 	e := &pairEntry{id: id, w: &quetzalwork.World{}}
@@ -279,11 +290,7 @@
 // just after the successor's read of the rows. It must not permit orders beside the successor's.
 func TestRenewalCarriedOutAfterATakeoverPermitsNoOrders(t *testing.T) {
 	for seed := range uint64(20) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
-		require.NotNil(t, old)
-		require.NotEmpty(t, p.orders)
+		p, old := newOrderingPair(t, seed)
 		old.write = writeRefused
 		p.run(2 * time.Second)
 		old.write = writeHeld
@@ -308,10 +315,7 @@
 // permits.
 func TestTakeoverFailsAfterARenewalThatNoReadHasShown(t *testing.T) {
 	for seed := range uint64(20) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
-		require.NotNil(t, old)
+		p, old := newOrderingPair(t, seed)
 		old.write = writeRefused
 		p.run(2 * time.Second)
 		old.write = writeHeld
@@ -333,10 +337,7 @@
 // successor takes over. On waking it must not order hosts on the strength of that answer.
 func TestPausedHostControllerOrdersNothingOnWaking(t *testing.T) {
 	for seed := range uint64(20) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
-		require.NotNil(t, old)
+		p, old := newOrderingPair(t, seed)
 		old.write = writeHeld
 		p.run(time.Second)
 		old.paused = true
@@ -354,10 +355,7 @@
 // by itself, and go on once it can renew its lease.
 func TestHostControllerThatCannotRenewStopsOrdering(t *testing.T) {
 	for seed := range uint64(20) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
-		require.NotNil(t, old)
+		p, old := newOrderingPair(t, seed)
 		for _, e := range p.entries {
 			e.write = writeRefused
 		}
@@ -376,10 +374,7 @@
 // lease. No other entry must try to take the duty over.
 func TestHostControllerThatRenewsItsLeaseStaysTheHolder(t *testing.T) {
 	for seed := range uint64(20) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
-		require.NotNil(t, old)
+		p, old := newOrderingPair(t, seed)
 		old.write = memberRefused
 		p.beforeTakeover = func() { t.Error("another entry tries to take over", seed) }
 		p.run(6 * time.Second)
--- a/quetzalcore/quetzalscheduler/latemember_test.go
+++ b/quetzalcore/quetzalscheduler/latemember_test.go
@@ -14,10 +14,7 @@
 // one of a planned stop. The holder still renews its row and its lease, so no other entry may take over.
 func TestLateRenewalOfAnEarlierProcessEndsNoHostControl(t *testing.T) {
 	for seed := range uint64(20) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
-		require.NotNil(t, old)
+		p, old := newOrderingPair(t, seed)
 		p.run(time.Duration(seed) * 45 * time.Millisecond)
 		p.members[old.id] = versionedMember{quetzalwork.Member{Entry: old.id, Incarnation: 0, Address: "x", Heartbeat: 99, Stopping: true}, p.revision}
 		p.run(5 * time.Second)
--- a/quetzalcore/quetzalscheduler/takeoverread_test.go
+++ b/quetzalcore/quetzalscheduler/takeoverread_test.go
@@ -15,9 +15,7 @@
 // renews again. The other entry must not take over on its last read.
 func TestHostControlIsNotTakenOverWhileReadsFail(t *testing.T) {
 	for seed := range uint64(40) {
-		p := newControllerPair(seed)
-		p.run(4 * time.Second)
-		old := p.holder()
+		p, old := newOrderingPair(t, seed)
 		other := p.entries[0]
 		if other == old {
 			other = p.entries[1]
