Search with writes of members and duties that are carried out late

The random search could delay no write: a renewal or a takeover was carried out at once or not at all. A new fault makes the store carry out these writes after up to 1.1 s, and a fifth of them after up to 6 s without an answer. All earlier faults and checks stay.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -58,8 +58,18 @@
 		f.after(watch.Wait, func() { post(quetzalwork.ConfigWatched{SeenRevision: watch.SinceRevision}) })
 		return
 	}
-	if lease, ok := c.(quetzalwork.RenewHostLease); ok {
-		s.renewHostLease(e, lease, post)
+	switch c := c.(type) {
+	case quetzalwork.RenewMember, quetzalwork.WriteDuty, quetzalwork.SettleDuty:
+		if f.delayedWrites {
+			s.performLate(e, c, timeout, post)
+			return
+		}
+	case quetzalwork.RenewHostLease:
+		if f.delayedWrites {
+			s.performLate(e, c, leaseTimeout, post)
+			return
+		}
+		s.renewHostLease(e, c, post)
 		return
 	}
 	f.call(e.zone, storeZone, timeout, func() func() {
@@ -77,6 +87,37 @@
 	}, func() { post(unansweredInput(c)) })
 }
 
+// leaseTimeout is how long an entry waits for the answer to a renewal of the host controller's lease.
+const leaseTimeout = 700 * time.Millisecond
+
+// performLate carries out a write after a random time, of which a part is longer than the entry waits
+// for the answer.
+func (s *store) performLate(e *entry, c quetzalwork.Command, timeout time.Duration, post func(quetzalwork.Input)) {
+	f := e.f
+	wait := time.Duration(f.rng.Int64N(int64(1100 * time.Millisecond)))
+	if f.rng.IntN(5) == 0 {
+		wait = time.Second + time.Duration(f.rng.Int64N(int64(5*time.Second)))
+	}
+	answered := false
+	if f.reaches(e.zone, storeZone) {
+		f.after(wait, func() {
+			if f.storeDown {
+				return
+			}
+			in := s.serve(e, c)
+			if wait < timeout && f.reaches(e.zone, storeZone) {
+				answered = true
+				post(in)
+			}
+		})
+	}
+	f.after(timeout, func() {
+		if !answered {
+			post(unansweredInput(c))
+		}
+	})
+}
+
 // renewHostLease carries out a renewal of the host controller's lease after a fixed delay. It draws no
 // random delay, so that the renewals do not shift the draws of the other calls.
 func (s *store) renewHostLease(e *entry, c quetzalwork.RenewHostLease, post func(quetzalwork.Input)) {
@@ -89,7 +130,7 @@
 				return
 			}
 		}
-		f.after(700*time.Millisecond, func() { post(unansweredInput(c)) })
+		f.after(leaseTimeout, func() { post(unansweredInput(c)) })
 	})
 }
 
--- a/quetzalcore/quetzalscheduler/guarantee_test.go
+++ b/quetzalcore/quetzalscheduler/guarantee_test.go
@@ -227,7 +227,7 @@
 		f.newIDs = rapid.Bool().Draw(t, "new IDs")
 		f.run(3 * time.Second)
 		rng := rand.New(rand.NewPCG(seed, 2))
-		faults := rapid.SliceOfN(rapid.IntRange(0, 12), 1, 6).Draw(t, "faults")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 13), 1, 6).Draw(t, "faults")
 		f.restarting = slices.Contains(faults, restartFault)
 		longRunning := testStep(3)
 		longRunning.LongRunning, longRunning.MaxUnavailable, longRunning.MaxPerMinion = true, 1, 2
@@ -239,7 +239,7 @@
 			}
 			injectFault(f, rng, fault, i)
 		}
-		f.loseAnswers, f.lateOrders, f.storeDown = 0, 0, false
+		f.loseAnswers, f.lateOrders, f.storeDown, f.delayedWrites = 0, 0, false, false
 		clear(f.partitionedZones)
 		for _, e := range f.entries {
 			if !e.up {
@@ -272,7 +272,7 @@
 // restartFault is the fault of a minion that restarts under its id.
 const restartFault = 11
 
-// injectFault starts one of the faults 0 to 12. Faults with a duration end by themselves; a killed
+// injectFault starts one of the faults 0 to 13. Faults with a duration end by themselves; a killed
 // minion is replaced by a new one.
 func injectFault(f *fleet, rng *rand.Rand, fault, i int) {
 	e := f.entries[rng.IntN(len(f.entries))]
@@ -320,6 +320,9 @@
 		step := testStep(1)
 		step.Speculative = rng.IntN(2) == 0
 		f.submitDeadly(f.entries[rng.IntN(len(f.entries))], step)
+	case 13:
+		f.delayedWrites = true
+		f.after(d, func() { f.delayedWrites = false })
 	case 8:
 		f.store.compactedThrough = f.store.revision
 	case 7:
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -32,6 +32,8 @@
 	// without an answer.
 	storeDown               bool
 	loseAnswers, lateOrders float64
+	// delayedWrites makes the store carry out the writes of members' and duties' rows late.
+	delayedWrites bool
 	// unguarded makes the minions start whatever they are ordered to start.
 	unguarded bool
 	checker   checker
