--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -817,7 +817,7 @@
 	Address string `json:"Address" yaml:"Address"`
 
 	// Time from the write of the row within which the leases of earlier dispatchers
-	// have expired; 0 if any successor waits as long anyway.
+	// have expired
 	EarlierLeasesMs int `json:"EarlierLeasesMs" yaml:"EarlierLeasesMs"`
 
 	// Holder corresponds to the JSON schema field "Holder".
