Log and export how old a dispatcher's information is when its orders leave

No line told how old the list of minions was when an order left, how long the order had waited since its decision, how long inputs waited for their tick, which reads of the list failed, or what the ticks of a dispatcher were spent on.

The first failed read of the list is logged with its reason. No decision depends on it.

--- a/quetzalcore/quetzalinbox/inbox.go
+++ b/quetzalcore/quetzalinbox/inbox.go
@@ -5,7 +5,10 @@
 // and applies them in one tick.
 package quetzalinbox
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Inbox collects inputs of type I until the next tick. It is safe for concurrent use.
 type Inbox[I any] struct {
@@ -14,6 +17,10 @@
 
 	mu     sync.Mutex
 	inputs []I
+	// oldestAt is when the first of inputs was posted, waited how long the first input of the last
+	// Drain had waited.
+	oldestAt time.Time
+	waited   time.Duration
 	// wakePending is true from the sending of a wake message until the next Drain.
 	wakePending bool
 }
@@ -21,6 +28,9 @@
 // Post adds an input and wakes the actor.
 func (b *Inbox[I]) Post(in I) {
 	b.mu.Lock()
+	if len(b.inputs) == 0 {
+		b.oldestAt = time.Now()
+	}
 	b.inputs = append(b.inputs, in)
 	send := !b.wakePending
 	b.wakePending = true
@@ -47,7 +57,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	inputs := b.inputs
+	b.waited = 0
+	if len(inputs) > 0 {
+		b.waited = time.Since(b.oldestAt)
+	}
 	b.inputs = spare[:0]
 	b.wakePending = false
 	return inputs
 }
+
+// Waited returns how long the oldest input that the last Drain returned had waited.
+func (b *Inbox[I]) Waited() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waited
+}
--- a/quetzalcore/quetzalmetric/scheduler.go
+++ b/quetzalcore/quetzalmetric/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -17,13 +18,17 @@
 	late  bool
 }
 
-// SchedulerMetrics exports the metrics of the scheduler. It is not safe for concurrent use.
+// SchedulerMetrics exports the metrics of the scheduler. Only ObserveStart is safe for concurrent use.
 type SchedulerMetrics struct {
 	Metrics *Metrics
 
 	jobs      map[jobKey]tally.Counter
 	jobTotals map[quetzalunit.QueueID]tally.Histogram
 	decisions map[quetzalwork.Part]tally.Counter
+
+	// startsOnce guards the creation of the histograms of ObserveStart.
+	startsOnce               sync.Once
+	startDelay, startListAge tally.Histogram
 }
 
 // ObserveJob records a finished job. The number of time series is bounded by the
@@ -68,3 +73,24 @@
 func (m *SchedulerMetrics) SetAge(name string, age time.Duration) {
 	m.Metrics.SetGauge(name+"_age_seconds", age.Seconds())
 }
+
+// ObserveStart records the ages of an order to start that leaves: the time since the decision, and
+// since the read of the minion list on which that was based.
+func (m *SchedulerMetrics) ObserveStart(decision, list time.Duration) {
+	m.startsOnce.Do(func() {
+		m.startDelay = m.Metrics.scope.Histogram("start_delay_seconds", buckets())
+		m.startListAge = m.Metrics.scope.Histogram("start_list_age_seconds", buckets())
+	})
+	m.startDelay.RecordDuration(decision)
+	m.startListAge.RecordDuration(list)
+}
+
+// SetTickTimes sets the gauges of the time that the ticks have spent by phase and by pool.
+func (m *SchedulerMetrics) SetTickTimes(meter *quetzalwork.Meter) {
+	for phase := range quetzalwork.PhaseCount {
+		m.Metrics.scope.Tagged(map[string]string{"phase": phase.String()}).Gauge("tick_phase_seconds").Update(meter.Phases[phase].Seconds())
+	}
+	for pool, spent := range meter.Pools {
+		m.Metrics.SetPoolGauge("tick_pool_seconds", pool, spent.Seconds())
+	}
+}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -60,8 +60,10 @@
 		l.SeenRevision = 0
 	}
 	if in.Result != quetzalwork.StoreDone {
+		logFailedListRead(w, in.Result)
 		return
 	}
+	l.Failing = false
 	recordListRead(w, planned)
 	l.AnsweredAt = w.Now
 	if l.KnownSince == 0 {
@@ -84,6 +86,16 @@
 	}
 }
 
+// logFailedListRead logs the first of several failed reads of the minion list.
+func logFailedListRead(w *quetzalwork.World, result quetzalwork.StoreResult) {
+	l := &w.MinionList
+	if l.Failing {
+		return
+	}
+	l.Failing = true
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The minion list cannot be read.", Age: ageOf(w, l.ReadSentAt), Reason: result.String()})
+}
+
 // minionListDelay returns the time until the next read of the minion list. A standby that
 // dispatches no pool reads the list, too: at a takeover it must know the minions that the
 // predecessor used and that have left the list since.
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -54,6 +54,7 @@
 		}
 		p.PlacedAt = w.Now
 		placePool(w, row)
+		w.Meter.EndPool(quetzalwork.PhasePlacement, p.ID)
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -54,7 +54,7 @@
 	}
 	w.Emit(quetzalwork.StartRun{
 		Run: row, Target: targetOf(w, m), Task: taskName(w, t), Number: number, Payload: j.Spec.Payload, LeaseEnd: lease,
-		Checkpoint: t.Checkpoint, Ticket: ticket,
+		Checkpoint: t.Checkpoint, Ticket: ticket, DecidedAt: w.Now, ListedAt: w.MinionList.ReadSentAt,
 	})
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartPlacement, Message: "A task is placed.", Job: j.ID, Task: taskRef(w, t), Run: number, Minion: m.ID,
--- a/quetzalcore/quetzalscheduler/standby.go
+++ b/quetzalcore/quetzalscheduler/standby.go
@@ -57,9 +57,11 @@
 
 // holdsAnyDuty reports whether this process holds a duty.
 func holdsAnyDuty(w *quetzalwork.World) bool {
-	if w.HostController.Held {
-		return true
-	}
+	return w.HostController.Held || DispatchesPool(w)
+}
+
+// DispatchesPool reports whether this process dispatches a pool.
+func DispatchesPool(w *quetzalwork.World) bool {
 	for _, p := range w.Pools.All() {
 		if p.Held {
 			return true
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -6,12 +6,15 @@
 )
 
 // systems lists what every tick runs after its inputs and timers, in this order.
-var systems = [...]func(*quetzalwork.World){
-	storeSubmissions,
-	placeTasks,
-	storeProgress,
-	pollMinions,
-	finishStop,
+var systems = [...]struct {
+	run   func(*quetzalwork.World)
+	phase quetzalwork.Phase
+}{
+	{storeSubmissions, quetzalwork.PhaseSubmissions},
+	{placeTasks, quetzalwork.PhasePlacement},
+	{storeProgress, quetzalwork.PhaseProgress},
+	{pollMinions, quetzalwork.PhasePolls},
+	{finishStop, quetzalwork.PhaseTimers},
 }
 
 // Start sets the clock and the periodic timers of a new World. It must be called once, before
@@ -28,8 +31,10 @@
 // commands that the caller must perform.
 func Tick(w *quetzalwork.World, now quetzalunit.Instant, inputs []quetzalwork.Input) []quetzalwork.Command {
 	w.Now = max(w.Now, now)
+	w.Meter.Begin()
 	for _, in := range inputs {
 		applyInput(w, in)
+		measureInput(w, in)
 	}
 	for {
 		t, ok := w.Timers.PopDue(w.Now)
@@ -38,12 +43,32 @@
 		}
 		fireTimer(w, t)
 	}
+	w.Meter.End(quetzalwork.PhaseTimers)
 	for _, system := range systems {
-		system(w)
+		system.run(w)
+		w.Meter.End(system.phase)
 	}
 	return w.TakeCommands()
 }
 
+// measureInput adds the time since the last measurement to the phase that applies an input.
+func measureInput(w *quetzalwork.World, in quetzalwork.Input) {
+	switch in := in.(type) {
+	case quetzalwork.MinionPolled:
+		var pool quetzalunit.PoolID
+		if m := w.Minions.At(in.Minion); m != nil {
+			pool = m.Pool
+		}
+		w.Meter.EndPool(quetzalwork.PhaseReports, pool)
+	case quetzalwork.StartAnswered, quetzalwork.StopAnswered:
+		w.Meter.End(quetzalwork.PhaseOrders)
+	case quetzalwork.MinionsListed:
+		w.Meter.End(quetzalwork.PhaseMinionList)
+	default:
+		w.Meter.End(quetzalwork.PhaseInputs)
+	}
+}
+
 // NextTick returns the instant of the next timer, at which a tick is needed even without an
 // input. The result is false when no timer is set.
 func NextTick(w *quetzalwork.World) (quetzalunit.Instant, bool) {
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -187,6 +187,9 @@
 		LeaseEnd   quetzalunit.MinionTime
 		Checkpoint quetzalunit.Checkpoint
 		Ticket     quetzalunit.Ticket
+		// DecidedAt is when the task was placed, ListedAt when the read of the minion list was sent on
+		// which that was based.
+		DecidedAt, ListedAt quetzalunit.Instant
 	}
 	// StopRun stops a run.
 	StopRun struct {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -288,6 +288,8 @@
 	SeenRevision quetzalunit.Revision
 	// ReadInFlight reports whether a read is in flight.
 	ReadInFlight bool
+	// Failing reports whether the last read failed.
+	Failing bool
 	// AnsweredAt is the instant of the last successful answer.
 	AnsweredAt quetzalunit.Instant
 	// SentAt is when the last read was sent, ReadSentAt when the last successful one was.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -291,6 +291,11 @@
 	StoreUnanswered
 )
 
+// String returns the name of the result in the log.
+func (r StoreResult) String() string {
+	return [...]string{"Done", "Conflict", "Compacted", "Refused", "Unanswered"}[r]
+}
+
 // OrderResult is the result of an order to a minion. Clock is the time on the minion's clock
 // when it answered.
 type OrderResult interface{ implementsOrderResult() }
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -96,6 +96,9 @@
 	// PendingReleases is the number of duties whose release is in progress.
 	PendingReleases int
 
+	// Meter measures the ticks. No decision depends on it.
+	Meter Meter
+
 	commands []Command
 	rand     *rand.Rand
 }
