Add failing tests of work for minions that leave

The simulated fleet now has minions that leave, a list whose history is dropped and whole reads of it that take time, and judges each order to start by when it is sent.

--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -119,6 +119,18 @@
 	}
 }
 
+// drainNotice is the time after which a minion whose record says that it leaves must get no more
+// work.
+const drainNotice = 2 * time.Second
+
+// checkDrain checks that an order to start a run was not sent to a minion that has been leaving for
+// longer than drainNotice.
+func (c *checker) checkDrain(m *minion, start quetzalwork.StartRun, sent quetzalunit.Instant) {
+	if m.drainingSince != 0 && sent.Sub(m.drainingSince) > drainNotice {
+		c.violationf("DRAIN: %v run %d was sent to %s %v after its record said that it leaves", start.Task, start.Number, m.record.ID, sent.Sub(m.drainingSince))
+	}
+}
+
 // maxDeadlyStarts is the number of starts, after the crash of three minions under a task that
 // crashes each of them, from which on the task has been started too often.
 const maxDeadlyStarts = 3
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -32,8 +32,11 @@
 	busyUntil       map[quetzalunit.Shard]quetzalunit.Instant
 	// listDown makes the store ignore reads of the minion list.
 	listDown bool
-	// compactedThrough is the revision up to which the change history has been compacted.
-	compactedThrough quetzalunit.Revision
+	// fullListTime is how long a read of the whole minion list takes.
+	fullListTime time.Duration
+	// compactedThrough is the revision up to which the change history has been compacted, of the
+	// minion list listCompactedThrough.
+	compactedThrough, listCompactedThrough quetzalunit.Revision
 }
 
 // versionedMember is a member row with the revision of its last write.
@@ -80,6 +83,9 @@
 		if f.rng.Float64() < f.loseAnswers {
 			return nil
 		}
+		if list, ok := c.(quetzalwork.ListMinions); ok && list.SinceRevision == 0 && s.fullListTime > 0 {
+			return func() { f.after(s.fullListTime, func() { post(in) }) }
+		}
 		if wait := s.enqueue(f.now, c); wait > 0 {
 			return func() { f.after(wait, func() { post(in) }) }
 		}
@@ -242,6 +248,9 @@
 	case quetzalwork.ListMinions:
 		s.minionLists[e.id]++
 		in := quetzalwork.MinionsListed{Full: c.SinceRevision == 0, SeenRevision: s.revision}
+		if !in.Full && c.SinceRevision < s.listCompactedThrough {
+			return quetzalwork.MinionsListed{Result: quetzalwork.StoreCompacted}
+		}
 		for id, m := range s.list {
 			if m.removed && m.revision > c.SinceRevision {
 				in.Removed = append(in.Removed, id)
@@ -367,6 +376,9 @@
 	failing      bool
 	slowdown     float64
 	waitingPolls []func()
+	// drainingSince is when the store accepted the record that says that the minion leaves; zero if it
+	// has written none.
+	drainingSince quetzalunit.Instant
 	// successor is the minion under whose ID the host's next process runs; nil while this one is the
 	// last.
 	successor *minion
@@ -435,6 +447,12 @@
 	}
 }
 
+// drain writes that the minion leaves.
+func (m *minion) drain() {
+	m.record.Draining, m.drainingSince = true, m.f.now
+	m.publish(false)
+}
+
 // restart starts a new incarnation with a capacity of its own, which knows nothing of the earlier
 // one. Until it has answered a poll, the dispatcher can know only the earlier capacity. The numbers of
 // its ends continue, since the checker identifies ends by them.
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -248,6 +248,7 @@
 		f.call(e.zone, m.zone, c.Wait+600*time.Millisecond, func() func() { return m.poll(e.zone, c, post) }, func() { post(none) })
 	case quetzalwork.StartRun:
 		m := f.minions[c.Target.Minion]
+		f.checker.checkDrain(m, c, f.now)
 		e.order(m, func() quetzalwork.OrderResult { return m.start(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.StartAnswered{Run: c.Run, Result: r}) })
 	case quetzalwork.StopRun:
 		m := f.minions[c.Target.Minion]
