Bound the age of the minion list for every start

Cause: only pools without EnforcesCapacity bounded the age of the minion list, for another reason: their minions do not reject what exceeds their capacity. In all other pools, which are all of the users' pools, a dispatcher whose reads of the list failed, or that had just woken or taken the pool over, placed tasks by a list of any age. That a minion leaves is told by the list alone. The class: a decision on information whose age is bounded where a fault was seen, not where the decision is made.

TestLeavingMinionsGetNoWorkByAnOldList, TestLeavingMinionsGetNoWorkFromASuspendedDispatcher and TestLeavingMinionsGetNoWorkAfterATakeover failed before.

Change: starts are permitted until the platform's drain bound after the last read of the list was sent, less the transit of an order. The check stands in freeCapacityOf, through which all starts, copies, gangs and evacuations get their minions, for every kind of pool. The next read of the list resumes the placement.

--- a/quetzalcore/quetzalscheduler/capacity.go
+++ b/quetzalcore/quetzalscheduler/capacity.go
@@ -12,6 +12,16 @@
 // once a search has found no minion with enough capacity, the search is skipped for all other
 // steps of the same pass that need as much or more.
 
+// A minion whose record says that it leaves must get no work after DrainNotice. Starts are therefore
+// permitted only for that time after a read of the list was sent, less orderTransitMargin. The bound
+// holds on every path to a start: freeCapacityOf has no minions without a permission.
+const (
+	// defaultDrainNotice is the DrainNotice of a World whose Bounds have none.
+	defaultDrainNotice = 2 * time.Second
+	// orderTransitMargin is the time from sending an order to its arrival at the minion.
+	orderTransitMargin = 300 * time.Millisecond
+)
+
 // Minions of a pool without EnforcesCapacity start whatever they are ordered to start. Their records
 // must therefore show a capacity that has shrunk within 4.5 s.
 const (
@@ -40,11 +50,35 @@
 	}
 	l.ReadSentAt = l.SentAt
 	for _, p := range w.Pools.All() {
-		p.NeedsPlacement = p.NeedsPlacement || !p.EnforcesCapacity
+		p.NeedsPlacement = p.NeedsPlacement || !p.EnforcesCapacity || p.ListTooOld
+		p.ListTooOld = false
+	}
+}
+
+// startDeadline returns the instant until which orders to start may be sent by the minion list that is
+// known.
+func startDeadline(w *quetzalwork.World) quetzalunit.Instant {
+	notice := w.Bounds.DrainNotice
+	if notice == 0 {
+		notice = defaultDrainNotice
+	}
+	return w.MinionList.ReadSentAt.Add(notice - orderTransitMargin)
+}
+
+// listPermitsStarts reports whether the records of a pool's minions are recent enough for starts. It
+// marks the pool for placement at the next read if they are not.
+func listPermitsStarts(w *quetzalwork.World, p *quetzalwork.Pool) bool {
+	if w.Now < startDeadline(w) {
+		return capacitiesKnown(w, p)
+	}
+	if !p.ListTooOld && len(p.ReadySteps)+len(p.LateSteps) > 0 {
+		p.ListTooOld = true
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartPlacement, Message: "The minion list is too old for starts.", Pool: p.ID, Age: w.Now.Sub(w.MinionList.ReadSentAt)})
 	}
+	return false
 }
 
-// capacitiesKnown reports whether the records of a pool's minions are recent enough for starts. A
+// capacitiesKnown reports whether the records of a pool's minions show their present capacities. A
 // minion that enforces its capacity rejects a start that exceeds it.
 func capacitiesKnown(w *quetzalwork.World, p *quetzalwork.Pool) bool {
 	l := &w.MinionList
@@ -60,11 +94,11 @@
 	misfits []quetzalunit.Resources
 }
 
-// freeCapacityOf returns the free capacity of a pool's usable minions, none while their capacities are
-// not known.
+// freeCapacityOf returns the free capacity of a pool's usable minions, none while the list does not
+// permit starts.
 func freeCapacityOf(w *quetzalwork.World, p *quetzalwork.Pool) *freeCapacity {
 	fc := &freeCapacity{minions: make([]quetzalwork.Row, 0, len(p.Minions))}
-	if !capacitiesKnown(w, p) {
+	if !listPermitsStarts(w, p) {
 		return fc
 	}
 	for _, row := range p.Minions {
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -178,7 +178,7 @@
 // other minion has now do not matter: long-running tasks are placed before all others once
 // capacity is free.
 func fitsElsewhere(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, except quetzalwork.Row) bool {
-	if !capacitiesKnown(w, p) {
+	if !listPermitsStarts(w, p) {
 		return false
 	}
 	for _, row := range p.Minions {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -132,6 +132,9 @@
 	Shards [ShardCount]PoolShard
 	// NeedsPlacement requests a placement pass as soon as this process may start runs.
 	NeedsPlacement bool
+	// ListTooOld reports whether steps wait because the minion list is too old for starts. The next
+	// read of the list requests a placement pass.
+	ListTooOld bool
 	// NextPlacementAt is the instant of the next timer for a placement pass, zero if none is set.
 	NextPlacementAt quetzalunit.Instant
 	// Load is the last load that the dispatcher reported, at LoadAt. Load, LoadAt,
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -32,6 +32,9 @@
 	MaxLease time.Duration
 	// StopTimeout is the longest time that a minion takes to stop a run.
 	StopTimeout time.Duration
+	// DrainNotice is how long after its record says that it leaves a minion may still get work. Zero
+	// stands for the default of quetzalscheduler.
+	DrainNotice time.Duration
 	// RemoteFactor is the factor by which the run time of a task grows if it runs away from its
 	// data.
 	RemoteFactor float64
