Read the whole list of minions at once after a compaction

Cause: an entry whose read of the list was answered with a compaction repeated it only after the regular delay, which is 2.5 s at a standby. Each read that a takeover or a compaction causes also had a timer of its own, so that a dispatcher read the list twice as often from its takeover on, and a further time with each takeover.

Change: the whole list is read at once after a compaction, and only the timer that was set last causes a read.

--- a/quetzalcore/quetzalscheduler/leaving_test.go
+++ b/quetzalcore/quetzalscheduler/leaving_test.go
@@ -87,3 +87,15 @@
 		require.Greater(t, e.world.MinionList.SeenRevision, f.store.listCompactedThrough-1, e.id)
 	}
 }
+
+// A dispatcher reads the list at its takeover, beside the reads that it has scheduled as a standby. It
+// must go on with one read a period.
+func TestTakeoverDoesNotDoubleTheReadsOfTheMinionList(t *testing.T) {
+	f := newFleet(1, threeZones[:1], 3, 6, testConfig())
+	f.run(8 * time.Second)
+	f.holder().kill()
+	f.run(10 * time.Second)
+	clear(f.store.minionLists)
+	f.run(9 * time.Second)
+	require.LessOrEqual(t, f.store.minionLists[f.holder().id], 20)
+}
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -31,13 +31,27 @@
 	}
 	if w.Membership.Standbys != nil && !isStandby(w) {
 		forgetMinions(w)
-		w.After(standbyListPeriod, quetzalwork.MinionListDue{})
+		scheduleMinionList(w, standbyListPeriod)
 		return
 	}
 	w.MinionList.ReadInFlight, w.MinionList.SentAt = true, w.Now
 	w.Emit(quetzalwork.ListMinions{SinceRevision: w.MinionList.SeenRevision})
 }
 
+// scheduleMinionList schedules the next read of the minion list.
+func scheduleMinionList(w *quetzalwork.World, delay time.Duration) {
+	w.MinionList.NextReadAt = w.Now.Add(delay)
+	w.After(delay, quetzalwork.MinionListDue{})
+}
+
+// listMinionsIfDue reads the minion list when a timer fires, unless the next read has been scheduled
+// for a later time since the timer was set.
+func listMinionsIfDue(w *quetzalwork.World) {
+	if w.Now >= w.MinionList.NextReadAt {
+		listMinions(w)
+	}
+}
+
 // forgetMinions deletes all minions of an entry that dispatches no pool and no longer reads their list.
 // At a later takeover a minion that has begun to drain meanwhile would get work, and minions that left
 // the list meanwhile would count as known.
@@ -55,9 +69,10 @@
 	l.ReadInFlight = false
 	planned := l.Delay
 	l.Delay = minionListDelay(w)
-	w.After(l.Delay, quetzalwork.MinionListDue{})
-	if in.Result == quetzalwork.StoreCompacted {
+	scheduleMinionList(w, l.Delay)
+	if in.Result == quetzalwork.StoreCompacted && l.SeenRevision != 0 {
 		l.SeenRevision = 0
+		listMinions(w)
 	}
 	if in.Result != quetzalwork.StoreDone {
 		logFailedListRead(w, in.Result)
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -155,7 +155,7 @@
 	case quetzalwork.ConfigWatchDue:
 		watchConfig(w)
 	case quetzalwork.MinionListDue:
-		listMinions(w)
+		listMinionsIfDue(w)
 	case quetzalwork.PoolJobsReadDue:
 		readPoolIfDue(w, t)
 	case quetzalwork.PlacementDue:
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -297,8 +297,10 @@
 	AnsweredAt quetzalunit.Instant
 	// SentAt is when the last read was sent, ReadSentAt when the last successful one was.
 	SentAt, ReadSentAt quetzalunit.Instant
-	// Delay is the delay that was set between the last answer and the next read.
-	Delay time.Duration
+	// Delay is the delay that was set between the last answer and the next read, which is due at
+	// NextReadAt.
+	Delay      time.Duration
+	NextReadAt quetzalunit.Instant
 	// CurrentFrom is the instant from which a read shows the present records: after a gap in the
 	// reads, the minions may not have been able to write theirs either.
 	CurrentFrom quetzalunit.Instant
