Send no order to start after the permission for it has ended

Cause: an order to start was sent by its own goroutine, which waited for the processor and for one of four connections to the minion, for up to 0.6 s, or was suspended with its process in between. Nothing was checked after the decision.

Change: an order to start carries the end of its permission, and the body of the order is written only while it lasts, as with orders to hosts. A task whose order was not sent is placed again.

--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -55,6 +55,7 @@
 	w.Emit(quetzalwork.StartRun{
 		Run: row, Target: targetOf(w, m), Task: taskName(w, t), Number: number, Payload: j.Spec.Payload, LeaseEnd: lease,
 		Checkpoint: t.Checkpoint, Ticket: ticket, DecidedAt: w.Now, ListedAt: w.MinionList.ReadSentAt,
+		ValidUntil: startDeadline(w),
 	})
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartPlacement, Message: "A task is placed.", Job: j.ID, Task: taskRef(w, t), Run: number, Minion: m.ID,
@@ -440,6 +441,8 @@
 		m.MissedAnswers++
 		schedulePoll(w, r.Minion, pollRetryDelay)
 		rejectRun(w, in.Run, "Astray")
+	case quetzalwork.OrderNotSent:
+		rejectRun(w, in.Run, "NotSent")
 	case quetzalwork.OrderOutdated, quetzalwork.OrderExpired, quetzalwork.OrderMalformed:
 		rejectRun(w, in.Run, "Rejected")
 	}
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -190,6 +190,9 @@
 		// DecidedAt is when the task was placed, ListedAt when the read of the minion list was sent on
 		// which that was based.
 		DecidedAt, ListedAt quetzalunit.Instant
+		// ValidUntil is when the permission to send the order ends. It is checked again just before
+		// the order is sent.
+		ValidUntil quetzalunit.Instant
 	}
 	// StopRun stops a run.
 	StopRun struct {
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -317,6 +317,8 @@
 	// OrderRefused means that the order was not carried out: the minion is overloaded or
 	// unhealthy, or the order was not sent.
 	OrderRefused struct{}
+	// OrderNotSent means that the order was not sent, because the permission to send it had ended.
+	OrderNotSent struct{}
 	// OrderMalformed means that the minion could not decode the order.
 	OrderMalformed struct{}
 	// OrderMisdirected means that another minion, or a later process of this one, answers at the
@@ -334,6 +336,7 @@
 func (OrderNoCapacity) implementsOrderResult()     {}
 func (OrderTicketRejected) implementsOrderResult() {}
 func (OrderRefused) implementsOrderResult()        {}
+func (OrderNotSent) implementsOrderResult()        {}
 func (OrderMalformed) implementsOrderResult()      {}
 func (OrderMisdirected) implementsOrderResult()    {}
 func (OrderUnanswered) implementsOrderResult()     {}
