Give no duty to pools that no configuration declares

Cause: the record of a minion created the pool that it names, and every pool had a duty. An entry with an unknown service made a process dispatch a pool without work; with a name that the store takes for no part, all entries tried to take the duty over for ever, read the rows of members every 0.9 s instead of every 10 s, and balanced no duties.

Change: only pools that a configuration has declared have duties. One that it no longer lists keeps its own.

--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -64,7 +64,7 @@
 	w.Config.Version, w.Config.Known, w.Config.MaxBodyBytes = cfg.Version, true, cfg.MaxBodyBytes
 	for _, spec := range cfg.Pools {
 		p := w.Pools.At(poolRow(w, spec.ID))
-		p.PoolSpec, p.NeedsPlacement = spec, true
+		p.PoolSpec, p.Configured, p.NeedsPlacement = spec, true, true
 	}
 	for _, q := range w.Queues.All() {
 		q.Removed = true
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -84,11 +84,13 @@
 	return &w.Pools.At(poolRow(w, id)).Duty
 }
 
-// dutyKeys returns the keys of all duties, sorted.
+// dutyKeys returns the keys of all duties, sorted. A pool that no configuration has declared has none.
 func dutyKeys(w *quetzalwork.World) []quetzalunit.PoolID {
 	ids := []quetzalunit.PoolID{quetzalwork.HostControlDuty}
 	for _, p := range w.Pools.All() {
-		ids = append(ids, p.ID)
+		if p.Configured {
+			ids = append(ids, p.ID)
+		}
 	}
 	slices.Sort(ids)
 	return ids
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -132,6 +132,9 @@
 	Shards [ShardCount]PoolShard
 	// NeedsPlacement requests a placement pass as soon as this process may start runs.
 	NeedsPlacement bool
+	// Configured reports whether a configuration has declared the pool. Others are named by a minion's
+	// record or a stored row only.
+	Configured bool
 	// ListTooOld reports whether steps wait because the minion list is too old for starts. The next
 	// read of the list requests a placement pass.
 	ListTooOld bool
