--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -461,7 +461,7 @@
 	m.up, m.token, m.lease, m.ends, m.waitingPolls = true, 0, 0, nil, nil
 	clear(m.endedThrough)
 	m.record.Incarnation++
-	m.record.Capacity = capacity
+	m.record.Capacity, m.record.Draining, m.drainingSince = capacity, false, 0
 	m.capacities, m.restartNoticed = append(m.capacities, timedCapacity{m.f.now, m.record.Incarnation, capacity}), false
 	m.f.after(time.Duration(m.f.rng.Int64N(int64(beat))), m.announce)
 }
@@ -555,7 +555,7 @@
 		m.publish(true)
 	}
 	next.record.Incarnation++
-	next.record.Draining = false
+	next.record.Draining, next.drainingSince = false, 0
 	next.up, next.token, next.lease = true, 0, 0
 	next.ends, next.waitingPolls = nil, nil
 	next.record.Capacity = next.capacity()
--- a/quetzalcore/quetzalscheduler/guarantee_test.go
+++ b/quetzalcore/quetzalscheduler/guarantee_test.go
@@ -227,7 +227,7 @@
 		f.newIDs = rapid.Bool().Draw(t, "new IDs")
 		f.run(3 * time.Second)
 		rng := rand.New(rand.NewPCG(seed, 2))
-		faults := rapid.SliceOfN(rapid.IntRange(0, 13), 1, 6).Draw(t, "faults")
+		faults := rapid.SliceOfN(rapid.IntRange(0, 15), 1, 6).Draw(t, "faults")
 		f.restarting = slices.Contains(faults, restartFault)
 		longRunning := testStep(3)
 		longRunning.LongRunning, longRunning.MaxUnavailable, longRunning.MaxPerMinion = true, 1, 2
@@ -239,7 +239,7 @@
 			}
 			injectFault(f, rng, fault, i)
 		}
-		f.loseAnswers, f.lateOrders, f.storeDown, f.delayedWrites = 0, 0, false, false
+		f.loseAnswers, f.lateOrders, f.storeDown, f.delayedWrites, f.store.listDown = 0, 0, false, false, false
 		clear(f.partitionedZones)
 		for _, e := range f.entries {
 			if !e.up {
@@ -272,7 +272,7 @@
 // restartFault is the fault of a minion that restarts under its id.
 const restartFault = 11
 
-// injectFault starts one of the faults 0 to 13. Faults with a duration end by themselves; a killed
+// injectFault starts one of the faults 0 to 15. Faults with a duration end by themselves; a killed
 // minion is replaced by a new one.
 func injectFault(f *fleet, rng *rand.Rand, fault, i int) {
 	e := f.entries[rng.IntN(len(f.entries))]
@@ -320,6 +320,14 @@
 		step := testStep(1)
 		step.Speculative = rng.IntN(2) == 0
 		f.submitDeadly(f.entries[rng.IntN(len(f.entries))], step)
+	case 14:
+		f.leave(rng, 90+i)
+	case 15:
+		f.store.listDown = true
+		for wait := 100 * time.Millisecond; wait < d; wait *= 4 {
+			f.after(wait, func() { f.leave(rng, 90+i) })
+		}
+		f.after(d, func() { f.store.listDown, f.store.listCompactedThrough = false, f.store.revision })
 	case 13:
 		f.delayedWrites = true
 		f.after(d, func() { f.delayedWrites = false })
@@ -401,3 +409,20 @@
 		require.NotEmpty(t, quetzalscheduler.Backlogs(e.world))
 	}
 }
+
+// leave makes a random minion leave, if it is up and reaches the store. Another one joins, and the
+// leaving one is gone some seconds later.
+func (f *fleet) leave(rng *rand.Rand, rack int) {
+	m := f.order[rng.IntN(len(f.order))]
+	if !m.up || m.drainingSince != 0 || f.storeDown || !f.reaches(m.zone, storeZone) || f.store.list[m.record.ID].removed {
+		return
+	}
+	m.drain()
+	f.addMinion(m.zone, rack)
+	f.after(7*time.Second, func() {
+		if m.drainingSince != 0 {
+			m.kill()
+			m.publish(true)
+		}
+	})
+}
