--- a/quetzalcore/quetzalmetric/scheduler.go
+++ b/quetzalcore/quetzalmetric/scheduler.go
@@ -76,13 +76,13 @@
 
 // ObserveStart records the ages of an order to start that leaves: the time since the decision, and
 // since the read of the minion list on which that was based.
-func (m *SchedulerMetrics) ObserveStart(decision, list time.Duration) {
+func (m *SchedulerMetrics) ObserveStart(decisionAge, listAge time.Duration) {
 	m.startsOnce.Do(func() {
 		m.startDelay = m.Metrics.scope.Histogram("start_delay_seconds", buckets())
 		m.startListAge = m.Metrics.scope.Histogram("start_list_age_seconds", buckets())
 	})
-	m.startDelay.RecordDuration(decision)
-	m.startListAge.RecordDuration(list)
+	m.startDelay.RecordDuration(decisionAge)
+	m.startListAge.RecordDuration(listAge)
 }
 
 // SetTickTimes sets the gauges of the time that the ticks have spent by phase and by pool.
--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -21,6 +21,7 @@
 //	crash.go        tasks that crash the minions that start them
 //	rank.go         order of the ready steps
 //	place.go        choice of a minion for each task
+//	listage.go      age of the minion list by which tasks start
 //	capacity.go     free capacity of a pool's minions during one placement pass
 //	gang.go         placement of tasks that must run at the same time
 //	advice.go       steps that need the advisor's permission
