--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 	"ends":      runEnds,
 	"schedule":  runSchedule,
 	"starved":   runStarved,
+	"unlisted":  runUnlisted,
 	"withdrawn": runWithdrawn,
 }
 
