Conclude nothing from the absence of a run while ends are pending

Cause: endUnreportedRuns ended each run that a minion's answer did not show, as lapsed or as never started. But an answer returns at most 500 ends, and the others only once these are acknowledged, which needs the store. A run whose end came behind the first 500 was neither active nor ended in the answer.

The hypothesis of lapsed leases is ruled out: the stand-in records no end "lapsed".

Change: the adapter says whether an answer may leave ends out (MoreEnds), and the scheduler ends no run by its absence until the minion's ends are all applied (EndsPending). That holds for runs whose start had no answer, too: an accepted order to stop does not prove that the run never began. It is logged when a minion has ends pending and when they are applied.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -706,6 +706,9 @@
 		m.noticeRestart()
 		in.Result, in.Incarnation = quetzalwork.OrderAccepted{Clock: m.clock()}, m.record.Incarnation
 		in.Ends = slices.Clone(m.ends)
+		if limit := m.f.maxReportedEnds; limit > 0 && len(in.Ends) >= limit {
+			in.Ends, in.MoreEnds = in.Ends[:limit], true
+		}
 		for _, name := range m.runningTasks() {
 			in.Running = append(in.Running, quetzalwork.ReportedRun{Task: name, Number: m.runs[name].number, Percent: 100})
 		}
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -209,16 +209,8 @@
 	}
 	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
-	unknown := false
-	for i := range in.Ends {
-		if in.Ends[i].Number <= m.SeenThrough {
-			continue
-		}
-		if !handleReportedEnd(w, in.Minion, &in.Ends[i]) {
-			unknown = true
-			break
-		}
-	}
+	unknown := !applyReportedEnds(w, in)
+	setEndsPending(w, in.Minion, in.MoreEnds || unknown)
 	reported := make(map[quetzalwork.Row]bool, len(in.Running))
 	p.NeedsPlacement = p.NeedsPlacement || m.Untracked.Count > 0
 	m.Untracked = quetzalwork.UntrackedRuns{}
@@ -230,12 +222,40 @@
 			addUntrackedRun(w, m, &in.Running[i])
 		}
 	}
-	endUnreportedRuns(w, in, reported)
+	if !m.EndsPending {
+		endUnreportedRuns(w, in, reported)
+	}
 	confirmCrashes(w, in)
 	trackUnknownWork(w, in.Minion, unknown)
 	ackEnds(w, p)
 }
 
+// applyReportedEnds applies the ends in a minion's answer that are new, in their order. It returns false
+// if it stopped at one whose job is not known.
+func applyReportedEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) bool {
+	m := w.Minions.At(in.Minion)
+	for i := range in.Ends {
+		if in.Ends[i].Number > m.SeenThrough && !handleReportedEnd(w, in.Minion, &in.Ends[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// setEndsPending records whether a minion has ends that are still to be applied, and logs when that
+// begins and when it is over.
+func setEndsPending(w *quetzalwork.World, row quetzalwork.Row, pending bool) {
+	m := w.Minions.At(row)
+	switch {
+	case pending && !m.EndsPending:
+		m.EndsPendingSince = w.Now
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has ends that are still to be applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.SeenThrough)})
+	case !pending && m.EndsPending:
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "All ends of the minion are applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.SeenThrough), Age: w.Now.Sub(m.EndsPendingSince)})
+	}
+	m.EndsPending = pending
+}
+
 // addUntrackedRun adds a reported run without a row in the table of runs to a minion's Untracked.
 func addUntrackedRun(w *quetzalwork.World, m *quetzalwork.Minion, reported *quetzalwork.ReportedRun) {
 	u := &m.Untracked
@@ -268,8 +288,9 @@
 	return m.UnknownWorkSince != 0 && w.Now.Sub(m.UnknownWorkSince) > unknownJobGrace
 }
 
-// endUnreportedRuns ends the runs that a minion's answer would report if they were active, but
-// does not. Their start was answered before the poll was sent, or cannot be carried out any more.
+// endUnreportedRuns ends the runs that a minion's answer would report if they were active or had ended,
+// but does not. Their start was answered before the poll was sent, or cannot be carried out any more.
+// All ends of the minion must have been applied.
 func endUnreportedRuns(w *quetzalwork.World, in *quetzalwork.MinionPolled, reported map[quetzalwork.Row]bool) {
 	m := w.Minions.At(in.Minion)
 	for _, row := range slices.Clone(m.Runs) {
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -39,7 +39,9 @@
 	delayedWrites bool
 	// unguarded makes the minions start whatever they are ordered to start.
 	unguarded bool
-	checker   checker
+	// maxReportedEnds is the largest number of ends in one answer of a minion; zero means no limit.
+	maxReportedEnds int
+	checker         checker
 	// deadly are the jobs whose tasks crash each minion 10 ms after it has started them. downtime is
 	// how long a minion is down after a crash; if zero, 2 to 3 s. newIDs makes minions restart under a
 	// new ID.
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -42,6 +42,8 @@
 	// rejectsStarts makes minions answer that they cannot run a task. releases are the releases of
 	// the duty so far.
 	rejectsStarts bool
+	// unansweredStarts makes the answers to orders to start get lost.
+	unansweredStarts bool
 	// answers are the answers to callers so far.
 	answers  []quetzalwork.Answer
 	releases []quetzalwork.WriteDuty
@@ -140,7 +142,12 @@
 		if d.rejectsStarts {
 			return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderOutdated{Clock: d.clock()}}
 		}
+		if d.unansweredStarts {
+			return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderUnanswered{}}
+		}
 		return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
+	case quetzalwork.StopRun:
+		return quetzalwork.StopAnswered{Run: cmd.Run, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
 	default:
 		return nil
 	}
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -200,7 +200,10 @@
 		Result      OrderResult
 		Incarnation quetzalunit.MinionIncarnation
 		Running     []ReportedRun
-		Ends        []ReportedEnd
+		// Ends are the first ends that are not acknowledged. MoreEnds reports whether others may follow
+		// that the answer has no room for: a run that the answer does not show may have ended.
+		Ends     []ReportedEnd
+		MoreEnds bool
 	}
 	// StartAnswered is the result of StartRun.
 	StartAnswered struct {
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -76,6 +76,11 @@
 	AckedThrough, SeenThrough quetzalunit.EndNumber
 	// UnackedEnds are the applied ends that must not be acknowledged yet.
 	UnackedEnds []UnackedEnd
+	// EndsPending reports whether the minion may have ends beyond SeenThrough, by its last answer: the
+	// answer had no room for them, or they follow one of an unknown job. Until they are applied, a run
+	// that the minion does not report may have ended. EndsPendingSince is when this began.
+	EndsPending      bool
+	EndsPendingSince quetzalunit.Instant
 	// PollInFlight reports whether a poll is in flight. PolledAt is when the last one was sent.
 	PollInFlight bool
 	PolledAt     quetzalunit.Instant
