Wait at a takeover for all ends of the predecessor's runs

What callers saw: nothing so far.

Cause: a new dispatcher takes the work of its predecessor for known once each minion has answered its first poll.

Change: the predecessor's work is known once a minion's ends are all applied as well (EndsKnown). A minion that no longer answers is waited for until its lease has expired, and stays in the tables until then. A minion with ends that are still to be applied is polled again soon, also if nothing waits for an acknowledgement; before, that took up to 30 s.

Tests: TestSuccessorWaitsForEndsBeyondALimitedAnswer failed before (a start after 8 s). TestSuccessorWaitsForNoEndsOfAMinionWhoseLeaseHasExpired keeps the wait from lasting forever; it failed on the way, without the earlier poll.

--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -160,19 +160,19 @@
 	}
 }
 
-// scheduleNextPoll schedules the next poll of a minion: soon if it missed a poll, has runs or has
-// unacknowledged ends, otherwise after clockReadPeriod. It deletes a minion that has left the list and is
-// no longer needed.
+// scheduleNextPoll schedules the next poll of a minion: soon if it missed a poll, has runs, or has ends
+// that are not applied or acknowledged, otherwise after clockReadPeriod. It deletes a minion that has left
+// the list and is no longer needed.
 func scheduleNextPoll(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
 	switch {
 	case m.Replaced:
 		// A later minion has replaced it on the host.
-	case m.MissedAnswers > 0 && !m.Listed && len(m.Runs) == 0 && !mayProveCrash(w, m) && (m.Answered || w.Now > w.Pools.At(m.PoolRow).PredecessorLeasesEnd):
+	case m.MissedAnswers > 0 && !m.Listed && len(m.Runs) == 0 && !mayProveCrash(w, m) && !awaitsEnds(w, m) && (m.Answered || w.Now > w.Pools.At(m.PoolRow).PredecessorLeasesEnd):
 		deleteMinion(w, row)
 	case m.MissedAnswers > 0:
 		schedulePoll(w, row, pollRetryDelay*time.Duration(min(m.MissedAnswers, 4)))
-	case len(m.UnackedEnds) > 0:
+	case len(m.UnackedEnds) > 0 || m.EndsPending:
 		schedulePoll(w, row, ackPollDelay)
 	case len(m.Runs) > 0 || m.Untracked.Count > 0:
 		schedulePoll(w, row, 0)
@@ -201,6 +201,7 @@
 	m.LeaseEnd = max(m.LeaseEnd, clock)
 	if !m.Answered {
 		// The minion may have a lease of the predecessor, whose token it has accepted until now.
+		m.EndsKnown = false
 		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(leaseDuration))
 		if len(m.Runs) > 0 {
 			// The minion has restarted, see resetRestartedMinion.
@@ -254,6 +255,10 @@
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "All ends of the minion are applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.SeenThrough), Age: w.Now.Sub(m.EndsPendingSince)})
 	}
 	m.EndsPending = pending
+	if !pending && !m.EndsKnown {
+		m.EndsKnown = true
+		w.Pools.At(m.PoolRow).NeedsPlacement = true
+	}
 }
 
 // addUntrackedRun adds a reported run without a row in the table of runs to a minion's Untracked.
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -142,9 +142,9 @@
 }
 
 // knowsPredecessorWork reports whether all work that earlier dispatchers started is known. What
-// runs on a minion is known once it has answered a poll with this process's token, or once no
-// earlier dispatcher can have kept a lease on it. The outcome of runs that ended and were
-// acknowledged before that is in the stored rows, which must therefore be read afterwards.
+// runs on a minion is known once it has answered a poll with this process's token and all its ends are
+// applied, or once no earlier dispatcher can have kept a lease on it. The outcome of runs that ended and
+// were acknowledged before that is in the stored rows, which must therefore be read afterwards.
 func knowsPredecessorWork(w *quetzalwork.World, row quetzalwork.Row) bool {
 	p := w.Pools.At(row)
 	if p.PredecessorWorkKnown {
@@ -156,6 +156,8 @@
 	}
 	for _, minion := range p.Minions {
 		switch m := w.Minions.At(minion); {
+		case awaitsEnds(w, m):
+			return false
 		case m.Answered:
 			runsKnownAt = max(runsKnownAt, m.FirstAnsweredAt)
 		case !m.Replaced:
@@ -173,6 +175,12 @@
 	return true
 }
 
+// awaitsEnds reports whether a minion has ends of runs that an earlier dispatcher started and that are
+// still to be applied. A minion whose lease has expired is not waited for.
+func awaitsEnds(w *quetzalwork.World, m *quetzalwork.Minion) bool {
+	return m.Answered && !m.EndsKnown && !m.Replaced && (m.MissedAnswers == 0 || w.Now <= leaseExpiry(m))
+}
+
 // placeStep places as many tasks of a step as it can. It returns the instant of the next try,
 // zero if an input triggers it.
 func placeStep(w *quetzalwork.World, p *quetzalwork.Pool, fc *freeCapacity, stepRow quetzalwork.Row) quetzalunit.Instant {
--- a/quetzalcore/quetzalscheduler/reportedends_test.go
+++ b/quetzalcore/quetzalscheduler/reportedends_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,3 +53,55 @@
 	d.run(2 * time.Second)
 	require.Len(t, d.starts, 1)
 }
+
+// Guards against a second run of a task after a takeover: the first answer of a minion to the new
+// dispatcher has no room for all ends that the predecessor could not acknowledge.
+func TestSuccessorWaitsForEndsBeyondALimitedAnswer(t *testing.T) {
+	row := accepted(testJob, oldDuty)
+	row.Content.(quetzalwork.AcceptedJob).Spec.Steps[0].TaskCount = 2
+	d := newDispatcher(t, row)
+	d.recordsProgress = true
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		task := quetzalwork.TaskID{Job: testJob, TaskRef: quetzalwork.TaskRef{Task: quetzalunit.TaskIndex(c.AckedThrough)}}
+		if c.AckedThrough < 2 {
+			in.Ends = []quetzalwork.ReportedEnd{{Number: c.AckedThrough + 1, Task: task, Run: 1}}
+		}
+		in.MoreEnds = c.AckedThrough == 0
+		return in
+	}
+	d.run(10 * time.Second)
+	require.Len(t, d.stored, 1)
+	require.Empty(t, d.starts)
+	for i := range 2 {
+		c := d.stored[i]
+		d.tick(quetzalwork.ProgressStored{Pool: c.Pool, Shard: c.Shard, Token: c.Token, Jobs: c.Jobs, Revision: testToken + quetzalunit.Revision(i) + 1})
+		d.run(time.Second)
+		require.Empty(t, d.starts)
+	}
+	require.Equal(t, quetzalunit.EndNumber(2), d.polls[len(d.polls)-1].AckedThrough)
+}
+
+// Guards against jobs that wait forever after a takeover: a minion that had more ends than one answer
+// returns crashes before the new dispatcher has seen them all.
+func TestSuccessorWaitsForNoEndsOfAMinionWhoseLeaseHasExpired(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, oldDuty))
+	idle := testMinions[0]
+	idle.ID, idle.Address, idle.Host = "m1", "m1", "h1"
+	d.minions = append(slices.Clone(d.minions), idle)
+	answered := 0
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		if c.Target.Minion != idle.ID {
+			if answered++; answered > 1 {
+				in.Result = quetzalwork.OrderUnanswered{}
+			}
+			in.MoreEnds = true
+		}
+		return in
+	}
+	d.run(4 * time.Second)
+	require.Empty(t, d.starts)
+	d.run(6 * time.Second)
+	require.NotEmpty(t, d.starts)
+}
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -81,6 +81,9 @@
 	// that the minion does not report may have ended. EndsPendingSince is when this began.
 	EndsPending      bool
 	EndsPendingSince quetzalunit.Instant
+	// EndsKnown reports whether EndsPending has been false since FirstAnsweredAt: all ends of runs that
+	// earlier dispatchers started are applied.
+	EndsKnown bool
 	// PollInFlight reports whether a poll is in flight. PolledAt is when the last one was sent.
 	PollInFlight bool
 	PolledAt     quetzalunit.Instant
