Test that ends behind that of an unknown job are waited for

What callers saw: nothing so far.

Cause: the ends in an answer are applied in their order up to the first one of a job that the dispatcher does not know yet, for instance since the notice of the job was lost. Runs whose ends follow it were ended as absent and started again, also when the answer was complete.

--- a/quetzalcore/quetzalscheduler/reportedends_test.go
+++ b/quetzalcore/quetzalscheduler/reportedends_test.go
@@ -105,3 +105,36 @@
 	d.run(6 * time.Second)
 	require.NotEmpty(t, d.starts)
 }
+// Guards against a second run of a task whose end follows, in an answer of its minion, that of a job
+// which the dispatcher does not know yet.
+func TestEndsBehindThatOfAnUnknownJobAreWaitedFor(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		for _, s := range d.starts {
+			in.Running = append(in.Running, quetzalwork.ReportedRun{Task: s.Task, Number: s.Number})
+		}
+		return in
+	}
+	d.run(2 * time.Second)
+	require.Len(t, d.starts, 1)
+	task := func(job quetzalunit.JobID) quetzalwork.TaskID { return quetzalwork.TaskID{Job: job} }
+	ends := []quetzalwork.ReportedEnd{
+		{Number: 1, Task: task(otherJob), Run: 1},
+		{Number: 2, Task: task(testJob), Run: d.starts[0].Number},
+	}
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		for _, e := range ends {
+			if e.Number > c.AckedThrough {
+				in.Ends = append(in.Ends, e)
+			}
+		}
+		return in
+	}
+	d.run(2 * time.Second)
+	require.Len(t, d.starts, 1)
+	d.run(4 * time.Second)
+	require.Len(t, d.starts, 1)
+	require.Equal(t, quetzalunit.EndNumber(1), d.polls[len(d.polls)-1].AckedThrough, "the other job stays unknown, so its end is acknowledged after a while")
+}
