Keep the stored progress of a job within a row

Cause: the progress row named each done task of all occurrences, with its three numbers in JSON. At some 6,000 tasks it is larger than the 65,536 bytes that a row may have, and the store rejects it from then on.

Change: - Finished occurrences are a set of ranges (DoneOccurrences). Nothing else is kept of them: neither their tasks in the progress nor, once none of their runs is active, their steps and tasks in memory. Rows in the earlier form stay readable. A process of an earlier version cannot read the new form.

TestProgressRoundTrip names the runs in ascending order now: the lists are sets, and the stored form orders them.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -30,9 +30,6 @@
 	return "field " + e.Field + ": invalid value: " + e.Problem
 }
 
-// taskRefLength is the number of integers that identify a task: occurrence, step and task.
-const taskRefLength = 3
-
 // EncodeJobContent returns the JSON of one of a job's stored rows: the job, its cancellation,
 // which names the entry, or its progress.
 func EncodeJobContent(c quetzalwork.JobContent, entry quetzalunit.EntryID) ([]byte, error) {
@@ -58,81 +55,6 @@
 	return decodeAcceptedJob(&d), nil
 }
 
-// DecodeProgress decodes the row of a job's progress.
-func DecodeProgress(data []byte) (quetzalwork.JobProgress, error) {
-	var d quetzalwire.WorkProgressDoc
-	if err := json.Unmarshal(data, &d); err != nil {
-		return quetzalwork.JobProgress{}, eris.Wrap(err, "decode progress")
-	}
-	p := quetzalwork.Progress{State: quetzalwork.JobRunning}
-	switch d.State {
-	case quetzalwire.WorkProgressDocStateCompleted:
-		p.State = quetzalwork.JobCompleted
-	case quetzalwire.WorkProgressDocStateFailed:
-		p.State = quetzalwork.JobFailed
-	case quetzalwire.WorkProgressDocStateRunning:
-	}
-	for _, n := range d.Done {
-		if len(n) != taskRefLength {
-			return quetzalwork.JobProgress{}, &FieldError{Field: "Done", Problem: "row does not have 3 integers"}
-		}
-		p.Done = append(p.Done, decodeTaskRef(n))
-	}
-	var err error
-	if p.Failures, err = decodeTaskFailures("Failures", d.Failures); err != nil {
-		return quetzalwork.JobProgress{}, err
-	}
-	if p.Crashes, err = decodeTaskFailures("Crashes", d.Crashes); err != nil {
-		return quetzalwork.JobProgress{}, err
-	}
-	return quetzalwork.JobProgress{Progress: p}, nil
-}
-
-func decodeTaskFailures(field string, rows [][]int) ([]quetzalwork.TaskFailure, error) {
-	var failures []quetzalwork.TaskFailure
-	for _, n := range rows {
-		if len(n) != taskRefLength+1 {
-			return nil, &FieldError{Field: field, Problem: "row does not have 4 integers"}
-		}
-		failures = append(failures, quetzalwork.TaskFailure{TaskRef: decodeTaskRef(n), Run: quetzalunit.RunNumber(n[taskRefLength])})
-	}
-	return failures, nil
-}
-
-func encodeTaskFailures(failures []quetzalwork.TaskFailure) [][]int {
-	var rows [][]int
-	for _, f := range failures {
-		rows = append(rows, append(encodeTaskRef(f.TaskRef), int(f.Run)))
-	}
-	return rows
-}
-
-func decodeTaskRef(n []int) quetzalwork.TaskRef {
-	return quetzalwork.TaskRef{
-		Occurrence: quetzalunit.Occurrence(n[0]), Step: quetzalunit.StepIndex(n[1]), Task: quetzalunit.TaskIndex(n[2]),
-	}
-}
-
-func encodeTaskRef(r quetzalwork.TaskRef) []int {
-	return []int{int(r.Occurrence), int(r.Step), int(r.Task)}
-}
-
-func encodeProgress(p *quetzalwork.Progress) quetzalwire.WorkProgressDoc {
-	d := quetzalwire.WorkProgressDoc{State: quetzalwire.WorkProgressDocStateRunning}
-	switch p.State {
-	case quetzalwork.JobCompleted:
-		d.State = quetzalwire.WorkProgressDocStateCompleted
-	case quetzalwork.JobFailed:
-		d.State = quetzalwire.WorkProgressDocStateFailed
-	case quetzalwork.JobQueued, quetzalwork.JobRunning, quetzalwork.JobCancelled:
-	}
-	for _, r := range p.Done {
-		d.Done = append(d.Done, encodeTaskRef(r))
-	}
-	d.Failures, d.Crashes = encodeTaskFailures(p.Failures), encodeTaskFailures(p.Crashes)
-	return d
-}
-
 func encodeAcceptedJob(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
 	d := quetzalwire.WorkJobDoc{Queue: string(a.Queue), Duty: int(a.DutyRevision)}
 	if a.Spec == nil {
--- a/quetzalcore/quetzalcodec/work_test.go
+++ b/quetzalcore/quetzalcodec/work_test.go
@@ -15,7 +15,12 @@
 		{State: quetzalwork.JobRunning},
 		{State: quetzalwork.JobFailed},
 		{State: quetzalwork.JobRunning, Done: []quetzalwork.TaskRef{ref}, Failures: []quetzalwork.TaskFailure{{TaskRef: ref, Run: 4097}}},
-		{State: quetzalwork.JobRunning, Crashes: []quetzalwork.TaskFailure{{TaskRef: ref, Run: 4097}, {Run: 1}}},
+		{State: quetzalwork.JobRunning, Crashes: []quetzalwork.TaskFailure{{Run: 1}, {TaskRef: ref, Run: 4097}}},
+		{State: quetzalwork.JobRunning, Done: []quetzalwork.TaskRef{{Task: 1}, {Task: 2}, {Task: 5}, {Step: 1}, {Occurrence: 2, Task: 3}, ref}},
+		{State: quetzalwork.JobRunning, Failures: []quetzalwork.TaskFailure{
+			{TaskRef: quetzalwork.TaskRef{Task: 3}, Run: 1}, {TaskRef: quetzalwork.TaskRef{Task: 4}, Run: 1}, {TaskRef: ref, Run: 1}, {TaskRef: quetzalwork.TaskRef{Task: 3}, Run: 2}, {TaskRef: ref, Run: 9},
+		}},
+		{State: quetzalwork.JobRunning, DoneOccurrences: quetzalwork.OccurrenceSet{{First: 0, End: 7}, {First: 9, End: 10}, {First: 1000, End: 9000}}},
 	} {
 		data, err := quetzalcodec.EncodeJobContent(quetzalwork.JobProgress{Progress: want}, "e")
 		require.NoError(t, err)
@@ -25,6 +30,19 @@
 	}
 }
 
+// A row whose lists are malformed, or name more tasks than a job can have, is rejected.
+func TestInvalidProgressIsRejected(t *testing.T) {
+	for _, row := range []string{
+		`"DoneOccurrences":[1]`, `"DoneOccurrences":[-1,2]`, `"DoneOccurrences":[0,0]`, `"DoneOccurrences":[9223372036854775807,5]`,
+		`"DoneTasks":[[0]]`, `"DoneTasks":[[0,0,1]]`, `"DoneTasks":[[0,0,0,1000000000]]`, `"DoneTasks":[[0,0,0,1000000],[1,0,0,1000000]]`,
+		`"FailedRuns":[[]]`, `"FailedRuns":[[5,0]]`, `"CrashedRuns":[[5,0,0,0,1000000],[1,0,0,0,1000000]]`, `"Done":[[0,0]]`, `"Failures":[[0,0,0]]`,
+	} {
+		_, err := quetzalcodec.DecodeProgress([]byte(`{"State":"Running",` + row + `}`))
+		var invalid *quetzalcodec.FieldError
+		require.ErrorAs(t, err, &invalid, row)
+	}
+}
+
 // Rows that were stored before crashes were counted have no Crashes. A row without crashes is encoded
 // as before, and a malformed one is rejected.
 func TestProgressWithoutCrashes(t *testing.T) {
--- a/quetzalcore/quetzalscheduler/crash.go
+++ b/quetzalcore/quetzalscheduler/crash.go
@@ -221,7 +221,7 @@
 // already.
 func recordCrash(w *quetzalwork.World, jobRow quetzalwork.Row, c quetzalwork.TaskFailure) bool {
 	j := w.Jobs.At(jobRow)
-	if slices.Contains(j.Progress.Crashes, c) {
+	if slices.Contains(j.Progress.Crashes, c) || j.Progress.DoneOccurrences.Contains(c.Occurrence) {
 		return false
 	}
 	j.Progress.Crashes = append(j.Progress.Crashes, c)
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -32,6 +33,9 @@
 	busyUntil       map[quetzalunit.Shard]quetzalunit.Instant
 	// listDown makes the store ignore reads of the minion list.
 	listDown bool
+	// maxRowBytes is the size of the largest row that a transaction may write; zero means no limit.
+	// rejected counts the transactions with larger ones.
+	maxRowBytes, rejected int
 	// fullListTime is how long a read of the whole minion list takes.
 	fullListTime time.Duration
 	// compactedThrough is the revision up to which the change history has been compacted, of the
@@ -302,6 +306,10 @@
 		return in
 	case quetzalwork.StoreProgress:
 		in := quetzalwork.ProgressStored{Pool: c.Pool, Shard: c.Shard, Token: c.Token, Jobs: c.Jobs}
+		if s.rejects(c.Rows) {
+			in.Result = quetzalwork.StoreRefused
+			return in
+		}
 		for i := range c.Rows {
 			if old := s.rows[rowKey(&c.Rows[i])]; old.Revision != c.Rows[i].Revision {
 				in.Result = quetzalwork.StoreConflict
@@ -324,6 +332,21 @@
 	panic(fmt.Sprintf("unexpected command %T", c))
 }
 
+// rejects reports whether a row is larger than maxRowBytes.
+func (s *store) rejects(rows []quetzalwork.JobRow) bool {
+	for i := range rows {
+		data, err := quetzalcodec.EncodeJobContent(rows[i].Content, "e")
+		if err != nil {
+			panic(err)
+		}
+		if s.maxRowBytes > 0 && len(data) > s.maxRowBytes {
+			s.rejected++
+			return true
+		}
+	}
+	return false
+}
+
 // write stores rows of jobs under a new revision.
 func (s *store) write(rows []quetzalwork.JobRow) {
 	s.revision++
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -21,11 +21,22 @@
 	if p := w.Pools.At(j.Pool); p.JobsLoaded {
 		addOfferedLoad(w, row)
 	}
-	if j.Spec.Occurrences == 0 {
+	switch {
+	case j.Spec.Occurrences == 0:
 		createOccurrence(w, row, 0)
-		return
+	case w.Pools.At(j.Pool).JobsLoaded:
+		createDueOccurrences(w, row)
+	}
+}
+
+// createLoadedOccurrences creates the due occurrences of the repeating jobs of a pool that has been
+// loaded. Before that, it is not known which of them are finished.
+func createLoadedOccurrences(w *quetzalwork.World, poolRow quetzalwork.Row) {
+	for row, j := range w.Jobs.All() {
+		if j.Pool == poolRow && j.Spec != nil && j.Spec.Occurrences > 0 {
+			createDueOccurrences(w, row)
+		}
 	}
-	createDueOccurrences(w, row)
 }
 
 // objectiveDuration returns the time in which a job should complete, from the estimates of its
@@ -69,6 +80,11 @@
 		tasks += j.Spec.Steps[i].TaskCount
 	}
 	for j.CreatedOccurrences < j.Spec.Occurrences {
+		if end, done := j.Progress.DoneOccurrences.EndOf(j.CreatedOccurrences); done {
+			j.CompletedOccurrences += end - j.CreatedOccurrences
+			j.CreatedOccurrences = end
+			continue
+		}
 		unfinished := quetzalunit.Tasks(j.CreatedOccurrences - j.CompletedOccurrences)
 		if unfinished > 0 && unfinished*tasks > maxJobTasks-tasks {
 			j.OccurrencesDeferred = true
@@ -84,6 +100,9 @@
 			return
 		}
 	}
+	if j.CompletedOccurrences >= j.Spec.Occurrences {
+		finishJob(w, row, quetzalwork.JobCompleted)
+	}
 }
 
 // createOccurrence creates the steps and tasks of an occurrence, and marks the tasks done that are
@@ -152,9 +171,10 @@
 func markRunnableSteps(w *quetzalwork.World, row quetzalwork.Row, occurrence quetzalunit.Occurrence) {
 	j := w.Jobs.At(row)
 	finished := true
-	for _, stepRow := range j.Steps {
+	for i := range j.Spec.Steps {
+		stepRow := w.StepByKey.Get(quetzalwork.StepKey{Job: row, Occurrence: occurrence, Step: quetzalunit.StepIndex(i)})
 		s := w.Steps.At(stepRow)
-		if s == nil || s.Occurrence != occurrence {
+		if s == nil {
 			continue
 		}
 		finished = finished && s.Done == s.Spec.TaskCount
@@ -215,21 +235,56 @@
 func finishOccurrence(w *quetzalwork.World, row quetzalwork.Row, occurrence quetzalunit.Occurrence) {
 	j := w.Jobs.At(row)
 	j.CompletedOccurrences++
-	for _, stepRow := range j.Steps {
-		if s := w.Steps.At(stepRow); s != nil && s.Occurrence == occurrence {
-			s.Runnable = true
-		}
-	}
 	if j.CompletedOccurrences == max(1, j.Spec.Occurrences) {
 		finishJob(w, row, quetzalwork.JobCompleted)
 		return
 	}
+	recordDoneOccurrences(j, quetzalwork.OccurrenceRange{First: occurrence, End: occurrence + 1})
+	pruneOccurrence(w, row, occurrence)
 	if j.OccurrencesDeferred {
 		j.OccurrencesDeferred = false
 		createDueOccurrences(w, row)
 	}
 }
 
+// recordDoneOccurrences adds finished occurrences to a job's progress, in the place of what it holds of
+// their tasks.
+func recordDoneOccurrences(j *quetzalwork.Job, r quetzalwork.OccurrenceRange) {
+	p := &j.Progress
+	p.DoneOccurrences.Add(r)
+	within := func(ref quetzalwork.TaskRef) bool { return r.First <= ref.Occurrence && ref.Occurrence < r.End }
+	p.Done = slices.DeleteFunc(p.Done, within)
+	ofRun := func(f quetzalwork.TaskFailure) bool { return within(f.TaskRef) }
+	p.Failures, p.Crashes = slices.DeleteFunc(p.Failures, ofRun), slices.DeleteFunc(p.Crashes, ofRun)
+}
+
+// pruneOccurrence frees the steps of a finished occurrence of a repeating job once none of its runs is
+// active.
+func pruneOccurrence(w *quetzalwork.World, row quetzalwork.Row, occurrence quetzalunit.Occurrence) {
+	j := w.Jobs.At(row)
+	if j == nil || j.Spec == nil || j.State.Final() || !j.Progress.DoneOccurrences.Contains(occurrence) {
+		return
+	}
+	var steps []quetzalwork.Row
+	for i := range j.Spec.Steps {
+		stepRow := w.StepByKey.Get(quetzalwork.StepKey{Job: row, Occurrence: occurrence, Step: quetzalunit.StepIndex(i)})
+		if s := w.Steps.At(stepRow); s == nil || hasActiveRuns(w, s) {
+			return
+		}
+		steps = append(steps, stepRow)
+	}
+	i := slices.Index(j.Steps, steps[0])
+	j.Steps = slices.Delete(j.Steps, i, i+len(steps))
+	for _, stepRow := range steps {
+		deleteStep(w, stepRow)
+	}
+}
+
+// hasActiveRuns reports whether a task of a step has an active run.
+func hasActiveRuns(w *quetzalwork.World, s *quetzalwork.Step) bool {
+	return slices.ContainsFunc(s.Tasks, func(taskRow quetzalwork.Row) bool { return len(w.Tasks.At(taskRow).Runs) > 0 })
+}
+
 // finishJob sets the final state of a job and stops its remaining runs.
 func finishJob(w *quetzalwork.World, row quetzalwork.Row, state quetzalwork.JobState) {
 	j := w.Jobs.At(row)
@@ -288,34 +343,37 @@
 		return
 	}
 	for _, stepRow := range j.Steps {
-		for _, taskRow := range w.Steps.At(stepRow).Tasks {
-			if len(w.Tasks.At(taskRow).Runs) > 0 {
-				return
-			}
+		if hasActiveRuns(w, w.Steps.At(stepRow)) {
+			return
 		}
 	}
 	deleteSteps(w, row)
 	j.Spec = nil
-	j.Progress.Done, j.Progress.Failures, j.Progress.Crashes = nil, nil, nil
+	j.Progress = quetzalwork.Progress{State: j.Progress.State}
 }
 
 // deleteSteps deletes the steps of a job with their tasks and runs.
 func deleteSteps(w *quetzalwork.World, row quetzalwork.Row) {
 	j := w.Jobs.At(row)
 	for _, stepRow := range j.Steps {
-		s := w.Steps.At(stepRow)
-		for _, taskRow := range s.Tasks {
-			for _, run := range slices.Clone(w.Tasks.At(taskRow).Runs) {
-				removeRun(w, run)
-			}
-			w.Tasks.Delete(taskRow)
-		}
-		w.StepByKey.Delete(quetzalwork.StepKey{Job: row, Occurrence: s.Occurrence, Step: s.Index})
-		w.Steps.Delete(stepRow)
+		deleteStep(w, stepRow)
 	}
 	j.Steps = nil
 }
 
+// deleteStep deletes a step with its tasks and runs.
+func deleteStep(w *quetzalwork.World, row quetzalwork.Row) {
+	s := w.Steps.At(row)
+	for _, taskRow := range s.Tasks {
+		for _, run := range slices.Clone(w.Tasks.At(taskRow).Runs) {
+			removeRun(w, run)
+		}
+		w.Tasks.Delete(taskRow)
+	}
+	w.StepByKey.Delete(quetzalwork.StepKey{Job: s.Job, Occurrence: s.Occurrence, Step: s.Index})
+	w.Steps.Delete(row)
+}
+
 // deleteJob deletes a job of a pool that this process no longer dispatches.
 func deleteJob(w *quetzalwork.World, row quetzalwork.Row) {
 	j := w.Jobs.At(row)
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -78,6 +78,7 @@
 	p.NeedsPlacement = p.NeedsPlacement || !p.PredecessorWorkKnown
 	if !p.JobsLoaded {
 		p.JobsLoaded = true
+		createLoadedOccurrences(w, row)
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "Loaded the pool's jobs.", Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(p.HeldSince)})
 		w.MinionList.SeenRevision = 0
 		listMinions(w)
@@ -144,12 +145,16 @@
 		finishJob(w, row, stored.State)
 		return
 	}
+	for _, r := range stored.DoneOccurrences {
+		j.Started = true
+		mergeDoneOccurrences(w, row, r)
+	}
 	known := make(map[quetzalwork.TaskRef]bool, len(j.Progress.Done))
 	for _, ref := range j.Progress.Done {
 		known[ref] = true
 	}
 	for _, ref := range stored.Done {
-		if !known[ref] {
+		if !known[ref] && !j.Progress.DoneOccurrences.Contains(ref.Occurrence) {
 			j.Started = true
 			j.Progress.Done = append(j.Progress.Done, ref)
 			if task := findTask(w, row, ref); task != 0 {
@@ -167,10 +172,28 @@
 	}
 }
 
+// mergeDoneOccurrences merges finished occurrences into a job. Those that are created already are
+// finished task by task, which may create further ones.
+func mergeDoneOccurrences(w *quetzalwork.World, row quetzalwork.Row, r quetzalwork.OccurrenceRange) {
+	j := w.Jobs.At(row)
+	recordDoneOccurrences(j, quetzalwork.OccurrenceRange{First: max(r.First, j.CreatedOccurrences), End: r.End})
+	for _, stepRow := range slices.Clone(j.Steps) {
+		s := w.Steps.At(stepRow)
+		if s == nil || s.Occurrence < r.First || s.Occurrence >= r.End {
+			continue
+		}
+		for _, taskRow := range slices.Clone(s.Tasks) {
+			if w.Tasks.At(taskRow) != nil {
+				finishTask(w, taskRow)
+			}
+		}
+	}
+}
+
 // recordFailure records a failed run of a task. It returns false if the run is recorded already.
 func recordFailure(w *quetzalwork.World, row quetzalwork.Row, f quetzalwork.TaskFailure) bool {
 	j := w.Jobs.At(row)
-	if slices.Contains(j.Progress.Failures, f) {
+	if slices.Contains(j.Progress.Failures, f) || j.Progress.DoneOccurrences.Contains(f.Occurrence) {
 		return false
 	}
 	j.Progress.Failures = append(j.Progress.Failures, f)
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -74,7 +74,7 @@
 		if j := w.Jobs.At(row); j != nil && j.ProgressChanges > j.StoredChanges {
 			j.StoringChanges, j.StoringState = j.ProgressChanges, j.Progress.State
 			c.Jobs = append(c.Jobs, row)
-			c.Rows = append(c.Rows, progressRow(j))
+			c.Rows = append(c.Rows, progressRow(w, row))
 			if j.Progress.State.Final() {
 				c.EndedJobs = append(c.EndedJobs, quetzalwork.JobRow{Job: j.ID, Content: quetzalwork.AcceptedJob{Queue: j.Queue, DutyRevision: j.DutyRevision}})
 			}
@@ -86,19 +86,32 @@
 	}
 }
 
-// progressRow returns the progress row to store. The row of a job in a final state has no list
-// of done tasks, failures and crashes.
-func progressRow(j *quetzalwork.Job) quetzalwork.JobRow {
+// progressRow returns the progress row to store. The row of a job in a final state has no lists. That
+// of another job leaves out the failures and crashes of tasks that are done.
+func progressRow(w *quetzalwork.World, row quetzalwork.Row) quetzalwork.JobRow {
+	j := w.Jobs.At(row)
 	progress := quetzalwork.Progress{State: j.Progress.State}
 	if !progress.State.Final() {
 		progress.State = quetzalwork.JobRunning
+		progress.DoneOccurrences = slices.Clone(j.Progress.DoneOccurrences)
 		progress.Done = slices.Clone(j.Progress.Done)
-		progress.Failures = slices.Clone(j.Progress.Failures)
-		progress.Crashes = slices.Clone(j.Progress.Crashes)
+		progress.Failures = runsOfOpenTasks(w, row, j.Progress.Failures)
+		progress.Crashes = runsOfOpenTasks(w, row, j.Progress.Crashes)
 	}
 	return quetzalwork.JobRow{Job: j.ID, Revision: j.ProgressRevision, Content: quetzalwork.JobProgress{Progress: progress}}
 }
 
+// runsOfOpenTasks returns those runs whose task is not known to be done.
+func runsOfOpenTasks(w *quetzalwork.World, job quetzalwork.Row, runs []quetzalwork.TaskFailure) []quetzalwork.TaskFailure {
+	var open []quetzalwork.TaskFailure
+	for _, f := range runs {
+		if t := w.Tasks.At(findTask(w, job, f.TaskRef)); t == nil || t.State != quetzalwork.TaskDone {
+			open = append(open, f)
+		}
+	}
+	return open
+}
+
 // handleProgressStored applies the result of a StoreProgress transaction. Unless it succeeded,
 // the jobs are marked as changed again.
 func handleProgressStored(w *quetzalwork.World, in *quetzalwork.ProgressStored) {
--- a/quetzalcore/quetzalscheduler/reportedends_test.go
+++ b/quetzalcore/quetzalscheduler/reportedends_test.go
@@ -105,6 +105,7 @@
 	d.run(6 * time.Second)
 	require.NotEmpty(t, d.starts)
 }
+
 // Guards against a second run of a task whose end follows, in an answer of its minion, that of a job
 // which the dispatcher does not know yet.
 func TestEndsBehindThatOfAnUnknownJobAreWaitedFor(t *testing.T) {
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -143,7 +143,8 @@
 func endRun(w *quetzalwork.World, row quetzalwork.Row, outcome quetzalwork.RunOutcome, checkpoint quetzalunit.Checkpoint, reason string) {
 	r := w.Runs.At(row)
 	t := w.Tasks.At(r.Task)
-	job := w.Steps.At(t.Step).Job
+	s := w.Steps.At(t.Step)
+	job, occurrence := s.Job, s.Occurrence
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
@@ -152,6 +153,7 @@
 		Minion: w.Minions.At(r.Minion).ID, Age: w.Now.Sub(r.StartedAt), Reason: reason + outcomeName(outcome), Routine: true,
 	})
 	removeRun(w, row)
+	pruneOccurrence(w, job, occurrence)
 	pruneFinishedJob(w, job)
 }
 
@@ -243,6 +245,7 @@
 			finishTask(w, row)
 		}
 	}
+	pruneOccurrence(w, jobRow, e.Task.Occurrence)
 	pruneFinishedJob(w, jobRow)
 }
 
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -1,6 +1,8 @@
 package quetzalwork
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -96,7 +98,8 @@
 	// DutyRevision is the revision of the pool's duty when the job was stored. If it is below this
 	// process's token, an earlier dispatcher may have started some of the tasks.
 	DutyRevision quetzalunit.Revision
-	// Steps are the steps of all occurrences so far.
+	// Steps are the steps of the occurrences created so far, without those that are finished and have no
+	// active runs.
 	Steps []Row
 	// CreatedOccurrences is the number of occurrences created so far, CompletedOccurrences the
 	// number of those that are done.
@@ -119,7 +122,10 @@
 // that a later dispatcher repeats no completed task and grants no additional attempts.
 type Progress struct {
 	State JobState
-	Done  []TaskRef
+	// DoneOccurrences are the finished occurrences of a repeating job. The fields below hold nothing of
+	// them, so that the size of a progress does not grow with the number of occurrences.
+	DoneOccurrences OccurrenceSet
+	Done            []TaskRef
 	// Failures has each failed run once, however often it is reported.
 	Failures []TaskFailure
 	// Crashes has each run once under which its minion crashed, as far as crashes count against the
@@ -127,6 +133,47 @@
 	Crashes []TaskFailure
 }
 
+// OccurrenceRange is the range of occurrences from First up to but not including End.
+type OccurrenceRange struct {
+	First, End quetzalunit.Occurrence
+}
+
+// OccurrenceSet is a set of occurrences. Its ranges are ascending, and neither empty nor adjacent.
+type OccurrenceSet []OccurrenceRange
+
+// find returns the index of the first range that ends at or after an occurrence.
+func (s OccurrenceSet) find(o quetzalunit.Occurrence) int {
+	i, _ := slices.BinarySearchFunc(s, o, func(r OccurrenceRange, o quetzalunit.Occurrence) int { return cmp.Compare(r.End, o) })
+	return i
+}
+
+// EndOf returns the end of the range that contains an occurrence, and false if there is none.
+func (s OccurrenceSet) EndOf(o quetzalunit.Occurrence) (quetzalunit.Occurrence, bool) {
+	if i := s.find(o + 1); i < len(s) && s[i].First <= o {
+		return s[i].End, true
+	}
+	return 0, false
+}
+
+// Contains reports whether an occurrence is in the set.
+func (s OccurrenceSet) Contains(o quetzalunit.Occurrence) bool {
+	_, ok := s.EndOf(o)
+	return ok
+}
+
+// Add adds the occurrences of a range.
+func (s *OccurrenceSet) Add(r OccurrenceRange) {
+	if r.First >= r.End {
+		return
+	}
+	from := s.find(r.First)
+	to := from
+	for ; to < len(*s) && (*s)[to].First <= r.End; to++ {
+		r.First, r.End = min(r.First, (*s)[to].First), max(r.End, (*s)[to].End)
+	}
+	*s = slices.Replace(*s, from, to, r)
+}
+
 // TaskRef identifies a task within its job.
 type TaskRef struct {
 	Occurrence quetzalunit.Occurrence
