Compute the objective of a job from the steps of one occurrence

What callers saw: GETs without an answer for 8 to 30 s.

Cause: for each run that took longer than those before it, updateObjective went through the steps of all occurrences, and for each of them again, to find those that depend on it.

Change: the critical path is computed over the steps of one occurrence, which are looked up by their key. The objective of a repeating job follows the longest path of any occurrence so far; that of other jobs is as before. A chain of steps with many dependencies takes time in proportion to them, no longer exponential.

--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -51,15 +51,16 @@
 
 // criticalPath returns the estimated run time of the critical path through steps.
 func criticalPath(steps []quetzalwork.StepSpec) time.Duration {
-	return slices.Max(criticalPathsFrom(steps))
+	return slices.Max(criticalPathsFrom(steps, func(i int) time.Duration { return steps[i].Estimate }))
 }
 
-// criticalPathsFrom returns, for each step, the estimated run time of the critical path that
-// begins with it. Steps are in topological order: a step's predecessors have lower indices.
-func criticalPathsFrom(steps []quetzalwork.StepSpec) []time.Duration {
+// criticalPathsFrom returns, for each step, the run time of the critical path that begins with it.
+// runTime returns the run time of a single step. Steps are in topological order: a step's predecessors
+// have lower indices.
+func criticalPathsFrom(steps []quetzalwork.StepSpec, runTime func(int) time.Duration) []time.Duration {
 	paths := make([]time.Duration, len(steps))
 	for i := len(steps) - 1; i >= 0; i-- {
-		paths[i] += steps[i].Estimate
+		paths[i] += runTime(i)
 		for _, dependency := range steps[i].DependsOn {
 			paths[dependency] = max(paths[dependency], paths[i])
 		}
--- a/quetzalcore/quetzalscheduler/rank.go
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -145,28 +145,29 @@
 
 // remainingCriticalPath returns the expected run time of the critical path that begins with step s.
 func remainingCriticalPath(w *quetzalwork.World, p *quetzalwork.Pool, j *quetzalwork.Job, s *quetzalwork.Step) time.Duration {
-	var rest time.Duration
-	for _, row := range j.Steps {
-		next := w.Steps.At(row)
-		if next.Occurrence == s.Occurrence && slices.Contains(next.Spec.DependsOn, s.Index) {
-			rest = max(rest, remainingCriticalPath(w, p, j, next))
-		}
+	dependsOnIt := func(next quetzalwork.StepSpec) bool { return slices.Contains(next.DependsOn, s.Index) }
+	if !slices.ContainsFunc(j.Spec.Steps[s.Index+1:], dependsOnIt) {
+		return expectedRunTime(p, j.Queue, s)
 	}
-	return expectedRunTime(p, j.Queue, s) + rest
+	return pathsOfOccurrence(w, s, func(s *quetzalwork.Step) time.Duration { return expectedRunTime(p, j.Queue, s) })[s.Index]
 }
 
-// observedCriticalPath returns the run time of the critical path that begins with step s, where
-// each step counts its longest observed run if that exceeds the expected run time. A straggler
-// thus extends the objective of its job, so that the other tasks of the job are less urgent.
+// observedCriticalPath returns the run time of the critical path of the occurrence of step s, where each
+// step counts its longest observed run if that exceeds the expected run time. A straggler thus extends
+// the objective of its job, so that the other tasks of the job are less urgent.
 func observedCriticalPath(w *quetzalwork.World, p *quetzalwork.Pool, j *quetzalwork.Job, s *quetzalwork.Step) time.Duration {
-	var rest time.Duration
-	for _, row := range j.Steps {
-		next := w.Steps.At(row)
-		if next.Occurrence == s.Occurrence && slices.Contains(next.Spec.DependsOn, s.Index) {
-			rest = max(rest, observedCriticalPath(w, p, j, next))
-		}
-	}
-	return max(expectedRunTime(p, j.Queue, s), s.LongestRunTime) + rest
+	return slices.Max(pathsOfOccurrence(w, s, func(s *quetzalwork.Step) time.Duration {
+		return max(expectedRunTime(p, j.Queue, s), s.LongestRunTime)
+	}))
+}
+
+// pathsOfOccurrence returns, for each step of the occurrence of step s, the run time of the critical path
+// that begins with it.
+func pathsOfOccurrence(w *quetzalwork.World, s *quetzalwork.Step, runTime func(*quetzalwork.Step) time.Duration) []time.Duration {
+	return criticalPathsFrom(w.Jobs.At(s.Job).Spec.Steps, func(i int) time.Duration {
+		key := quetzalwork.StepKey{Job: s.Job, Occurrence: s.Occurrence, Step: quetzalunit.StepIndex(i)}
+		return runTime(w.Steps.At(w.StepByKey.Get(key)))
+	})
 }
 
 // recordLongestRun records how long a run of a step has taken so far, and updates the job's
@@ -174,24 +175,23 @@
 func recordLongestRun(w *quetzalwork.World, s *quetzalwork.Step, took time.Duration) {
 	if took > s.LongestRunTime {
 		s.LongestRunTime = took
-		updateObjective(w, s.Job)
+		updateObjective(w, s)
 	}
 }
 
-// updateObjective recomputes when a job counts as late, from the observed run times of its
-// steps.
-func updateObjective(w *quetzalwork.World, row quetzalwork.Row) {
-	j := w.Jobs.At(row)
+// updateObjective recomputes when a job counts as late, from the observed run times of the steps of an
+// occurrence. The objective of a repeating job follows the longest path of any occurrence so far.
+func updateObjective(w *quetzalwork.World, s *quetzalwork.Step) {
+	j := w.Jobs.At(s.Job)
 	p := w.Pools.At(j.Pool)
 	q := w.Queues.At(w.QueueByID.Get(j.Queue))
 	if q == nil || j.Spec == nil {
 		return
 	}
-	var longest time.Duration
-	for _, stepRow := range j.Steps {
-		if s := w.Steps.At(stepRow); len(s.Spec.DependsOn) == 0 {
-			longest = max(longest, observedCriticalPath(w, p, j, s))
-		}
+	longest := observedCriticalPath(w, p, j, s)
+	if j.Spec.Occurrences > 0 {
+		longest = max(longest, j.LongestPath)
+		j.LongestPath = longest
 	}
 	before := j.ObjectiveAt
 	j.ObjectiveAt = j.FirstSeenAt.Add(time.Duration(q.Stretch*float64(longest)) + q.TargetDuration)
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -111,6 +111,8 @@
 	// ObjectiveAt is the instant after which the job counts as late. It is recomputed when runs
 	// take longer than expected.
 	ObjectiveAt quetzalunit.Instant
+	// LongestPath is the longest observed critical path of an occurrence of a repeating job.
+	LongestPath time.Duration
 	// ProgressChanges counts the changes of Progress. The first StoredChanges of them are in the
 	// store, and the last transaction with the job writes the first StoringChanges.
 	ProgressChanges, StoredChanges, StoringChanges int
