Store jobs one by one after the store has rejected several

Cause: a transaction has the progress of up to 33 jobs of a shard. After one that the store answered with 400, the same jobs were sent again each 80 ms, without end, since 400 counted as "refused for now". And the ends of the job's runs, which are acknowledged in their order, held up those of all other jobs on the same minions. A submission whose row the store rejects had those of others refused in the same way.

Change: the adapter tells a rejection for the contents of a call (4xx, StoreRejected) from a refusal. After one, the jobs of the transaction are stored one by one. A job whose progress is rejected three times by itself is given up as failed, with a line that says so; its ends can then be acknowledged. A submission that is rejected by itself is answered as invalid at once.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -291,6 +291,10 @@
 		return in
 	case quetzalwork.StoreJobs:
 		in := quetzalwork.JobsStored{Pool: c.Pool, Shard: c.Shard, Submissions: c.Submissions, DutyRevision: c.DutyRevision, SentAt: c.SentAt}
+		if s.rejects(c.Jobs) {
+			in.Result = quetzalwork.StoreRejected
+			return in
+		}
 		if d := s.duties[c.Pool]; d.Revision != c.DutyRevision {
 			in.Result, in.CurrentDuty = quetzalwork.StoreConflict, &d
 		}
@@ -307,7 +311,7 @@
 	case quetzalwork.StoreProgress:
 		in := quetzalwork.ProgressStored{Pool: c.Pool, Shard: c.Shard, Token: c.Token, Jobs: c.Jobs}
 		if s.rejects(c.Rows) {
-			in.Result = quetzalwork.StoreRefused
+			in.Result = quetzalwork.StoreRejected
 			return in
 		}
 		for i := range c.Rows {
--- a/quetzalcore/quetzalscheduler/hostlease.go
+++ b/quetzalcore/quetzalscheduler/hostlease.go
@@ -51,7 +51,7 @@
 	case quetzalwork.StoreConflict:
 		endHostControl(w, "Superseded")
 		readMembers(w)
-	case quetzalwork.StoreCompacted, quetzalwork.StoreRefused, quetzalwork.StoreUnanswered:
+	case quetzalwork.StoreCompacted, quetzalwork.StoreRefused, quetzalwork.StoreUnanswered, quetzalwork.StoreRejected:
 		// controlHosts renews again.
 	}
 }
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -18,6 +18,9 @@
 	progressInterval = 25 * time.Millisecond
 	// progressRetryDelay is the delay before a retry after a failed transaction.
 	progressRetryDelay = 80 * time.Millisecond
+	// maxProgressRejections is the number of rejections in a row of a job's progress after which the job
+	// is given up. One may have a passing cause.
+	maxProgressRejections = 3
 )
 
 // markProgressChanged marks a job's progress as changed, so that storeProgress writes it.
@@ -63,15 +66,15 @@
 func storeShardProgress(w *quetzalwork.World, p *quetzalwork.Pool, i quetzalunit.Shard) {
 	shard := &p.Shards[i]
 	c := quetzalwork.StoreProgress{Pool: p.ID, Shard: i, Token: p.Token}
-	rows := shard.ChangedJobs.Take()
-	for i, row := range rows {
-		if len(c.Rows) == maxProgressBatch {
-			for _, later := range rows[i:] {
-				shard.ChangedJobs.Add(later)
-			}
-			break
-		}
-		if j := w.Jobs.At(row); j != nil && j.ProgressChanges > j.StoredChanges {
+	full := false
+	for _, row := range shard.ChangedJobs.Take() {
+		j := w.Jobs.At(row)
+		switch {
+		case j == nil || j.ProgressChanges <= j.StoredChanges:
+		case full || len(c.Rows) == maxProgressBatch || j.StoredAlone && len(c.Rows) > 0:
+			shard.ChangedJobs.Add(row)
+		default:
+			full = j.StoredAlone
 			j.StoringChanges, j.StoringState = j.ProgressChanges, j.Progress.State
 			c.Jobs = append(c.Jobs, row)
 			c.Rows = append(c.Rows, progressRow(w, row))
@@ -133,6 +136,9 @@
 		ackEnds(w, p)
 		return
 	}
+	if in.Result == quetzalwork.StoreRejected {
+		handleRejectedProgress(w, in.Jobs)
+	}
 	// A transaction without an answer may have been executed. The next one then fails with a
 	// conflict, and the newer rows that the conflict returns are merged.
 	shard.StoreProgressNotBefore = w.Now.Add(progressRetryDelay)
@@ -148,11 +154,34 @@
 	ackEnds(w, p)
 }
 
+// handleRejectedProgress handles the rejection of a transaction because of its contents. The jobs are
+// stored one by one from then on, so that one that cannot be stored does not hold up the others. A job
+// that cannot be stored by itself is given up: its progress would be lost with this process, and the ends
+// of its runs, which are not acknowledged before, hold up those of all other jobs on the same minions.
+func handleRejectedProgress(w *quetzalwork.World, jobs []quetzalwork.Row) {
+	for _, row := range jobs {
+		j := w.Jobs.At(row)
+		if j == nil {
+			continue
+		}
+		j.StoredAlone = true
+		if len(jobs) > 1 {
+			continue
+		}
+		j.Rejections++
+		if j.Rejections == maxProgressRejections && !j.State.Final() {
+			w.Log(quetzalwork.Decision{Part: quetzalwork.PartJob, Message: "The store rejects the progress of a job; the job is given up.", Job: j.ID, Pool: w.Pools.At(j.Pool).ID, Reason: "ProgressRejected"})
+			finishJob(w, row, quetzalwork.JobFailed)
+		}
+	}
+}
+
 // recordStoredProgress records that the progress of a job is stored up to the changes that the
 // transaction included.
 func recordStoredProgress(j *quetzalwork.Job, revision quetzalunit.Revision) {
 	j.ProgressRevision = max(j.ProgressRevision, revision)
 	j.StoredChanges = max(j.StoredChanges, j.StoringChanges)
+	j.StoredAlone, j.Rejections = false, 0
 	if j.StoringState.Final() {
 		j.StoredState = j.StoringState
 	}
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -162,15 +162,17 @@
 	c := quetzalwork.StoreJobs{Pool: p.ID, Shard: i, DutyRevision: p.Duty.Revision, SentAt: w.Now, Timeout: storeTimeout}
 	inBatch := make(map[quetzalunit.JobID]bool)
 	var later []quetzalwork.Row
+	alone := false
 	for _, row := range shard.Submissions.Take() {
 		s := w.Submissions.At(row)
 		if s == nil || s.StoreInFlight {
 			continue
 		}
-		if len(c.Jobs) == maxSubmitBatch || inBatch[s.Job] {
+		if alone || len(c.Jobs) == maxSubmitBatch || inBatch[s.Job] || s.StoredAlone && len(c.Jobs) > 0 {
 			later = append(later, row)
 			continue
 		}
+		alone = s.StoredAlone
 		s.StoreInFlight = true
 		s.Attempts++
 		inBatch[s.Job] = true
@@ -216,6 +218,11 @@
 			answerSubmission(w, row, quetzalwork.JobAccepted{}, "Stored")
 		case in.Result == quetzalwork.StoreConflict:
 			shard.Submissions.Add(row)
+		case in.Result == quetzalwork.StoreRejected && len(in.Submissions) > 1:
+			s.StoredAlone = true
+			shard.Submissions.Add(row)
+		case in.Result == quetzalwork.StoreRejected:
+			answerSubmission(w, row, quetzalwork.InvalidJob{Problem: "the job cannot be stored"}, "StoreRejected")
 		case in.Result == quetzalwork.StoreRefused && !s.MayBeStored:
 			answerSubmission(w, row, quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: reasonStoreUnavailable}, reasonStoreUnavailable)
 		default:
@@ -243,7 +250,7 @@
 			p.MeanStoreJobsTime = took
 		}
 		p.MeanStoreJobsTime += (took - p.MeanStoreJobsTime) / storeTimeDivisor
-	case quetzalwork.StoreRefused, quetzalwork.StoreUnanswered:
+	case quetzalwork.StoreRefused, quetzalwork.StoreUnanswered, quetzalwork.StoreRejected:
 		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
 	case quetzalwork.StoreConflict:
 		if in.CurrentDuty == nil && len(in.ExistingJobs) == 0 {
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -106,7 +106,7 @@
 	case quetzalwork.StoreConflict:
 		mergeWaveHosts(wave, in.Done)
 		wave.StoreAgain = true
-	case quetzalwork.StoreCompacted, quetzalwork.StoreRefused, quetzalwork.StoreUnanswered:
+	case quetzalwork.StoreCompacted, quetzalwork.StoreRefused, quetzalwork.StoreUnanswered, quetzalwork.StoreRejected:
 		// advanceWave stores the hosts again.
 		wave.StoreAgain = true
 		return
--- a/quetzalcore/quetzalwork/front.go
+++ b/quetzalcore/quetzalwork/front.go
@@ -23,6 +23,9 @@
 	MayBeStored bool
 	// Attempts counts the transactions with the job.
 	Attempts int
+	// StoredAlone reports whether the job is stored in a transaction of its own, because the store
+	// rejected one with several jobs.
+	StoredAlone bool
 }
 
 // JobRequest is a caller's query or cancellation that is not answered yet.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -292,11 +292,14 @@
 	// StoreUnanswered means that there was no answer: the call may have been carried out, or may
 	// still be.
 	StoreUnanswered
+	// StoreRejected means that the store did not carry out the call because of its contents, for example
+	// a row that is too large. The same call will be rejected again.
+	StoreRejected
 )
 
 // String returns the name of the result in the log.
 func (r StoreResult) String() string {
-	return [...]string{"Done", "Conflict", "Compacted", "Refused", "Unanswered"}[r]
+	return [...]string{"Done", "Conflict", "Compacted", "Refused", "Unanswered", "Rejected"}[r]
 }
 
 // OrderResult is the result of an order to a minion. Clock is the time on the minion's clock
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -118,6 +118,10 @@
 	ProgressChanges, StoredChanges, StoringChanges int
 	// StoringState is the state that this transaction writes.
 	StoringState JobState
+	// StoredAlone reports whether the progress is stored in a transaction of its own, because the store
+	// rejected one with several jobs. Rejections counts the rejections of such transactions in a row.
+	StoredAlone bool
+	Rejections  int
 }
 
 // Progress is the state of a job with its completed tasks, failed runs and crashes. It is stored, so
