--- a/quetzalcore/quetzalscheduler/handoverwait_test.go
+++ b/quetzalcore/quetzalscheduler/handoverwait_test.go
@@ -67,3 +67,21 @@
 	require.Greater(t, p.orders[len(p.orders)-1].token, first)
 	requireNoOrdersBefore(t, p, first, end)
 }
+
+// The reason why a long-running task waits is logged when it changes: from minions that have not answered
+// to ones that may have left the list unseen, and once these are waited for, to room.
+func TestReasonWhyLongRunningTasksWaitIsLogged(t *testing.T) {
+	row := accepted(testJob, oldDuty)
+	row.Content.(quetzalwork.AcceptedJob).Spec.Steps[0] = longStep(1)
+	row.Content.(quetzalwork.AcceptedJob).Spec.Steps[0].Resources.Cores = 9000
+	d := newDispatcher(t, row)
+	d.answerPoll = d.idle
+	d.run(8 * time.Second)
+	var reasons []string
+	for _, l := range d.logged {
+		if l.Message == "Long-running tasks wait." {
+			reasons = append(reasons, l.Reason)
+		}
+	}
+	require.Equal(t, []string{"PredecessorMinionSilent", "PredecessorMinionsUnlisted", "PredecessorRows", "NoRoom"}, reasons)
+}
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -81,8 +81,8 @@
 // the earliest instant at which a task that was not placed may be tried again.
 func placePool(w *quetzalwork.World, poolRow quetzalwork.Row) {
 	p := w.Pools.At(poolRow)
-	pass := placementPass{w: w, pool: p, fc: freeCapacityOf(w, p), predecessorWorkUnknown: !knowsPredecessorWork(w, poolRow)}
-	if pass.predecessorWorkUnknown {
+	pass := placementPass{w: w, pool: p, fc: freeCapacityOf(w, p), predecessorWait: predecessorWait(w, poolRow)}
+	if pass.predecessorWait != "" {
 		pass.retryAt = p.PredecessorLeasesEnd
 	}
 	rankSteps(w, p)
@@ -100,8 +100,9 @@
 	w    *quetzalwork.World
 	pool *quetzalwork.Pool
 	fc   *freeCapacity
-	// predecessorWorkUnknown excludes the jobs that were stored before the takeover.
-	predecessorWorkUnknown bool
+	// predecessorWait, if not empty, excludes the jobs that were stored before the takeover. It is the
+	// reason.
+	predecessorWait string
 	// retryAt is the earliest instant at which a task that was not placed may be tried again; zero
 	// if there is none.
 	retryAt quetzalunit.Instant
@@ -110,10 +111,63 @@
 // place places as many tasks of a step as it can.
 func (pass *placementPass) place(row quetzalwork.Row) {
 	s := pass.w.Steps.At(row)
-	if s == nil || pass.predecessorWorkUnknown && pass.w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(pass.pool.Token) {
+	if s == nil {
+		return
+	}
+	if pass.predecessorWait != "" && pass.w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(pass.pool.Token) {
+		logWaitingStep(pass.w, pass.pool, s, pass.predecessorWait)
 		return
 	}
 	pass.retryAt = earliest(pass.retryAt, placeStep(pass.w, pass.pool, pass.fc, row))
+	if s = pass.w.Steps.At(row); s != nil && s.Waiting > 0 {
+		logWaitingStep(pass.w, pass.pool, s, waitReason(pass.w, pass.fc, s))
+	}
+}
+
+// Reasons why a long-running task is not placed, in the log.
+const (
+	waitNoMinion = "NoUsableMinion"
+	waitNoRoom   = "NoRoom"
+	waitOther    = "NotYet"
+	// The work of earlier dispatchers is not known: a minion has ends that are still to be applied, one
+	// has not answered, some may have left the list unseen, or the rows of the jobs must be read again.
+	waitEnds       = "PredecessorEnds"
+	waitMinion     = "PredecessorMinionSilent"
+	waitListUnseen = "PredecessorMinionsUnlisted"
+	waitRows       = "PredecessorRows"
+)
+
+// waitReason returns why a task of a step that may be placed is not.
+func waitReason(w *quetzalwork.World, fc *freeCapacity, s *quetzalwork.Step) string {
+	if len(fc.minions) == 0 {
+		return waitNoMinion
+	}
+	fits := func(row quetzalwork.Row) bool {
+		m := w.Minions.At(row)
+		return m.IsolatedRun == 0 && eligible(s, m) && needsOf(s.Spec).FitsIn(m.Free())
+	}
+	if !slices.ContainsFunc(fc.minions, fits) {
+		return waitNoRoom
+	}
+	return waitOther
+}
+
+// logWaitingStep logs why tasks of a long-running step wait, once for each reason in a row.
+func logWaitingStep(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, reason string) {
+	if !s.Spec.LongRunning || s.WaitReason == reason {
+		return
+	}
+	s.WaitReason = reason
+	var since quetzalunit.Instant
+	for _, row := range s.Tasks {
+		if t := w.Tasks.At(row); t.State == quetzalwork.TaskWaiting && (since == 0 || t.UnavailableSince < since) {
+			since = t.UnavailableSince
+		}
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartPlacement, Message: "Long-running tasks wait.", Job: w.Jobs.At(s.Job).ID, Task: quetzalwork.TaskRef{Occurrence: s.Occurrence, Step: s.Index},
+		Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(since), Reason: reason,
+	})
 }
 
 // earliest returns the earlier of two instants, of which zero ones do not count.
@@ -141,38 +195,38 @@
 	})
 }
 
-// knowsPredecessorWork reports whether all work that earlier dispatchers started is known. What
+// predecessorWait returns why the work that earlier dispatchers started is not known, empty if it is. What
 // runs on a minion is known once it has answered a poll with this process's token and all its ends are
 // applied, or once no earlier dispatcher can have kept a lease on it. The outcome of runs that ended and
 // were acknowledged before that is in the stored rows, which must therefore be read afterwards.
-func knowsPredecessorWork(w *quetzalwork.World, row quetzalwork.Row) bool {
+func predecessorWait(w *quetzalwork.World, row quetzalwork.Row) string {
 	p := w.Pools.At(row)
 	if p.PredecessorWorkKnown {
-		return true
+		return ""
 	}
-	runsKnownAt := p.HeldSince
+	runsKnownAt, reason := p.HeldSince, waitRows
 	if l := &w.MinionList; l.AnsweredAt < p.HeldSince || p.HeldSince.Sub(l.KnownSince) < removedMinionRetention {
-		runsKnownAt = p.PredecessorLeasesEnd
+		runsKnownAt, reason = p.PredecessorLeasesEnd, waitListUnseen
 	}
 	for _, minion := range p.Minions {
 		switch m := w.Minions.At(minion); {
 		case awaitsEnds(w, m):
-			return false
+			return waitEnds
 		case m.Answered:
 			runsKnownAt = max(runsKnownAt, m.FirstAnsweredAt)
 		case !m.Replaced:
-			runsKnownAt = max(runsKnownAt, p.PredecessorLeasesEnd)
+			runsKnownAt, reason = max(runsKnownAt, p.PredecessorLeasesEnd), waitMinion
 		}
 	}
 	if w.Now <= runsKnownAt {
-		return false
+		return reason
 	}
 	if p.CompletedReadSentAt <= runsKnownAt {
 		readPool(w, row, p.Token)
-		return false
+		return waitRows
 	}
 	p.PredecessorWorkKnown = true
-	return true
+	return ""
 }
 
 // awaitsEnds reports whether a minion has ends of runs that an earlier dispatcher started and that are
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -57,6 +57,9 @@
 		Checkpoint: t.Checkpoint, Ticket: ticket, DecidedAt: w.Now, ListedAt: w.MinionList.ReadSentAt,
 		ValidUntil: startDeadline(w),
 	})
+	if s.Waiting == 0 {
+		s.WaitReason = ""
+	}
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartPlacement, Message: "A task is placed.", Job: j.ID, Task: taskRef(w, t), Run: number, Minion: m.ID,
 		Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(s.RunnableAt), Routine: true,
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -44,6 +44,8 @@
 	rejectsStarts bool
 	// unansweredStarts makes the answers to orders to start get lost.
 	unansweredStarts bool
+	// logged are the decisions in the log so far.
+	logged []quetzalwork.Decision
 	// answers are the answers to callers so far.
 	answers  []quetzalwork.Answer
 	releases []quetzalwork.WriteDuty
@@ -107,6 +109,9 @@
 			},
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: duty},
 		}
+	case quetzalwork.LogDecision:
+		d.logged = append(d.logged, cmd.Decision)
+		return nil
 	case quetzalwork.AnswerCaller:
 		d.answers = append(d.answers, cmd.Answer)
 		return nil
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -230,6 +230,9 @@
 	GangRunNumber quetzalunit.RunNumber
 	// Advice is the advisor's last answer for the step.
 	Advice Advice
+	// WaitReason is the reason that was logged last why tasks of a long-running step wait, empty if none
+	// does.
+	WaitReason string
 }
 
 // Rank determines the order in which the ready steps of a pool are placed.
