Wait after a takeover only for the holder that it replaced

Cause: if a read of the duties shows the takeover of this process before the answer to its own write arrives, the takeover counted as one from an unknown holder that may still be running. The new dispatcher then waited 7.7 s for leases, although the duty had been released. A read is in flight at many takeovers, so this is common.

Change: the takeover was conditional on the row that this process knew, so its holder, if any, is the predecessor.

--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -40,7 +40,7 @@
 	}
 	seen.Acquiring, seen.RetryAt = d.Acquiring, d.RetryAt
 	setEarlierLeasesEnd(w, &seen)
-	predecessor := *d
+	predecessor, mayBeRunning := *d, holderMayBeRunning(w, d)
 	*d = seen
 	if seen.Holder == "" {
 		markStopping(w, &predecessor)
@@ -63,8 +63,9 @@
 		endDispatch(w, row, "Superseded")
 	}
 	if mine && !p.Held && !w.Stopping {
-		// The takeover was stored, but its answer was lost.
-		beginDispatch(w, row, seen.Revision, quetzalwork.Duty{}, true)
+		// The takeover was stored, but its answer was lost or has not arrived yet. It was conditional on
+		// the row that this process knew, and no later one can have preceded it.
+		beginDispatch(w, row, seen.Revision, predecessor, mayBeRunning || predecessor.Revision == 0)
 	}
 }
 
