Pass on at a release how long leases may last

Cause: a new process does not know which minions left the list before it read it. At each takeover it waited 4.7 s, the longest lease, before it started tasks of earlier jobs, also where the predecessor had released the duty in order. With a hand-over every few hundred milliseconds that wait began anew each time.

Change: - The row of a released duty tells what its last holder knew: the revision of its list of minions, the minions that did not answer or had left the list with what is left of their leases, and the longest time for others. A successor waits for these alone, and passes on what is left if it releases the duty before. - A successor that first read the list after that revision asks the store which minions have left it since. Only if there are any that it does not know, or the store has no such history, it waits as before. - The times count from a time on the store's clock. Otherwise they would grow while no entry holds the duty. A duty that was not released, since its holder was killed or cut off, is handed over as before.

TestSuccessorWaitsAsLongAsTheReleaseTells and the other tests in releasedleases_test.go fail with each rule taken out.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -175,10 +175,36 @@
 func encodeDuty(d *quetzalwork.Duty) quetzalwire.PoolDutyDoc {
 	return quetzalwire.PoolDutyDoc{
 		Holder: string(d.Holder), Incarnation: int(d.Incarnation), Address: string(d.Address), Ordered: toStrings(d.OrderedHosts),
-		EarlierLeasesMs: int(d.EarlierLeases.Milliseconds()),
+		EarlierLeasesMs: int(d.EarlierLeases.Milliseconds()), Leases: encodeReleasedLeases(d.Leases),
 	}
 }
 
+func encodeReleasedLeases(l *quetzalwork.ReleasedLeases) *quetzalwire.ReleasedLeasesDoc {
+	if l == nil {
+		return nil
+	}
+	d := &quetzalwire.ReleasedLeasesDoc{
+		AtMs: int(l.At), ListRevision: int(l.ListRevision), ListedMs: int(l.Listed.Milliseconds()), UnknownMs: int(l.Unknown.Milliseconds()), Minions: []quetzalwire.MinionLeaseDoc{},
+	}
+	for _, m := range l.Minions {
+		d.Minions = append(d.Minions, quetzalwire.MinionLeaseDoc{Minion: string(m.Minion), LeftMs: int(m.Left.Milliseconds())})
+	}
+	return d
+}
+
+func decodeReleasedLeases(d *quetzalwire.ReleasedLeasesDoc) *quetzalwork.ReleasedLeases {
+	if d == nil {
+		return nil
+	}
+	l := &quetzalwork.ReleasedLeases{
+		At: quetzalunit.StoreTime(d.AtMs), ListRevision: quetzalunit.Revision(d.ListRevision), Listed: durationFromMs(d.ListedMs), Unknown: durationFromMs(d.UnknownMs),
+	}
+	for _, m := range d.Minions {
+		l.Minions = append(l.Minions, quetzalwork.MinionLease{Minion: quetzalunit.MinionID(m.Minion), Left: durationFromMs(m.LeftMs)})
+	}
+	return l
+}
+
 // DecodeDuty decodes the row that names the holder of a duty. The revision is that of the row.
 func DecodeDuty(data []byte, revision quetzalunit.Revision) (quetzalwork.Duty, error) {
 	var d quetzalwire.PoolDutyDoc
@@ -204,6 +230,6 @@
 	return quetzalwork.Duty{
 		Holder: quetzalunit.EntryID(d.Holder), Incarnation: quetzalunit.Incarnation(d.Incarnation),
 		Address: quetzalunit.Address(d.Address), Revision: revision, OrderedHosts: FromStrings[quetzalunit.HostID](d.Ordered),
-		EarlierLeases: durationFromMs(d.EarlierLeasesMs),
+		EarlierLeases: durationFromMs(d.EarlierLeasesMs), Leases: decodeReleasedLeases(d.Leases),
 	}
 }
--- a/quetzalcore/quetzalcodec/work_test.go
+++ b/quetzalcore/quetzalcodec/work_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -59,3 +60,23 @@
 	require.ErrorAs(t, err, &invalid)
 	require.Equal(t, "Crashes", invalid.Field)
 }
+
+// A row that an earlier version wrote tells nothing of the leases.
+func TestDutyRoundTrip(t *testing.T) {
+	for _, want := range []quetzalwork.Duty{
+		{Holder: "e", Incarnation: 3, Address: "a", Revision: 9, EarlierLeases: time.Second},
+		{Revision: 9, Leases: &quetzalwork.ReleasedLeases{ListRevision: 7, Listed: 4700 * time.Millisecond}},
+		{Revision: 9, Leases: &quetzalwork.ReleasedLeases{Unknown: time.Second, Minions: []quetzalwork.MinionLease{{Minion: "m", Left: 5 * time.Millisecond}}}},
+	} {
+		data, err := quetzalcodec.EncodeDuty(&want)
+		require.NoError(t, err)
+		got, err := quetzalcodec.DecodeDuty(data, 9)
+		require.NoError(t, err)
+		require.Empty(t, got.OrderedHosts)
+		got.OrderedHosts = nil
+		require.Equal(t, want, got)
+	}
+	got, err := quetzalcodec.DecodeDuty([]byte(`{"Holder":"","Incarnation":0,"Address":"","Ordered":[],"EarlierLeasesMs":0}`), 9)
+	require.NoError(t, err)
+	require.Nil(t, got.Leases)
+}
--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -25,15 +25,6 @@
 	return remainingLeases(w, d.EarlierLeasesEnd)
 }
 
-// leasesAtRelease is leasesAtTakeover for the release of a pool's duty. Once the predecessors' work is
-// known, the minions reject their tokens.
-func leasesAtRelease(w *quetzalwork.World, p *quetzalwork.Pool) time.Duration {
-	if p.PredecessorWorkKnown {
-		return 0
-	}
-	return remainingLeases(w, p.PredecessorLeasesEnd)
-}
-
 // remainingLeases returns how long leases last that end at an instant, zero if that is no more than
 // leaseExpiryTime.
 func remainingLeases(w *quetzalwork.World, end quetzalunit.Instant) time.Duration {
@@ -43,10 +34,10 @@
 	return 0
 }
 
-// setEarlierLeasesEnd sets the EarlierLeasesEnd of a row of a duty that this process sees now. The row
-// was written before.
+// setEarlierLeasesEnd sets the LeasesFrom and the EarlierLeasesEnd of a row of a duty that this process sees
+// now. The row was written before.
 func setEarlierLeasesEnd(w *quetzalwork.World, d *quetzalwork.Duty) {
-	d.EarlierLeasesEnd = 0
+	d.LeasesFrom, d.EarlierLeasesEnd = releasedFrom(w, d.Leases), 0
 	if d.EarlierLeases > 0 {
 		d.EarlierLeasesEnd = w.Now.Add(d.EarlierLeases)
 	}
@@ -82,12 +73,19 @@
 	p.Predecessor = quetzalwork.Duty{}
 	p.EarlierLeasesEnd = predecessor.EarlierLeasesEnd
 	p.PredecessorLeasesEnd = max(p.EarlierLeasesEnd, w.Now.Add(leaseExpiryTime))
-	if mayBeRunning {
+	p.ReleasedLeases, p.ReleasedFrom, p.LookedBack = nil, predecessor.LeasesFrom, false
+	switch {
+	case mayBeRunning:
 		p.Predecessor = predecessor
 		p.PredecessorLeasesEnd = w.Now.Add(dutyValidity + leaseExpiryTime)
+	case predecessor.Leases != nil:
+		p.ReleasedLeases = predecessor.Leases
+		p.PredecessorLeasesEnd = lastReleasedLease(p)
 	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "This entry dispatches the pool.", Pool: p.ID, Version: int64(p.Token)})
 	readPool(w, row, p.Token)
+	listMinions(w)
+	lookBack(w)
 	for _, minion := range p.Minions {
 		resetMinion(w, minion)
 		schedulePoll(w, minion, 0)
--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -301,7 +301,8 @@
 	case in.Pool == quetzalwork.HostControlDuty:
 		written.OrderedHosts, written.EarlierLeases = recentlyOrderedHosts(w), remainingWait(w)
 	default:
-		written.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, in.Pool)))
+		written.Leases = w.Pools.At(poolRow(w, in.Pool)).OwnRelease
+		written.EarlierLeases = leasesAtRelease(written.Leases)
 	}
 	setEarlierLeasesEnd(w, &written)
 	if in.Revision > d.Revision {
--- a/quetzalcore/quetzalscheduler/listage.go
+++ b/quetzalcore/quetzalscheduler/listage.go
@@ -32,6 +32,9 @@
 	// recordPeriod is the time between two beats of a minion, in which it writes its record, with a
 	// margin.
 	recordPeriod = 1700 * time.Millisecond
+	// maxListGap is the longest time between two reads of the list in which no minion can have joined it
+	// and left it again by falling silent, which takes three beats.
+	maxListGap = 2 * recordPeriod
 )
 
 // recordListRead records a successful read of the minion list that followed the one before after the
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -92,6 +92,9 @@
 	gap := w.Now.Sub(m.ReadAt) > m.ReadPeriod+maxReadGap-renewPeriod
 	m.ReadPeriod = readPeriod(w)
 	m.ReadAt, m.ReadSentAt = w.Now, in.SentAt
+	if in.StoreNow > 0 {
+		m.StoreClock = quetzalwork.StoreClock{Now: in.StoreNow, SentAt: in.SentAt, AnsweredAt: w.Now}
+	}
 	m.Reads++
 	for _, old := range w.Members.All() {
 		old.Listed = old.Listed && !in.Full
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -66,6 +66,10 @@
 // one.
 func handleMinionList(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
 	l := &w.MinionList
+	if in.LookBack {
+		handleLookBack(w, in)
+		return
+	}
 	l.ReadInFlight = false
 	planned := l.Delay
 	l.Delay = minionListDelay(w)
@@ -79,6 +83,10 @@
 		return
 	}
 	l.Failing = false
+	if l.AnsweredAt == 0 || l.SentAt.Sub(l.ReadSentAt) > maxListGap {
+		l.ContinuousFrom = in.SeenRevision
+	}
+	l.Revision = in.SeenRevision
 	recordListRead(w, planned)
 	l.AnsweredAt = w.Now
 	if l.KnownSince == 0 {
@@ -95,10 +103,13 @@
 	}
 	l.SeenRevision = in.SeenRevision
 	for row, m := range w.Minions.All() {
-		if p := w.Pools.At(m.PoolRow); !m.Listed && !p.Held && w.Now.Sub(m.RemovedAt) > removedMinionRetention {
+		p := w.Pools.At(m.PoolRow)
+		p.NeedsPlacement = p.NeedsPlacement || p.Held && !p.PredecessorWorkKnown
+		if !m.Listed && !p.Held && w.Now.Sub(m.RemovedAt) > removedMinionRetention {
 			deleteMinion(w, row)
 		}
 	}
+	lookBack(w)
 }
 
 // logFailedListRead logs the first of several failed reads of the minion list.
@@ -146,7 +157,7 @@
 	if m == nil || !m.Listed {
 		return
 	}
-	m.Listed, m.RemovedAt = false, w.Now
+	m.Listed, m.RemovedAt, m.RemovedRevision = false, w.Now, w.MinionList.Revision
 	if p := w.Pools.At(m.PoolRow); p.Held {
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion left the list.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.LastAnsweredAt)})
 		schedulePoll(w, row, 0)
@@ -289,6 +300,7 @@
 		removeRun(w, run)
 	}
 	*m = quetzalwork.Minion{
-		MinionRecord: m.MinionRecord, RecordIncarnation: m.RecordIncarnation, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced, RemovedAt: m.RemovedAt, DrainUntil: m.DrainUntil, Slowdown: 1,
+		MinionRecord: m.MinionRecord, RecordIncarnation: m.RecordIncarnation, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced,
+		RemovedAt: m.RemovedAt, RemovedRevision: m.RemovedRevision, DrainUntil: m.DrainUntil, Slowdown: 1,
 	}
 }
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -130,11 +130,15 @@
 	waitNoRoom   = "NoRoom"
 	waitOther    = "NotYet"
 	// The work of earlier dispatchers is not known: a minion has ends that are still to be applied, one
-	// has not answered, some may have left the list unseen, or the rows of the jobs must be read again.
-	waitEnds       = "PredecessorEnds"
-	waitMinion     = "PredecessorMinionSilent"
-	waitListUnseen = "PredecessorMinionsUnlisted"
-	waitRows       = "PredecessorRows"
+	// has not answered, or the rows of the jobs must be read again.
+	waitEnds   = "PredecessorEnds"
+	waitMinion = "PredecessorMinionSilent"
+	waitRows   = "PredecessorRows"
+	// Minions that are not known may have leases: the predecessor did not release the duty, it knew of
+	// such minions, or some may have left the list since.
+	waitNoRelease = "PredecessorNotReleased"
+	waitUnknown   = "PredecessorMinionsUnknown"
+	waitUnseen    = "PredecessorMinionsUnseen"
 )
 
 // waitReason returns why a task of a step that may be placed is not.
@@ -205,8 +209,8 @@
 		return ""
 	}
 	runsKnownAt, reason := p.HeldSince, waitRows
-	if l := &w.MinionList; l.AnsweredAt < p.HeldSince || p.HeldSince.Sub(l.KnownSince) < removedMinionRetention {
-		runsKnownAt, reason = p.PredecessorLeasesEnd, waitListUnseen
+	if end, unlisted := unlistedLeasesEnd(w, row); end > runsKnownAt {
+		runsKnownAt, reason = end, unlisted
 	}
 	for _, minion := range p.Minions {
 		switch m := w.Minions.At(minion); {
@@ -214,8 +218,8 @@
 			return waitEnds
 		case m.Answered:
 			runsKnownAt = max(runsKnownAt, m.FirstAnsweredAt)
-		case !m.Replaced:
-			runsKnownAt, reason = max(runsKnownAt, p.PredecessorLeasesEnd), waitMinion
+		case !m.Replaced && earlierLeaseEnd(p, m) > runsKnownAt:
+			runsKnownAt, reason = earlierLeaseEnd(p, m), waitMinion
 		}
 	}
 	if w.Now <= runsKnownAt {
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -0,0 +1,190 @@
+package quetzalscheduler
+
+import (
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// releasedleases.go passes on, with the release of a pool's duty, how long leases may last on the minions
+// that the successor cannot ask. A successor that does not know it must wait for leaseExpiryTime, and
+// several hand-overs in a row would each begin that wait anew.
+
+// maxNamedMinions bounds the minions that a release names. Beyond it, the release tells less exact times.
+const maxNamedMinions = 100
+
+// releaseLeases returns what this process tells of the leases on a pool's minions as it releases the
+// pool's duty. It must be called before endDispatch discards the state of the minions.
+func releaseLeases(w *quetzalwork.World, row quetzalwork.Row) *quetzalwork.ReleasedLeases {
+	p := w.Pools.At(row)
+	if l := p.ReleasedLeases; l != nil && !p.JobsLoaded {
+		// This process has not polled any minion.
+		return remainingRelease(w, p)
+	}
+	l := &quetzalwork.ReleasedLeases{At: latestStoreTime(w), ListRevision: w.MinionList.Revision, Listed: leaseExpiryTime}
+	if end, _ := unlistedLeasesEnd(w, row); !p.PredecessorWorkKnown && end > w.Now {
+		l.Unknown = end.Sub(w.Now)
+	}
+	for _, minionRow := range p.Minions {
+		m := w.Minions.At(minionRow)
+		end := earlierLeaseEnd(p, m)
+		if m.Answered {
+			end = leaseExpiry(m)
+		}
+		left := end.Sub(w.Now)
+		if m.Replaced || m.Answered && m.MissedAnswers == 0 && m.Listed && left <= l.Listed {
+			continue
+		}
+		if left > 0 {
+			l.Minions = append(l.Minions, quetzalwork.MinionLease{Minion: m.ID, Left: left})
+		}
+	}
+	if len(l.Minions) > maxNamedMinions {
+		generalizeLeases(w, l)
+	}
+	return l
+}
+
+// remainingRelease returns what the predecessor told of the leases, with the times that are left.
+func remainingRelease(w *quetzalwork.World, p *quetzalwork.Pool) *quetzalwork.ReleasedLeases {
+	passed := w.Now.Sub(p.ReleasedFrom)
+	l := &quetzalwork.ReleasedLeases{
+		At: latestStoreTime(w), ListRevision: p.ReleasedLeases.ListRevision, Listed: max(0, p.ReleasedLeases.Listed-passed), Unknown: max(0, p.ReleasedLeases.Unknown-passed),
+	}
+	for _, m := range p.ReleasedLeases.Minions {
+		if m.Left > passed {
+			l.Minions = append(l.Minions, quetzalwork.MinionLease{Minion: m.Minion, Left: m.Left - passed})
+		}
+	}
+	return l
+}
+
+// latestStoreTime returns the latest time that the store's clock can show now, zero if it is not known.
+func latestStoreTime(w *quetzalwork.World) quetzalunit.StoreTime {
+	c := &w.Membership.StoreClock
+	if c.Now == 0 {
+		return 0
+	}
+	return c.Now.Add(w.Now.Sub(c.SentAt))
+}
+
+// releasedFrom returns the latest instant from which the times of a release that this process sees now can
+// count.
+func releasedFrom(w *quetzalwork.World, l *quetzalwork.ReleasedLeases) quetzalunit.Instant {
+	c := &w.Membership.StoreClock
+	if l == nil || l.At == 0 || c.Now == 0 {
+		return w.Now
+	}
+	return w.Now.Add(-max(0, c.Now.Add(w.Now.Sub(c.AnsweredAt)).Sub(l.At)))
+}
+
+// generalizeLeases removes the names of minions that are in the list and whose leases end within Listed,
+// and counts the others as unknown.
+func generalizeLeases(w *quetzalwork.World, l *quetzalwork.ReleasedLeases) {
+	for _, lease := range l.Minions {
+		if m := w.Minions.At(w.MinionByID.Get(lease.Minion)); !m.Listed || lease.Left > l.Listed {
+			l.Unknown = max(l.Unknown, lease.Left)
+		}
+	}
+	l.Minions = nil
+}
+
+// longestLease returns the longest time that a release tells of.
+func longestLease(l *quetzalwork.ReleasedLeases) time.Duration {
+	longest := max(l.Listed, l.Unknown)
+	for _, m := range l.Minions {
+		longest = max(longest, m.Left)
+	}
+	return longest
+}
+
+// lastReleasedLease returns the instant after which all leases have ended of which the predecessor told.
+func lastReleasedLease(p *quetzalwork.Pool) quetzalunit.Instant {
+	return p.ReleasedFrom.Add(longestLease(p.ReleasedLeases))
+}
+
+// earlierLeaseEnd returns the instant after which the leases of earlier dispatchers on a minion have
+// ended.
+func earlierLeaseEnd(p *quetzalwork.Pool, m *quetzalwork.Minion) quetzalunit.Instant {
+	l := p.ReleasedLeases
+	if l == nil {
+		return p.PredecessorLeasesEnd
+	}
+	if i := slices.IndexFunc(l.Minions, func(lease quetzalwork.MinionLease) bool { return lease.Minion == m.ID }); i >= 0 {
+		return p.ReleasedFrom.Add(l.Minions[i].Left)
+	}
+	if !m.Listed && m.RemovedRevision <= l.ListRevision {
+		// The predecessor knew that the minion had left the list, and would have named it.
+		return p.ReleasedFrom.Add(l.Unknown)
+	}
+	return p.ReleasedFrom.Add(max(l.Listed, l.Unknown))
+}
+
+// unlistedLeasesEnd returns the instant after which the leases of earlier dispatchers have ended on minions
+// of a pool that this process does not know, because they left the list before it read it, and the reason
+// why they may last so long.
+func unlistedLeasesEnd(w *quetzalwork.World, row quetzalwork.Row) (quetzalunit.Instant, string) {
+	p := w.Pools.At(row)
+	list := &w.MinionList
+	l := p.ReleasedLeases
+	if l == nil {
+		if list.AnsweredAt < p.HeldSince || p.HeldSince.Sub(list.KnownSince) < removedMinionRetention {
+			return p.PredecessorLeasesEnd, waitNoRelease
+		}
+		return 0, ""
+	}
+	end, reason := p.ReleasedFrom.Add(l.Unknown), waitUnknown
+	if list.Revision < l.ListRevision || list.ContinuousFrom > l.ListRevision {
+		end, reason = max(end, p.ReleasedFrom.Add(l.Listed)), waitUnseen
+	}
+	for _, lease := range l.Minions {
+		if m := w.Minions.At(w.MinionByID.Get(lease.Minion)); m == nil || m.PoolRow != row {
+			end = max(end, p.ReleasedFrom.Add(lease.Left))
+		}
+	}
+	return end, reason
+}
+
+// needsLookBack reports whether minions may have left the list unseen since the release of a pool's duty.
+func needsLookBack(w *quetzalwork.World, p *quetzalwork.Pool) bool {
+	l := p.ReleasedLeases
+	return p.Held && !p.PredecessorWorkKnown && !p.LookedBack && l != nil && l.ListRevision > 0 && l.ListRevision < w.MinionList.ContinuousFrom
+}
+
+// lookBack reads which minions have left the list since the duties of pools were released, unless this
+// process has read it continuously since then.
+func lookBack(w *quetzalwork.World) {
+	var since quetzalunit.Revision
+	for _, p := range w.Pools.All() {
+		if needsLookBack(w, p) && (since == 0 || p.ReleasedLeases.ListRevision < since) {
+			since = p.ReleasedLeases.ListRevision
+		}
+	}
+	if since > 0 && !w.MinionList.LookBackInFlight {
+		w.MinionList.LookBackInFlight = true
+		w.Emit(quetzalwork.ListMinions{SinceRevision: since, LookBack: true})
+	}
+}
+
+// handleLookBack applies the result of such a read. If this process knows all minions that have left the
+// list since, it knows the list as if it had read it then. The read is repeated after a failure, but not if
+// the store has no history that goes so far back.
+func handleLookBack(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
+	l := &w.MinionList
+	l.LookBackInFlight = false
+	if in.Result != quetzalwork.StoreDone && in.Result != quetzalwork.StoreCompacted {
+		return
+	}
+	known := func(id quetzalunit.MinionID) bool { return w.Minions.At(w.MinionByID.Get(id)) != nil }
+	unknown := slices.IndexFunc(in.Removed, func(id quetzalunit.MinionID) bool { return !known(id) })
+	if in.Result == quetzalwork.StoreDone && unknown < 0 {
+		l.ContinuousFrom = min(l.ContinuousFrom, in.SinceRevision)
+	}
+	for _, p := range w.Pools.All() {
+		if p.ReleasedLeases != nil && p.ReleasedLeases.ListRevision >= in.SinceRevision {
+			p.LookedBack, p.NeedsPlacement = true, true
+		}
+	}
+}
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/releasedleases_test.go
@@ -0,0 +1,175 @@
+package quetzalscheduler_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// released returns the row of a duty whose last holder knew the list of minions up to a revision.
+func released(listRevision quetzalunit.Revision, l quetzalwork.ReleasedLeases) quetzalwork.Duty {
+	l.ListRevision, l.Listed = listRevision, longestLease
+	return quetzalwork.Duty{Revision: oldDuty, Leases: &l}
+}
+
+// The row of a released duty tells how long leases may last on minions that the successor cannot ask. It
+// must wait that long and no longer. The minion m0 does not answer, m1 does; the successor has read the
+// list of minions at testToken for the first time.
+func TestSuccessorWaitsAsLongAsTheReleaseTells(t *testing.T) {
+	const left = 2 * time.Second
+	none := quetzalwork.MinionsListed{}
+	m0 := []quetzalwork.MinionLease{{Minion: "m0", Left: left}}
+	for name, test := range map[string]struct {
+		listRevision quetzalunit.Revision
+		leases       quetzalwork.ReleasedLeases
+		// unlisted means that m0 is not in the list, departed that it leaves the list before the takeover.
+		unlisted, departed bool
+		lookBack           quetzalwork.MinionsListed
+		wait               time.Duration
+	}{
+		"minion that is named":                       {testToken, quetzalwork.ReleasedLeases{Minions: m0}, false, false, none, left},
+		"minion that is not named":                   {testToken, quetzalwork.ReleasedLeases{}, false, false, none, longestLease},
+		"named minion that is not in the list":       {testToken, quetzalwork.ReleasedLeases{Minions: m0}, true, false, none, left},
+		"named minion that leaves the list":          {testToken, quetzalwork.ReleasedLeases{Minions: m0}, false, true, none, left},
+		"minion that the predecessor saw leave":      {testToken, quetzalwork.ReleasedLeases{}, false, true, none, 0},
+		"minion that left the list unseen":           {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, quetzalwork.MinionsListed{Removed: []quetzalunit.MinionID{"m0"}}, longestLease},
+		"history that does not go back so far":       {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, quetzalwork.MinionsListed{Result: quetzalwork.StoreCompacted}, longestLease},
+		"no minion left the list unseen":             {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, none, 0},
+		"departures that are read again":             {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, quetzalwork.MinionsListed{Result: quetzalwork.StoreUnanswered}, 0},
+		"dispatcher that never read the list":        {0, quetzalwork.ReleasedLeases{}, true, false, none, longestLease},
+		"list that is older than the predecessor's":  {testToken + 1, quetzalwork.ReleasedLeases{}, true, false, none, longestLease},
+		"minions that the predecessor does not know": {testToken, quetzalwork.ReleasedLeases{Unknown: left}, true, false, none, left},
+		"nothing to wait for":                        {testToken, quetzalwork.ReleasedLeases{}, true, false, none, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccessor(t, released(test.listRevision, test.leases), quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+			seen, all := s.now, s.minions
+			s.lookBack = test.lookBack
+			if test.unlisted {
+				s.start("e0", 2)
+				s.minions = all[1:]
+				s.start("e0", 3)
+			}
+			s.run(300 * time.Millisecond)
+			require.Zero(t, s.takenOverAt)
+			if test.departed {
+				s.minions = all[1:]
+				s.w.MinionList.NextReadAt = s.now
+				s.tick()
+			}
+			s.runUntilTakeover()
+			s.requireStartAfter(seen.Add(test.wait))
+		})
+	}
+}
+
+// The times of a release count from a time on the store's clock, if the process that reads it knows the
+// clock, and otherwise from when it first sees the row.
+func TestTimesOfAReleaseCountFromTheStoresClock(t *testing.T) {
+	const passed = 1500 * time.Millisecond
+	for name, test := range map[string]struct {
+		at, now time.Duration
+		wait    time.Duration
+	}{
+		"time that has passed since":        {10 * time.Second, 10*time.Second + passed, longestLease - passed},
+		"clock that is behind":              {10 * time.Second, 9 * time.Second, longestLease},
+		"release without a time":            {0, 10 * time.Second, longestLease},
+		"store that does not tell the time": {10 * time.Second, 0, longestLease},
+	} {
+		t.Run(name, func(t *testing.T) {
+			duty := released(testToken, quetzalwork.ReleasedLeases{At: quetzalunit.StoreTime(0).Add(test.at)})
+			s := newSuccessor(t, quetzalwork.Duty{}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+			s.duty = duty
+			if test.now > 0 {
+				s.storeBegin = s.now.Add(-test.now)
+			}
+			s.start("e0", 2)
+			seen := s.now
+			s.runUntilTakeover()
+			s.requireStartAfter(seen.Add(test.wait))
+			require.Less(t, s.startedAt.Sub(seen), test.wait+time.Second)
+		})
+	}
+}
+
+// A dispatcher that releases the duty again passes on what is left of the time, whether it has asked the
+// minions or not, instead of letting the wait begin anew.
+func TestReleaseOfASuccessorDoesNotRestartTheWait(t *testing.T) {
+	for name, hold := range map[string]time.Duration{"without the jobs": 0, "after some time": 1500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccessor(t, released(testToken, quetzalwork.ReleasedLeases{}), quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+			seen := s.now
+			s.rowsFail = hold == 0
+			s.runUntilTakeover()
+			s.run(hold)
+			require.Zero(t, s.startedAt)
+			s.tick(quetzalwork.StopRequested{})
+			s.run(300 * time.Millisecond)
+			require.Empty(t, s.duty.Holder)
+			s.rowsFail = false
+			s.start("e2", 1)
+			s.runUntilTakeover()
+			s.requireStartAfter(seen.Add(longestLease))
+			require.Less(t, s.startedAt.Sub(seen), longestLease+time.Second)
+		})
+	}
+}
+
+// A release names the minions that do not answer and those that answer but have left the list, and the
+// times that are left of their leases. A release that got no answer is repeated with the same times.
+func TestReleaseNamesMinionsThatASuccessorMayNotReach(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	minions := slices.Clone(testMinions)
+	for _, id := range []quetzalunit.MinionID{"silent", "unlisted"} {
+		m := testMinions[0]
+		m.ID, m.Address, m.Host = id, quetzalunit.Address(id), quetzalunit.HostID(id)
+		minions = append(minions, m)
+	}
+	d.minions = minions
+	silent := false
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		if c.Target.Minion == "silent" && silent {
+			in.Result = quetzalwork.OrderUnanswered{}
+		}
+		for _, s := range d.starts {
+			if s.Target.Minion == c.Target.Minion {
+				in.Running = append(in.Running, quetzalwork.ReportedRun{Task: s.Task, Number: s.Number})
+			}
+		}
+		return in
+	}
+	d.run(8 * time.Second)
+	for _, row := range d.w.Pools.At(d.w.PoolByID.Get(testPool)).Minions {
+		d.w.Minions.At(row).NextPollAt = d.now
+	}
+	d.run(time.Second)
+	silent, d.minions = true, minions[:2]
+	for _, row := range d.w.Pools.At(d.w.PoolByID.Get(testPool)).Minions {
+		d.w.Minions.At(row).NextPollAt = d.now
+	}
+	d.run(time.Second)
+	d.tick(quetzalwork.StopRequested{})
+	d.run(300 * time.Millisecond)
+	i := slices.IndexFunc(d.releases, func(c quetzalwork.WriteDuty) bool { return c.Pool == testPool })
+	require.GreaterOrEqual(t, i, 0)
+	first := d.releases[i]
+	named := make(map[quetzalunit.MinionID]time.Duration)
+	for _, m := range first.Duty.Leases.Minions {
+		named[m.Minion] = m.Left
+	}
+	require.Len(t, named, 2)
+	require.Positive(t, named["silent"])
+	require.LessOrEqual(t, named["silent"], longestLease-800*time.Millisecond)
+	require.Positive(t, named["unlisted"])
+	d.tick(quetzalwork.DutyWritten{Result: quetzalwork.StoreUnanswered, Pool: testPool, Release: true, Expected: first.Expected})
+	d.run(500 * time.Millisecond)
+	last := d.releases[len(d.releases)-1]
+	require.Equal(t, testPool, string(last.Pool))
+	require.Equal(t, first.Duty.Leases, last.Duty.Leases)
+}
--- a/quetzalcore/quetzalscheduler/stop.go
+++ b/quetzalcore/quetzalscheduler/stop.go
@@ -35,11 +35,25 @@
 	if id == quetzalwork.HostControlDuty {
 		c.Duty.OrderedHosts, c.Duty.EarlierLeases = recentlyOrderedHosts(w), remainingWait(w)
 	} else {
-		c.Duty.EarlierLeases = leasesAtRelease(w, w.Pools.At(poolRow(w, id)))
+		row := poolRow(w, id)
+		if p := w.Pools.At(row); p.Held {
+			p.OwnRelease = releaseLeases(w, row)
+		}
+		c.Duty.Leases = w.Pools.At(row).OwnRelease
+		c.Duty.EarlierLeases = leasesAtRelease(c.Duty.Leases)
 	}
 	w.Emit(c)
 }
 
+// leasesAtRelease returns the EarlierLeases of a released duty, for a successor that holds it only for a
+// short time or does not know Leases.
+func leasesAtRelease(l *quetzalwork.ReleasedLeases) time.Duration {
+	if left := longestLease(l); left > leaseExpiryTime {
+		return left
+	}
+	return 0
+}
+
 // handleReleaseResult schedules another release if the row of the duty may still name this entry.
 // As long as it does, other entries take the duty over only after memberTimeout without a renewal.
 func handleReleaseResult(w *quetzalwork.World, in *quetzalwork.DutyWritten) {
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -24,8 +24,10 @@
 	rows                []quetzalwork.JobRow
 	// readRows, if not nil, answers reads of the pool's rows instead of rows.
 	readRows func(quetzalwork.ReadPoolJobs) quetzalwork.Input
-	// minions is the list of minions.
-	minions []quetzalwork.MinionRecord
+	// minions is the list of minions. lookBack answers reads that tell which have left it before; its
+	// Result is that of the first of them.
+	minions  []quetzalwork.MinionRecord
+	lookBack quetzalwork.MinionsListed
 	// duty is the stored row of testPool's duty. If its revision is zero, this entry holds it.
 	duty quetzalwork.Duty
 	// submissions are the transactions that store jobs so far. The test answers them itself.
@@ -135,6 +137,12 @@
 		}
 		return quetzalwork.PoolJobsRead{Pool: cmd.Pool, Token: cmd.Token, Full: cmd.Full, Rows: d.rows, SeenRevision: testToken, SentAt: cmd.SentAt}
 	case quetzalwork.ListMinions:
+		if cmd.LookBack {
+			in := d.lookBack
+			in.LookBack, in.SinceRevision, in.SeenRevision = true, cmd.SinceRevision, testToken
+			d.lookBack.Result = quetzalwork.StoreDone
+			return in
+		}
 		return quetzalwork.MinionsListed{Full: true, SeenRevision: testToken, Minions: d.minions}
 	case quetzalwork.PollMinion:
 		d.polls = append(d.polls, cmd)
--- a/quetzalcore/quetzalunit/work.go
+++ b/quetzalcore/quetzalunit/work.go
@@ -61,6 +61,19 @@
 	Accelerators int64
 )
 
+// StoreTime is a point in time on the store's steady clock, in milliseconds; zero if it is not known.
+type StoreTime int64
+
+// Add returns the point in time d later.
+func (t StoreTime) Add(d time.Duration) StoreTime {
+	return t + StoreTime(d.Milliseconds())
+}
+
+// Sub returns the time from u to t.
+func (t StoreTime) Sub(u StoreTime) time.Duration {
+	return time.Duration(t-u) * time.Millisecond
+}
+
 // MinionTime is a point in time on a minion's monotonic clock, in milliseconds.
 type MinionTime int64
 
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -730,6 +730,15 @@
 	RunTimePercent int `json:"RunTimePercent" yaml:"RunTimePercent"`
 }
 
+// MinionLeaseDoc tells how long the lease of a minion may last.
+type MinionLeaseDoc struct {
+	// LeftMs corresponds to the JSON schema field "LeftMs".
+	LeftMs int `json:"LeftMs" yaml:"LeftMs"`
+
+	// Minion corresponds to the JSON schema field "Minion".
+	Minion string `json:"Minion" yaml:"Minion"`
+}
+
 // MoveChange is the body that requests a host's move to a pool.
 type MoveChange struct {
 	// ChangeID corresponds to the JSON schema field "ChangeId".
@@ -814,6 +823,9 @@
 	// Incarnation corresponds to the JSON schema field "Incarnation".
 	Incarnation int `json:"Incarnation" yaml:"Incarnation"`
 
+	// Leases corresponds to the JSON schema field "Leases".
+	Leases *ReleasedLeasesDoc `json:"Leases,omitempty,omitzero" yaml:"Leases,omitempty"`
+
 	// Hosts that the last holder ordered shortly before it released the duty.
 	Ordered []string `json:"Ordered" yaml:"Ordered"`
 }
@@ -936,6 +948,28 @@
 	Status int `json:"Status" yaml:"Status"`
 }
 
+// ReleasedLeasesDoc tells how long leases may last on the minions of a pool whose
+// duty was released. Times count from AtMs.
+type ReleasedLeasesDoc struct {
+	// Time on the steady clock of the store; 0 if it is not known. The times then
+	// count from the write of the row.
+	AtMs int `json:"AtMs" yaml:"AtMs"`
+
+	// Revision up to which the last holder knew the list of minions.
+	ListRevision int `json:"ListRevision" yaml:"ListRevision"`
+
+	// For minions that were in the list at that revision and that Minions does not
+	// name.
+	ListedMs int `json:"ListedMs" yaml:"ListedMs"`
+
+	// Minions that did not answer or had left the list, as far as leases on them may
+	// last.
+	Minions []MinionLeaseDoc `json:"Minions" yaml:"Minions"`
+
+	// For minions that the last holder did not know.
+	UnknownMs int `json:"UnknownMs" yaml:"UnknownMs"`
+}
+
 // RenewalDoc is the row that the holder of a zone's duties rewrites to renew its
 // lease.
 type RenewalDoc struct {
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -91,8 +91,12 @@
 		Pool     quetzalunit.PoolID
 		Revision quetzalunit.Revision
 	}
-	// ListMinions reads the list of minions.
-	ListMinions struct{ SinceRevision quetzalunit.Revision }
+	// ListMinions reads the list of minions. LookBack marks a read that only tells which minions have left
+	// the list since a revision before those that are known.
+	ListMinions struct {
+		SinceRevision quetzalunit.Revision
+		LookBack      bool
+	}
 	// ReadPoolJobs reads the rows of a pool's jobs: if Full is set, the page of all rows that begins
 	// at the key StartKey, otherwise the rows that have changed since SinceRevision.
 	ReadPoolJobs struct {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -116,6 +116,14 @@
 	// EarlierLeasesEnd is the same for the dispatchers before the predecessor, zero if their leases end
 	// before those of the predecessor in any case. PredecessorLeasesEnd is never before it.
 	EarlierLeasesEnd quetzalunit.Instant
+	// ReleasedLeases is what the predecessor told of the leases when it released the duty, nil if it did
+	// not. ReleasedFrom is the latest instant from which its times can count.
+	ReleasedLeases *ReleasedLeases
+	ReleasedFrom   quetzalunit.Instant
+	// LookedBack reports whether the list has been asked which minions left it since ReleasedLeases.
+	LookedBack bool
+	// OwnRelease is what this process told at its last release.
+	OwnRelease *ReleasedLeases
 	// Minions are the pool's minions.
 	Minions []Row
 	// ReadySteps are the runnable steps with waiting tasks whose jobs can still meet their
@@ -224,6 +232,11 @@
 	// EarlierLeasesEnd is the instant by which these leases have ended, counted from when this process
 	// first saw the row. It is zero if EarlierLeases is.
 	EarlierLeasesEnd quetzalunit.Instant
+	// Leases tells how long leases may last after a release of a pool's duty. It is nil in the row of a
+	// holder, and in one that an earlier version wrote.
+	Leases *ReleasedLeases
+	// LeasesFrom is the latest instant from which the times in Leases can count.
+	LeasesFrom quetzalunit.Instant
 	// Revision is the revision of the row, zero if it does not exist.
 	Revision quetzalunit.Revision
 	// Acquiring reports whether an attempt of this process to acquire the duty is in flight.
@@ -286,6 +299,38 @@
 	Standbys map[quetzalunit.EntryID]bool
 	// Reachable reports whether the last read was answered.
 	Reachable bool
+	// StoreClock is the store's clock as the last reads tell.
+	StoreClock StoreClock
+}
+
+// ReleasedLeases is what the dispatcher that releases a pool's duty knows of the leases on its minions,
+// its own and those of the dispatchers before it.
+type ReleasedLeases struct {
+	// At is the time from which the others count. If it is zero, they count from the write of the row.
+	At quetzalunit.StoreTime
+	// ListRevision is the revision up to which the dispatcher knew the list of minions.
+	ListRevision quetzalunit.Revision
+	// Listed is how long leases may last on minions that were in the list at that revision and that
+	// Minions does not name.
+	Listed time.Duration
+	// Unknown is how long leases may last on minions that the dispatcher did not know.
+	Unknown time.Duration
+	// Minions are the minions that did not answer or had left the list, as far as leases on them may
+	// last.
+	Minions []MinionLease
+}
+
+// StoreClock is what a process knows of the store's clock, by the last read that told its time.
+type StoreClock struct {
+	Now quetzalunit.StoreTime
+	// SentAt and AnsweredAt are when the read was sent and answered. The clock showed Now in between.
+	SentAt, AnsweredAt quetzalunit.Instant
+}
+
+// MinionLease is how long the lease of a minion may last.
+type MinionLease struct {
+	Minion quetzalunit.MinionID
+	Left   time.Duration
 }
 
 // MinionList is the state of the reads of the list of minions.
@@ -307,6 +352,12 @@
 	// CurrentFrom is the instant from which a read shows the present records: after a gap in the
 	// reads, the minions may not have been able to write theirs either.
 	CurrentFrom quetzalunit.Instant
+	// Revision is the revision of the last successful answer. ContinuousFrom is the revision since which
+	// the reads have followed each other so closely that this process has seen each minion that fell
+	// silent and left the list.
+	Revision, ContinuousFrom quetzalunit.Revision
+	// LookBackInFlight reports whether a read is in flight that may lower ContinuousFrom.
+	LookBackInFlight bool
 	// KnownSince is the instant of the first successful answer. Minions that left the list
 	// before it are not known.
 	KnownSince quetzalunit.Instant
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -78,6 +78,8 @@
 		Full         bool
 		SeenRevision quetzalunit.Revision
 		SentAt       quetzalunit.Instant
+		// StoreNow is the store's time between SentAt and the answer.
+		StoreNow quetzalunit.StoreTime
 	}
 	// MemberRenewed is the result of RenewMember.
 	MemberRenewed struct {
@@ -108,9 +110,9 @@
 		// Removed are the minions that have left the list.
 		Removed []quetzalunit.MinionID
 		// Full reports whether Minions is the complete list; otherwise it holds only what
-		// changed.
-		Full         bool
-		SeenRevision quetzalunit.Revision
+		// changed. LookBack is that of the command, SinceRevision its revision.
+		Full, LookBack              bool
+		SeenRevision, SinceRevision quetzalunit.Revision
 	}
 	// PoolJobsRead is the result of ReadPoolJobs.
 	PoolJobsRead struct {
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -38,8 +38,9 @@
 	RecordIncarnation quetzalunit.MinionIncarnation
 	// Listed reports whether the minion is in the list. One that has left it gets no new runs.
 	Listed bool
-	// RemovedAt is when the minion left the list.
-	RemovedAt quetzalunit.Instant
+	// RemovedAt is when the minion left the list, RemovedRevision the revision of the read that showed it.
+	RemovedAt       quetzalunit.Instant
+	RemovedRevision quetzalunit.Revision
 	// DrainUntil is the earliest time at which a draining minion shuts down.
 	DrainUntil quetzalunit.Instant
 
