Test the remaining rules of a release of leases

With a release passed on by a dispatcher that has not polled, and with the lease of a restarted minion.

--- a/quetzalcore/quetzalscheduler/releasedleases_test.go
+++ b/quetzalcore/quetzalscheduler/releasedleases_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -29,22 +30,25 @@
 		leases       quetzalwork.ReleasedLeases
 		// unlisted means that m0 is not in the list, departed that it leaves the list before the takeover.
 		unlisted, departed bool
-		lookBack           quetzalwork.MinionsListed
-		wait               time.Duration
+		// changes is how far the revision of the list is then beyond testToken.
+		changes  quetzalunit.Revision
+		lookBack quetzalwork.MinionsListed
+		wait     time.Duration
 	}{
-		"minion that is named":                       {testToken, quetzalwork.ReleasedLeases{Minions: m0}, false, false, none, left},
-		"minion that is not named":                   {testToken, quetzalwork.ReleasedLeases{}, false, false, none, longestLease},
-		"named minion that is not in the list":       {testToken, quetzalwork.ReleasedLeases{Minions: m0}, true, false, none, left},
-		"named minion that leaves the list":          {testToken, quetzalwork.ReleasedLeases{Minions: m0}, false, true, none, left},
-		"minion that the predecessor saw leave":      {testToken, quetzalwork.ReleasedLeases{}, false, true, none, 0},
-		"minion that left the list unseen":           {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, quetzalwork.MinionsListed{Removed: []quetzalunit.MinionID{"m0"}}, longestLease},
-		"history that does not go back so far":       {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, quetzalwork.MinionsListed{Result: quetzalwork.StoreCompacted}, longestLease},
-		"no minion left the list unseen":             {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, none, 0},
-		"departures that are read again":             {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, quetzalwork.MinionsListed{Result: quetzalwork.StoreUnanswered}, 0},
-		"dispatcher that never read the list":        {0, quetzalwork.ReleasedLeases{}, true, false, none, longestLease},
-		"list that is older than the predecessor's":  {testToken + 1, quetzalwork.ReleasedLeases{}, true, false, none, longestLease},
-		"minions that the predecessor does not know": {testToken, quetzalwork.ReleasedLeases{Unknown: left}, true, false, none, left},
-		"nothing to wait for":                        {testToken, quetzalwork.ReleasedLeases{}, true, false, none, 0},
+		"minion that is named":                       {testToken, quetzalwork.ReleasedLeases{Minions: m0}, false, false, 0, none, left},
+		"minion that is not named":                   {testToken, quetzalwork.ReleasedLeases{}, false, false, 0, none, longestLease},
+		"named minion that is not in the list":       {testToken, quetzalwork.ReleasedLeases{Minions: m0}, true, false, 0, none, left},
+		"named minion that leaves the list":          {testToken, quetzalwork.ReleasedLeases{Minions: m0}, false, true, 0, none, left},
+		"minion that leaves the list later":          {testToken, quetzalwork.ReleasedLeases{}, false, true, 1, none, longestLease},
+		"minion that the predecessor saw leave":      {testToken, quetzalwork.ReleasedLeases{}, false, true, 0, none, 0},
+		"minion that left the list unseen":           {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, 0, quetzalwork.MinionsListed{Removed: []quetzalunit.MinionID{"m0"}}, longestLease},
+		"history that does not go back so far":       {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, 0, quetzalwork.MinionsListed{Result: quetzalwork.StoreCompacted}, longestLease},
+		"no minion left the list unseen":             {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, 0, none, 0},
+		"departures that are read again":             {testToken - 1, quetzalwork.ReleasedLeases{}, true, false, 0, quetzalwork.MinionsListed{Result: quetzalwork.StoreUnanswered}, 0},
+		"dispatcher that never read the list":        {0, quetzalwork.ReleasedLeases{}, true, false, 0, none, longestLease},
+		"list that is older than the predecessor's":  {testToken + 1, quetzalwork.ReleasedLeases{}, true, false, 0, none, longestLease},
+		"minions that the predecessor does not know": {testToken, quetzalwork.ReleasedLeases{Unknown: left}, true, false, 0, none, left},
+		"nothing to wait for":                        {testToken, quetzalwork.ReleasedLeases{}, true, false, 0, none, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSuccessor(t, released(test.listRevision, test.leases), quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
@@ -58,7 +62,7 @@
 			s.run(300 * time.Millisecond)
 			require.Zero(t, s.takenOverAt)
 			if test.departed {
-				s.minions = all[1:]
+				s.minions, s.listChanges = all[1:], test.changes
 				s.w.MinionList.NextReadAt = s.now
 				s.tick()
 			}
@@ -100,10 +104,19 @@
 // A dispatcher that releases the duty again passes on what is left of the time, whether it has asked the
 // minions or not, instead of letting the wait begin anew.
 func TestReleaseOfASuccessorDoesNotRestartTheWait(t *testing.T) {
-	for name, hold := range map[string]time.Duration{"without the jobs": 0, "after some time": 1500 * time.Millisecond} {
+	for name, test := range map[string]struct {
+		hold    time.Duration
+		minions int
+	}{"without the jobs": {0, 2}, "without the jobs of a large pool": {0, 150}, "after some time": {1500 * time.Millisecond, 2}} {
 		t.Run(name, func(t *testing.T) {
+			hold := test.hold
 			s := newSuccessor(t, released(testToken, quetzalwork.ReleasedLeases{}), quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
 			seen := s.now
+			for i := len(s.minions); i < test.minions; i++ {
+				m := s.minions[1]
+				m.ID, m.Host = quetzalunit.MinionID(fmt.Sprint("m", i)), quetzalunit.HostID(fmt.Sprint("h", i))
+				s.minions = append(s.minions, m)
+			}
 			s.rowsFail = hold == 0
 			s.runUntilTakeover()
 			s.run(hold)
@@ -115,7 +128,7 @@
 			s.start("e2", 1)
 			s.runUntilTakeover()
 			s.requireStartAfter(seen.Add(longestLease))
-			require.Less(t, s.startedAt.Sub(seen), longestLease+time.Second)
+			require.Less(t, s.startedAt.Sub(seen), longestLease+900*time.Millisecond)
 		})
 	}
 }
@@ -154,6 +167,8 @@
 		d.w.Minions.At(row).NextPollAt = d.now
 	}
 	d.run(time.Second)
+	// The lease of a minion that has restarted may last longer than those that this process grants.
+	d.w.Minions.At(d.w.MinionByID.Get("m0")).LeaseEnd = d.clock().Add(10 * time.Second)
 	d.tick(quetzalwork.StopRequested{})
 	d.run(300 * time.Millisecond)
 	i := slices.IndexFunc(d.releases, func(c quetzalwork.WriteDuty) bool { return c.Pool == testPool })
@@ -163,7 +178,8 @@
 	for _, m := range first.Duty.Leases.Minions {
 		named[m.Minion] = m.Left
 	}
-	require.Len(t, named, 2)
+	require.Len(t, named, 3)
+	require.Greater(t, named["m0"], longestLease)
 	require.Positive(t, named["silent"])
 	require.LessOrEqual(t, named["silent"], longestLease-800*time.Millisecond)
 	require.Positive(t, named["unlisted"])
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -28,6 +28,8 @@
 	// Result is that of the first of them.
 	minions  []quetzalwork.MinionRecord
 	lookBack quetzalwork.MinionsListed
+	// listChanges is how far the revision of the list is beyond testToken.
+	listChanges quetzalunit.Revision
 	// duty is the stored row of testPool's duty. If its revision is zero, this entry holds it.
 	duty quetzalwork.Duty
 	// submissions are the transactions that store jobs so far. The test answers them itself.
@@ -143,7 +145,7 @@
 			d.lookBack.Result = quetzalwork.StoreDone
 			return in
 		}
-		return quetzalwork.MinionsListed{Full: true, SeenRevision: testToken, Minions: d.minions}
+		return quetzalwork.MinionsListed{Full: true, SeenRevision: testToken + d.listChanges, Minions: d.minions}
 	case quetzalwork.PollMinion:
 		d.polls = append(d.polls, cmd)
 		if d.answerPoll == nil {
