--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -96,12 +96,10 @@
 
 type ClaimDocState string
 
-const (
-	ClaimDocStateClaimed  ClaimDocState = "Claimed"
-	ClaimDocStateDone     ClaimDocState = "Done"
-	ClaimDocStateReleased ClaimDocState = "Released"
-	ClaimDocStateUnknown  ClaimDocState = "Unknown"
-)
+const ClaimDocStateClaimed ClaimDocState = "Claimed"
+const ClaimDocStateDone ClaimDocState = "Done"
+const ClaimDocStateReleased ClaimDocState = "Released"
+const ClaimDocStateUnknown ClaimDocState = "Unknown"
 
 // DecisionDoc is a decision with its reason.
 type DecisionDoc struct {
@@ -194,12 +192,10 @@
 
 type EntrySettingsLogLevel string
 
-const (
-	EntrySettingsLogLevelDebug EntrySettingsLogLevel = "debug"
-	EntrySettingsLogLevelError EntrySettingsLogLevel = "error"
-	EntrySettingsLogLevelInfo  EntrySettingsLogLevel = "info"
-	EntrySettingsLogLevelWarn  EntrySettingsLogLevel = "warn"
-)
+const EntrySettingsLogLevelDebug EntrySettingsLogLevel = "debug"
+const EntrySettingsLogLevelError EntrySettingsLogLevel = "error"
+const EntrySettingsLogLevelInfo EntrySettingsLogLevel = "info"
+const EntrySettingsLogLevelWarn EntrySettingsLogLevel = "warn"
 
 // EntryStatus is the state of the answering entry.
 type EntryStatus struct {
@@ -519,12 +515,10 @@
 
 type HostDocState string
 
-const (
-	HostDocStateLeaving   HostDocState = "Leaving"
-	HostDocStateRebooting HostDocState = "Rebooting"
-	HostDocStateRetired   HostDocState = "Retired"
-	HostDocStateServing   HostDocState = "Serving"
-)
+const HostDocStateLeaving HostDocState = "Leaving"
+const HostDocStateRebooting HostDocState = "Rebooting"
+const HostDocStateRetired HostDocState = "Retired"
+const HostDocStateServing HostDocState = "Serving"
 
 // HostGeneration identifies a host's row at one generation.
 type HostGeneration struct {
@@ -563,11 +557,9 @@
 
 type HostRegistrationState string
 
-const (
-	HostRegistrationStateGone    HostRegistrationState = "Gone"
-	HostRegistrationStateLeaving HostRegistrationState = "Leaving"
-	HostRegistrationStateLive    HostRegistrationState = "Live"
-)
+const HostRegistrationStateGone HostRegistrationState = "Gone"
+const HostRegistrationStateLeaving HostRegistrationState = "Leaving"
+const HostRegistrationStateLive HostRegistrationState = "Live"
 
 // HostStatus is a host's row and the number of requests that the answering entry
 // runs on it.
@@ -643,11 +635,9 @@
 
 type JobDocState string
 
-const (
-	JobDocStateAccepted JobDocState = "Accepted"
-	JobDocStateEnded    JobDocState = "Ended"
-	JobDocStateSent     JobDocState = "Sent"
-)
+const JobDocStateAccepted JobDocState = "Accepted"
+const JobDocStateEnded JobDocState = "Ended"
+const JobDocStateSent JobDocState = "Sent"
 
 // JoinMessage asks the entry that claimed a request for its outcome.
 type JoinMessage struct {
@@ -697,11 +687,9 @@
 
 type ListedHostState string
 
-const (
-	ListedHostStateGone    ListedHostState = "Gone"
-	ListedHostStateLeaving ListedHostState = "Leaving"
-	ListedHostStateLive    ListedHostState = "Live"
-)
+const ListedHostStateGone ListedHostState = "Gone"
+const ListedHostStateLeaving ListedHostState = "Leaving"
+const ListedHostStateLive ListedHostState = "Live"
 
 // MemberDoc is the membership row of an entry; Beat grows with each renewal.
 type MemberDoc struct {
@@ -1199,35 +1187,27 @@
 
 type SettingValuesDispatchPolicy string
 
-const (
-	SettingValuesDispatchPolicyBorrow SettingValuesDispatchPolicy = "Borrow"
-	SettingValuesDispatchPolicyFixed  SettingValuesDispatchPolicy = "Fixed"
-	SettingValuesDispatchPolicyShared SettingValuesDispatchPolicy = "Shared"
-)
+const SettingValuesDispatchPolicyBorrow SettingValuesDispatchPolicy = "Borrow"
+const SettingValuesDispatchPolicyFixed SettingValuesDispatchPolicy = "Fixed"
+const SettingValuesDispatchPolicyShared SettingValuesDispatchPolicy = "Shared"
 
 type SettingValuesLanePolicy string
 
-const (
-	SettingValuesLanePolicyDemote  SettingValuesLanePolicy = "Demote"
-	SettingValuesLanePolicyOpen    SettingValuesLanePolicy = "Open"
-	SettingValuesLanePolicyReserve SettingValuesLanePolicy = "Reserve"
-)
+const SettingValuesLanePolicyDemote SettingValuesLanePolicy = "Demote"
+const SettingValuesLanePolicyOpen SettingValuesLanePolicy = "Open"
+const SettingValuesLanePolicyReserve SettingValuesLanePolicy = "Reserve"
 
 type SettingValuesMovePolicy string
 
-const (
-	SettingValuesMovePolicyFixed     SettingValuesMovePolicy = "Fixed"
-	SettingValuesMovePolicyReactive  SettingValuesMovePolicy = "Reactive"
-	SettingValuesMovePolicySkiRental SettingValuesMovePolicy = "SkiRental"
-)
+const SettingValuesMovePolicyFixed SettingValuesMovePolicy = "Fixed"
+const SettingValuesMovePolicyReactive SettingValuesMovePolicy = "Reactive"
+const SettingValuesMovePolicySkiRental SettingValuesMovePolicy = "SkiRental"
 
 type SettingValuesRetryPolicy string
 
-const (
-	SettingValuesRetryPolicyExponential SettingValuesRetryPolicy = "Exponential"
-	SettingValuesRetryPolicyFourPhase   SettingValuesRetryPolicy = "FourPhase"
-	SettingValuesRetryPolicyNone        SettingValuesRetryPolicy = "None"
-)
+const SettingValuesRetryPolicyExponential SettingValuesRetryPolicy = "Exponential"
+const SettingValuesRetryPolicyFourPhase SettingValuesRetryPolicy = "FourPhase"
+const SettingValuesRetryPolicyNone SettingValuesRetryPolicy = "None"
 
 // SettingsReply shows a node of the settings tree, with its effective values if
 // the request asked for them with Explain.
@@ -1362,12 +1342,10 @@
 
 type WaveDocState string
 
-const (
-	WaveDocStateCancelled WaveDocState = "Cancelled"
-	WaveDocStateFinished  WaveDocState = "Finished"
-	WaveDocStatePaused    WaveDocState = "Paused"
-	WaveDocStateRunning   WaveDocState = "Running"
-)
+const WaveDocStateCancelled WaveDocState = "Cancelled"
+const WaveDocStateFinished WaveDocState = "Finished"
+const WaveDocStatePaused WaveDocState = "Paused"
+const WaveDocStateRunning WaveDocState = "Running"
 
 // WaveHostsDoc lists the hosts of a wave whose maintenance is done.
 type WaveHostsDoc struct {
@@ -1467,17 +1445,15 @@
 
 type WorkMessageKind string
 
-const (
-	WorkMessageKindAccepted  WorkMessageKind = "Accepted"
-	WorkMessageKindCancelled WorkMessageKind = "Cancelled"
-	WorkMessageKindDropped   WorkMessageKind = "Dropped"
-	WorkMessageKindDuty      WorkMessageKind = "Duty"
-	WorkMessageKindEmpty     WorkMessageKind = "Empty"
-	WorkMessageKindLoad      WorkMessageKind = "Load"
-	WorkMessageKindPending   WorkMessageKind = "Pending"
-	WorkMessageKindState     WorkMessageKind = "State"
-	WorkMessageKindTaken     WorkMessageKind = "Taken"
-)
+const WorkMessageKindAccepted WorkMessageKind = "Accepted"
+const WorkMessageKindCancelled WorkMessageKind = "Cancelled"
+const WorkMessageKindDropped WorkMessageKind = "Dropped"
+const WorkMessageKindDuty WorkMessageKind = "Duty"
+const WorkMessageKindEmpty WorkMessageKind = "Empty"
+const WorkMessageKindLoad WorkMessageKind = "Load"
+const WorkMessageKindPending WorkMessageKind = "Pending"
+const WorkMessageKindState WorkMessageKind = "State"
+const WorkMessageKindTaken WorkMessageKind = "Taken"
 
 // WorkProgressDoc records which tasks of a job are done, which runs failed and
 // under which runs their minion crashed. Ranges of numbers are pairs of a gap
@@ -1513,11 +1489,9 @@
 
 type WorkProgressDocState string
 
-const (
-	WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
-	WorkProgressDocStateFailed    WorkProgressDocState = "Failed"
-	WorkProgressDocStateRunning   WorkProgressDocState = "Running"
-)
+const WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
+const WorkProgressDocStateFailed WorkProgressDocState = "Failed"
+const WorkProgressDocStateRunning WorkProgressDocState = "Running"
 
 // WorkReply is the reply to a WorkMessage.
 type WorkReply struct {
@@ -1560,14 +1534,12 @@
 
 type WorkReplyKind string
 
-const (
-	WorkReplyKindEmpty     WorkReplyKind = "Empty"
-	WorkReplyKindHeard     WorkReplyKind = "Heard"
-	WorkReplyKindLoad      WorkReplyKind = "Load"
-	WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
-	WorkReplyKindPending   WorkReplyKind = "Pending"
-	WorkReplyKindState     WorkReplyKind = "State"
-)
+const WorkReplyKindEmpty WorkReplyKind = "Empty"
+const WorkReplyKindHeard WorkReplyKind = "Heard"
+const WorkReplyKindLoad WorkReplyKind = "Load"
+const WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
+const WorkReplyKindPending WorkReplyKind = "Pending"
+const WorkReplyKindState WorkReplyKind = "State"
 
 // WorkRowDoc is a row of a job in a message between entries.
 type WorkRowDoc struct {
