Look for the reason of a wait only for long-running tasks

Cause: for the new line on waiting tasks the reason was computed for each ready step in each placement pass, by a search through the minions, and dropped for all but long-running ones. In a pool at its peak these are thousands of steps.

Change: the reason is looked for after the check. A release without times is accepted by longestLease, too.

--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -114,12 +114,15 @@
 	if s == nil {
 		return
 	}
+	longRunning := s.Spec.LongRunning
 	if pass.predecessorWait != "" && pass.w.Jobs.At(s.Job).DutyRevision < quetzalunit.Revision(pass.pool.Token) {
-		logWaitingStep(pass.w, pass.pool, s, pass.predecessorWait)
+		if longRunning {
+			logWaitingStep(pass.w, pass.pool, s, pass.predecessorWait)
+		}
 		return
 	}
 	pass.retryAt = earliest(pass.retryAt, placeStep(pass.w, pass.pool, pass.fc, row))
-	if s = pass.w.Steps.At(row); s != nil && s.Waiting > 0 {
+	if longRunning && s.Waiting > 0 {
 		logWaitingStep(pass.w, pass.pool, s, waitReason(pass.w, pass.fc, s))
 	}
 }
@@ -158,7 +161,7 @@
 
 // logWaitingStep logs why tasks of a long-running step wait, once for each reason in a row.
 func logWaitingStep(w *quetzalwork.World, p *quetzalwork.Pool, s *quetzalwork.Step, reason string) {
-	if !s.Spec.LongRunning || s.WaitReason == reason {
+	if s.WaitReason == reason {
 		return
 	}
 	s.WaitReason = reason
--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -91,8 +91,11 @@
 	l.Minions = nil
 }
 
-// longestLease returns the longest time that a release tells of.
+// longestLease returns the longest time that a release tells of, zero if it tells none.
 func longestLease(l *quetzalwork.ReleasedLeases) time.Duration {
+	if l == nil {
+		return 0
+	}
 	longest := max(l.Listed, l.Unknown)
 	for _, m := range l.Minions {
 		longest = max(longest, m.Left)
