Tell at a release of a predecessor that may still be running

Cause: a dispatcher that takes a duty over from a holder that may still be running, and releases it a moment later, told the next one 4.7 s for minions that it does not name. The first holder may use a minion that joins meanwhile for 3 s more. If that minion does not answer the next dispatcher, its tasks could be started a second time.

Change: until the predecessor's work is known, the time that a release tells is no shorter than that predecessor's last leases.

Test: TestReleaseTellsOfAPredecessorThatMayBeRunning failed before (a start 3.8 s after the takeover instead of 7.6 s).

--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -24,6 +24,10 @@
 		return remainingRelease(w, p)
 	}
 	l := &quetzalwork.ReleasedLeases{At: latestStoreTime(w), ListRevision: w.MinionList.Revision, Listed: leaseExpiryTime}
+	if p.Predecessor.Holder != "" && !p.PredecessorWorkKnown {
+		// The predecessor may still be running and use minions that join now.
+		l.Listed = max(l.Listed, p.PredecessorLeasesEnd.Sub(w.Now))
+	}
 	if end, _ := unlistedLeasesEnd(w, row); !p.PredecessorWorkKnown && end > w.Now {
 		l.Unknown = end.Sub(w.Now)
 	}
--- a/quetzalcore/quetzalscheduler/releasedleases_test.go
+++ b/quetzalcore/quetzalscheduler/releasedleases_test.go
@@ -189,3 +189,38 @@
 	require.Equal(t, testPool, string(last.Pool))
 	require.Equal(t, first.Duty.Leases, last.Duty.Leases)
 }
+
+// Guards against a second run beside one of a holder that may still be running: a minion joins the list
+// after e0, which took the duty over from it, has released it again. The holder may have used that minion,
+// which does not answer e2.
+func TestReleaseTellsOfAPredecessorThatMayBeRunning(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	for s.now < quetzalunit.InstantOf(time.Unix(1020, 0)) { // long enough to know all minions that left the list
+		s.run(500 * time.Millisecond)
+		s.other.Heartbeat++
+	}
+	require.Zero(t, s.takenOverAt)
+	silent := s.answerPoll
+	s.answerPoll = s.idle
+	s.rowsFail = true
+	s.runUntilTakeover()
+	first := s.takenOverAt
+	s.run(200 * time.Millisecond)
+	s.tick(quetzalwork.StopRequested{})
+	s.run(300 * time.Millisecond)
+	require.Empty(t, s.duty.Holder)
+	s.rowsFail, s.answerPoll = false, func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		if c.Target.Minion == "joined" {
+			c.Target.Minion = "m0"
+		} else {
+			c.Target.Minion = "m1"
+		}
+		return silent(c)
+	}
+	joined := s.minions[0]
+	joined.ID, joined.Host = "joined", "h9"
+	s.minions = append(s.minions, joined)
+	s.start("e2", 1)
+	s.runUntilTakeover()
+	s.requireStartAfter(first.Add(extendTime + longestLease))
+}
