--- /dev/null
+++ b/quetzalcore/quetzalaccount/division.go
@@ -0,0 +1,212 @@
+package quetzalaccount
+
+import (
+	"cmp"
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// This file divides the caps of accounts between pools whose demand rises and falls by turns: a part follows the
+// demand of its pool, and pools that together want more than the cap get equal parts of it.
+
+const (
+	// headroomDivisor: a pool asks for a quarter more than it needs, so that not every arrival needs a
+	// transaction of the store before it can start.
+	headroomDivisor = 4
+	// releaseFactor is by how much a part may exceed the need before the pool gives it back. Less
+	// would cost a transaction each time that a few tasks end.
+	releaseFactor = 2
+	// A pool keeps a part of up to 1/keptDivisor of the cap also when it needs none of it, so that an
+	// account with single jobs now and then does not wait for a transaction with each.
+	keptDivisor = 8
+)
+
+// Division is the stored division of the accounts' caps between pools. A transaction changes it as a whole.
+type Division struct {
+	// Revision is that of the stored row, zero if there is none.
+	Revision quetzalunit.Revision
+	// Pools are in the order of their ids.
+	Pools []PoolParts
+}
+
+// PoolParts are the parts of a pool.
+type PoolParts struct {
+	Pool quetzalunit.PoolID
+	// Token is that of the dispatcher that wrote the parts last. A later one claims them before it starts
+	// anything.
+	Token quetzalunit.FencingToken
+	// Accounts are in the order of their ids.
+	Accounts []AccountPart
+}
+
+// AccountPart is a pool's part of an account's cap.
+type AccountPart struct {
+	Account quetzalunit.AccountID
+	// Held is the part, Unmet what the pool could use beyond it.
+	Held, Unmet quetzalunit.Resources
+}
+
+// DivisionState is what a process knows of the stored division, and its proposal in progress.
+type DivisionState struct {
+	Known Division
+	// KnownAt is when the last answer with the division was received.
+	KnownAt quetzalunit.Instant
+	// Proposed is the division that the transaction in flight writes.
+	Proposed Division
+	// InFlight reports whether a transaction or a read is in flight.
+	InFlight bool
+	// Unanswered reports whether a proposal for the revision UnansweredAt had no answer. It may be
+	// carried out until a later revision is seen.
+	Unanswered   bool
+	UnansweredAt quetzalunit.Revision
+	// Reading reports whether the call in flight is a read.
+	Reading bool
+	// NextAt is the earliest next call, TimerAt the instant of the pending timer.
+	NextAt, TimerAt quetzalunit.Instant
+}
+
+// CeilingHolds reports whether a proposal may be carried out whose parts are not known to be in force.
+func (s *DivisionState) CeilingHolds() bool {
+	return s.InFlight && !s.Reading || s.Unanswered
+}
+
+// Parts returns the parts of a pool, and false if it has none.
+func (d *Division) Parts(pool quetzalunit.PoolID) (PoolParts, bool) {
+	i, ok := d.find(pool)
+	if !ok {
+		return PoolParts{Pool: pool}, false
+	}
+	return d.Pools[i], true
+}
+
+// With returns the division with the parts of a pool replaced. It shares the parts of the other pools.
+func (d *Division) With(parts PoolParts) Division {
+	next := Division{Revision: d.Revision, Pools: slices.Clone(d.Pools)}
+	i, ok := d.find(parts.Pool)
+	if ok {
+		next.Pools[i] = parts
+		return next
+	}
+	next.Pools = slices.Insert(next.Pools, i, parts)
+	return next
+}
+
+func (d *Division) find(pool quetzalunit.PoolID) (int, bool) {
+	return slices.BinarySearchFunc(d.Pools, pool, func(p PoolParts, id quetzalunit.PoolID) int { return cmp.Compare(p.Pool, id) })
+}
+
+// Part returns the part of an account, zero if it has none.
+func (p *PoolParts) Part(account quetzalunit.AccountID) AccountPart {
+	i, ok := slices.BinarySearchFunc(p.Accounts, account, func(a AccountPart, id quetzalunit.AccountID) int { return cmp.Compare(a.Account, id) })
+	if !ok {
+		return AccountPart{Account: account}
+	}
+	return p.Accounts[i]
+}
+
+// HeldByOthers returns the sum of the parts of an account in all pools but one.
+func (d *Division) HeldByOthers(pool quetzalunit.PoolID, account quetzalunit.AccountID) quetzalunit.Resources {
+	var sum quetzalunit.Resources
+	for i := range d.Pools {
+		if d.Pools[i].Pool != pool {
+			sum = sum.Plus(d.Pools[i].Part(account).Held)
+		}
+	}
+	return sum
+}
+
+// Demand is what an account uses and wants in a pool.
+type Demand struct {
+	// Used is what may be running, Waiting what could start now, Largest the largest task that waits.
+	Used, Waiting, Largest quetzalunit.Resources
+	Cap                    quetzalunit.Resources
+}
+
+// Proposal is what a pool should do about its part of an account's cap.
+type Proposal struct {
+	Part AccountPart
+	// Target is what the pool should use at most.
+	Target quetzalunit.Resources
+	// Changed reports whether Part differs enough from the present one to be worth a transaction.
+	Changed bool
+}
+
+// Propose returns the part of an account that a pool should have.
+func Propose(d *Division, pool quetzalunit.PoolID, account quetzalunit.AccountID, demand *Demand) Proposal {
+	parts, _ := d.Parts(pool)
+	now := parts.Part(account)
+	next := Proposal{Part: AccountPart{Account: account}}
+	others := d.HeldByOthers(pool, account)
+	alone := demand.Used == (quetzalunit.Resources{}) && others == (quetzalunit.Resources{})
+	for i := range dimensions {
+		limit := component(demand.Cap, i)
+		if limit == 0 {
+			next.Changed = next.Changed || component(now.Held, i) != 0
+			continue
+		}
+		need := component(demand.Used, i) + component(demand.Waiting, i)
+		held, target := proposeHeld(d, pool, account, demand, i)
+		if alone {
+			// A task beyond the cap runs if nothing else of the account does.
+			held = max(held, min(component(demand.Largest, i), need))
+			target = max(target, held)
+		}
+		unmet := max(0, min(need, limit)-held)
+		next.Part.Held, next.Part.Unmet = withComponent(next.Part.Held, i, held), withComponent(next.Part.Unmet, i, unmet)
+		next.Target = withComponent(next.Target, i, target)
+		next.Changed = next.Changed || held != component(now.Held, i) || differs(unmet, component(now.Unmet, i))
+	}
+	return next
+}
+
+// proposeHeld returns one component of the part that a pool should have, and of what it should use at most.
+func proposeHeld(d *Division, pool quetzalunit.PoolID, account quetzalunit.AccountID, demand *Demand, i int) (held, target int64) {
+	limit, used := component(demand.Cap, i), component(demand.Used, i)
+	need := used + component(demand.Waiting, i)
+	free := max(0, limit-component(d.HeldByOthers(pool, account), i))
+	parts, _ := d.Parts(pool)
+	now := component(parts.Part(account).Held, i)
+	wanted := []int64{need}
+	total := need
+	for j := range d.Pools {
+		if d.Pools[j].Pool == pool {
+			continue
+		}
+		p := d.Pools[j].Part(account)
+		other := component(p.Held, i) + component(p.Unmet, i)
+		wanted = append(wanted, other)
+		total += other
+	}
+	if total > limit {
+		target = fairPart(limit, wanted)
+		return max(used, min(need, target, free)), target
+	}
+	if need <= now && now <= free && (now <= releaseFactor*need || now <= limit/keptDivisor) {
+		return max(used, now), limit
+	}
+	return max(used, min(free, need+need/headroomDivisor)), limit
+}
+
+// differs reports whether an unmet need has changed enough to tell the other pools.
+func differs(a, b int64) bool {
+	return (a == 0) != (b == 0) || a > releaseFactor*b || b > releaseFactor*a
+}
+
+// fairPart returns the max-min fair part of the first of those who want something.
+func fairPart(total int64, wanted []int64) int64 {
+	mine := wanted[0]
+	order := slices.Clone(wanted)
+	slices.Sort(order)
+	for i, w := range order {
+		equal := total / int64(len(order)-i)
+		if w >= equal {
+			return min(mine, equal)
+		}
+		if w == mine {
+			return mine
+		}
+		total -= w
+	}
+	return mine
+}
--- /dev/null
+++ b/quetzalcore/quetzalaccount/holding.go
@@ -0,0 +1,117 @@
+package quetzalaccount
+
+import (
+	"quetzalstair/quetzalcore/quetzalunit"
+)
+
+// HoldingKey identifies a holding.
+type HoldingKey struct {
+	Pool    quetzalunit.PoolID
+	Account quetzalunit.AccountID
+}
+
+// Holding is what an account may run in a pool, and what it runs there, at the pool's dispatcher.
+type Holding struct {
+	HoldingKey
+	// Used are the resources of the active runs that this dispatcher started, Adopted those of the runs that
+	// earlier dispatchers did.
+	Used, Adopted quetzalunit.Resources
+	// Inherited is the part of the cap that the pool had when this dispatcher claimed it, zero once the work of
+	// earlier dispatchers is known. All of it may be in use by runs that this dispatcher does not see yet.
+	Inherited quetzalunit.Resources
+	// Granted is the pool's part of the cap in the last known division, zero while the pool is not claimed.
+	Granted quetzalunit.Resources
+	// Ceiling bounds the use while a proposal may be carried out that lowers Granted.
+	Ceiling quetzalunit.Resources
+	// Target is what the pool should use at most, because other pools want the rest. Starts that would exceed
+	// it wait, so that the part can shrink as runs end.
+	Target quetzalunit.Resources
+	// Others is the sum of the parts of all other pools.
+	Others quetzalunit.Resources
+	// Waiting are the resources of the tasks that wait for a start, Largest those of the largest of them, as of
+	// the last measurement.
+	Waiting, Largest quetzalunit.Resources
+	// Refused reports whether the holding has kept a task from starting since the last proposal.
+	Refused bool
+	// AtCap reports whether the log says that the account's work waits for a larger part.
+	AtCap bool
+
+	// VirtualTime is the cost of all starts divided by the account's weight, in core-seconds.
+	VirtualTime float64
+	// Backlogged reports whether tasks of the account waited during the last placement pass, Ahead whether its
+	// work comes after that of the other accounts in this one.
+	Backlogged, Ahead bool
+	// Rate is the state of the account's rate of arrivals at the pool.
+	Rate RateState
+}
+
+// InUse returns what the account may be running in the pool, as far as this dispatcher can tell.
+func (h *Holding) InUse() quetzalunit.Resources {
+	if h.Inherited != (quetzalunit.Resources{}) {
+		return h.Used.Plus(largest(h.Inherited, h.Adopted))
+	}
+	return h.Used.Plus(h.Adopted)
+}
+
+// Permits reports whether tasks with the given needs may start under a cap. While a lowering proposal may be
+// carried out, ceiling must be set.
+func (h *Holding) Permits(needs, limit quetzalunit.Resources, ceiling bool) bool {
+	used := h.InUse()
+	alone := used == (quetzalunit.Resources{}) && h.Others == (quetzalunit.Resources{})
+	for d := range dimensions {
+		most := component(limit, d)
+		if most == 0 || component(needs, d) == 0 {
+			continue
+		}
+		part := min(component(h.Granted, d), component(h.Target, d))
+		if ceiling {
+			part = min(part, component(h.Ceiling, d))
+		}
+		// Parts may add up to more than a cap that has fallen. A task beyond the cap runs alone.
+		if !alone {
+			part = min(part, most-component(h.Others, d))
+		}
+		if component(used, d)+component(needs, d) > part {
+			return false
+		}
+	}
+	return true
+}
+
+// dimensions is the number of components of quetzalunit.Resources.
+const dimensions = 3
+
+// component returns one of the components of r: cores, memory or accelerators.
+func component(r quetzalunit.Resources, d int) int64 {
+	switch d {
+	case 0:
+		return int64(r.Cores)
+	case 1:
+		return int64(r.Memory)
+	default:
+		return int64(r.Accelerators)
+	}
+}
+
+// withComponent returns r with one component replaced.
+func withComponent(r quetzalunit.Resources, d int, v int64) quetzalunit.Resources {
+	switch d {
+	case 0:
+		r.Cores = quetzalunit.MilliCores(v)
+	case 1:
+		r.Memory = quetzalunit.Megabytes(v)
+	default:
+		r.Accelerators = quetzalunit.Accelerators(v)
+	}
+	return r
+}
+
+// largest returns the component-wise maximum.
+func largest(a, b quetzalunit.Resources) quetzalunit.Resources {
+	return quetzalunit.Resources{Cores: max(a.Cores, b.Cores), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators)}
+}
+
+// Smallest returns the component-wise minimum.
+func Smallest(a, b quetzalunit.Resources) quetzalunit.Resources {
+	return quetzalunit.Resources{Cores: min(a.Cores, b.Cores), Memory: min(a.Memory, b.Memory), Accelerators: min(a.Accelerators, b.Accelerators)}
+}
--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -57,6 +57,9 @@
 
 func encodeAcceptedJob(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
 	d := quetzalwire.WorkJobDoc{Queue: string(a.Queue), Duty: int(a.DutyRevision)}
+	if account := string(a.Account); account != "" {
+		d.Account = &account
+	}
 	if a.Spec == nil {
 		return d
 	}
@@ -91,6 +94,9 @@
 
 func decodeAcceptedJob(d *quetzalwire.WorkJobDoc) quetzalwork.AcceptedJob {
 	a := quetzalwork.AcceptedJob{Queue: quetzalunit.QueueID(d.Queue), DutyRevision: quetzalunit.Revision(d.Duty)}
+	if d.Account != nil {
+		a.Account = quetzalunit.AccountID(*d.Account)
+	}
 	if len(d.Steps) == 0 {
 		return a
 	}
--- /dev/null
+++ b/quetzalcore/quetzallimit/divide.go
@@ -0,0 +1,308 @@
+package quetzallimit
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalaccount"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// This file keeps the parts of the caps with the pools that need them, for demand that moves from one pool
+// to the next within a second or two.
+
+const (
+	// urgentInterval is the least time between two proposals while tasks wait for a larger part.
+	urgentInterval = 50 * time.Millisecond
+	// reviewInterval is the time between two reviews of the parts otherwise.
+	reviewInterval = 250 * time.Millisecond
+	// retryInterval is the delay after a call that had no answer or was refused.
+	retryInterval = 150 * time.Millisecond
+	// callTimeout is the timeout of a transaction or read.
+	callTimeout = 1200 * time.Millisecond
+)
+
+// Divide proposes a new division of the caps if the parts of this entry's pools do not follow the demand.
+func Divide(w *quetzalwork.World) {
+	s := &w.Accounts.Division
+	if !w.Accounts.InUse || s.InFlight || w.Now < s.NextAt {
+		return
+	}
+	var pools []*quetzalwork.Pool
+	for _, p := range w.Pools.All() {
+		if p.Held && p.JobsLoaded {
+			pools = append(pools, p)
+		}
+	}
+	if len(pools) == 0 {
+		return
+	}
+	urgent := false
+	for _, h := range w.Accounts.Holdings.All() {
+		urgent = urgent || h.Refused
+	}
+	if !urgent && s.Known.Revision > 0 && w.Now.Sub(s.KnownAt) < reviewInterval && !needsClaim(s, pools) {
+		schedule(w, s.KnownAt.Add(reviewInterval))
+		return
+	}
+	next, changed := s.Known, s.Unanswered
+	for _, p := range pools {
+		measure(w, p)
+		parts, partsChanged := proposeParts(w, p, &next)
+		if partsChanged {
+			next, changed = next.With(parts), true
+		}
+	}
+	if !changed {
+		review(w, pools)
+		return
+	}
+	propose(w, next)
+}
+
+// needsClaim reports whether a pool's parts were written last by an earlier dispatcher.
+func needsClaim(s *quetzalaccount.DivisionState, pools []*quetzalwork.Pool) bool {
+	return slices.ContainsFunc(pools, func(p *quetzalwork.Pool) bool {
+		parts, _ := s.Known.Parts(p.ID)
+		return parts.Token < p.Token
+	})
+}
+
+// review reads the division if pools of this entry have a part of it or want one: others may want it.
+func review(w *quetzalwork.World, pools []*quetzalwork.Pool) {
+	s := &w.Accounts.Division
+	if next := s.KnownAt.Add(reviewInterval); w.Now < next {
+		s.NextAt = w.Now.Add(urgentInterval)
+		schedule(w, min(s.NextAt, next))
+		return
+	}
+	for _, p := range pools {
+		if parts, _ := s.Known.Parts(p.ID); len(parts.Accounts) > 0 {
+			s.InFlight, s.Reading = true, true
+			w.Emit(quetzalwork.ReadDivision{Timeout: callTimeout})
+			return
+		}
+	}
+	s.KnownAt = w.Now
+	schedule(w, w.Now.Add(reviewInterval))
+}
+
+// schedule sets the timer for the next review unless it is set for an earlier instant.
+func schedule(w *quetzalwork.World, at quetzalunit.Instant) {
+	s := &w.Accounts.Division
+	if s.TimerAt <= w.Now || at < s.TimerAt {
+		s.TimerAt = at
+		w.Timers.Push(at, quetzalwork.LimitsDue{})
+	}
+}
+
+// measure sums up, for each account, the tasks of a pool that wait for a start.
+func measure(w *quetzalwork.World, p *quetzalwork.Pool) {
+	for _, h := range w.Accounts.Holdings.All() {
+		if h.Pool == p.ID {
+			h.Waiting, h.Largest, h.Refused = quetzalunit.Resources{}, quetzalunit.Resources{}, false
+			if p.PredecessorWorkKnown {
+				h.Inherited = quetzalunit.Resources{}
+			}
+		}
+	}
+	add := func(row quetzalwork.Row) {
+		s := w.Steps.At(row)
+		if s == nil || s.Waiting == 0 {
+			return
+		}
+		j := w.Jobs.At(s.Job)
+		h := HoldingOfJob(w, j)
+		if h == nil || j.State.Final() {
+			return
+		}
+		n := s.Waiting
+		needs := s.Spec.Resources
+		h.Waiting = h.Waiting.Plus(Times(needs, n))
+		if s.Spec.Gang {
+			needs = Times(needs, n)
+		}
+		h.Largest = quetzalunit.Resources{
+			Cores: max(h.Largest.Cores, needs.Cores), Memory: max(h.Largest.Memory, needs.Memory), Accelerators: max(h.Largest.Accelerators, needs.Accelerators),
+		}
+	}
+	for _, row := range p.ReadySteps {
+		add(row)
+	}
+	for _, late := range p.LateSteps {
+		if s := w.Steps.At(late.Step); s != nil && s.Late {
+			add(late.Step)
+		}
+	}
+}
+
+// Times returns the resources of n tasks.
+func Times(r quetzalunit.Resources, n quetzalunit.Tasks) quetzalunit.Resources {
+	return quetzalunit.Resources{
+		Cores: r.Cores * quetzalunit.MilliCores(n), Memory: r.Memory * quetzalunit.Megabytes(n), Accelerators: r.Accelerators * quetzalunit.Accelerators(n),
+	}
+}
+
+// proposeParts returns the parts that a pool of this entry should have, and whether they are worth a transaction.
+// Parts of an earlier dispatcher are claimed as they are, and more for what this one needs beside them.
+func proposeParts(w *quetzalwork.World, p *quetzalwork.Pool, d *quetzalaccount.Division) (quetzalaccount.PoolParts, bool) {
+	old, _ := d.Parts(p.ID)
+	if old.Token > p.Token {
+		// A later dispatcher has claimed the pool.
+		return old, false
+	}
+	claim := old.Token < p.Token
+	next := quetzalaccount.PoolParts{Pool: p.ID, Token: p.Token}
+	changed := claim
+	for _, id := range accountsOf(w, p, &old) {
+		h := w.Accounts.Holdings.At(w.Accounts.HoldingOf(p.ID, id))
+		demand := quetzalaccount.Demand{Used: h.InUse(), Waiting: h.Waiting, Largest: h.Largest, Cap: w.Accounts.CapOf(id)}
+		if claim && !p.PredecessorWorkKnown {
+			demand.Used = demand.Used.Plus(old.Part(id).Held)
+		}
+		proposal := quetzalaccount.Propose(d, p.ID, id, &demand)
+		h.Target = proposal.Target
+		logCap(w, h, &proposal.Part)
+		part := proposal.Part
+		changed = changed || proposal.Changed
+		if part.Held != (quetzalunit.Resources{}) || part.Unmet != (quetzalunit.Resources{}) {
+			next.Accounts = append(next.Accounts, part)
+		}
+	}
+	return next, changed
+}
+
+// logCap logs when work of an account begins to wait for a larger part of its cap, and when it no longer does.
+func logCap(w *quetzalwork.World, h *quetzalaccount.Holding, part *quetzalaccount.AccountPart) {
+	atCap := part.Unmet != (quetzalunit.Resources{})
+	if atCap == h.AtCap {
+		return
+	}
+	h.AtCap = atCap
+	message := "Work of an account waits for a larger part of its cap."
+	if !atCap {
+		message = "No work of the account waits for its cap any more."
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartLimit, Message: message, Pool: h.Pool, Version: int64(part.Held.Cores), Age: w.Now.Sub(w.Accounts.Division.KnownAt),
+		Reason: string(h.Account), Routine: true,
+	})
+}
+
+// accountsOf returns the accounts that have a part of their cap in a pool, or a holding there, in the order of
+// their ids.
+func accountsOf(w *quetzalwork.World, p *quetzalwork.Pool, parts *quetzalaccount.PoolParts) []quetzalunit.AccountID {
+	var ids []quetzalunit.AccountID
+	for _, a := range parts.Accounts {
+		ids = append(ids, a.Account)
+	}
+	for _, h := range w.Accounts.Holdings.All() {
+		if h.Pool == p.ID {
+			ids = append(ids, h.Account)
+		}
+	}
+	slices.SortFunc(ids, func(a, b quetzalunit.AccountID) int { return strings.Compare(string(a), string(b)) })
+	return slices.Compact(ids)
+}
+
+// propose starts the transaction with a division. Parts that it lowers count as lowered from now on, since the
+// store may carry it out at any time.
+func propose(w *quetzalwork.World, next quetzalaccount.Division) {
+	s := &w.Accounts.Division
+	for _, h := range w.Accounts.Holdings.All() {
+		parts, _ := next.Parts(h.Pool)
+		held := parts.Part(h.Account).Held
+		if s.Unanswered {
+			held = quetzalaccount.Smallest(held, h.Ceiling)
+		}
+		h.Ceiling = held
+	}
+	s.InFlight, s.Reading, s.Proposed = true, false, next
+	s.NextAt = w.Now.Add(urgentInterval)
+	w.Emit(quetzalwork.StoreDivision{Expected: s.Known.Revision, Division: next, Timeout: callTimeout})
+}
+
+// HandleDivision applies the result of a StoreDivision or ReadDivision command.
+func HandleDivision(w *quetzalwork.World, in *quetzalwork.DivisionAnswered) {
+	s := &w.Accounts.Division
+	proposal := !s.Reading
+	s.InFlight, s.Reading = false, false
+	switch in.Result {
+	case quetzalwork.StoreDone:
+		learn(w, in.Division)
+	case quetzalwork.StoreConflict:
+		if in.Division.Revision == 0 && s.Known.Revision == 0 || in.Division.Revision > 0 {
+			learn(w, in.Division)
+		}
+		s.NextAt = w.Now
+	case quetzalwork.StoreUnanswered:
+		if proposal {
+			s.Unanswered, s.UnansweredAt = true, s.Known.Revision
+		}
+		s.NextAt = w.Now.Add(retryInterval)
+	default:
+		s.NextAt = w.Now.Add(retryInterval)
+	}
+	schedule(w, max(s.NextAt, w.Now.Add(time.Millisecond)))
+}
+
+// learn applies a division that a transaction or read has shown, and requests placement in the pools that may
+// start more by it.
+func learn(w *quetzalwork.World, d quetzalaccount.Division) {
+	s := &w.Accounts.Division
+	s.KnownAt = w.Now
+	if d.Revision < s.Known.Revision {
+		return
+	}
+	before := s.Known
+	s.Known = d
+	if s.Unanswered && d.Revision > s.UnansweredAt {
+		s.Unanswered = false
+	}
+	for _, p := range w.Pools.All() {
+		if !p.Held {
+			continue
+		}
+		inherit(w, p, &before, &d)
+		applyParts(w, p, &d)
+		p.NeedsPlacement = p.NeedsPlacement || len(p.ReadySteps)+len(p.LateSteps) > 0
+	}
+}
+
+// inherit records what a pool had when this dispatcher claimed it, as the row that its transaction replaced shows.
+func inherit(w *quetzalwork.World, p *quetzalwork.Pool, before, now *quetzalaccount.Division) {
+	old, _ := before.Parts(p.ID)
+	parts, _ := now.Parts(p.ID)
+	if parts.Token != p.Token || old.Token == p.Token || p.PredecessorWorkKnown {
+		return
+	}
+	for _, a := range old.Accounts {
+		h := w.Accounts.Holdings.At(w.Accounts.HoldingOf(p.ID, a.Account))
+		h.Inherited = a.Held
+	}
+}
+
+// applyParts sets what the accounts may run in a pool of this entry.
+func applyParts(w *quetzalwork.World, p *quetzalwork.Pool, d *quetzalaccount.Division) {
+	parts, _ := d.Parts(p.ID)
+	for _, id := range accountsOf(w, p, &parts) {
+		h := w.Accounts.Holdings.At(w.Accounts.HoldingOf(p.ID, id))
+		h.Granted, h.Others = quetzalunit.Resources{}, d.HeldByOthers(p.ID, id)
+		if parts.Token == p.Token {
+			h.Granted = parts.Part(id).Held
+		}
+	}
+}
+
+// BeginDispatch makes the parts of a pool unusable until this dispatcher has claimed them.
+func BeginDispatch(w *quetzalwork.World, p *quetzalwork.Pool) {
+	for row, h := range w.Accounts.Holdings.All() {
+		if h.Pool == p.ID {
+			w.Accounts.HoldingByKey.Delete(h.HoldingKey)
+			w.Accounts.Holdings.Delete(row)
+		}
+	}
+	w.Accounts.Division.NextAt = w.Now
+}
--- /dev/null
+++ b/quetzalcore/quetzallimit/use.go
@@ -0,0 +1,90 @@
+package quetzallimit
+
+import (
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalaccount"
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// maxConfigAge is how old a dispatcher's knowledge of the configuration may be when it starts tasks of an account that
+// has a cap: a lower cap may be in force. A dispatcher goes on without the store for as long.
+const maxConfigAge = 3 * time.Second
+
+// HoldingOfJob returns the holding that a job counts against, nil if its account is not limited to one.
+func HoldingOfJob(w *quetzalwork.World, j *quetzalwork.Job) *quetzalaccount.Holding {
+	if j == nil || j.Account == "" {
+		return nil
+	}
+	return w.Accounts.Holdings.At(w.Accounts.HoldingOf(w.Pools.At(j.Pool).ID, j.Account))
+}
+
+// AddUse counts an active run of a job. adopted tells that an earlier dispatcher started it.
+func AddUse(w *quetzalwork.World, j *quetzalwork.Job, needs quetzalunit.Resources, adopted bool) {
+	h := HoldingOfJob(w, j)
+	switch {
+	case h == nil:
+	case adopted:
+		h.Adopted = h.Adopted.Plus(needs)
+	default:
+		h.Used = h.Used.Plus(needs)
+	}
+}
+
+// RemoveUse is the reverse of AddUse.
+func RemoveUse(w *quetzalwork.World, j *quetzalwork.Job, needs quetzalunit.Resources, adopted bool) {
+	h := HoldingOfJob(w, j)
+	switch {
+	case h == nil:
+	case adopted:
+		h.Adopted = h.Adopted.Minus(needs)
+	default:
+		h.Used = h.Used.Minus(needs)
+	}
+}
+
+// Permits reports whether the cap of a job's account permits the start of tasks with the given needs. If
+// it does not, Divide tries to get a larger part of the cap.
+func Permits(w *quetzalwork.World, j *quetzalwork.Job, needs quetzalunit.Resources) bool {
+	h := HoldingOfJob(w, j)
+	if h == nil {
+		return true
+	}
+	limit := w.Accounts.CapOf(j.Account)
+	if limit == (quetzalunit.Resources{}) {
+		return true
+	}
+	if w.Now.Sub(w.Config.ConfirmedAt) < maxConfigAge && h.Permits(needs, limit, w.Accounts.Division.CeilingHolds()) {
+		return true
+	}
+	h.Refused = true
+	return false
+}
+
+// IsLimited reports whether an account has a cap.
+func IsLimited(w *quetzalwork.World, id quetzalunit.AccountID) bool {
+	return w.Accounts.CapOf(id) != (quetzalunit.Resources{})
+}
+
+// Headroom is how many cores the accounts that it names could still get in a pool. It is filled as it is used.
+type Headroom map[*quetzalaccount.Holding]quetzalunit.MilliCores
+
+// Take returns how many of the cores that a job's tasks want its account could get, and reduces the headroom by them.
+func (r Headroom) Take(w *quetzalwork.World, j *quetzalwork.Job, wanted quetzalunit.MilliCores) quetzalunit.MilliCores {
+	h := HoldingOfJob(w, j)
+	if h == nil {
+		return wanted
+	}
+	limit := w.Accounts.CapOf(j.Account).Cores
+	if limit == 0 {
+		return wanted
+	}
+	left, ok := r[h]
+	if !ok {
+		left = max(0, limit-h.Others.Cores-h.InUse().Cores)
+	}
+	wanted = min(wanted, left)
+	r[h] = left - wanted
+	return wanted
+}
--- a/quetzalcore/quetzalmetric/scheduler.go
+++ b/quetzalcore/quetzalmetric/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -26,6 +27,8 @@
 	jobTotals map[quetzalunit.QueueID]tally.Histogram
 	decisions map[quetzalwork.Part]tally.Counter
 
+	refusals map[string]tally.Counter
+
 	// startsOnce guards the creation of the histograms of ObserveStart.
 	startsOnce               sync.Once
 	startDelay, startListAge tally.Histogram
@@ -68,6 +71,35 @@
 	c.Inc(1)
 }
 
+// CountRefusal increments the counter of the calls that are refused for a reason.
+func (m *SchedulerMetrics) CountRefusal(reason string) {
+	if m.refusals == nil {
+		m.refusals = make(map[string]tally.Counter)
+	}
+	c := m.refusals[reason]
+	if c == nil {
+		c = m.Metrics.scope.Tagged(map[string]string{"reason": reason}).Counter("refused_calls")
+		m.refusals[reason] = c
+	}
+	c.Inc(1)
+}
+
+// maxAccountSeries is the number of accounts with metrics of their own.
+const maxAccountSeries = 100
+
+// SetUsages sets the gauges of what the accounts use, hold and want, and of their caps, in cores.
+func (m *SchedulerMetrics) SetUsages(usages []quetzallimit.Usage) {
+	const milli = 1000
+	for i := range usages[:min(len(usages), maxAccountSeries)] {
+		u := &usages[i]
+		scope := m.Metrics.scope.Tagged(map[string]string{"account": string(u.Account)})
+		scope.Gauge("account_running_cores").Update(float64(u.Used.Cores) / milli)
+		scope.Gauge("account_held_cores").Update(float64(u.Held.Cores) / milli)
+		scope.Gauge("account_waiting_cores").Update(float64(u.Waiting.Cores) / milli)
+		scope.Gauge("account_cap_cores").Update(float64(u.Cap.Cores) / milli)
+	}
+}
+
 // SetAge sets the gauge name_age_seconds: the time since the data called name was last
 // read from the platform.
 func (m *SchedulerMetrics) SetAge(name string, age time.Duration) {
--- a/quetzalcore/quetzalscheduler/capacity.go
+++ b/quetzalcore/quetzalscheduler/capacity.go
@@ -35,6 +35,15 @@
 	return fc
 }
 
+// usableCores returns the cores of the usable minions, whether free or not.
+func usableCores(w *quetzalwork.World, fc *freeCapacity) quetzalunit.MilliCores {
+	var cores quetzalunit.MilliCores
+	for _, row := range fc.minions {
+		cores += w.Minions.At(row).Capacity.Cores
+	}
+	return cores
+}
+
 // inRack returns the minions in one rack only, or fc itself if rack is empty. The result has no
 // recorded misfits.
 func (fc *freeCapacity) inRack(w *quetzalwork.World, rack quetzalunit.RackID) *freeCapacity {
--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -17,6 +17,9 @@
 	records map[quetzalwork.TaskID][]*runRecord
 	// accepted and refused are the jobs whose callers received that answer.
 	accepted, refused map[quetzalunit.JobID]bool
+	// accounts has the accounts that submitted jobs, caps the largest caps that may be in force.
+	accounts map[quetzalunit.JobID]quetzalunit.AccountID
+	caps     map[quetzalunit.AccountID]quetzalunit.Resources
 	// violations describes the violations found so far.
 	violations []string
 }
@@ -105,6 +108,29 @@
 	return r
 }
 
+// checkCap checks that what an account runs on all minions, with a new run, does not exceed its cap. A single
+// task may.
+func (c *checker) checkCap(started quetzalwork.TaskID) {
+	account := c.accounts[started.Job]
+	limit := c.caps[account]
+	if limit == (quetzalunit.Resources{}) {
+		return
+	}
+	var used quetzalunit.Resources
+	for _, m := range c.f.order {
+		for task := range m.runs {
+			if c.accounts[task.Job] == account {
+				used = used.Plus(c.step(task).Resources)
+			}
+		}
+	}
+	needs := c.step(started).Resources
+	total := used.Plus(needs)
+	if (total.Cores > limit.Cores && limit.Cores > 0 || total.Memory > limit.Memory && limit.Memory > 0) && used != (quetzalunit.Resources{}) {
+		c.violationf("QUOTA: %v brings %s to %v of %v", started, account, total, limit)
+	}
+}
+
 // maxGrantedLease is the longest lease that an order to start grants. The order was sent no earlier
 // than this long before the end of the lease.
 const maxGrantedLease = 4500 * time.Millisecond
--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -20,7 +20,7 @@
 
 // watchConfig starts the next watch on the operators' rows.
 func watchConfig(w *quetzalwork.World) {
-	w.Emit(quetzalwork.WatchConfig{SinceRevision: w.Config.SeenRevision, Wait: watchTimeout})
+	w.Emit(quetzalwork.WatchConfig{SinceRevision: w.Config.SeenRevision, Wait: watchTimeout, SentAt: w.Now})
 }
 
 // handleConfigWatch applies the result of a watch and starts the next one.
@@ -31,6 +31,7 @@
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The operators' rows can be read.", Age: ageOf(w, w.Config.AnsweredAt)})
 		}
 		w.Config.AnsweredAt = w.Now
+		w.Config.ConfirmedAt = max(w.Config.ConfirmedAt, in.SentAt)
 		w.Config.SeenRevision = max(w.Config.SeenRevision, in.SeenRevision)
 		if in.Config != nil {
 			applyConfig(w, in.Config)
@@ -78,6 +79,9 @@
 		q := w.Queues.At(row)
 		q.QueueSpec, q.Removed = spec, false
 	}
+	for _, id := range w.Accounts.Apply(cfg.Accounts) {
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFleet, Message: "A key of an account belongs to another one, which the configuration lists before.", Reason: string(id), Version: int64(cfg.Version)})
+	}
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartFleet, Message: "A new configuration is in force.", Version: int64(cfg.Version)})
 }
 
--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -66,16 +67,17 @@
 }
 
 // waitingCores returns the capacity for the waiting tasks of the ready steps, without those of jobs
-// that can no longer meet their objective.
+// that can no longer meet their objective and those beyond the caps of their accounts.
 func waitingCores(w *quetzalwork.World, p *quetzalwork.Pool) quetzalunit.MilliCores {
 	var cores quetzalunit.MilliCores
+	headroom := quetzallimit.Headroom{}
 	for _, row := range p.ReadySteps {
 		s := w.Steps.At(row)
 		if s == nil || s.Waiting == 0 || w.Jobs.At(s.Job).State.Final() {
 			continue
 		}
 		if rankStep(w, p, s); !s.Rank.ObjectiveUnreachable {
-			cores += wantedCores(w, p, s)
+			cores += headroom.Take(w, w.Jobs.At(s.Job), wantedCores(w, p, s))
 		}
 	}
 	return cores
--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -69,6 +70,7 @@
 	p.Held, p.Token, p.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
 	p.JobsLoaded, p.NextKey, p.ReadInFlight, p.SeenRevision, p.PredecessorWorkKnown = false, "", false, 0, false
 	p.RunNumbersExhausted = false
+	quetzallimit.BeginDispatch(w, p)
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
 	p.Predecessor = quetzalwork.Duty{}
 	p.EarlierLeasesEnd = predecessor.EarlierLeasesEnd
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalaccount"
 	"quetzalstair/quetzalcore/quetzalcodec"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
@@ -22,6 +23,13 @@
 	settled   map[quetzalunit.PoolID]quetzalunit.Revision
 	rows      map[string]quetzalwork.JobRow
 	list      map[quetzalunit.MinionID]versionedRecord
+	// pools has the pool of each job that was stored.
+	pools map[quetzalunit.JobID]quetzalunit.PoolID
+	// config is a later configuration than that of the entries, nil if there is none. Watches see it from
+	// the revision configRevision on.
+	config         *quetzalwork.FleetConfig
+	configRevision quetzalunit.Revision
+	division       quetzalaccount.Division
 	// pageSize is the maximum number of rows in one answer to a full read; zero means no limit.
 	pageSize int
 	// memberReads and minionLists count the reads of the rows of members and of the minion list by
@@ -62,11 +70,20 @@
 	f := e.f
 	timeout := 1200 * time.Millisecond
 	if watch, ok := c.(quetzalwork.WatchConfig); ok && watch.SinceRevision > 0 {
-		f.after(watch.Wait, func() { post(quetzalwork.ConfigWatched{SeenRevision: watch.SinceRevision}) })
+		f.after(watch.Wait, func() {
+			in := quetzalwork.ConfigWatched{SeenRevision: watch.SinceRevision, SentAt: watch.SentAt}
+			switch {
+			case f.storeDown || !f.reaches(e.zone, storeZone):
+				in = quetzalwork.ConfigWatched{Result: quetzalwork.StoreUnanswered}
+			case s.configRevision > watch.SinceRevision:
+				in.Config, in.SeenRevision = s.config, s.configRevision
+			}
+			post(in)
+		})
 		return
 	}
 	switch c := c.(type) {
-	case quetzalwork.RenewMember, quetzalwork.WriteDuty, quetzalwork.SettleDuty:
+	case quetzalwork.RenewMember, quetzalwork.WriteDuty, quetzalwork.SettleDuty, quetzalwork.StoreDivision:
 		if f.delayedWrites {
 			s.performLate(e, c, timeout, post)
 			return
@@ -187,6 +204,8 @@
 		return quetzalwork.CancelStored{Result: r, Request: c.Request}
 	case quetzalwork.LookUpJob:
 		return quetzalwork.JobLookedUp{Result: r, Request: c.Request}
+	case quetzalwork.StoreDivision, quetzalwork.ReadDivision:
+		return quetzalwork.DivisionAnswered{Result: r}
 	case quetzalwork.ReadWaves:
 		return quetzalwork.WavesRead{Result: r}
 	case quetzalwork.StoreWaveHosts:
@@ -202,7 +221,10 @@
 	switch c := c.(type) {
 	case quetzalwork.WatchConfig:
 		cfg := e.config
-		return quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: 1}
+		if s.config != nil {
+			cfg = *s.config
+		}
+		return quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: max(1, s.configRevision), SentAt: c.SentAt}
 	case quetzalwork.ReadMembers:
 		s.memberReads[e.id]++
 		in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: c.SinceRevision == 0, SeenRevision: s.revision, StoreNow: quetzalunit.StoreTime(e.f.now.Milliseconds()), Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
@@ -281,6 +303,9 @@
 			return in
 		}
 		in.Rows = s.find(func(r *quetzalwork.JobRow) bool {
+			if pool, ok := s.pools[r.Job]; ok && pool != c.Pool {
+				return false
+			}
 			return !c.Full && r.Revision > c.SinceRevision || c.Full && rowKey(r) > c.StartKey
 		})
 		if c.Full && s.pageSize > 0 && len(in.Rows) > s.pageSize {
@@ -307,6 +332,9 @@
 		}
 		if in.Result == quetzalwork.StoreDone {
 			s.write(c.Jobs)
+			for i := range c.Jobs {
+				s.pools[c.Jobs[i].Job] = c.Pool
+			}
 		}
 		return in
 	case quetzalwork.StoreProgress:
@@ -331,6 +359,16 @@
 		return quetzalwork.CancelStored{Request: c.Request}
 	case quetzalwork.LookUpJob:
 		return quetzalwork.JobLookedUp{Request: c.Request, Rows: s.find(func(r *quetzalwork.JobRow) bool { return r.Job == c.Job })}
+	case quetzalwork.ReadDivision:
+		return quetzalwork.DivisionAnswered{Division: s.division}
+	case quetzalwork.StoreDivision:
+		if c.Expected != s.division.Revision {
+			return quetzalwork.DivisionAnswered{Result: quetzalwork.StoreConflict, Division: s.division}
+		}
+		s.revision++
+		s.division = c.Division
+		s.division.Revision = s.revision
+		return quetzalwork.DivisionAnswered{Division: s.division}
 	case quetzalwork.ReadWaves:
 		return quetzalwork.WavesRead{}
 	}
@@ -638,6 +676,7 @@
 		return quetzalwork.OrderNoCapacity{Clock: clock}
 	}
 	m.f.checker.checkLimit(m, c, used)
+	m.f.checker.checkCap(c.Task)
 	run := &fakeRun{number: c.Number, needs: needs, record: m.f.checker.started(c.Task, c.Number, m.record.ID)}
 	m.runs[c.Task] = run
 	if m.f.deadly[c.Task.Job] {
--- a/quetzalcore/quetzalscheduler/gang.go
+++ b/quetzalcore/quetzalscheduler/gang.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -23,6 +24,9 @@
 			return t.NotBefore
 		}
 	}
+	if !quetzallimit.Permits(w, w.Jobs.At(s.Job), quetzallimit.Times(s.Spec.Resources, s.Spec.TaskCount)) {
+		return 0
+	}
 	minions := chooseGangMinions(w, p, fc, s)
 	if minions == nil {
 		return remoteAllowedAt(w, p, fc, s)
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -19,6 +20,7 @@
 	}
 	j.ObjectiveAt = j.FirstSeenAt.Add(objectiveDuration(w, j))
 	if p := w.Pools.At(j.Pool); p.JobsLoaded {
+		j.Surplus = quetzallimit.CountArrival(w, j)
 		addOfferedLoad(w, row)
 	}
 	switch {
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -23,7 +24,7 @@
 // handleJobQuery handles a query for the state of a job, or for the pending jobs of a queue if the
 // path names no job.
 func handleJobQuery(w *quetzalwork.World, in *quetzalwork.JobQueried) {
-	queue, rest, ok := routeJobRequest(w, in.Caller, in.HTTPHost, in.Path)
+	queue, rest, ok := routeJobRequest(w, in.Caller, in.HTTPHost, in.Path, in.Key)
 	if !ok {
 		return
 	}
@@ -38,8 +39,8 @@
 }
 
 // routeJobRequest resolves the path of a request to a queue and a job id, which is empty if the
-// path names only the queue. If it cannot, it answers the caller and returns false.
-func routeJobRequest(w *quetzalwork.World, caller quetzalunit.CallerID, host, path string) (quetzalwork.Row, string, bool) {
+// path names only the queue, and checks the caller's key. If it cannot, it answers the caller and returns false.
+func routeJobRequest(w *quetzalwork.World, caller quetzalunit.CallerID, host, path string, key quetzalunit.KeyDigest) (quetzalwork.Row, string, bool) {
 	if !w.Config.Known {
 		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: "NoConfiguration"}})
 		return 0, "", false
@@ -49,6 +50,10 @@
 		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.NoSuchQueue{}})
 		return 0, "", false
 	}
+	if _, refusal := quetzallimit.Admit(w, w.Queues.At(queue), key); refusal != nil {
+		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: refusal})
+		return 0, "", false
+	}
 	if rest != "" && !validJobID(rest) {
 		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.NoSuchJob{}})
 		return 0, "", false
@@ -214,7 +219,7 @@
 // handleCancelRequest handles a request to cancel a job. A job that is unknown here is looked up
 // in the store first.
 func handleCancelRequest(w *quetzalwork.World, in *quetzalwork.CancelRequested) {
-	queue, rest, ok := routeJobRequest(w, in.Caller, in.HTTPHost, in.Path)
+	queue, rest, ok := routeJobRequest(w, in.Caller, in.HTTPHost, in.Path, in.Key)
 	if !ok {
 		return
 	}
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -85,6 +86,7 @@
 	if pass.predecessorWait != "" {
 		pass.retryAt = p.PredecessorLeasesEnd
 	}
+	quetzallimit.MarkAhead(w, p, usableCores(w, pass.fc))
 	rankSteps(w, p)
 	for _, row := range p.ReadySteps {
 		pass.place(row)
@@ -179,6 +181,9 @@
 		if !mayStart(p, t) {
 			continue
 		}
+		if !quetzallimit.Permits(w, w.Jobs.At(s.Job), s.Spec.Resources) {
+			break
+		}
 		if t.NotBefore > w.Now {
 			retryAt = earliest(retryAt, t.NotBefore)
 			continue
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -122,7 +122,7 @@
 	switch c := r.Content.(type) {
 	case quetzalwork.AcceptedJob:
 		if c.Spec != nil && j.Spec == nil && !j.State.Final() {
-			j.Queue, j.Spec, j.DutyRevision = c.Queue, c.Spec, c.DutyRevision
+			j.Queue, j.Account, j.Spec, j.DutyRevision = c.Queue, c.Account, c.Spec, c.DutyRevision
 			activateJob(w, row)
 		}
 	case quetzalwork.JobCancellation:
--- a/quetzalcore/quetzalscheduler/rank.go
+++ b/quetzalcore/quetzalscheduler/rank.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -37,13 +38,15 @@
 )
 
 // compareRanks orders ready steps for placement: long-running steps first, steps of jobs that
-// cannot meet their objective last, then by priority, lowest value first, and by the latest start
-// that meets the objective.
+// cannot meet their objective last and before them those beyond their account's rate, then by priority, lowest
+// value first, by the shares of accounts, and by the latest start that meets the objective.
 func compareRanks(a, b *quetzalwork.Rank) int {
 	return cmp.Or(
 		compareBools(b.LongRunning, a.LongRunning),
 		compareBools(a.ObjectiveUnreachable, b.ObjectiveUnreachable),
+		compareBools(a.Surplus, b.Surplus),
 		cmp.Compare(a.Priority, b.Priority),
+		compareBools(a.Ahead, b.Ahead),
 		cmp.Compare(a.LatestStart, b.LatestStart),
 	)
 }
@@ -119,6 +122,10 @@
 			r.Priority = q.Priority
 		}
 	}
+	r.Surplus, r.Ahead = j.Surplus, false
+	if h := quetzallimit.HoldingOfJob(w, j); h != nil {
+		r.Ahead = h.Ahead
+	}
 	r.LatestStart = j.ObjectiveAt.Add(-r.CriticalPath)
 	margin := fixedMargin + time.Duration(relativeMargin*float64(r.CriticalPath))
 	r.ObjectiveUnreachable = !r.LongRunning && w.Now.Add(margin) > r.LatestStart
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -45,6 +46,7 @@
 		number = quetzalunit.RunNumber(p.Token)<<startCountBits | t.Starts
 	}
 	lease := grantLease(w, m)
+	quetzallimit.ChargeStart(w, j, equivalentCores(needsOf(s.Spec), m.Capacity), expectedRunTime(p, j.Queue, s))
 	row := addRun(w, taskRow, minionRow, quetzalwork.Run{
 		Number: number, State: quetzalwork.RunStarting, StartedAt: w.Now, StartDeadline: lease, Pace: 100,
 	})
@@ -93,6 +95,8 @@
 	t, m := w.Tasks.At(taskRow), w.Minions.At(minionRow)
 	s := w.Steps.At(t.Step)
 	r.Task, r.Minion, r.Resources, r.ChangedAt = taskRow, minionRow, needsOf(s.Spec), w.Now
+	r.Adopted = quetzalunit.FencingToken(r.Number>>startCountBits) != w.Pools.At(m.PoolRow).Token
+	quetzallimit.AddUse(w, w.Jobs.At(s.Job), s.Spec.Resources, r.Adopted)
 	row := w.Runs.Insert(r)
 	w.RunByKey.Put(quetzalwork.RunKey{Task: taskRow, Number: r.Number}, row)
 	if t.State == quetzalwork.TaskWaiting {
@@ -117,6 +121,7 @@
 	r := w.Runs.At(row)
 	t := w.Tasks.At(r.Task)
 	s := w.Steps.At(t.Step)
+	quetzallimit.RemoveUse(w, w.Jobs.At(s.Job), s.Spec.Resources, r.Adopted)
 	isRow := func(x quetzalwork.Row) bool { return x == row }
 	t.Runs = slices.DeleteFunc(t.Runs, isRow)
 	if m := w.Minions.At(r.Minion); m != nil {
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalaccount"
 	"quetzalstair/quetzalcore/quetzalscheduler"
 	"quetzalstair/quetzalcore/quetzaltable"
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -96,7 +97,7 @@
 		deadly: make(map[quetzalunit.JobID]bool), answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.CallerID]quetzalunit.JobID),
 	}
 	f.checker.f = f
-	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), settled: make(map[quetzalunit.PoolID]quetzalunit.Revision), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[string]quetzalwork.JobRow), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
+	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), settled: make(map[quetzalunit.PoolID]quetzalunit.Revision), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[string]quetzalwork.JobRow), pools: make(map[quetzalunit.JobID]quetzalunit.PoolID), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
 	for i := range minions {
 		f.addMinion(zones[i%len(zones)], i/2)
 	}
@@ -261,7 +262,7 @@
 			in.Tickets[id] = "ticket"
 		}
 		f.after(50*time.Millisecond, func() { post(in) })
-	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.ListHosts, quetzalwork.OrderHost:
+	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.ObserveRefusal, quetzalwork.ListHosts, quetzalwork.OrderHost:
 	default:
 		f.store.perform(e, c, post)
 	}
@@ -323,6 +324,34 @@
 	return id
 }
 
+// submitTo submits a new job of an account, by its only key, to the queue with a path prefix.
+func (f *fleet) submitTo(e *entry, prefix string, account quetzalunit.AccountID, steps ...quetzalwork.StepSpec) quetzalunit.JobID {
+	f.lastID++
+	id := quetzalunit.JobID(fmt.Sprintf("%016x", f.lastID))
+	f.sendTo(e, prefix+string(id), id, account, &quetzalwork.JobSpec{Payload: "text", Steps: steps})
+	return id
+}
+
+// sendTo submits a job of an account once.
+func (f *fleet) sendTo(e *entry, path string, id quetzalunit.JobID, account quetzalunit.AccountID, spec *quetzalwork.JobSpec) {
+	caller := quetzalunit.CallerID(len(f.callers) + 1)
+	f.callers[caller] = id
+	f.checker.submitted(id, spec)
+	if f.checker.accounts == nil {
+		f.checker.accounts = make(map[quetzalunit.JobID]quetzalunit.AccountID)
+	}
+	f.checker.accounts[id] = account
+	e.post(e.boot, quetzalwork.JobSubmitted{Caller: caller, HTTPHost: "host", Path: path, Key: keyOf(account), Spec: spec, Timeout: 3 * time.Second})
+}
+
+// keyOf returns the digest of the only key of an account, the zero digest for no account.
+func keyOf(account quetzalunit.AccountID) quetzalunit.KeyDigest {
+	if account == "" {
+		return quetzalunit.KeyDigest{}
+	}
+	return quetzalaccount.DigestKey("key of " + string(account))
+}
+
 // send submits a job with a given ID once.
 func (f *fleet) send(e *entry, id quetzalunit.JobID, spec *quetzalwork.JobSpec) {
 	caller := quetzalunit.CallerID(len(f.callers) + 1)
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -62,6 +63,11 @@
 		answer(quetzalwork.NoSuchQueue{})
 		return
 	}
+	account, refusal := quetzallimit.Admit(w, w.Queues.At(queue), in.Key)
+	if refusal != nil {
+		answer(refusal)
+		return
+	}
 	if in.BodySize > w.Config.MaxBodyBytes && w.Config.MaxBodyBytes > 0 {
 		answer(quetzalwork.BodyTooLarge{})
 		return
@@ -85,7 +91,7 @@
 		return
 	}
 	row := w.Submissions.Insert(quetzalwork.Submission{
-		Caller: in.Caller, Job: id, Queue: q.ID, Pool: pool, Spec: in.Spec, ArrivedAt: w.Now,
+		Caller: in.Caller, Job: id, Queue: q.ID, Account: account, Pool: pool, Spec: in.Spec, ArrivedAt: w.Now,
 		Deadline: w.Now.Add(answerTimeout(in.Timeout)),
 	})
 	w.Timers.Push(w.Submissions.At(row).Deadline, quetzalwork.SubmissionDue{Submission: row})
@@ -177,7 +183,7 @@
 		s.Attempts++
 		inBatch[s.Job] = true
 		c.Submissions = append(c.Submissions, row)
-		c.Jobs = append(c.Jobs, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec, DutyRevision: c.DutyRevision}})
+		c.Jobs = append(c.Jobs, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Account: s.Account, Spec: s.Spec, DutyRevision: c.DutyRevision}})
 	}
 	for _, row := range later {
 		shard.Submissions.Add(row)
@@ -213,7 +219,7 @@
 		switch {
 		case in.Result == quetzalwork.StoreDone || existing[s.Job]:
 			if !existing[s.Job] {
-				stored = append(stored, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Spec: s.Spec, DutyRevision: in.DutyRevision}})
+				stored = append(stored, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Account: s.Account, Spec: s.Spec, DutyRevision: in.DutyRevision}})
 			}
 			answerSubmission(w, row, quetzalwork.JobAccepted{}, "Stored")
 		case in.Result == quetzalwork.StoreConflict:
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -12,6 +13,7 @@
 }{
 	{storeSubmissions, quetzalwork.PhaseSubmissions},
 	{placeTasks, quetzalwork.PhasePlacement},
+	{quetzallimit.Divide, quetzalwork.PhaseLimits},
 	{storeProgress, quetzalwork.PhaseProgress},
 	{pollMinions, quetzalwork.PhasePolls},
 	{finishStop, quetzalwork.PhaseTimers},
@@ -111,6 +113,8 @@
 		handleProgressStored(w, &in)
 	case quetzalwork.CancelStored:
 		handleCancelStored(w, &in)
+	case quetzalwork.DivisionAnswered:
+		quetzallimit.HandleDivision(w, &in)
 	case quetzalwork.JobLookedUp:
 		handleJobLookUp(w, &in)
 	default:
@@ -162,7 +166,7 @@
 		if p := w.Pools.At(t.Pool); p != nil {
 			p.NextPlacementAt, p.NeedsPlacement = 0, true
 		}
-	case quetzalwork.StoreProgressDue, quetzalwork.StoreJobsDue, quetzalwork.MinionPollDue:
+	case quetzalwork.StoreProgressDue, quetzalwork.StoreJobsDue, quetzalwork.MinionPollDue, quetzalwork.LimitsDue:
 		// The systems that run in this tick do the work; the timer only causes the tick.
 	case quetzalwork.SubmissionDue:
 		expireSubmission(w, t.Submission)
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -127,7 +128,7 @@
 	t.AvoidMinion = r.Minion
 	minion := chooseMinion(w, freeCapacityOf(w, p), s, t, nil)
 	t.AvoidMinion = avoid
-	if minion == 0 || minion == r.Minion {
+	if minion == 0 || minion == r.Minion || !quetzallimit.Permits(w, w.Jobs.At(s.Job), s.Spec.Resources) {
 		return
 	}
 	w.Log(quetzalwork.Decision{
--- a/quetzalcore/quetzalunit/unit.go
+++ b/quetzalcore/quetzalunit/unit.go
@@ -16,6 +16,8 @@
 	RackID string
 	// TeamID identifies a team, the unit that has a quota.
 	TeamID string
+	// AccountID identifies a client account, the unit that has keys, a weight and a cap.
+	AccountID string
 	// EntryID identifies an entry by its name. Its processes share the name one after the other
 	// and differ in their Incarnation.
 	EntryID string
@@ -67,10 +69,16 @@
 	Percent int32
 	// Weight is a team's share in relation to those of the other teams.
 	Weight int32
+	// AccountWeight is a client account's share in relation to those of the others, and the rate, in
+	// jobs per second, that it is entitled to.
+	AccountWeight float64
 	// HTTPStatus is an HTTP status code.
 	HTTPStatus int32
 )
 
+// KeyDigest is the SHA-256 digest of a key of a client account. Keys themselves are not kept.
+type KeyDigest [32]byte
+
 // SlotsPerMinion is the number of runs that a minion accepts at once.
 const SlotsPerMinion Slots = 8
 
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -2,6 +2,20 @@
 
 package quetzalwire
 
+// AccountPartDoc is a pool's part of the cap of a client account. Held and Unmet
+// have thousandths of a core, megabytes and accelerators, without zeros at the
+// end; Unmet is what the pool could use beyond Held.
+type AccountPartDoc struct {
+	// Account corresponds to the JSON schema field "Account".
+	Account string `json:"Account" yaml:"Account"`
+
+	// Held corresponds to the JSON schema field "Held".
+	Held []int `json:"Held,omitempty,omitzero" yaml:"Held,omitempty"`
+
+	// Unmet corresponds to the JSON schema field "Unmet".
+	Unmet []int `json:"Unmet,omitempty,omitzero" yaml:"Unmet,omitempty"`
+}
+
 // ArrivalDoc is one request of a recorded trace; times are in microseconds.
 type ArrivalDoc struct {
 	// AtUs corresponds to the JSON schema field "AtUs".
@@ -96,10 +110,12 @@
 
 type ClaimDocState string
 
-const ClaimDocStateClaimed ClaimDocState = "Claimed"
-const ClaimDocStateDone ClaimDocState = "Done"
-const ClaimDocStateReleased ClaimDocState = "Released"
-const ClaimDocStateUnknown ClaimDocState = "Unknown"
+const (
+	ClaimDocStateClaimed  ClaimDocState = "Claimed"
+	ClaimDocStateDone     ClaimDocState = "Done"
+	ClaimDocStateReleased ClaimDocState = "Released"
+	ClaimDocStateUnknown  ClaimDocState = "Unknown"
+)
 
 // DecisionDoc is a decision with its reason.
 type DecisionDoc struct {
@@ -122,6 +138,12 @@
 	Decisions []DecisionDoc `json:"Decisions" yaml:"Decisions"`
 }
 
+// DivisionDoc divides the caps of client accounts between pools.
+type DivisionDoc struct {
+	// Pools corresponds to the JSON schema field "Pools".
+	Pools []PoolPartsDoc `json:"Pools" yaml:"Pools"`
+}
+
 // DutySettledDoc names the revision of a pool's duty row for which EarlierLeasesMs
 // has passed.
 type DutySettledDoc struct {
@@ -192,10 +214,12 @@
 
 type EntrySettingsLogLevel string
 
-const EntrySettingsLogLevelDebug EntrySettingsLogLevel = "debug"
-const EntrySettingsLogLevelError EntrySettingsLogLevel = "error"
-const EntrySettingsLogLevelInfo EntrySettingsLogLevel = "info"
-const EntrySettingsLogLevelWarn EntrySettingsLogLevel = "warn"
+const (
+	EntrySettingsLogLevelDebug EntrySettingsLogLevel = "debug"
+	EntrySettingsLogLevelError EntrySettingsLogLevel = "error"
+	EntrySettingsLogLevelInfo  EntrySettingsLogLevel = "info"
+	EntrySettingsLogLevelWarn  EntrySettingsLogLevel = "warn"
+)
 
 // EntryStatus is the state of the answering entry.
 type EntryStatus struct {
@@ -515,10 +539,12 @@
 
 type HostDocState string
 
-const HostDocStateLeaving HostDocState = "Leaving"
-const HostDocStateRebooting HostDocState = "Rebooting"
-const HostDocStateRetired HostDocState = "Retired"
-const HostDocStateServing HostDocState = "Serving"
+const (
+	HostDocStateLeaving   HostDocState = "Leaving"
+	HostDocStateRebooting HostDocState = "Rebooting"
+	HostDocStateRetired   HostDocState = "Retired"
+	HostDocStateServing   HostDocState = "Serving"
+)
 
 // HostGeneration identifies a host's row at one generation.
 type HostGeneration struct {
@@ -557,9 +583,11 @@
 
 type HostRegistrationState string
 
-const HostRegistrationStateGone HostRegistrationState = "Gone"
-const HostRegistrationStateLeaving HostRegistrationState = "Leaving"
-const HostRegistrationStateLive HostRegistrationState = "Live"
+const (
+	HostRegistrationStateGone    HostRegistrationState = "Gone"
+	HostRegistrationStateLeaving HostRegistrationState = "Leaving"
+	HostRegistrationStateLive    HostRegistrationState = "Live"
+)
 
 // HostStatus is a host's row and the number of requests that the answering entry
 // runs on it.
@@ -635,9 +663,11 @@
 
 type JobDocState string
 
-const JobDocStateAccepted JobDocState = "Accepted"
-const JobDocStateEnded JobDocState = "Ended"
-const JobDocStateSent JobDocState = "Sent"
+const (
+	JobDocStateAccepted JobDocState = "Accepted"
+	JobDocStateEnded    JobDocState = "Ended"
+	JobDocStateSent     JobDocState = "Sent"
+)
 
 // JoinMessage asks the entry that claimed a request for its outcome.
 type JoinMessage struct {
@@ -687,9 +717,11 @@
 
 type ListedHostState string
 
-const ListedHostStateGone ListedHostState = "Gone"
-const ListedHostStateLeaving ListedHostState = "Leaving"
-const ListedHostStateLive ListedHostState = "Live"
+const (
+	ListedHostStateGone    ListedHostState = "Gone"
+	ListedHostStateLeaving ListedHostState = "Leaving"
+	ListedHostStateLive    ListedHostState = "Live"
+)
 
 // MemberDoc is the membership row of an entry; Beat grows with each renewal.
 type MemberDoc struct {
@@ -848,6 +880,19 @@
 	Running int `json:"Running" yaml:"Running"`
 }
 
+// PoolPartsDoc has the parts of a pool. Token is the fencing token of the
+// dispatcher that wrote them last.
+type PoolPartsDoc struct {
+	// Accounts corresponds to the JSON schema field "Accounts".
+	Accounts []AccountPartDoc `json:"Accounts" yaml:"Accounts"`
+
+	// Pool corresponds to the JSON schema field "Pool".
+	Pool string `json:"Pool" yaml:"Pool"`
+
+	// Token corresponds to the JSON schema field "Token".
+	Token int `json:"Token" yaml:"Token"`
+}
+
 // PoolStatus is a pool as the answering entry sees it in its zone.
 type PoolStatus struct {
 	// Available corresponds to the JSON schema field "Available".
@@ -1187,27 +1232,35 @@
 
 type SettingValuesDispatchPolicy string
 
-const SettingValuesDispatchPolicyBorrow SettingValuesDispatchPolicy = "Borrow"
-const SettingValuesDispatchPolicyFixed SettingValuesDispatchPolicy = "Fixed"
-const SettingValuesDispatchPolicyShared SettingValuesDispatchPolicy = "Shared"
+const (
+	SettingValuesDispatchPolicyBorrow SettingValuesDispatchPolicy = "Borrow"
+	SettingValuesDispatchPolicyFixed  SettingValuesDispatchPolicy = "Fixed"
+	SettingValuesDispatchPolicyShared SettingValuesDispatchPolicy = "Shared"
+)
 
 type SettingValuesLanePolicy string
 
-const SettingValuesLanePolicyDemote SettingValuesLanePolicy = "Demote"
-const SettingValuesLanePolicyOpen SettingValuesLanePolicy = "Open"
-const SettingValuesLanePolicyReserve SettingValuesLanePolicy = "Reserve"
+const (
+	SettingValuesLanePolicyDemote  SettingValuesLanePolicy = "Demote"
+	SettingValuesLanePolicyOpen    SettingValuesLanePolicy = "Open"
+	SettingValuesLanePolicyReserve SettingValuesLanePolicy = "Reserve"
+)
 
 type SettingValuesMovePolicy string
 
-const SettingValuesMovePolicyFixed SettingValuesMovePolicy = "Fixed"
-const SettingValuesMovePolicyReactive SettingValuesMovePolicy = "Reactive"
-const SettingValuesMovePolicySkiRental SettingValuesMovePolicy = "SkiRental"
+const (
+	SettingValuesMovePolicyFixed     SettingValuesMovePolicy = "Fixed"
+	SettingValuesMovePolicyReactive  SettingValuesMovePolicy = "Reactive"
+	SettingValuesMovePolicySkiRental SettingValuesMovePolicy = "SkiRental"
+)
 
 type SettingValuesRetryPolicy string
 
-const SettingValuesRetryPolicyExponential SettingValuesRetryPolicy = "Exponential"
-const SettingValuesRetryPolicyFourPhase SettingValuesRetryPolicy = "FourPhase"
-const SettingValuesRetryPolicyNone SettingValuesRetryPolicy = "None"
+const (
+	SettingValuesRetryPolicyExponential SettingValuesRetryPolicy = "Exponential"
+	SettingValuesRetryPolicyFourPhase   SettingValuesRetryPolicy = "FourPhase"
+	SettingValuesRetryPolicyNone        SettingValuesRetryPolicy = "None"
+)
 
 // SettingsReply shows a node of the settings tree, with its effective values if
 // the request asked for them with Explain.
@@ -1342,10 +1395,12 @@
 
 type WaveDocState string
 
-const WaveDocStateCancelled WaveDocState = "Cancelled"
-const WaveDocStateFinished WaveDocState = "Finished"
-const WaveDocStatePaused WaveDocState = "Paused"
-const WaveDocStateRunning WaveDocState = "Running"
+const (
+	WaveDocStateCancelled WaveDocState = "Cancelled"
+	WaveDocStateFinished  WaveDocState = "Finished"
+	WaveDocStatePaused    WaveDocState = "Paused"
+	WaveDocStateRunning   WaveDocState = "Running"
+)
 
 // WaveHostsDoc lists the hosts of a wave whose maintenance is done.
 type WaveHostsDoc struct {
@@ -1387,6 +1442,9 @@
 // WorkJobDoc is an accepted job of tasks; FirstAtMs is in milliseconds since the
 // Unix epoch.
 type WorkJobDoc struct {
+	// Client account that submitted the job; absent if none did.
+	Account *string `json:"Account,omitempty,omitzero" yaml:"Account,omitempty"`
+
 	// Revision of the pool's duty row when the job was stored.
 	Duty int `json:"Duty" yaml:"Duty"`
 
@@ -1445,15 +1503,17 @@
 
 type WorkMessageKind string
 
-const WorkMessageKindAccepted WorkMessageKind = "Accepted"
-const WorkMessageKindCancelled WorkMessageKind = "Cancelled"
-const WorkMessageKindDropped WorkMessageKind = "Dropped"
-const WorkMessageKindDuty WorkMessageKind = "Duty"
-const WorkMessageKindEmpty WorkMessageKind = "Empty"
-const WorkMessageKindLoad WorkMessageKind = "Load"
-const WorkMessageKindPending WorkMessageKind = "Pending"
-const WorkMessageKindState WorkMessageKind = "State"
-const WorkMessageKindTaken WorkMessageKind = "Taken"
+const (
+	WorkMessageKindAccepted  WorkMessageKind = "Accepted"
+	WorkMessageKindCancelled WorkMessageKind = "Cancelled"
+	WorkMessageKindDropped   WorkMessageKind = "Dropped"
+	WorkMessageKindDuty      WorkMessageKind = "Duty"
+	WorkMessageKindEmpty     WorkMessageKind = "Empty"
+	WorkMessageKindLoad      WorkMessageKind = "Load"
+	WorkMessageKindPending   WorkMessageKind = "Pending"
+	WorkMessageKindState     WorkMessageKind = "State"
+	WorkMessageKindTaken     WorkMessageKind = "Taken"
+)
 
 // WorkProgressDoc records which tasks of a job are done, which runs failed and
 // under which runs their minion crashed. Ranges of numbers are pairs of a gap
@@ -1489,9 +1549,11 @@
 
 type WorkProgressDocState string
 
-const WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
-const WorkProgressDocStateFailed WorkProgressDocState = "Failed"
-const WorkProgressDocStateRunning WorkProgressDocState = "Running"
+const (
+	WorkProgressDocStateCompleted WorkProgressDocState = "Completed"
+	WorkProgressDocStateFailed    WorkProgressDocState = "Failed"
+	WorkProgressDocStateRunning   WorkProgressDocState = "Running"
+)
 
 // WorkReply is the reply to a WorkMessage.
 type WorkReply struct {
@@ -1534,12 +1596,14 @@
 
 type WorkReplyKind string
 
-const WorkReplyKindEmpty WorkReplyKind = "Empty"
-const WorkReplyKindHeard WorkReplyKind = "Heard"
-const WorkReplyKindLoad WorkReplyKind = "Load"
-const WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
-const WorkReplyKindPending WorkReplyKind = "Pending"
-const WorkReplyKindState WorkReplyKind = "State"
+const (
+	WorkReplyKindEmpty     WorkReplyKind = "Empty"
+	WorkReplyKindHeard     WorkReplyKind = "Heard"
+	WorkReplyKindLoad      WorkReplyKind = "Load"
+	WorkReplyKindNotHolder WorkReplyKind = "NotHolder"
+	WorkReplyKindPending   WorkReplyKind = "Pending"
+	WorkReplyKindState     WorkReplyKind = "State"
+)
 
 // WorkRowDoc is a row of a job in a message between entries.
 type WorkRowDoc struct {
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalaccount"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
@@ -33,6 +34,8 @@
 	LogDecision struct{ Decision Decision }
 	// SetRelays sets the peers that can relay calls to the store, those in the same zone first.
 	SetRelays struct{ Addresses []quetzalunit.Address }
+	// ObserveRefusal counts a refused call in the metrics.
+	ObserveRefusal struct{ Reason string }
 	// ObserveJob records a finished job in the metrics.
 	ObserveJob struct {
 		Queue quetzalunit.QueueID
@@ -52,6 +55,7 @@
 	WatchConfig struct {
 		SinceRevision quetzalunit.Revision
 		Wait          time.Duration
+		SentAt        quetzalunit.Instant
 	}
 	// ReadMembers reads the rows of members and duties.
 	ReadMembers struct {
@@ -147,6 +151,15 @@
 		Request Row
 		Timeout time.Duration
 	}
+	// StoreDivision stores the division of the accounts' caps if its row still has the revision Expected, 0 if it
+	// must not exist.
+	StoreDivision struct {
+		Expected quetzalunit.Revision
+		Division quetzalaccount.Division
+		Timeout  time.Duration
+	}
+	// ReadDivision reads the division of the accounts' caps.
+	ReadDivision struct{ Timeout time.Duration }
 	// ReadWaves reads the stored states of the waves.
 	ReadWaves struct{}
 	// StoreWaveHosts stores the hosts of a wave whose maintenance order was accepted, so that a
@@ -252,6 +265,7 @@
 func (CallPeer) implementsCommand()       {}
 func (LogDecision) implementsCommand()    {}
 func (SetRelays) implementsCommand()      {}
+func (ObserveRefusal) implementsCommand() {}
 func (ObserveJob) implementsCommand()     {}
 func (WatchConfig) implementsCommand()    {}
 func (ReadMembers) implementsCommand()    {}
@@ -265,6 +279,8 @@
 func (StoreProgress) implementsCommand()  {}
 func (StoreCancel) implementsCommand()    {}
 func (LookUpJob) implementsCommand()      {}
+func (StoreDivision) implementsCommand()  {}
+func (ReadDivision) implementsCommand()   {}
 func (ReadWaves) implementsCommand()      {}
 func (StoreWaveHosts) implementsCommand() {}
 func (StoreWaveState) implementsCommand() {}
@@ -291,6 +307,8 @@
 	// Indeterminate means that the result is unknown: the call may or may not have taken effect.
 	// The caller can repeat it.
 	Indeterminate struct{ Reason string }
+	// Unauthorized means that the call has no key of a client account, and that its queue is not public.
+	Unauthorized struct{}
 	// NoSuchQueue means that no queue matches the path.
 	NoSuchQueue struct{}
 	// NoSuchJob means that the queue has no such job.
@@ -310,6 +328,7 @@
 func (JobAccepted) implementsAnswer()       {}
 func (JobRefused) implementsAnswer()        {}
 func (Indeterminate) implementsAnswer()     {}
+func (Unauthorized) implementsAnswer()      {}
 func (NoSuchQueue) implementsAnswer()       {}
 func (NoSuchJob) implementsAnswer()         {}
 func (InvalidJob) implementsAnswer()        {}
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalaccount"
 	"quetzalstair/quetzalcore/quetzaltable"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
@@ -13,6 +14,8 @@
 	Version quetzalunit.Version
 	Queues  []QueueSpec
 	Pools   []PoolSpec
+	// Accounts are the client accounts. If there are none, calls need no key.
+	Accounts []quetzalaccount.Spec
 	// MaxBodyBytes is the largest body of a submission, in bytes.
 	MaxBodyBytes int64
 }
@@ -34,6 +37,8 @@
 	TargetDuration time.Duration
 	// Advice is nil if steps may be placed without asking the advisor.
 	Advice *AdviceSpec
+	// Public reports whether calls need no key. Jobs of the queue then belong to no account.
+	Public bool
 }
 
 // AdviceSpec describes the advisor's answers: a request takes Base plus PerMinion for each minion
@@ -73,6 +78,8 @@
 	SeenRevision quetzalunit.Revision
 	// AnsweredAt is the instant of the last successful answer.
 	AnsweredAt quetzalunit.Instant
+	// ConfirmedAt is when the read was sent whose answer last showed what is in force.
+	ConfirmedAt quetzalunit.Instant
 }
 
 // Pool is a pool of minions. At its dispatcher it also has the state of the pool's work, and at the
--- a/quetzalcore/quetzalwork/front.go
+++ b/quetzalcore/quetzalwork/front.go
@@ -11,6 +11,7 @@
 	Caller    quetzalunit.CallerID
 	Job       quetzalunit.JobID
 	Queue     quetzalunit.QueueID
+	Account   quetzalunit.AccountID
 	Pool      Row
 	Spec      *JobSpec
 	ArrivedAt quetzalunit.Instant
@@ -98,6 +99,8 @@
 		Pool     quetzalunit.PoolID
 		Expected quetzalunit.Revision
 	}
+	// LimitsDue reviews the division of the caps of client accounts.
+	LimitsDue struct{}
 	// HostControllerDue advances the maintenance waves and the moves of hosts.
 	HostControllerDue struct{}
 )
@@ -115,6 +118,7 @@
 func (OccurrenceDue) implementsTimer()     {}
 func (WatchdogDue) implementsTimer()       {}
 func (DutyReleaseDue) implementsTimer()    {}
+func (LimitsDue) implementsTimer()         {}
 func (HostControllerDue) implementsTimer() {}
 
 // Part is a component of the scheduler. Its text prefixes the component's log lines and labels
@@ -131,6 +135,8 @@
 	PartJob Part = "job"
 	// PartPlacement places tasks on minions.
 	PartPlacement Part = "placement"
+	// PartLimit keeps client accounts within their caps.
+	PartLimit Part = "limit"
 	// PartMinion follows minions and their runs.
 	PartMinion Part = "minion"
 	// PartFleet applies the operators' configuration.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalaccount"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
@@ -15,6 +16,8 @@
 	JobSubmitted struct {
 		Caller         quetzalunit.CallerID
 		HTTPHost, Path string
+		// Key is the digest of the caller's key, zero if the call has none.
+		Key quetzalunit.KeyDigest
 		// Spec is nil if the body could not be decoded.
 		Spec *JobSpec
 		// BodySize is the length of the body, in bytes.
@@ -26,12 +29,14 @@
 	JobQueried struct {
 		Caller         quetzalunit.CallerID
 		HTTPHost, Path string
+		Key            quetzalunit.KeyDigest
 		Timeout        time.Duration
 	}
 	// CancelRequested requests the cancellation of a job.
 	CancelRequested struct {
 		Caller         quetzalunit.CallerID
 		HTTPHost, Path string
+		Key            quetzalunit.KeyDigest
 		Timeout        time.Duration
 	}
 	// PeerMessageReceived is a message from another entry, which waits for a reply.
@@ -62,6 +67,7 @@
 		Waves  []WavePlan
 		// SeenRevision is the revision up to which the rows are known.
 		SeenRevision quetzalunit.Revision
+		SentAt       quetzalunit.Instant
 	}
 	// MembersRead is the result of ReadMembers.
 	MembersRead struct {
@@ -183,6 +189,12 @@
 		Revision quetzalunit.Revision
 		Done     []quetzalunit.HostID
 	}
+	// DivisionAnswered is the result of StoreDivision and ReadDivision. Division is the stored one after a
+	// success or a conflict, with revision 0 if there is none.
+	DivisionAnswered struct {
+		Result   StoreResult
+		Division quetzalaccount.Division
+	}
 	// WaveStateStored is the result of StoreWaveState.
 	WaveStateStored struct {
 		Result StoreResult
@@ -269,6 +281,7 @@
 func (WavesRead) implementsInput()           {}
 func (WaveHostsStored) implementsInput()     {}
 func (WaveStateStored) implementsInput()     {}
+func (DivisionAnswered) implementsInput()    {}
 func (MinionPolled) implementsInput()        {}
 func (StartAnswered) implementsInput()       {}
 func (StopAnswered) implementsInput()        {}
@@ -400,6 +413,8 @@
 	// cannot be used again.
 	AcceptedJob struct {
 		Queue quetzalunit.QueueID
+		// Account is the client account that submitted the job, empty if none did.
+		Account quetzalunit.AccountID
 		// Spec is nil once the final state is stored.
 		Spec *JobSpec
 		// DutyRevision is the revision of the pool's duty when the job was stored. A dispatcher
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -81,6 +81,10 @@
 	ID    quetzalunit.JobID
 	Queue quetzalunit.QueueID
 	Pool  Row
+	// Account is the client account that submitted the job, empty if none did.
+	Account quetzalunit.AccountID
+	// Surplus reports whether the job arrived beyond the rate of its account.
+	Surplus bool
 	// Spec is nil while only a cancellation or the progress of the job is known, and again once
 	// its state is final and none of its runs is active.
 	Spec *JobSpec
@@ -242,7 +246,12 @@
 	// ObjectiveUnreachable steps come last, as LateSteps of the pool: their jobs cannot meet their
 	// objectives any more.
 	ObjectiveUnreachable bool
-	Priority             quetzalunit.Priority
+	// Surplus steps, of jobs beyond the rate of their account, come after all others that can be in time.
+	Surplus  bool
+	Priority quetzalunit.Priority
+	// Ahead steps, of accounts that have had more than their share of the pool, come after those of the
+	// others with the same priority.
+	Ahead bool
 	// LatestStart is the latest instant at which the step can start without delaying its job beyond
 	// the objective.
 	LatestStart quetzalunit.Instant
@@ -346,6 +355,8 @@
 	State  RunState
 	// Resources are the resources that the run reserves.
 	Resources quetzalunit.Resources
+	// Adopted reports whether an earlier dispatcher started the run.
+	Adopted bool
 	// StartedAt is when the order to start was sent. A run that an earlier dispatcher started
 	// has the instant at which this process learned of it.
 	StartedAt quetzalunit.Instant
--- a/quetzalcore/quetzalwork/meter.go
+++ b/quetzalcore/quetzalwork/meter.go
@@ -26,6 +26,8 @@
 	PhasePlacement
 	PhaseProgress
 	PhasePolls
+	// PhaseLimits divides the caps of accounts.
+	PhaseLimits
 	// PhaseCommands executes the commands that the tick has returned.
 	PhaseCommands
 	// PhaseCount is the number of phases.
@@ -34,7 +36,7 @@
 
 // String returns the name of the phase in the log and in the metrics.
 func (p Phase) String() string {
-	return [PhaseCount]string{"reports", "orders", "minion_list", "inputs", "timers", "submissions", "placement", "progress", "polls", "commands"}[p]
+	return [PhaseCount]string{"reports", "orders", "minion_list", "inputs", "timers", "submissions", "placement", "progress", "polls", "limits", "commands"}[p]
 }
 
 // Meter measures how long the phases of a World's ticks take, and how much of that is spent on each
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"quetzalstair/quetzalcore/quetzalaccount"
 	"quetzalstair/quetzalcore/quetzaltable"
 	"quetzalstair/quetzalcore/quetzalunit"
 )
@@ -45,6 +46,9 @@
 	MoveTime, MaintenanceTime time.Duration
 	// StopGrace is the time between the request to shut down and the end of the process.
 	StopGrace time.Duration
+	// KeyRevocation is how long after the withdrawal of an account's key no entry may run calls on it,
+	// whatever the entry's state; 0 if that is not required.
+	KeyRevocation time.Duration
 }
 
 // World holds all state of one entry's scheduler. The zero value is an empty World. It is not
@@ -89,6 +93,9 @@
 	// Timers are the pending timers. Tick fires those that are due.
 	Timers quetzaltable.Timers[Timer]
 
+	// Accounts are the client accounts.
+	Accounts quetzalaccount.Registry
+
 	Config         ConfigState
 	Membership     Membership
 	MinionList     MinionList
