Ask the hosts after a takeover which minions are alive

Cause: a successor does not know whether minions that it has never seen, or has forgotten, run tasks of its predecessor. A new process therefore waited for all leases that might exist; an old one did not wait at all for what it had forgotten.

Change: after a takeover the dispatcher reads the platform's list of hosts, which names the minion of each host whether or not it reaches the store. If it knows all of them, there is nothing to wait for; otherwise it waits as before.

--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -9,6 +9,7 @@
 //	member.go          membership of the entries
 //	duty.go            ownership of the duties
 //	dispatch.go        begin and end of the dispatch of a pool
+//	census.go          minions that are alive and not known after a takeover
 //	releasedleases.go  what the release of a pool's duty tells of the leases on its minions
 //	standby.go         entries that may take over duties
 //	submit.go          acceptance of jobs
--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -136,11 +136,19 @@
 	p := w.Pools.At(row)
 	list := &w.MinionList
 	l := p.ReleasedLeases
+	if allMinionsKnown(w, p) {
+		// Minions that are not known have ended. What they had acknowledged is in rows that were stored before.
+		return min(w.Census.AnsweredAt, p.PredecessorLeasesEnd), waitRows
+	}
 	if l == nil {
-		if list.AnsweredAt < p.HeldSince || p.HeldSince.Sub(list.KnownSince) < removedMinionRetention {
+		switch {
+		case list.AnsweredAt < p.HeldSince || p.HeldSince.Sub(list.KnownSince) < removedMinionRetention:
 			return p.PredecessorLeasesEnd, waitNoRelease
+		case censusTaken(w, p):
+			return p.PredecessorLeasesEnd, waitUnseen
+		default:
+			return min(p.PredecessorLeasesEnd, p.HeldSince.Add(censusPatience)), waitCensus
 		}
-		return 0, ""
 	}
 	end, reason := p.ReleasedFrom.Add(l.Unknown), waitUnknown
 	if list.Revision < l.ListRevision || list.ContinuousFrom > l.ListRevision {
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -38,6 +38,8 @@
 	lateOrdersOutliveRestarts bool
 	// delayedWrites makes the store carry out the writes of members' and duties' rows late.
 	delayedWrites bool
+	// censusDown makes the reads of the hosts fail.
+	censusDown bool
 	// unguarded makes the minions start whatever they are ordered to start.
 	unguarded bool
 	// maxReportedEnds is the largest number of ends in one answer of a minion; zero means no limit.
@@ -262,12 +264,33 @@
 			in.Tickets[id] = "ticket"
 		}
 		f.after(50*time.Millisecond, func() { post(in) })
+	case quetzalwork.ReadCensus:
+		e.readCensus(c, post)
 	case quetzalwork.PaceRun, quetzalwork.LogDecision, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.ObserveRefusal, quetzalwork.ListHosts, quetzalwork.OrderHost:
 	default:
 		f.store.perform(e, c, post)
 	}
 }
 
+// readCensus answers with the hosts of all minions that are up, also of those that do not reach the store. It draws no random
+// delay, so that it does not shift the draws of the other calls.
+func (e *entry) readCensus(c quetzalwork.ReadCensus, post func(quetzalwork.Input)) {
+	f := e.f
+	f.after(2*time.Millisecond, func() {
+		if f.censusDown || !f.reaches(e.zone, storeZone) {
+			f.after(time.Second, func() { post(quetzalwork.CensusRead{SentAt: c.SentAt}) })
+			return
+		}
+		in := quetzalwork.CensusRead{OK: true, SentAt: c.SentAt}
+		for _, m := range f.order {
+			if m.up {
+				in.Hosts = append(in.Hosts, quetzalwork.Host{ID: m.record.Host, Pool: m.record.Pool, Minion: m.record.ID})
+			}
+		}
+		f.after(2*time.Millisecond, func() { post(in) })
+	})
+}
+
 // callPeer sends a message to another entry, which replies in a later tick.
 func (e *entry) callPeer(c quetzalwork.CallPeer, post func(quetzalwork.Input)) {
 	f := e.f
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -138,6 +138,8 @@
 		handleAdvice(w, &in)
 	case quetzalwork.HostsListed:
 		handleHosts(w, &in)
+	case quetzalwork.CensusRead:
+		handleCensus(w, &in)
 	case quetzalwork.HostOrderAnswered:
 		handleHostOrderResult(w, &in)
 	case quetzalwork.WavesRead:
--- a/quetzalcore/quetzalscheduler/wait.go
+++ b/quetzalcore/quetzalscheduler/wait.go
@@ -25,6 +25,8 @@
 	waitNoRelease = "PredecessorNotReleased"
 	waitUnknown   = "PredecessorMinionsUnknown"
 	waitUnseen    = "PredecessorMinionsUnseen"
+	// The hosts are being read for minions that are not known.
+	waitCensus = "PredecessorCensus"
 )
 
 // predecessorWait returns why the work that earlier dispatchers started is not known, empty if it is. What
@@ -39,6 +41,7 @@
 	runsKnownAt, reason := p.HeldSince, waitRows
 	if end, unlisted := unlistedLeasesEnd(w, row); end > runsKnownAt {
 		runsKnownAt, reason = end, unlisted
+		requestCensus(w, p)
 	}
 	for _, minion := range p.Minions {
 		switch m := w.Minions.At(minion); {
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -237,6 +237,8 @@
 	}
 	// ListHosts reads the list of hosts.
 	ListHosts struct{}
+	// ReadCensus reads the list of hosts after a takeover.
+	ReadCensus struct{ SentAt quetzalunit.Instant }
 	// OrderHost orders a host to move to another pool, or into maintenance.
 	OrderHost struct {
 		Order HostOrder
@@ -290,6 +292,7 @@
 func (PaceRun) implementsCommand()        {}
 func (RequestAdvice) implementsCommand()  {}
 func (ListHosts) implementsCommand()      {}
+func (ReadCensus) implementsCommand()     {}
 func (OrderHost) implementsCommand()      {}
 
 // Answer is the response to a caller.
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -310,6 +310,18 @@
 	StoreClock StoreClock
 }
 
+// Census is the state of the reads of the list of hosts by which a dispatcher finds out, after a takeover, whether
+// minions are alive that it does not know.
+type Census struct {
+	InFlight bool
+	// ReadSentAt is when the last successful read was sent, AnsweredAt when it was answered.
+	ReadSentAt, AnsweredAt quetzalunit.Instant
+	// RetryAt is the earliest next read after a failure.
+	RetryAt quetzalunit.Instant
+	// Unseen are the minions of hosts, by pool, that this process does not know.
+	Unseen map[quetzalunit.PoolID][]quetzalunit.MinionID
+}
+
 // ReleasedLeases is what the dispatcher that releases a pool's duty knows of the leases on its minions,
 // its own and those of the dispatchers before it.
 type ReleasedLeases struct {
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -249,6 +249,12 @@
 		OK    bool
 		Hosts []Host
 	}
+	// CensusRead is the result of ReadCensus. OK is false if the list could not be read in full.
+	CensusRead struct {
+		OK     bool
+		Hosts  []Host
+		SentAt quetzalunit.Instant
+	}
 	// HostOrderAnswered is the result of OrderHost.
 	HostOrderAnswered struct {
 		Order  HostOrder
@@ -288,6 +294,7 @@
 func (PaceAnswered) implementsInput()        {}
 func (AdviceAnswered) implementsInput()      {}
 func (HostsListed) implementsInput()         {}
+func (CensusRead) implementsInput()          {}
 func (HostOrderAnswered) implementsInput()   {}
 
 // StoreResult is the result of a call to the store.
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -100,6 +100,7 @@
 	Membership     Membership
 	MinionList     MinionList
 	HostController HostController
+	Census         Census
 	// Stopping reports whether a graceful shutdown has begun, at StoppingSince.
 	Stopping      bool
 	StoppingSince quetzalunit.Instant
