Keep idle hosts while the load of a pool is not known, and refuse submissions while the store is silent

From 31.0 to 35.2 s the store is silent; the pool of spoed-order has no dispatcher from 34.05 to 36.05 s. At 36.36 s, before the new one had reported its backlog, 83 hosts that had been idle in the outage were sent to the spare pool; the pool wanted 130 hosts a moment later and got its first 28 at 38 s. In the same outage 258 tries of callers ended with 504: the store may have had their jobs, so that they could not repeat them.

Idle hosts now stay while the load of any pool is not known (TestIdleHostsAreKeptWhileALoadIsNotKnown). Once a transaction has had no answer, an entry refuses submissions to that shard at once, with Retry-After; those that may be stored go on trying (TestSubmissionsAreRefusedWhileTheStoreIsSilent).

--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -40,6 +40,8 @@
 	// each.
 	takeovers  []quetzalwork.WriteDuty
 	onTakeover func()
+	// unknownLoad is a pool that has no dispatcher, empty if all have one.
+	unknownLoad quetzalunit.PoolID
 	// notices are the notices of withdrawn hosts so far.
 	notices []quetzalwork.NotifyHostWithdrawn
 	// refusedWaveReads is the number of reads of the waves that are still refused. waveReads counts the
@@ -162,6 +164,9 @@
 func (c *hostController) reply(m quetzalwork.PeerMessage) quetzalwork.PeerReply {
 	switch m := m.(type) {
 	case quetzalwork.QueryLoad:
+		if m.Pool == c.unknownLoad {
+			return quetzalwork.NotHolder{}
+		}
 		l := c.loads[m.Pool]
 		for _, o := range c.orders {
 			n := len(l.MovableHosts)
@@ -252,6 +257,36 @@
 	require.LessOrEqual(t, len(moved), 6, "the idle pool keeps hosts for its own next peak")
 }
 
+// The dispatcher of a pool is lost while the other pool is idle. Its successor reports a backlog two seconds later, which gets the idle
+// hosts at once. They must not have been sent to the spare pool meanwhile.
+func TestIdleHostsAreKeptWhileALoadIsNotKnown(t *testing.T) {
+	var hosts []quetzalwork.Host
+	var idle []quetzalwork.MovableHost
+	for _, id := range []quetzalunit.HostID{"c1", "c2", "c3", "c4", "c5", "c6"} {
+		hosts = append(hosts, upHost(id, "calm"))
+		idle = append(idle, quetzalwork.MovableHost{Host: id, IdleFor: 5500 * time.Millisecond})
+	}
+	c := newHostController(t, append(hosts, upHost("b1", "busy")), quetzalwork.WavePlan{ID: "1"})
+	c.loads["calm"] = quetzalwork.PoolLoad{Wanted: 5000, Usable: 6 * 32000, MovableHosts: idle, UsableHosts: 6}
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 1000, Usable: 32000, UsableHosts: 1}
+	c.run(2 * time.Second)
+	require.Empty(t, c.orders)
+	c.unknownLoad = "busy"
+	c.run(time.Second)
+	for i := range idle {
+		idle[i].IdleFor = 8 * time.Second
+	}
+	c.run(time.Second)
+	require.Empty(t, c.orders)
+	c.unknownLoad = ""
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 10 * 32000, Usable: 32000, UsableHosts: 1}
+	c.run(300 * time.Millisecond)
+	require.NotEmpty(t, c.orders)
+	for _, o := range c.orders {
+		require.Equal(t, quetzalunit.PoolID("busy"), o.Pool)
+	}
+}
+
 // The demand of a pool rises again after the first hosts have joined it. If these still counted as
 // moving, the next hosts would be ordered too late.
 func TestHostsThatJoinedNoLongerCountAsMoving(t *testing.T) {
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -141,8 +141,23 @@
 	return pools
 }
 
-// returnIdle moves hosts that have been idle for maxHostIdleTime to a spare pool.
+// allLoadsKnown reports whether the loads of all pools are recent. A pool whose dispatcher was lost may have a
+// backlog that its successor has not reported yet, in an outage for which the hosts of the others were idle.
+func allLoadsKnown(w *quetzalwork.World) bool {
+	for _, p := range w.Pools.All() {
+		if p.Configured && !p.Spare && (p.LoadAt == 0 || w.Now.Sub(p.LoadAt) >= maxLoadAge) {
+			return false
+		}
+	}
+	return true
+}
+
+// returnIdle moves hosts that have been idle for maxHostIdleTime to a spare pool, unless the load of a pool is not
+// known: that pool may need them.
 func returnIdle(w *quetzalwork.World, plan *hostPlan, pools []*quetzalwork.Pool) {
+	if !allLoadsKnown(w) {
+		return
+	}
 	var spare quetzalunit.PoolID
 	for _, p := range w.Pools.All() {
 		if p.Spare {
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -90,6 +90,11 @@
 		answer(quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: "NoTime"})
 		return
 	}
+	if shard := &w.Pools.At(pool).Shards[quetzalwork.ShardOf(id)]; shard.StoreSilent && (shard.StoreJobsInFlight > 0 || shard.Submissions.Len() > 0) {
+		// Submissions that may be stored already try whether the store answers again.
+		answer(quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: reasonStoreSilent})
+		return
+	}
 	row := w.Submissions.Insert(quetzalwork.Submission{
 		Caller: in.Caller, Job: id, Queue: q.ID, Account: account, Pool: pool, Spec: in.Spec, ArrivedAt: w.Now,
 		Deadline: w.Now.Add(answerTimeout(in.Timeout)),
@@ -205,6 +210,9 @@
 		applyDutyRow(w, in.Pool, *in.CurrentDuty)
 	}
 	paceSubmissions(w, poolRow, in)
+	if in.Result == quetzalwork.StoreUnanswered {
+		refuseQueued(w, shard)
+	}
 	existing := make(map[quetzalunit.JobID]bool, len(in.ExistingJobs))
 	for _, id := range in.ExistingJobs {
 		existing[id] = true
@@ -247,6 +255,7 @@
 	p := w.Pools.At(poolRow)
 	shard := &p.Shards[in.Shard]
 	took := w.Now.Sub(in.SentAt)
+	shard.StoreSilent = in.Result == quetzalwork.StoreUnanswered
 	switch in.Result {
 	case quetzalwork.StoreDone:
 		if took > slowStoreTime {
@@ -268,6 +277,21 @@
 	}
 }
 
+// refuseQueued refuses the queued submissions of a shard that no transaction has had. The store does not answer, and one that
+// was in a transaction without an answer could not be repeated by its caller.
+func refuseQueued(w *quetzalwork.World, shard *quetzalwork.PoolShard) {
+	for _, row := range shard.Submissions.Take() {
+		s := w.Submissions.At(row)
+		switch {
+		case s == nil:
+		case s.MayBeStored || s.StoreInFlight:
+			shard.Submissions.Add(row)
+		default:
+			answerSubmission(w, row, quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: reasonStoreSilent}, reasonStoreSilent)
+		}
+	}
+}
+
 // pauseSubmissions delays the next transaction that stores jobs of a shard by at least d.
 func pauseSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, shard *quetzalwork.PoolShard, d time.Duration) {
 	shard.StoreJobsNotBefore = max(shard.StoreJobsNotBefore, w.Now.Add(d))
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -204,6 +204,8 @@
 	Submissions quetzaltable.Set
 	// StoreJobsInFlight is the number of such transactions in flight.
 	StoreJobsInFlight int
+	// StoreSilent reports whether the last such transaction that ended had no answer.
+	StoreSilent bool
 	// StoreJobsNotBefore is the earliest start of the next such transaction after one that failed
 	// or was slow.
 	StoreJobsNotBefore quetzalunit.Instant
