--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,7 @@
 bench:
 	cd quetzalcore && go test ./quetzalsystem -run XXX -bench . -benchtime 300ms
 	cd quetzalcore && go test ./quetzalscheduler -run XXX -bench . -benchtime 1x
+	cd quetzalcore && go test ./quetzallimit -run XXX -bench . -benchtime 300ms
 	cd platform && go test ./quetzalorder -run XXX -bench . -benchtime 1s
 	cd quetzalentry && go test . -run XXX -bench . -benchtime 2s
 
