Compute the room for gaps once a pass, and drop a gap when its task is placed

A gap also goes when its task was placed elsewhere. What accounts cost without accounts in the configuration is kept out of the loops.

--- a/quetzalcore/quetzalreserve/reserve.go
+++ b/quetzalcore/quetzalreserve/reserve.go
@@ -14,24 +14,30 @@
 	EndsAt quetzalunit.Instant
 }
 
-// Room is what is free on a minion, now and as its runs end. Runs that do not end are left out.
+// Room is what is free on a minion, now and as its runs end.
 type Room struct {
-	Free quetzalunit.Resources
-	Runs []Run
+	free quetzalunit.Resources
+	// runs are in the order of their ends.
+	runs []Run
+}
+
+// NewRoom returns the room of a minion. Runs that do not end are left out.
+func NewRoom(free quetzalunit.Resources, runs []Run) Room {
+	slices.SortFunc(runs, func(a, b Run) int { return cmp.Compare(a.EndsAt, b.EndsAt) })
+	return Room{free: free, runs: runs}
 }
 
 // FitsAt returns when needs are expected to fit on the minion, and what is free beside them then. It returns
 // false if they do not fit even after all runs have ended.
 func (r *Room) FitsAt(needs quetzalunit.Resources, now quetzalunit.Instant) (at quetzalunit.Instant, beside quetzalunit.Resources, ok bool) {
-	free := r.Free
+	free := r.free
 	if needs.FitsIn(free) {
 		return now, free.Minus(needs), true
 	}
-	slices.SortFunc(r.Runs, func(a, b Run) int { return cmp.Compare(a.EndsAt, b.EndsAt) })
-	for i := range r.Runs {
-		free = free.Plus(r.Runs[i].Resources)
+	for i := range r.runs {
+		free = free.Plus(r.runs[i].Resources)
 		if needs.FitsIn(free) {
-			return max(now, r.Runs[i].EndsAt), free.Minus(needs), true
+			return max(now, r.runs[i].EndsAt), free.Minus(needs), true
 		}
 	}
 	return 0, quetzalunit.Resources{}, false
--- a/quetzalcore/quetzalreserve/reserve_test.go
+++ b/quetzalcore/quetzalreserve/reserve_test.go
@@ -14,7 +14,7 @@
 }
 
 func TestGapOpensWhenEnoughRunsHaveEnded(t *testing.T) {
-	room := quetzalreserve.Room{Free: cores(2), Runs: []quetzalreserve.Run{{cores(3), 300}, {cores(1), 100}, {cores(4), 200}}}
+	room := quetzalreserve.NewRoom(cores(2), []quetzalreserve.Run{{cores(3), 300}, {cores(1), 100}, {cores(4), 200}})
 	at, beside, ok := room.FitsAt(cores(2), 50)
 	require.True(t, ok)
 	require.Equal(t, quetzalunit.Instant(50), at, "it fits now")
--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -86,7 +86,9 @@
 	if pass.predecessorWait != "" {
 		pass.retryAt = p.PredecessorLeasesEnd
 	}
-	quetzallimit.MarkAhead(w, p, usableCores(w, pass.fc))
+	if w.Accounts.InUse {
+		quetzallimit.MarkAhead(w, p, usableCores(w, pass.fc))
+	}
 	rankSteps(w, p)
 	reserveGaps(w, p, pass.fc)
 	for _, row := range p.ReadySteps {
@@ -198,8 +200,8 @@
 			continue
 		}
 		startRun(w, taskRow, minion, ticketFor(w, s, minion), 0)
-		if r := fc.reservations[minion]; r != nil {
-			r.Take(needsOf(s.Spec), w.Now.Add(expectedRunTime(p, w.Jobs.At(s.Job).Queue, s)))
+		if len(fc.reservations) > 0 {
+			fc.countStart(s, minion, w.Now.Add(expectedRunTime(p, w.Jobs.At(s.Job).Queue, s)))
 		}
 	}
 	return retryAt
@@ -232,7 +234,7 @@
 	if fc.knownMisfit(needs) {
 		return 0
 	}
-	fits := false
+	fits, keepsGaps := false, len(fc.reservations) > 0
 	for _, row := range fc.minions {
 		m := w.Minions.At(row)
 		free := m.Free()
@@ -243,7 +245,7 @@
 			continue
 		}
 		fits = true
-		if r := fc.reservations[row]; r != nil && r.step != s && !r.Permits(needs, w.Now.Add(expectedRunTime(w.Pools.At(m.PoolRow), w.Jobs.At(s.Job).Queue, s))) {
+		if keepsGaps && !fc.permits(w, row, s, needs) {
 			continue
 		}
 		if !eligible(s, m) || s.Spec.MaxPerMinion > 0 && s.RunsPerMinion[row]+reserved[row] >= s.Spec.MaxPerMinion {
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -46,7 +46,9 @@
 		number = quetzalunit.RunNumber(p.Token)<<startCountBits | t.Starts
 	}
 	lease := grantLease(w, m)
-	quetzallimit.ChargeStart(w, j, equivalentCores(needsOf(s.Spec), m.Capacity), expectedRunTime(p, j.Queue, s))
+	if j.Account != "" {
+		quetzallimit.ChargeStart(w, j, equivalentCores(needsOf(s.Spec), m.Capacity), expectedRunTime(p, j.Queue, s))
+	}
 	row := addRun(w, taskRow, minionRow, quetzalwork.Run{
 		Number: number, State: quetzalwork.RunStarting, StartedAt: w.Now, StartDeadline: lease, Pace: 100,
 	})
