Forget the holdings of a pool whose dispatch has ended

An entry that had lost a pool went on reporting what accounts held there, and reviewed the division every 50 ms if a task had been kept from starting just before. Found by reading. TestUseOfALostPoolIsForgotten fails without it.

--- a/quetzalcore/quetzalaccount/account.go
+++ b/quetzalcore/quetzalaccount/account.go
@@ -90,9 +90,9 @@
 	return limit
 }
 
-// Owner returns the account that a key belongs to, or false if no account of the configuration in force has
-// the key. The key is found by its digest, which tells nothing about the key, so that the time of the search does not
-// either.
+// Owner returns the account that a key belongs to, or false if no account of the configuration in
+// force has the key. The key is found by its digest, which tells nothing about the key, so that the
+// time of the search does not either.
 func (r *Registry) Owner(key quetzalunit.KeyDigest) (quetzalunit.AccountID, bool) {
 	a := r.Accounts.At(r.ByKey.Get(key))
 	if a == nil {
--- a/quetzalcore/quetzalaccount/division.go
+++ b/quetzalcore/quetzalaccount/division.go
@@ -7,8 +7,9 @@
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
-// This file divides the caps of accounts between pools whose demand rises and falls by turns: a part follows the
-// demand of its pool, and pools that together want more than the cap get equal parts of it.
+// This file divides the caps of accounts between pools whose demand rises and falls by turns: a
+// part follows the demand of its pool, and pools that together want more than the cap get equal
+// parts of it.
 
 const (
 	// headroomDivisor: a pool asks for a quarter more than it needs, so that not every arrival needs a
--- a/quetzalcore/quetzalaccount/division_test.go
+++ b/quetzalcore/quetzalaccount/division_test.go
@@ -53,8 +53,8 @@
 	require.True(t, propose(&d, "p", quetzalaccount.Demand{Used: cores(51), Cap: cores(1000)}).Changed)
 }
 
-// Pools propose their parts in any order, with any demand. Their parts never exceed the cap together unless more was in
-// use, and nothing that is wanted stays unused.
+// Pools propose their parts in any order, with any demand. Their parts never exceed the cap
+// together unless more was in use, and nothing that is wanted stays unused.
 func TestPartsNeverExceedTheCap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := quetzalunit.Resources{Cores: 100, Memory: quetzalunit.Megabytes(rapid.SampledFrom([]int{0, 70}).Draw(t, "memory"))}
--- a/quetzalcore/quetzalaccount/share.go
+++ b/quetzalcore/quetzalaccount/share.go
@@ -7,8 +7,8 @@
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
-// This file orders the work of accounts in a full pool, for example while one account sends many times its usual
-// or while all send more than the pool holds.
+// This file orders the work of accounts in a full pool, for example while one account sends many
+// times its usual or while all send more than the pool holds.
 
 const (
 	// aheadTolerance is how much of the time of the whole pool, divided by weight, an account may have had
--- a/quetzalcore/quetzalaccount/share_test.go
+++ b/quetzalcore/quetzalaccount/share_test.go
@@ -30,7 +30,8 @@
 	require.True(t, s.Arrive(now, 10))
 }
 
-// load is the work of one account in TestSharePoliciesOnTheSameLoad: jobs of one task, each with a limit for its end.
+// load is the work of one account in TestSharePoliciesOnTheSameLoad: jobs of one task, each with a
+// limit for its end.
 type load struct {
 	account quetzalunit.AccountID
 	weight  quetzalunit.AccountWeight
@@ -45,8 +46,8 @@
 	latest    time.Duration
 }
 
-// playPolicy serves the loads with 20 servers for 20 s, in the order of a policy and of the latest starts. It returns the share
-// of each load's jobs that were in time.
+// playPolicy serves the loads with 20 servers for 20 s, in the order of a policy and of the latest
+// starts. It returns the share of each load's jobs that were in time.
 func playPolicy(policy quetzalaccount.SharePolicy, loads []load) []float64 {
 	const servers, limit = 20, 1500 * time.Millisecond
 	holdings := make([]quetzalaccount.Holding, len(loads))
@@ -97,7 +98,8 @@
 	return inTime
 }
 
-// An account sends ten times its share beside three that keep to theirs; one of these has short tasks, one is small.
+// An account sends ten times its share beside three that keep to theirs; one of these has short
+// tasks, one is small.
 func TestSharePoliciesOnTheSameLoad(t *testing.T) {
 	loads := []load{
 		{"hot", 10, 5 * time.Millisecond, 500 * time.Millisecond},
--- a/quetzalcore/quetzallimit/admit.go
+++ b/quetzalcore/quetzallimit/admit.go
@@ -8,17 +8,18 @@
 )
 
 const (
-	// keyTrustPercent is the share of Bounds.KeyRevocation for which an entry acts on keys without a new
-	// confirmation of the configuration. The rest covers the drift of clocks and the way of the call, and leaves
-	// callers time to repeat the call at another entry.
+	// keyTrustPercent is the share of Bounds.KeyRevocation for which an entry acts on keys without
+	// a new confirmation of the configuration. The rest covers the drift of clocks and the way of
+	// the call, and leaves callers time to repeat the call at another entry.
 	keyTrustPercent = 60
 	// meanRetryAfter is the mean Retry-After of a call that is refused because the configuration is not
 	// confirmed. Another entry, or this one after the next read, can serve it.
 	meanRetryAfter = 400 * time.Millisecond
 )
 
-// Admit decides whether a call to a queue may be served. It returns the account that the call's key belongs to, empty
-// if calls to the queue need no key, and otherwise the answer that refuses the call.
+// Admit decides whether a call to a queue may be served. It returns the account that the call's key
+// belongs to, empty if calls to the queue need no key, and otherwise the answer that refuses the
+// call.
 func Admit(w *quetzalwork.World, q *quetzalwork.Queue, key quetzalunit.KeyDigest) (quetzalunit.AccountID, quetzalwork.Answer) {
 	if !w.Accounts.InUse || q.Public {
 		return "", nil
@@ -38,8 +39,9 @@
 	return account, nil
 }
 
-// mayTrustKeys reports whether no key can have been withdrawn too long ago without this process knowing. The age of the
-// configuration counts from when the read was sent, on a clock that goes on during suspension.
+// mayTrustKeys reports whether no key can have been withdrawn too long ago without this process
+// knowing. The age of the configuration counts from when the read was sent, on a clock that goes on
+// during suspension.
 func mayTrustKeys(w *quetzalwork.World) bool {
 	bound := w.Bounds.KeyRevocation
 	return bound == 0 || w.Now.Sub(w.Config.ConfirmedAt) < bound*keyTrustPercent/100
--- a/quetzalcore/quetzallimit/bench_test.go
+++ b/quetzalcore/quetzallimit/bench_test.go
@@ -31,8 +31,8 @@
 	return w, p
 }
 
-// BenchmarkAccounts measures the review of the division and the order of accounts of one placement pass, for accounts that
-// all wait. Both must grow in proportion to their number.
+// BenchmarkAccounts measures the review of the division and the order of accounts of one placement
+// pass, for accounts that all wait. Both must grow in proportion to their number.
 func BenchmarkAccounts(b *testing.B) {
 	for _, n := range []int{20, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
--- a/quetzalcore/quetzallimit/divide.go
+++ b/quetzalcore/quetzallimit/divide.go
@@ -145,8 +145,9 @@
 	}
 }
 
-// proposeParts returns the parts that a pool of this entry should have, and whether they are worth a transaction.
-// Parts of an earlier dispatcher are claimed as they are, and more for what this one needs beside them.
+// proposeParts returns the parts that a pool of this entry should have, and whether they are worth
+// a transaction. Parts of an earlier dispatcher are claimed as they are, and more for what this one
+// needs beside them.
 func proposeParts(w *quetzalwork.World, p *quetzalwork.Pool, d *quetzalaccount.Division) (quetzalaccount.PoolParts, bool) {
 	old, _ := d.Parts(p.ID)
 	if old.Token > p.Token {
@@ -271,7 +272,8 @@
 	}
 }
 
-// inherit records what a pool had when this dispatcher claimed it, as the row that its transaction replaced shows.
+// inherit records what a pool had when this dispatcher claimed it, as the row that its transaction
+// replaced shows.
 func inherit(w *quetzalwork.World, p *quetzalwork.Pool, before, now *quetzalaccount.Division) {
 	old, _ := before.Parts(p.ID)
 	parts, _ := now.Parts(p.ID)
@@ -296,8 +298,9 @@
 	}
 }
 
-// BeginDispatch makes the parts of a pool unusable until this dispatcher has claimed them.
-func BeginDispatch(w *quetzalwork.World, p *quetzalwork.Pool) {
+// ForgetPool discards the holdings of a pool whose dispatch begins or has ended. A new dispatcher may
+// use no part before it has claimed it.
+func ForgetPool(w *quetzalwork.World, p *quetzalwork.Pool) {
 	for row, h := range w.Accounts.Holdings.All() {
 		if h.Pool == p.ID {
 			w.Accounts.HoldingByKey.Delete(h.HoldingKey)
--- a/quetzalcore/quetzallimit/use.go
+++ b/quetzalcore/quetzallimit/use.go
@@ -8,8 +8,9 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// maxConfigAge is how old a dispatcher's knowledge of the configuration may be when it starts tasks of an account that
-// has a cap: a lower cap may be in force. A dispatcher goes on without the store for as long.
+// maxConfigAge is how old a dispatcher's knowledge of the configuration may be when it starts tasks
+// of an account that has a cap: a lower cap may be in force. A dispatcher goes on without the store
+// for as long.
 const maxConfigAge = 3 * time.Second
 
 // HoldingOfJob returns the holding that a job counts against, nil if its account is not limited to one.
@@ -70,7 +71,8 @@
 // Headroom is how many cores the accounts that it names could still get in a pool. It is filled as it is used.
 type Headroom map[*quetzalaccount.Holding]quetzalunit.MilliCores
 
-// Take returns how many of the cores that a job's tasks want its account could get, and reduces the headroom by them.
+// Take returns how many of the cores that a job's tasks want its account could get, and reduces the
+// headroom by them.
 func (r Headroom) Take(w *quetzalwork.World, j *quetzalwork.Job, wanted quetzalunit.MilliCores) quetzalunit.MilliCores {
 	h := HoldingOfJob(w, j)
 	if h == nil {
--- a/quetzalcore/quetzalscheduler/accountcap_test.go
+++ b/quetzalcore/quetzalscheduler/accountcap_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"quetzalstair/quetzalcore/quetzalaccount"
+	"quetzalstair/quetzalcore/quetzallimit"
 	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
@@ -19,8 +20,8 @@
 	deskPrefix = "/proofs/"
 )
 
-// accountConfig returns a configuration with the pools desk and hall, each with a queue, and with accounts that have a key
-// each.
+// accountConfig returns a configuration with the pools desk and hall, each with a queue, and with
+// accounts that have a key each.
 func accountConfig(accounts ...quetzalaccount.Spec) quetzalwork.FleetConfig {
 	cfg := testConfig()
 	cfg.Queues = append(cfg.Queues, quetzalwork.QueueSpec{ID: "trades", HTTPHost: "host", PathPrefix: hallPrefix, Pool: hallPool, MaxAttempts: 3, Stretch: 2, TargetDuration: time.Second})
@@ -74,8 +75,9 @@
 	return used
 }
 
-// Two dispatchers start tasks of the same accounts while entries die, pause and are cut off, and while answers, orders and
-// writes are lost or late. No account may ever run more than its cap, and all jobs must finish.
+// Two dispatchers start tasks of the same accounts while entries die, pause and are cut off, and
+// while answers, orders and writes are lost or late. No account may ever run more than its cap, and
+// all jobs must finish.
 func TestCapsHoldUnderRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		seed := rapid.Uint64().Draw(t, "seed")
@@ -120,8 +122,8 @@
 	})
 }
 
-// The demand of an account moves from one pool to the other each second and a half. Each pool in its turn must get nearly all of the
-// cap within a quarter of a second.
+// The demand of an account moves from one pool to the other each second and a half. Each pool in
+// its turn must get nearly all of the cap within a quarter of a second.
 func TestCapFollowsDemandBetweenPools(t *testing.T) {
 	cfg := accountConfig(quetzalaccount.Spec{ID: "a", Weight: 100, Cap: quetzalunit.Resources{Cores: 20000}})
 	f := newAccountFleet(1, 3, 16, cfg)
@@ -167,7 +169,8 @@
 	runAndVerify(t, f, 30*time.Second)
 }
 
-// The cap falls far below what runs. Nothing is stopped, nothing starts until the use is below the new cap, and the jobs finish.
+// The cap falls far below what runs. Nothing is stopped, nothing starts until the use is below the
+// new cap, and the jobs finish.
 func TestCapThatFallsHoldsBackStarts(t *testing.T) {
 	cfg := accountConfig(quetzalaccount.Spec{ID: "a", Weight: 100, Cap: quetzalunit.Resources{Cores: 24000}})
 	f := newAccountFleet(1, 3, 16, cfg)
@@ -196,8 +199,8 @@
 	require.Len(t, f.checker.accepted, 4)
 }
 
-// The account leaves the configuration while its job runs. The job finishes under the cap that it had, and calls with its key are
-// refused.
+// The account leaves the configuration while its job runs. The job finishes under the cap that it
+// had, and calls with its key are refused.
 func TestJobOfARemovedAccountFinishes(t *testing.T) {
 	cfg := accountConfig(quetzalaccount.Spec{ID: "a", Weight: 100, Cap: quetzalunit.Resources{Cores: 4000}}, quetzalaccount.Spec{ID: "b", Weight: 1})
 	f := newAccountFleet(1, 3, 8, cfg)
@@ -214,8 +217,8 @@
 	require.Equal(t, []quetzalwork.Answer{quetzalwork.JobAccepted{}, quetzalwork.Unauthorized{}}, f.answers[id])
 }
 
-// The dispatcher is cut off together with the minions of its zone, which go on with long tasks at the account's cap. A
-// successor must not start as much again while it cannot see these runs.
+// The dispatcher is cut off together with the minions of its zone, which go on with long tasks at
+// the account's cap. A successor must not start as much again while it cannot see these runs.
 func TestSuccessorCountsRunsThatItCannotSee(t *testing.T) {
 	for seed := range uint64(6) {
 		f := newAccountFleet(seed, 6, 18, accountConfig(quetzalaccount.Spec{ID: "a", Weight: 100, Cap: quetzalunit.Resources{Cores: 16000}}))
@@ -249,3 +252,18 @@
 	}
 	return but
 }
+
+// An entry that has lost a pool must not go on reporting or reviewing what accounts use there.
+func TestUseOfALostPoolIsForgotten(t *testing.T) {
+	f := newAccountFleet(1, 3, 8, accountConfig(quetzalaccount.Spec{ID: "a", Weight: 100, Cap: quetzalunit.Resources{Cores: 8000}}))
+	f.run(3 * time.Second)
+	f.submitTo(f.entries[0], deskPrefix, "a", testStep(8))
+	f.run(300 * time.Millisecond)
+	holder := f.holder()
+	require.NotEmpty(t, quetzallimit.Usages(holder.world))
+	holder.post(holder.boot, quetzalwork.StopRequested{})
+	f.run(2 * time.Second)
+	require.NotEqual(t, holder, f.holder())
+	require.Empty(t, quetzallimit.Usages(holder.world))
+	runAndVerify(t, f, 20*time.Second)
+}
--- a/quetzalcore/quetzalscheduler/accountkey_test.go
+++ b/quetzalcore/quetzalscheduler/accountkey_test.go
@@ -68,8 +68,9 @@
 	require.Equal(t, []quetzalwork.Answer{quetzalwork.Unauthorized{}, quetzalwork.Unauthorized{}, quetzalwork.Unauthorized{}}, f.answers["verbs"])
 }
 
-// A key is withdrawn while the store carries out a submission with it. The job was accepted and runs once; a repetition of the call
-// with the key is refused, also after a restart of the entry, and a later version may bring the key back.
+// A key is withdrawn while the store carries out a submission with it. The job was accepted and
+// runs once; a repetition of the call with the key is refused, also after a restart of the entry,
+// and a later version may bring the key back.
 func TestKeyWithdrawnDuringASubmission(t *testing.T) {
 	f := newKeyFleet(accountConfig(accountA, accountB))
 	e := f.entries[0]
@@ -93,8 +94,8 @@
 	require.Len(t, f.checker.records[quetzalwork.TaskID{Job: id}], 1)
 }
 
-// An entry is cut off from the store while a key is withdrawn. It must not act on the key after the bound, and must
-// say that the call has not run. Once it is back, keys that hold are good again.
+// An entry is cut off from the store while a key is withdrawn. It must not act on the key after the
+// bound, and must say that the call has not run. Once it is back, keys that hold are good again.
 func TestEntryThatIsCutOffStopsTrustingKeys(t *testing.T) {
 	f := newKeyFleet(accountConfig(accountA, accountB))
 	e := f.entries[0]
--- a/quetzalcore/quetzalscheduler/accountshare_test.go
+++ b/quetzalcore/quetzalscheduler/accountshare_test.go
@@ -33,8 +33,9 @@
 	return n
 }
 
-// playHotAccount sends jobs of two steady accounts for six seconds, which use two thirds of the pool, and jobs of a hot one at
-// a rate of its own. It returns how many jobs of the steady accounts were in time, and their number.
+// playHotAccount sends jobs of two steady accounts for six seconds, which use two thirds of the
+// pool, and jobs of a hot one at a rate of its own. It returns how many jobs of the steady accounts
+// were in time, and their number.
 func playHotAccount(t *testing.T, hotEvery time.Duration) (inTime, sent int) {
 	t.Helper()
 	f := newAccountFleet(1, 3, 16, accountConfig(
@@ -68,7 +69,8 @@
 	require.GreaterOrEqual(t, hot, calm-n*5/100)
 }
 
-// Three accounts send more than the pool holds, all within their rates. What they get must follow their weights.
+// Three accounts send more than the pool holds, all within their rates. What they get must follow
+// their weights.
 func TestFullPoolIsSharedByWeight(t *testing.T) {
 	weights := map[quetzalunit.AccountID]quetzalunit.AccountWeight{"one": 100, "two": 200, "four": 400}
 	var specs []quetzalaccount.Spec
--- a/quetzalcore/quetzalscheduler/census.go
+++ b/quetzalcore/quetzalscheduler/census.go
@@ -8,10 +8,10 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// census.go finds out after a takeover whether minions are alive that this process does not know, for example since they lost
-// the store and left its list before this process started. They may run tasks until their leases end. The platform's list of
-// hosts names the minion of each host, whether or not it reaches the store: if this process knows all of them, there is nothing
-// to wait for.
+// census.go finds out after a takeover whether minions are alive that this process does not know,
+// for example since they lost the store and left its list before this process started. They may run
+// tasks until their leases end. The platform's list of hosts names the minion of each host, whether
+// or not it reaches the store: if this process knows all of them, there is nothing to wait for.
 
 const (
 	// censusRetryDelay is the delay before another read of the hosts after one that failed.
@@ -20,7 +20,8 @@
 	censusPatience = time.Second
 )
 
-// requestCensus reads the list of hosts for a pool that this process has taken over, unless such a read is in flight.
+// requestCensus reads the list of hosts for a pool that this process has taken over, unless such a
+// read is in flight.
 func requestCensus(w *quetzalwork.World, p *quetzalwork.Pool) {
 	c := &w.Census
 	if c.InFlight || c.ReadSentAt > p.HeldSince || w.Now < c.RetryAt || w.Now <= p.HeldSince {
@@ -30,8 +31,8 @@
 	w.Emit(quetzalwork.ReadCensus{SentAt: w.Now})
 }
 
-// handleCensus records which minions the hosts have that this process does not know. Nothing runs on a host that moves
-// or is in maintenance.
+// handleCensus records which minions the hosts have that this process does not know. Nothing runs
+// on a host that moves or is in maintenance.
 func handleCensus(w *quetzalwork.World, in *quetzalwork.CensusRead) {
 	c := &w.Census
 	c.InFlight = false
@@ -66,8 +67,9 @@
 	return w.Census.ReadSentAt > p.HeldSince
 }
 
-// allMinionsKnown reports whether this process knows the minions of all hosts of a pool that were alive after it took
-// the pool over. Of minions that joined later it knows from the list, which it has read continuously since.
+// allMinionsKnown reports whether this process knows the minions of all hosts of a pool that were
+// alive after it took the pool over. Of minions that joined later it knows from the list, which it
+// has read continuously since.
 func allMinionsKnown(w *quetzalwork.World, p *quetzalwork.Pool) bool {
 	c := &w.Census
 	if !censusTaken(w, p) || w.MinionList.AnsweredAt < p.HeldSince {
--- a/quetzalcore/quetzalscheduler/census_test.go
+++ b/quetzalcore/quetzalscheduler/census_test.go
@@ -34,8 +34,9 @@
 	return limit
 }
 
-// All entries are killed at the same moment while a job waits for room. New processes know no minion that left the list before; the
-// hosts show that there is none, so that the job starts once the pool is loaded.
+// All entries are killed at the same moment while a job waits for room. New processes know no
+// minion that left the list before; the hosts show that there is none, so that the job starts once
+// the pool is loaded.
 func TestJobsDoNotWaitForLeasesAfterAllEntriesWereKilled(t *testing.T) {
 	for seed := range uint64(10) {
 		f := newFleet(seed, threeZones, 3, 3, testConfig())
@@ -52,8 +53,8 @@
 	}
 }
 
-// As before, but a minion has left the list because it lost the store; it goes on with its tasks. The new processes see it on its
-// host, and must not start its tasks before its lease has ended.
+// As before, but a minion has left the list because it lost the store; it goes on with its tasks.
+// The new processes see it on its host, and must not start its tasks before its lease has ended.
 func TestUnlistedMinionsAreWaitedForAfterAllEntriesWereKilled(t *testing.T) {
 	for seed := range uint64(10) {
 		f := newFleet(seed, threeZones, 3, 5, testConfig())
--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -70,7 +70,7 @@
 	p.Held, p.Token, p.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
 	p.JobsLoaded, p.NextKey, p.ReadInFlight, p.SeenRevision, p.PredecessorWorkKnown = false, "", false, 0, false
 	p.RunNumbersExhausted = false
-	quetzallimit.BeginDispatch(w, p)
+	quetzallimit.ForgetPool(w, p)
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
 	p.Predecessor = quetzalwork.Duty{}
 	p.EarlierLeasesEnd = predecessor.EarlierLeasesEnd
@@ -136,6 +136,7 @@
 			deleteJob(w, jobRow)
 		}
 	}
+	quetzallimit.ForgetPool(w, p)
 	for _, minionRow := range p.Minions {
 		resetMinion(w, minionRow)
 	}
--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -257,8 +257,9 @@
 	require.LessOrEqual(t, len(moved), 6, "the idle pool keeps hosts for its own next peak")
 }
 
-// The dispatcher of a pool is lost while the other pool is idle. Its successor reports a backlog two seconds later, which gets the idle
-// hosts at once. They must not have been sent to the spare pool meanwhile.
+// The dispatcher of a pool is lost while the other pool is idle. Its successor reports a backlog
+// two seconds later, which gets the idle hosts at once. They must not have been sent to the spare
+// pool meanwhile.
 func TestIdleHostsAreKeptWhileALoadIsNotKnown(t *testing.T) {
 	var hosts []quetzalwork.Host
 	var idle []quetzalwork.MovableHost
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -39,7 +39,8 @@
 }
 
 // routeJobRequest resolves the path of a request to a queue and a job id, which is empty if the
-// path names only the queue, and checks the caller's key. If it cannot, it answers the caller and returns false.
+// path names only the queue, and checks the caller's key. If it cannot, it answers the caller and
+// returns false.
 func routeJobRequest(w *quetzalwork.World, caller quetzalunit.CallerID, host, path string, key quetzalunit.KeyDigest) (quetzalwork.Row, string, bool) {
 	if !w.Config.Known {
 		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: "NoConfiguration"}})
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -152,8 +152,8 @@
 	return true
 }
 
-// returnIdle moves hosts that have been idle for maxHostIdleTime to a spare pool, unless the load of a pool is not
-// known: that pool may need them.
+// returnIdle moves hosts that have been idle for maxHostIdleTime to a spare pool, unless the load
+// of a pool is not known: that pool may need them.
 func returnIdle(w *quetzalwork.World, plan *hostPlan, pools []*quetzalwork.Pool) {
 	if !allLoadsKnown(w) {
 		return
--- a/quetzalcore/quetzalscheduler/reserve.go
+++ b/quetzalcore/quetzalscheduler/reserve.go
@@ -8,16 +8,17 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// reserve.go keeps gaps for large tasks that wait while small ones arrive, by the decisions of package quetzalreserve.
+// reserve.go keeps gaps for large tasks that wait while small ones arrive, by the decisions of
+// package quetzalreserve.
 
 const (
-	// A task is large if it needs at least 1/largeTaskDivisor of a minion's cores or memory. Smaller ones find a gap
-	// among the runs that end next.
+	// A task is large if it needs at least 1/largeTaskDivisor of a minion's cores or memory.
+	// Smaller ones find a gap among the runs that end next.
 	largeTaskDivisor = 4
 	// At most 1/reservedMinionsDivisor of a pool's minions are reserved at once, and at least one.
 	reservedMinionsDivisor = 8
-	// overdueDivisor: a run that has taken longer than expected is taken to need another 1/overdueDivisor of the
-	// expected time.
+	// overdueDivisor: a run that has taken longer than expected is taken to need another
+	// 1/overdueDivisor of the expected time.
 	overdueDivisor = 4
 )
 
@@ -37,7 +38,8 @@
 	return r.Permits(needs, w.Now.Add(expectedRunTime(p, w.Jobs.At(s.Job).Queue, s)))
 }
 
-// countStart counts the start of a task on a minion. A task that had a gap needs it no longer, wherever it was placed.
+// countStart counts the start of a task on a minion. A task that had a gap needs it no longer,
+// wherever it was placed.
 func (fc *freeCapacity) countStart(s *quetzalwork.Step, minion quetzalwork.Row, endsAt quetzalunit.Instant) {
 	r := fc.reservations[minion]
 	if r != nil && r.step != s {
@@ -55,15 +57,16 @@
 	}
 }
 
-// reserveGaps keeps gaps for the large tasks that wait, in the order of their rank. While more work arrives than the pool has
-// room for it keeps none: a gap then costs small jobs their time.
+// reserveGaps keeps gaps for the large tasks that wait, in the order of their rank. While more work
+// arrives than the pool has room for it keeps none: a gap then costs small jobs their time.
 func reserveGaps(w *quetzalwork.World, p *quetzalwork.Pool, fc *freeCapacity) {
 	if expectedLoad(w, p) > float64(usableCores(w, fc)) {
 		return
 	}
 	most := max(1, len(fc.minions)/reservedMinionsDivisor)
 	largest := largestCapacity(w, p)
-	// The rooms are computed once, and only if a large task waits: a pass of a large pool at its peak must stay cheap.
+	// The rooms are computed once, and only if a large task waits: a pass of a large pool at its
+	// peak must stay cheap.
 	var rooms []quetzalreserve.Room
 	for _, row := range p.ReadySteps {
 		s := w.Steps.At(row)
@@ -85,8 +88,8 @@
 	}
 }
 
-// reserveFor keeps a gap for a waiting task of a step, on the minion that is expected to have room for it first. It returns false
-// if none will in time for the step's job.
+// reserveFor keeps a gap for a waiting task of a step, on the minion that is expected to have room
+// for it first. It returns false if none will in time for the step's job.
 func reserveFor(w *quetzalwork.World, fc *freeCapacity, rooms []quetzalreserve.Room, s *quetzalwork.Step) bool {
 	needs := needsOf(s.Spec)
 	var best quetzalwork.Row
--- a/quetzalcore/quetzalscheduler/reserve_test.go
+++ b/quetzalcore/quetzalscheduler/reserve_test.go
@@ -10,8 +10,9 @@
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
-// playLargeAmongSmall submits jobs for 8 s of which one in eight has tasks with the given cores, three quarters of a minion, the others
-// a tenth. It returns the shares of both that were in time, as means over seeds. Estimates are off by a factor of 2.5.
+// playLargeAmongSmall submits jobs for 8 s of which one in eight has tasks with the given cores,
+// three quarters of a minion, the others a tenth. It returns the shares of both that were in time,
+// as means over seeds. Estimates are off by a factor of 2.5.
 func playLargeAmongSmall(t *testing.T, load float64, cores quetzalunit.MilliCores) (small, large float64) {
 	t.Helper()
 	const seeds, minions, duration = 4, 30, 8 * time.Second
@@ -43,8 +44,8 @@
 	return met[0] / sent[0], met[1] / sent[1]
 }
 
-// Small tasks use each gap before it is wide enough for a large one. In a pool with room for all of them, the large tasks must be in
-// time about as often as the small ones.
+// Small tasks use each gap before it is wide enough for a large one. In a pool with room for all of
+// them, the large tasks must be in time about as often as the small ones.
 func TestLargeTasksGetGapsAmongSmallOnes(t *testing.T) {
 	small, large := playLargeAmongSmall(t, 0.8, 24000)
 	t.Logf("in time: small %.3f, large %.3f", small, large)
@@ -52,7 +53,8 @@
 	require.InDelta(t, small, large, 0.05)
 }
 
-// More work arrives than the pool has room for. Gaps for large tasks must not cost the small ones more than one job in twenty.
+// More work arrives than the pool has room for. Gaps for large tasks must not cost the small ones
+// more than one job in twenty.
 func TestGapsCostSmallTasksLittleBeyondCapacity(t *testing.T) {
 	small, large := playLargeAmongSmall(t, 1.3, 16000)
 	t.Logf("in time: small %.3f, large %.3f", small, large)
--- a/quetzalcore/quetzalscheduler/silentstore_test.go
+++ b/quetzalcore/quetzalscheduler/silentstore_test.go
@@ -10,9 +10,9 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// The store is silent for some seconds while callers submit jobs. Once a transaction has had no answer, further submissions must be
-// refused at once, which says truly that they have not run, instead of ending without a known result. After the outage jobs are
-// accepted again.
+// The store is silent for some seconds while callers submit jobs. Once a transaction has had no
+// answer, further submissions must be refused at once, which says truly that they have not run,
+// instead of ending without a known result. After the outage jobs are accepted again.
 func TestSubmissionsAreRefusedWhileTheStoreIsSilent(t *testing.T) {
 	f := newFleet(1, threeZones, 1, 4, testConfig())
 	f.run(3 * time.Second)
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -272,8 +272,8 @@
 	}
 }
 
-// readCensus answers with the hosts of all minions that are up, also of those that do not reach the store. It draws no random
-// delay, so that it does not shift the draws of the other calls.
+// readCensus answers with the hosts of all minions that are up, also of those that do not reach the
+// store. It draws no random delay, so that it does not shift the draws of the other calls.
 func (e *entry) readCensus(c quetzalwork.ReadCensus, post func(quetzalwork.Input)) {
 	f := e.f
 	f.after(2*time.Millisecond, func() {
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -277,8 +277,9 @@
 	}
 }
 
-// refuseQueued refuses the queued submissions of a shard that no transaction has had. The store does not answer, and one that
-// was in a transaction without an answer could not be repeated by its caller.
+// refuseQueued refuses the queued submissions of a shard that no transaction has had. The store
+// does not answer, and one that was in a transaction without an answer could not be repeated by its
+// caller.
 func refuseQueued(w *quetzalwork.World, shard *quetzalwork.PoolShard) {
 	for _, row := range shard.Submissions.Take() {
 		s := w.Submissions.At(row)
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -151,8 +151,8 @@
 		Request Row
 		Timeout time.Duration
 	}
-	// StoreDivision stores the division of the accounts' caps if its row still has the revision Expected, 0 if it
-	// must not exist.
+	// StoreDivision stores the division of the accounts' caps if its row still has the revision
+	// Expected, 0 if it must not exist.
 	StoreDivision struct {
 		Expected quetzalunit.Revision
 		Division quetzalaccount.Division
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -312,8 +312,8 @@
 	StoreClock StoreClock
 }
 
-// Census is the state of the reads of the list of hosts by which a dispatcher finds out, after a takeover, whether
-// minions are alive that it does not know.
+// Census is the state of the reads of the list of hosts by which a dispatcher finds out, after a
+// takeover, whether minions are alive that it does not know.
 type Census struct {
 	InFlight bool
 	// ReadSentAt is when the last successful read was sent, AnsweredAt when it was answered.
