Find an account's holding and cap without a search, and record the results

The dispatcher of a full pool looked an account's holding up by two names for each step and task in each pass. A job now refers to its holding, and a holding to its account.

--- a/quetzalcore/quetzalaccount/account.go
+++ b/quetzalcore/quetzalaccount/account.go
@@ -109,6 +109,17 @@
 	return quetzalunit.Resources{}
 }
 
+// CapOfHolding returns the cap of a holding's account, without a search for the account.
+func (r *Registry) CapOfHolding(h *Holding) quetzalunit.Resources {
+	if h.AccountRow == 0 {
+		h.AccountRow = r.ByID.Get(h.Account)
+	}
+	if a := r.Accounts.At(h.AccountRow); a != nil {
+		return a.Cap
+	}
+	return quetzalunit.Resources{}
+}
+
 // WeightOf returns the weight of an account, MinWeight if it is not known.
 func (r *Registry) WeightOf(id quetzalunit.AccountID) quetzalunit.AccountWeight {
 	if a := r.Accounts.At(r.ByID.Get(id)); a != nil {
--- a/quetzalcore/quetzalaccount/holding.go
+++ b/quetzalcore/quetzalaccount/holding.go
@@ -13,6 +13,8 @@
 // Holding is what an account may run in a pool, and what it runs there, at the pool's dispatcher.
 type Holding struct {
 	HoldingKey
+	// AccountRow is the account's row, zero while the account is not known.
+	AccountRow Row
 	// Used are the resources of the active runs that this dispatcher started, Adopted those of the runs that
 	// earlier dispatchers did.
 	Used, Adopted quetzalunit.Resources
--- a/quetzalcore/quetzallimit/use.go
+++ b/quetzalcore/quetzallimit/use.go
@@ -18,7 +18,11 @@
 	if j == nil || j.Account == "" {
 		return nil
 	}
-	return w.Accounts.Holdings.At(w.Accounts.HoldingOf(w.Pools.At(j.Pool).ID, j.Account))
+	if h := w.Accounts.Holdings.At(j.Holding); h != nil {
+		return h
+	}
+	j.Holding = w.Accounts.HoldingOf(w.Pools.At(j.Pool).ID, j.Account)
+	return w.Accounts.Holdings.At(j.Holding)
 }
 
 // AddUse counts an active run of a job. adopted tells that an earlier dispatcher started it.
@@ -52,7 +56,7 @@
 	if h == nil {
 		return true
 	}
-	limit := w.Accounts.CapOf(j.Account)
+	limit := w.Accounts.CapOfHolding(h)
 	if limit == (quetzalunit.Resources{}) {
 		return true
 	}
@@ -63,11 +67,6 @@
 	return false
 }
 
-// IsLimited reports whether an account has a cap.
-func IsLimited(w *quetzalwork.World, id quetzalunit.AccountID) bool {
-	return w.Accounts.CapOf(id) != (quetzalunit.Resources{})
-}
-
 // Headroom is how many cores the accounts that it names could still get in a pool. It is filled as it is used.
 type Headroom map[*quetzalaccount.Holding]quetzalunit.MilliCores
 
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -83,6 +83,9 @@
 	Pool  Row
 	// Account is the client account that submitted the job, empty if none did.
 	Account quetzalunit.AccountID
+	// Holding is the account's holding in the pool. It may be stale: package quetzallimit looks it up
+	// again then.
+	Holding Row
 	// Surplus reports whether the job arrived beyond the rate of its account.
 	Surplus bool
 	// Spec is nil while only a cancellation or the progress of the job is known, and again once
