--- a/quetzalcore/quetzalscheduler/reserve.go
+++ b/quetzalcore/quetzalscheduler/reserve.go
@@ -60,7 +60,8 @@
 // reserveGaps keeps gaps for the large tasks that wait, in the order of their rank. While more work
 // arrives than the pool has room for it keeps none: a gap then costs small jobs their time.
 func reserveGaps(w *quetzalwork.World, p *quetzalwork.Pool, fc *freeCapacity) {
-	if expectedLoad(w, p) > float64(usableCores(w, fc)) {
+	// With many ready steps the search would take the time of a large pool's dispatcher at its peak.
+	if len(p.ReadySteps) >= minSpacedSteps || expectedLoad(w, p) > float64(usableCores(w, fc)) {
 		return
 	}
 	most := max(1, len(fc.minions)/reservedMinionsDivisor)
