--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -90,7 +90,9 @@
 		quetzallimit.MarkAhead(w, p, usableCores(w, pass.fc))
 	}
 	rankSteps(w, p)
-	reserveGaps(w, p, pass.fc)
+	if w.Bounds.KeepGaps {
+		reserveGaps(w, p, pass.fc)
+	}
 	for _, row := range p.ReadySteps {
 		pass.place(row)
 	}
--- a/quetzalcore/quetzalscheduler/reserve_test.go
+++ b/quetzalcore/quetzalscheduler/reserve_test.go
@@ -19,6 +19,7 @@
 	var met, sent [2]float64
 	for seed := range uint64(seeds) {
 		p := newPeakScenario(minions)
+		p.entries[0].world.Bounds.KeepGaps = true
 		p.fleet.rng, p.rng = rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 7))
 		submitted := [2]map[quetzalunit.JobID]quetzalunit.Instant{make(map[quetzalunit.JobID]quetzalunit.Instant), make(map[quetzalunit.JobID]quetzalunit.Instant)}
 		n := int(load * duration.Seconds() * minions / p.kind.work() * 0.7)
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -49,6 +49,8 @@
 	// KeyRevocation is how long after the withdrawal of an account's key no entry may run calls on it,
 	// whatever the entry's state; 0 if that is not required.
 	KeyRevocation time.Duration
+	// KeepGaps reports whether placement keeps gaps for large tasks.
+	KeepGaps bool
 }
 
 // World holds all state of one entry's scheduler. The zero value is an empty World. It is not
