--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -16,6 +16,8 @@
 	watchTimeout = 800 * time.Millisecond
 	// watchRetryDelay is the delay after a failed watch.
 	watchRetryDelay = 150 * time.Millisecond
+	// watchFailurePeriod is the time between two log lines on watches that fail in a row.
+	watchFailurePeriod = 2 * time.Second
 )
 
 // watchConfig starts the next watch on the operators' rows.
@@ -25,11 +27,9 @@
 
 // handleConfigWatch applies the result of a watch and starts the next one.
 func handleConfigWatch(w *quetzalwork.World, in *quetzalwork.ConfigWatched) {
+	logWatchOutcome(w, in.Result)
 	switch in.Result {
 	case quetzalwork.StoreDone:
-		if w.Config.AnsweredAt == 0 || w.Now.Sub(w.Config.AnsweredAt) > 3*watchTimeout {
-			w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The operators' rows can be read.", Age: ageOf(w, w.Config.AnsweredAt)})
-		}
 		w.Config.AnsweredAt = w.Now
 		w.Config.ConfirmedAt = max(w.Config.ConfirmedAt, in.SentAt)
 		w.Config.SeenRevision = max(w.Config.SeenRevision, in.SeenRevision)
@@ -48,6 +48,28 @@
 	}
 }
 
+// logWatchOutcome logs when watches begin to fail, from time to time while they do, and when one succeeds again.
+func logWatchOutcome(w *quetzalwork.World, result quetzalwork.StoreResult) {
+	c := &w.Config
+	d := quetzalwork.Decision{Part: quetzalwork.PartStore, Version: int64(c.Version), Age: ageOf(w, c.ConfirmedAt), Reason: result.String()}
+	if result == quetzalwork.StoreDone || result == quetzalwork.StoreCompacted {
+		if c.AnsweredAt == 0 || c.FailingSince != 0 {
+			d.Message = "The operators' rows can be read."
+			w.Log(d)
+		}
+		c.FailingSince = 0
+		return
+	}
+	if c.FailingSince == 0 {
+		c.FailingSince, c.FailureLoggedAt = w.Now, 0
+	}
+	if c.FailureLoggedAt == 0 || w.Now.Sub(c.FailureLoggedAt) >= watchFailurePeriod {
+		c.FailureLoggedAt = w.Now
+		d.Message = "The operators' rows cannot be read; a newer configuration may be in force."
+		w.Log(d)
+	}
+}
+
 // ageOf returns the time since an instant, or zero if the instant is not set.
 func ageOf(w *quetzalwork.World, at quetzalunit.Instant) time.Duration {
 	if at == 0 {
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -80,6 +80,9 @@
 	AnsweredAt quetzalunit.Instant
 	// ConfirmedAt is when the read was sent whose answer last showed what is in force.
 	ConfirmedAt quetzalunit.Instant
+	// FailingSince is when the first of the reads that failed in a row was answered, or given up; zero if the last one
+	// succeeded. FailureLoggedAt is when the log last said so.
+	FailingSince, FailureLoggedAt quetzalunit.Instant
 }
 
 // Pool is a pool of minions. At its dispatcher it also has the state of the pool's work, and at the
