Keep the connection to an entry open while replies arrive on it

Callers saw calls handled by old configurations (CONFIG). An entry that the store turns away makes all its calls through others, over one connection each. The connection is closed only if nothing has arrived on it since the call was sent: then its other end may have vanished.

TestCallThatTimesOutEndsNoOtherCall fails without the change.

--- a/quetzalcore/quetzalpeer/client.go
+++ b/quetzalcore/quetzalpeer/client.go
@@ -37,14 +37,14 @@
 	*rpc.Client
 	// mu is held while a call is sent, so that written shows whether it was sent.
 	mu sync.Mutex
-	// written counts the bytes written to the connection.
-	written *atomic.Int64
+	// written and read count the bytes written to the connection and read from it.
+	written, read *atomic.Int64
 }
 
 // newPeerConn returns a peerConn over a connection, whose traffic it adds to n.
 func newPeerConn(conn net.Conn, n *atomic.Int64) *peerConn {
 	counting := &countingConn{Conn: conn, n: n}
-	return &peerConn{Client: rpc.NewClient(counting), written: &counting.written}
+	return &peerConn{Client: rpc.NewClient(counting), written: &counting.written, read: &counting.read}
 }
 
 // send sends a call and reports whether any part of it was written to the connection.
@@ -121,9 +121,10 @@
 	return ended, nil
 }
 
-// Call calls a method of a peer. Any failure except an error that the peer returned closes the
-// connection, and the next call opens another: a connection whose other end has vanished shows
-// nothing but calls that time out.
+// Call calls a method of a peer. A failure closes the connection, and the next call opens another: a
+// connection whose other end has vanished shows nothing but calls that time out. It stays open after an
+// error that the peer returned, and after a time-out while replies to other calls arrive, which
+// closing it would end as well.
 func (c *Client) Call(address quetzalunit.Address, method string, args, reply any, timeout time.Duration) error {
 	sent, err := c.callOnce(address, method, args, reply, timeout)
 	if !sent && errors.Is(err, rpc.ErrShutdown) {
@@ -140,6 +141,7 @@
 	if err != nil {
 		return false, err
 	}
+	before := client.read.Load()
 	call, sent := client.send(method, args, reply)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -147,6 +149,9 @@
 	case <-call.Done:
 		err = call.Error
 	case <-timer.C:
+		if client.read.Load() > before {
+			return sent, eris.Wrap(&TimeoutError{Method: method}, "call peer")
+		}
 		err = &TimeoutError{Method: method}
 	}
 	if _, remote := err.(rpc.ServerError); err != nil && !remote { //nolint:errorlint // net/rpc does not wrap
@@ -197,17 +202,18 @@
 	}
 }
 
-// countingConn adds the bytes read and written to n, and those written to written.
+// countingConn adds the bytes read and written to n, and each to a counter of its own.
 type countingConn struct {
 	net.Conn
-	n       *atomic.Int64
-	written atomic.Int64
+	n             *atomic.Int64
+	written, read atomic.Int64
 }
 
 // Read implements net.Conn.
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.n.Add(int64(n))
+	c.read.Add(int64(n))
 	return n, err //nolint:wrapcheck // net/rpc compares the error with io.EOF
 }
 
--- a/quetzalcore/quetzalpeer/client_test.go
+++ b/quetzalcore/quetzalpeer/client_test.go
@@ -106,3 +106,53 @@
 	require.IsType(t, quetzalfleet.Answered{}, ended.Result)
 	require.Equal(t, "order", <-peer.requests)
 }
+
+// waiting replies to a call after the duration that the call names.
+type waiting struct{}
+
+// Wait implements a method of a peer.
+func (waiting) Wait(d time.Duration, reply *bool) error {
+	time.Sleep(d)
+	*reply = true
+	return nil
+}
+
+// Guards against a call without a reply in time that ends all others on its connection, though replies arrive on it.
+func TestCallThatTimesOutEndsNoOtherCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	stop, err := ServeRPC(l, serviceName, waiting{})
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	c, closeClient := New()
+	defer closeClient()
+	address := quetzalunit.Address(l.Addr().String())
+	call := func(wait, timeout time.Duration) chan error {
+		ended := make(chan error, 1)
+		go func() {
+			var reply bool
+			ended <- c.Call(address, serviceName+".Wait", wait, &reply, timeout)
+		}()
+		return ended
+	}
+	require.NoError(t, <-call(0, time.Second))
+	long := call(400*time.Millisecond, time.Second)
+	late := call(time.Second, 100*time.Millisecond)
+	require.NoError(t, <-call(20*time.Millisecond, time.Second))
+	var timeout *TimeoutError
+	require.ErrorAs(t, <-late, &timeout)
+	require.NoError(t, <-long)
+}
+
+// Guards against a connection that is kept although its other end has vanished.
+func TestSilentConnectionIsClosedAfterATimeout(t *testing.T) {
+	address, _ := startPeer(t)
+	c, closeClient := New()
+	defer closeClient()
+	conn := &endedConn{written: make(chan struct{}, 1), closed: make(chan struct{})}
+	c.conns[address] = newPeerConn(conn, &c.bytes)
+	var timeout *TimeoutError
+	require.ErrorAs(t, c.Call(address, serviceName+".Wait", time.Second, new(bool), 50*time.Millisecond), &timeout)
+	<-conn.closed
+	require.Empty(t, c.conns)
+}
