Make calls through entries with large links first, and not all through the same one

The list begins with the entries that have the most processor time, and a hash orders those that are alike.

--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -1,6 +1,9 @@
 package quetzalscheduler
 
 import (
+	"cmp"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
@@ -154,19 +157,35 @@
 	return m.Listed && w.Membership.ReadSentAt.Sub(m.UnchangedSince) < memberTimeout
 }
 
-// publishRelays publishes the live members through which the store can be reached, those of this
-// entry's zone first.
+// publishRelays publishes the live members through which the store can be reached: those with the most processor time
+// first, since their links carry what others read beside their own, then those of this entry's zone. Members that are
+// alike are ordered by a hash with this entry, so that the entries of a zone do not all ask the same one.
 func publishRelays(w *quetzalwork.World) {
-	var near, far []quetzalunit.Address
+	type relay struct {
+		address quetzalunit.Address
+		cores   float64
+		far     int
+		weight  uint64
+	}
+	var relays []relay
 	for _, m := range w.Members.All() {
 		if m.Entry == w.Self.Entry || m.Stopping || !isLive(w, m) {
 			continue
 		}
-		if m.Zone == w.Self.Zone {
-			near = append(near, m.Address)
-			continue
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(w.Self.Entry + "/" + m.Entry)) // never fails
+		r := relay{address: m.Address, cores: coresOf(m.CPUShare), weight: h.Sum64()}
+		if m.Zone != w.Self.Zone {
+			r.far = 1
 		}
-		far = append(far, m.Address)
+		relays = append(relays, r)
+	}
+	slices.SortFunc(relays, func(a, b relay) int {
+		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.far, b.far), cmp.Compare(a.weight, b.weight))
+	})
+	addresses := make([]quetzalunit.Address, 0, len(relays))
+	for _, r := range relays {
+		addresses = append(addresses, r.address)
 	}
-	w.Emit(quetzalwork.SetRelays{Addresses: append(near, far...)})
+	w.Emit(quetzalwork.SetRelays{Addresses: addresses})
 }
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -94,6 +94,8 @@
 	gone bool
 	// watchFails makes the watches of the configuration fail, and no other call.
 	watchFails bool
+	// relays are the entries through which this one reaches the store.
+	relays     []quetzalunit.Address
 	inputs     []quetzalwork.Input
 	wakeAt     quetzalunit.Instant
 	replies    map[quetzalunit.CallerID]func(quetzalwork.PeerReply)
@@ -279,7 +281,9 @@
 		if f.onLog != nil {
 			f.onLog(c.Decision)
 		}
-	case quetzalwork.PaceRun, quetzalwork.SetRelays, quetzalwork.ObserveJob, quetzalwork.ObserveRefusal, quetzalwork.ObserveWait, quetzalwork.ListHosts, quetzalwork.OrderHost:
+	case quetzalwork.SetRelays:
+		e.relays = c.Addresses
+	case quetzalwork.PaceRun, quetzalwork.ObserveJob, quetzalwork.ObserveRefusal, quetzalwork.ObserveWait, quetzalwork.ListHosts, quetzalwork.OrderHost:
 	default:
 		f.store.perform(e, c, post)
 	}
