Fetch long responses through other entries piece by piece

Callers saw calls handled by configurations that were long out of force (CONFIG), at entries that the store turned away. A response through another entry had to arrive whole within the timeout of the read and 0.2 s, also at the entry that relayed it. 0.7 MB take 0.6 s on a link of 10 Mbit/s with nothing beside it, and twice that through an entry on such a link; the next try asked for the same and more.

--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -973,7 +973,8 @@
 	Rows []RowCondition `json:"Rows" yaml:"Rows"`
 }
 
-// RelayMessage is a call to the store that one entry makes for another.
+// RelayMessage is a call to the store that one entry makes for another, or asks
+// for the next piece of a response.
 type RelayMessage struct {
 	// Body corresponds to the JSON schema field "Body".
 	Body string `json:"Body" yaml:"Body"`
@@ -984,17 +985,24 @@
 	// Path corresponds to the JSON schema field "Path".
 	Path string `json:"Path" yaml:"Path"`
 
+	// The sender fetches a long response in pieces.
+	Streamed bool `json:"Streamed" yaml:"Streamed"`
+
+	// The transfer whose next piece is wanted; 0 for a new call, to which the other
+	// fields belong.
+	Transfer int `json:"Transfer" yaml:"Transfer"`
+
 	// WaitMs corresponds to the JSON schema field "WaitMs".
 	WaitMs int `json:"WaitMs" yaml:"WaitMs"`
 }
 
-// RelayReply is the store's answer to a relayed call; Sent is true if the call may
-// have been executed.
+// RelayReply is the store's answer to a relayed call or a piece of it; Sent is
+// true if the call may have been executed.
 type RelayReply struct {
 	// Answered corresponds to the JSON schema field "Answered".
 	Answered bool `json:"Answered" yaml:"Answered"`
 
-	// Body corresponds to the JSON schema field "Body".
+	// The body, or the next piece of it; a long piece is compressed.
 	Body string `json:"Body" yaml:"Body"`
 
 	// Sent corresponds to the JSON schema field "Sent".
@@ -1002,6 +1010,9 @@
 
 	// Status corresponds to the JSON schema field "Status".
 	Status int `json:"Status" yaml:"Status"`
+
+	// The transfer of which more pieces follow; 0 if the body is complete.
+	Transfer int `json:"Transfer" yaml:"Transfer"`
 }
 
 // ReleasedLeasesDoc tells how long leases may last on the minions of a pool whose
--- a/quetzalcore/quetzalworkpeer/peer.go
+++ b/quetzalcore/quetzalworkpeer/peer.go
@@ -21,8 +21,8 @@
 	// replyTimeout limits the server's wait for the World's reply.
 	replyTimeout = time.Second
 	// relayMargin is added to the timeout of a relayed call, for the transfer to the relay and
-	// back.
-	relayMargin = 200 * time.Millisecond
+	// back and for the time that a piece of a response takes to fill.
+	relayMargin = 400 * time.Millisecond
 )
 
 // Client sends messages to other entries. It is safe for concurrent use.
