Refuse calls while the configuration may be too old although the store is reached

Class: a cache that is used at any age.

An entry whose configuration is not confirmed within the time in which a new one must be in force (configApplyMs) refuses calls with 503 and Retry-After, and is not ready, while the store answers its other calls. A watch that the store has held without a change confirms what is in force until its end and not only until it was sent.

--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -28,10 +28,13 @@
 // handleConfigWatch applies the result of a watch and starts the next one.
 func handleConfigWatch(w *quetzalwork.World, in *quetzalwork.ConfigWatched) {
 	logWatchOutcome(w, in.Result)
+	if in.Result == quetzalwork.StoreDone || in.Result == quetzalwork.StoreCompacted {
+		noteStoreAnswer(w)
+	}
 	switch in.Result {
 	case quetzalwork.StoreDone:
 		w.Config.AnsweredAt = w.Now
-		w.Config.ConfirmedAt = max(w.Config.ConfirmedAt, in.SentAt)
+		w.Config.ConfirmedAt = max(w.Config.ConfirmedAt, confirmedAt(in))
 		w.Config.SeenRevision = max(w.Config.SeenRevision, in.SeenRevision)
 		if in.Config != nil {
 			applyConfig(w, in.Config)
@@ -152,8 +155,7 @@
 }
 
 // Ready reports whether the load balancer may send callers to this entry: it is not stopping, its
-// configuration is known, and the store has answered recently.
+// configuration is known and not too old, and the store has answered recently.
 func Ready(w *quetzalwork.World) bool {
-	const storeSilence = 2500 * time.Millisecond
-	return w.Config.Known && !w.Stopping && w.Now.Sub(max(w.Config.AnsweredAt, w.Membership.ReadAt)) < storeSilence
+	return w.Config.Known && !w.Stopping && w.Now.Sub(max(w.Config.AnsweredAt, w.Membership.ReadAt)) < storeSilence && !configTooOld(w)
 }
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -85,6 +85,8 @@
 				in = quetzalwork.ConfigWatched{Result: quetzalwork.StoreUnanswered}
 			case s.configRevision > watch.SinceRevision:
 				in.Config, in.SeenRevision = s.config, s.configRevision
+			default:
+				in.HeldFor = watch.Wait
 			}
 			post(in)
 		})
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -42,8 +42,8 @@
 // path names only the queue, and checks the caller's key. If it cannot, it answers the caller and
 // returns false.
 func routeJobRequest(w *quetzalwork.World, caller quetzalunit.CallerID, host, path string, key quetzalunit.KeyDigest) (quetzalwork.Row, string, bool) {
-	if !w.Config.Known {
-		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: "NoConfiguration"}})
+	if refusal := refuseByConfig(w); refusal != nil {
+		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: refusal})
 		return 0, "", false
 	}
 	queue, rest := route(w, host, path)
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -61,6 +61,7 @@
 func handleRenewal(w *quetzalwork.World, in *quetzalwork.MemberRenewed) {
 	w.Membership.RenewalInFlight = false
 	if in.Result == quetzalwork.StoreDone {
+		noteStoreAnswer(w)
 		w.Membership.RenewalSentAt = max(w.Membership.RenewalSentAt, in.SentAt)
 	}
 }
@@ -82,6 +83,9 @@
 		}
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: message, Age: ageOf(w, m.ReadAt)})
 	}
+	if m.Reachable {
+		noteStoreAnswer(w)
+	}
 	if in.Result == quetzalwork.StoreCompacted {
 		m.SeenRevision = 0
 		readMembers(w)
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -54,8 +54,8 @@
 	answer := func(a quetzalwork.Answer) {
 		w.Emit(quetzalwork.AnswerCaller{Caller: in.Caller, Answer: a})
 	}
-	if !w.Config.Known {
-		answer(quetzalwork.JobRefused{RetryAfter: w.Jitter(meanRetryAfter), Reason: "NoConfiguration"})
+	if refusal := refuseByConfig(w); refusal != nil {
+		answer(refusal)
 		return
 	}
 	queue, rest := route(w, in.HTTPHost, in.Path)
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -78,13 +78,21 @@
 	SeenRevision quetzalunit.Revision
 	// AnsweredAt is the instant of the last successful answer.
 	AnsweredAt quetzalunit.Instant
-	// ConfirmedAt is when the read was sent whose answer last showed what is in force.
+	// ConfirmedAt is the latest instant for which an answer has shown what was in force.
 	ConfirmedAt quetzalunit.Instant
+	// TooOld reports whether calls are refused because a newer configuration may have to be in force.
+	TooOld bool
 	// FailingSince is when the first of the reads that failed in a row was answered, or given up; zero if the last one
 	// succeeded. FailureLoggedAt is when the log last said so.
 	FailingSince, FailureLoggedAt quetzalunit.Instant
 }
 
+// StoreContact is when the store has answered this entry, directly or through another one.
+type StoreContact struct {
+	// AnsweredAt is the instant of the last answer. Since is that of the first answer after the last long silence.
+	AnsweredAt, Since quetzalunit.Instant
+}
+
 // Pool is a pool of minions. At its dispatcher it also has the state of the pool's work, and at the
 // host controller the load that its dispatcher reports.
 type Pool struct {
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -68,6 +68,8 @@
 		// SeenRevision is the revision up to which the rows are known.
 		SeenRevision quetzalunit.Revision
 		SentAt       quetzalunit.Instant
+		// HeldFor is how long the store held the call because nothing changed; zero for an answer with changes.
+		HeldFor time.Duration
 	}
 	// MembersRead is the result of ReadMembers.
 	MembersRead struct {
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -49,6 +49,9 @@
 	// KeyRevocation is how long after the withdrawal of an account's key no entry may run calls on it,
 	// whatever the entry's state; 0 if that is not required.
 	KeyRevocation time.Duration
+	// ConfigApply is how long after its acknowledgement a configuration has to be in force at every entry that reaches
+	// the store; 0 if there is no bound.
+	ConfigApply time.Duration
 	// KeepGaps reports whether placement keeps gaps for large tasks.
 	KeepGaps bool
 }
@@ -99,6 +102,7 @@
 	Accounts quetzalaccount.Registry
 
 	Config         ConfigState
+	StoreContact   StoreContact
 	Membership     Membership
 	MinionList     MinionList
 	HostController HostController
