--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -22,7 +22,17 @@
 
 // watchConfig starts the next watch on the operators' rows.
 func watchConfig(w *quetzalwork.World) {
-	w.Emit(quetzalwork.WatchConfig{SinceRevision: w.Config.SeenRevision, Wait: watchTimeout, SentAt: w.Now})
+	w.Emit(quetzalwork.WatchConfig{SinceRevision: w.Config.SeenRevision, Wait: watchWait(w), SentAt: w.Now})
+}
+
+// watchWait returns how long the store may hold the next watch. Once a watch has failed, or the last answer is old, what
+// counts is an answer at once.
+func watchWait(w *quetzalwork.World) time.Duration {
+	c := &w.Config
+	if c.FailingSince != 0 || w.Bounds.ConfigApply > 0 && w.Now.Sub(c.ConfirmedAt) >= w.Bounds.ConfigApply/contactDivisor {
+		return 0
+	}
+	return watchTimeout
 }
 
 // handleConfigWatch applies the result of a watch and starts the next one.
--- a/quetzalcore/quetzalscheduler/configage_test.go
+++ b/quetzalcore/quetzalscheduler/configage_test.go
@@ -119,3 +119,16 @@
 		}
 	}
 }
+
+// Guards against a watch that is held as usual after one that failed, so that the age of the configuration is known only at its end.
+func TestWatchAfterAFailureIsNotHeld(t *testing.T) {
+	f := newConfigFleet(6)
+	e := f.entries[0]
+	e.watchFails = true
+	f.run(time.Second)
+	e.watchFails, e.watchWaits = false, nil
+	f.run(time.Second)
+	require.Zero(t, e.watchWaits[0])
+	require.Positive(t, e.watchWaits[1])
+	require.Less(t, f.now.Sub(e.world.Config.ConfirmedAt), configBound/2)
+}
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -78,6 +78,7 @@
 	f := e.f
 	timeout := 1200 * time.Millisecond
 	if watch, ok := c.(quetzalwork.WatchConfig); ok && watch.SinceRevision > 0 {
+		e.watchWaits = append(e.watchWaits, watch.Wait)
 		f.after(watch.Wait, func() {
 			in := quetzalwork.ConfigWatched{SeenRevision: watch.SinceRevision, SentAt: watch.SentAt}
 			switch {
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -94,6 +94,8 @@
 	gone bool
 	// watchFails makes the watches of the configuration fail, and no other call.
 	watchFails bool
+	// watchWaits are how long the watches of this entry may be held.
+	watchWaits []time.Duration
 	// relays are the entries through which this one reaches the store.
 	relays     []quetzalunit.Address
 	inputs     []quetzalwork.Input
