--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -29,7 +29,7 @@
 // counts is an answer at once.
 func watchWait(w *quetzalwork.World) time.Duration {
 	c := &w.Config
-	if c.FailingSince != 0 || w.Bounds.ConfigApply > 0 && w.Now.Sub(c.ConfirmedAt) >= w.Bounds.ConfigApply/contactDivisor {
+	if c.More || c.FailingSince != 0 || !c.Unreadable && w.Bounds.ConfigApply > 0 && w.Now.Sub(c.ConfirmedAt) >= w.Bounds.ConfigApply/contactDivisor {
 		return 0
 	}
 	return watchTimeout
@@ -43,8 +43,7 @@
 	}
 	switch in.Result {
 	case quetzalwork.StoreDone:
-		w.Config.AnsweredAt = w.Now
-		w.Config.ConfirmedAt = max(w.Config.ConfirmedAt, confirmedAt(in))
+		noteConfigRead(w, in)
 		w.Config.SeenRevision = max(w.Config.SeenRevision, in.SeenRevision)
 		if in.Config != nil {
 			applyConfig(w, in.Config)
@@ -61,6 +60,20 @@
 	}
 }
 
+// noteConfigRead notes what an answer to a watch confirms. A configuration that cannot be decoded is a newer one than that in
+// force: nothing is confirmed until another one can be.
+func noteConfigRead(w *quetzalwork.World, in *quetzalwork.ConfigWatched) {
+	c := &w.Config
+	c.AnsweredAt, c.More = w.Now, in.More
+	if in.Unreadable {
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The newest configuration cannot be decoded; it is not in force.", Version: int64(c.Version), Age: ageOf(w, c.ConfirmedAt)})
+	}
+	c.Unreadable = in.Unreadable || c.Unreadable && in.Config == nil
+	if !c.More && !c.Unreadable {
+		c.ConfirmedAt = max(c.ConfirmedAt, confirmedAt(in))
+	}
+}
+
 // logWatchOutcome logs when watches begin to fail, from time to time while they do, and when one succeeds again.
 func logWatchOutcome(w *quetzalwork.World, result quetzalwork.StoreResult) {
 	c := &w.Config
--- a/quetzalcore/quetzalscheduler/configage_test.go
+++ b/quetzalcore/quetzalscheduler/configage_test.go
@@ -132,3 +132,21 @@
 	require.Positive(t, e.watchWaits[1])
 	require.Less(t, f.now.Sub(e.world.Config.ConfirmedAt), configBound/2)
 }
+
+// Guards against an entry that cannot decode a configuration and goes on by the one before as if nothing had changed.
+func TestConfigurationThatCannotBeDecodedIsNotPassedOver(t *testing.T) {
+	f := newConfigFleet(6)
+	e := f.entries[0]
+	f.store.revision++
+	f.store.unreadableRevision = f.store.revision
+	f.run(time.Second)
+	require.False(t, isTooOld(f.query(e, "/proofs/")), "it need not be in force yet")
+	f.run(configBound)
+	require.True(t, isTooOld(f.query(e, "/proofs/")))
+	e.watchWaits = nil
+	f.run(4 * time.Second)
+	require.Less(t, len(e.watchWaits), 8, "the row is not read again and again")
+	f.addQueue("/new/")
+	f.run(time.Second)
+	require.Equal(t, quetzalwork.Answer(quetzalwork.PendingJobsAnswer{}), f.query(e, "/new/"))
+}
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -30,6 +30,8 @@
 	// the revision configRevision on.
 	config         *quetzalwork.FleetConfig
 	configRevision quetzalunit.Revision
+	// unreadableRevision is that of a configuration that entries cannot decode, zero if there was none.
+	unreadableRevision quetzalunit.Revision
 	division       quetzalaccount.Division
 	// pageSize is the maximum number of rows in one answer to a full read; zero means no limit.
 	pageSize int
@@ -84,6 +86,8 @@
 			switch {
 			case f.storeDown || e.watchFails || !f.reaches(e.zone, storeZone):
 				in = quetzalwork.ConfigWatched{Result: quetzalwork.StoreUnanswered}
+			case s.unreadableRevision > watch.SinceRevision:
+				in.Unreadable, in.SeenRevision = true, s.unreadableRevision
 			case s.configRevision > watch.SinceRevision:
 				in.Config, in.SeenRevision = s.config, s.configRevision
 			default:
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -80,6 +80,10 @@
 	AnsweredAt quetzalunit.Instant
 	// ConfirmedAt is the latest instant for which an answer has shown what was in force.
 	ConfirmedAt quetzalunit.Instant
+	// Unreadable reports whether the newest configuration could not be decoded. ConfirmedAt stands still until one can.
+	Unreadable bool
+	// More reports whether the last answer left changes that are to be read at once.
+	More bool
 	// TooOld reports whether calls are refused because a newer configuration may have to be in force.
 	TooOld bool
 	// FailingSince is when the first of the reads that failed in a row was answered, or given up; zero if the last one
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -70,6 +70,10 @@
 		SentAt       quetzalunit.Instant
 		// HeldFor is how long the store held the call because nothing changed; zero for an answer with changes.
 		HeldFor time.Duration
+		// More reports whether more changes may follow; SeenRevision is the revision from which to read on.
+		More bool
+		// Unreadable reports whether there is a configuration that could not be decoded.
+		Unreadable bool
 	}
 	// MembersRead is the result of ReadMembers.
 	MembersRead struct {
