--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -75,17 +75,7 @@
 		m.ReadAgain = false
 		defer readMembers(w)
 	}
-	if reachable := in.Result == quetzalwork.StoreDone || in.Result == quetzalwork.StoreCompacted; reachable != m.Reachable {
-		m.Reachable = reachable
-		message := "The store does not answer."
-		if reachable {
-			message = "The store answers."
-		}
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: message, Age: ageOf(w, m.ReadAt)})
-	}
-	if m.Reachable {
-		noteStoreAnswer(w)
-	}
+	noteReachable(w, in.Result == quetzalwork.StoreDone || in.Result == quetzalwork.StoreCompacted)
 	if in.Result == quetzalwork.StoreCompacted {
 		m.SeenRevision = 0
 		readMembers(w)
@@ -133,6 +123,23 @@
 	}
 }
 
+// noteReachable notes whether the store has answered a read of the rows of members, and logs changes.
+func noteReachable(w *quetzalwork.World, reachable bool) {
+	m := &w.Membership
+	if reachable {
+		noteStoreAnswer(w)
+	}
+	if reachable == m.Reachable {
+		return
+	}
+	m.Reachable = reachable
+	message := "The store does not answer."
+	if reachable {
+		message = "The store answers."
+	}
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: message, Age: ageOf(w, m.ReadAt)})
+}
+
 // applyMemberRow applies the stored row of a member. UnchangedSince and RenewalSeenAt advance only
 // if the row shows a new heartbeat or another process.
 func applyMemberRow(w *quetzalwork.World, seen *quetzalwork.Member) {
