--- a/quetzalcore/quetzalscheduler/configage_test.go
+++ b/quetzalcore/quetzalscheduler/configage_test.go
@@ -16,9 +16,14 @@
 
 // newConfigFleet returns a fleet with a bound on the age of configurations.
 func newConfigFleet(entries int) *fleet {
+	return newBoundedFleet(entries, configBound)
+}
+
+// newBoundedFleet returns a fleet with the given bound on the age of configurations.
+func newBoundedFleet(entries int, bound time.Duration) *fleet {
 	f := newFleet(1, threeZones, entries, 6, testConfig())
 	for _, e := range f.entries {
-		e.world.Bounds.ConfigApply = configBound
+		e.world.Bounds.ConfigApply = bound
 	}
 	f.run(4 * time.Second)
 	f.submit(f.entries[0], testStep(1))
@@ -44,11 +49,13 @@
 	f.callers[caller] = id
 	delete(f.answers, id)
 	e.post(e.boot, quetzalwork.JobQueried{Caller: caller, HTTPHost: "host", Path: prefix, Timeout: time.Second})
-	f.run(300 * time.Millisecond)
-	if len(f.answers[id]) == 0 {
-		return nil
+	for range 6 {
+		f.run(50 * time.Millisecond)
+		if a := f.answers[id]; len(a) > 0 {
+			return a[0]
+		}
 	}
-	return f.answers[id][0]
+	return nil
 }
 
 func isTooOld(a quetzalwork.Answer) bool {
@@ -79,18 +86,37 @@
 
 // The other side: an entry that is cut off from the store goes on by the configuration that it has.
 func TestEntryThatIsCutOffServesByItsConfiguration(t *testing.T) {
-	f := newConfigFleet(6)
-	var cut *entry
-	for _, e := range f.entries {
-		if e != f.holder() {
-			cut = e
+	for _, bound := range []time.Duration{2 * time.Second, configBound} {
+		f := newBoundedFleet(6, bound)
+		var cut *entry
+		for _, e := range f.entries {
+			if e != f.holder() {
+				cut = e
+			}
 		}
+		f.partitionedZones[cut.zone] = true
+		for range 200 {
+			require.Equal(t, quetzalwork.Answer(quetzalwork.NoSuchQueue{}), f.query(cut, "/none/"), "bound %v", bound)
+		}
+		require.False(t, isTooOld(f.query(cut, "/proofs/")))
 	}
-	f.partitionedZones[cut.zone] = true
-	for range 40 {
-		require.False(t, isTooOld(f.query(cut, "/proofs/")), "after %v", f.now)
-		require.Equal(t, quetzalwork.Answer(quetzalwork.NoSuchQueue{}), f.query(cut, "/none/"))
+}
+
+// The same for an entry that reaches the store again after an outage: it has a moment to read the configuration.
+func TestEntryThatReachesTheStoreAgainHasTimeToReadTheConfiguration(t *testing.T) {
+	f := newConfigFleet(6)
+	e := f.entries[0]
+	f.storeDown = true
+	f.run(8 * time.Second)
+	f.storeDown, e.watchFails = false, true
+	for before := e.world.StoreContact.AnsweredAt; e.world.StoreContact.AnsweredAt == before; {
+		require.Equal(t, quetzalwork.Answer(quetzalwork.NoSuchQueue{}), f.query(e, "/none/"))
+	}
+	for range 8 {
+		require.Equal(t, quetzalwork.Answer(quetzalwork.NoSuchQueue{}), f.query(e, "/none/"))
 	}
+	f.run(time.Second)
+	require.True(t, isTooOld(f.query(e, "/none/")))
 }
 
 // The same after an outage of the store for all entries: the configuration is read again before calls are refused.
