Carry the restarts of minions in the tokens of orders, and name the process that an order is for

No change of behaviour: the count is always zero, and no order names a process yet. The answers to orders echo their token, so that the World can tell which of its orders a minion rejected.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -465,7 +465,7 @@
 	restartNoticed bool
 	zone           quetzalunit.ZoneID
 	up             bool
-	token          quetzalunit.FencingToken
+	token          quetzalunit.OrderToken
 	lease          quetzalunit.MinionTime
 	runs           map[quetzalwork.TaskID]*fakeRun
 	ends           []quetzalwork.ReportedEnd
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -75,7 +75,7 @@
 }
 
 func targetOf(w *quetzalwork.World, m *quetzalwork.Minion) quetzalwork.MinionTarget {
-	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token}
+	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token.Order(0)}
 }
 
 // pollMinion asks a minion which runs are active and which have ended, and acknowledges ends
@@ -128,7 +128,7 @@
 		return
 	}
 	p := w.Pools.At(m.PoolRow)
-	if !p.Held || p.Token != in.Token {
+	if !p.Held || p.Token.Order(0) != in.Token {
 		return
 	}
 	m.PollInFlight = false
--- a/quetzalcore/quetzalunit/work.go
+++ b/quetzalcore/quetzalunit/work.go
@@ -33,9 +33,13 @@
 	// RunNumber numbers the runs of a task. It increases from run to run, also if another entry
 	// dispatches the pool.
 	RunNumber int64
-	// FencingToken orders the dispatchers of a pool. Minions reject orders with a lower token
-	// than the highest that they have seen.
+	// FencingToken orders the dispatchers of a pool, and the holders of the duty to order hosts.
 	FencingToken int64
+	// OrderToken orders the calls to a minion, which rejects those with a lower token than the highest that
+	// it has seen. The high bits are the dispatcher's FencingToken, the low restartBits bits its Restarts.
+	OrderToken int64
+	// Restarts counts the restarts of minions that a dispatcher has seen.
+	Restarts int32
 	// EndNumber numbers from 1 the ends of runs within one MinionIncarnation.
 	EndNumber int64
 	// MinionIncarnation distinguishes the processes that have used the same MinionID. It is the
@@ -82,6 +86,18 @@
 	return t + MinionTime(d.Milliseconds())
 }
 
+// restartBits is the number of low bits of an OrderToken that count restarts, MaxRestarts the largest count.
+// With 16 bits, tokens of the first 2^37 revisions of the store stay below 2^53 and so are exact in JSON.
+const (
+	restartBits          = 16
+	MaxRestarts Restarts = 1<<restartBits - 1
+)
+
+// Order returns the token of the calls by a dispatcher with a fencing token that has seen n restarts.
+func (t FencingToken) Order(n Restarts) OrderToken {
+	return OrderToken(t)<<restartBits | OrderToken(n)
+}
+
 // Resources are the resources that a task needs or that a minion has.
 type Resources struct {
 	Cores        MilliCores
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -261,12 +261,14 @@
 	}
 )
 
-// MinionTarget is the minion that an order goes to, with its address and the fencing token that
-// the order carries.
+// MinionTarget is the minion that an order goes to, with its address and the token that the order
+// carries.
 type MinionTarget struct {
 	Minion  quetzalunit.MinionID
 	Address quetzalunit.Address
-	Token   quetzalunit.FencingToken
+	Token   quetzalunit.OrderToken
+	// Incarnation is the only process of the minion that may get the order, zero if any may.
+	Incarnation quetzalunit.MinionIncarnation
 }
 
 func (AnswerCaller) implementsCommand()   {}
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -215,7 +215,7 @@
 	// are not acknowledged yet.
 	MinionPolled struct {
 		Minion      Row
-		Token       quetzalunit.FencingToken
+		Token       quetzalunit.OrderToken
 		SentAt      quetzalunit.Instant
 		Result      OrderResult
 		Incarnation quetzalunit.MinionIncarnation
@@ -228,17 +228,20 @@
 	// StartAnswered is the result of StartRun.
 	StartAnswered struct {
 		Run    Row
+		Token  quetzalunit.OrderToken
 		Result OrderResult
 	}
 	// StopAnswered is the result of StopRun. An accepted order only begins the stop: the run has
 	// ended once the minion reports its end.
 	StopAnswered struct {
 		Run    Row
+		Token  quetzalunit.OrderToken
 		Result OrderResult
 	}
 	// PaceAnswered is the result of PaceRun.
 	PaceAnswered struct {
 		Run    Row
+		Token  quetzalunit.OrderToken
 		Result OrderResult
 	}
 	// AdviceAnswered is the result of RequestAdvice. OK is false if there was no valid answer.
@@ -355,25 +358,28 @@
 	OrderNotSent struct{}
 	// OrderMalformed means that the minion could not decode the order.
 	OrderMalformed struct{}
-	// OrderMisdirected means that another minion, or a later process of this one, answers at the
-	// address.
+	// OrderMisdirected means that another minion answers at the address.
 	OrderMisdirected struct{}
+	// OrderWrongIncarnation means that the order was not sent, because another process of the minion than
+	// the one for which it was meant answers at the address.
+	OrderWrongIncarnation struct{ Incarnation quetzalunit.MinionIncarnation }
 	// OrderUnanswered means that there was no answer: the order may have been carried out, or
 	// may still be.
 	OrderUnanswered struct{}
 )
 
-func (OrderAccepted) implementsOrderResult()       {}
-func (OrderFenced) implementsOrderResult()         {}
-func (OrderOutdated) implementsOrderResult()       {}
-func (OrderExpired) implementsOrderResult()        {}
-func (OrderNoCapacity) implementsOrderResult()     {}
-func (OrderTicketRejected) implementsOrderResult() {}
-func (OrderRefused) implementsOrderResult()        {}
-func (OrderNotSent) implementsOrderResult()        {}
-func (OrderMalformed) implementsOrderResult()      {}
-func (OrderMisdirected) implementsOrderResult()    {}
-func (OrderUnanswered) implementsOrderResult()     {}
+func (OrderAccepted) implementsOrderResult()         {}
+func (OrderFenced) implementsOrderResult()           {}
+func (OrderOutdated) implementsOrderResult()         {}
+func (OrderExpired) implementsOrderResult()          {}
+func (OrderNoCapacity) implementsOrderResult()       {}
+func (OrderTicketRejected) implementsOrderResult()   {}
+func (OrderRefused) implementsOrderResult()          {}
+func (OrderNotSent) implementsOrderResult()          {}
+func (OrderMalformed) implementsOrderResult()        {}
+func (OrderMisdirected) implementsOrderResult()      {}
+func (OrderWrongIncarnation) implementsOrderResult() {}
+func (OrderUnanswered) implementsOrderResult()       {}
 
 // HostOrder is the kind of an order to a host.
 type HostOrder uint8
