--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -267,10 +267,14 @@
 	case quetzalwork.StartRun:
 		m := f.minions[c.Target.Minion]
 		f.checker.checkDrain(m, c, f.now)
-		e.order(m, func() quetzalwork.OrderResult { return m.start(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.StartAnswered{Run: c.Run, Token: c.Target.Token, Result: r}) })
+		e.order(m, func() quetzalwork.OrderResult { return m.start(c) }, func(r quetzalwork.OrderResult) {
+			post(quetzalwork.StartAnswered{Run: c.Run, Token: c.Target.Token, Result: r})
+		})
 	case quetzalwork.StopRun:
 		m := f.minions[c.Target.Minion]
-		e.order(m, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) { post(quetzalwork.StopAnswered{Run: c.Run, Token: c.Target.Token, Result: r}) })
+		e.order(m, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) {
+			post(quetzalwork.StopAnswered{Run: c.Run, Token: c.Target.Token, Result: r})
+		})
 	case quetzalwork.RequestAdvice:
 		in := quetzalwork.AdviceAnswered{Step: c.Step, OK: true, ValidFor: 30 * time.Second, Tickets: make(map[quetzalunit.MinionID]quetzalunit.Ticket)}
 		for _, id := range c.Minions {
