Let simulated minions begin anew after a restart

What was seen: the simulated minion kept its clock and the numbers of its ends across a restart under its id, granted leases of any length, and lost calls that reached it while it was down. Real minions do none of this, so that the simulated fleet could not show a task that runs twice after restarts.

Change: each process of a minion has a clock with a random base and numbers its ends from 1. It shortens a lease to the longest one, and takes a lease also from a start that it answers as outdated or without room. A call to a minion that is down is tried again until its timeout and may reach the next process. Late orders reach a later process always (the field lateOrdersOutliveRestarts is gone) and are late by 2 to 12 s; polls may be late, too (latePolls). A call that names another process is answered with OrderWrongIncarnation. A long poll is not answered by a later process any more. The searches draw late polls beside late orders, and the search for guarantees draws late orders beside restarts, which it left out.

checkLimit took the time at which an order was sent from the end of its lease, which needs one clock for all processes. It gets that time now, which is exact and never earlier. The capacities of earlier incarnations counted no longer 6 ms after the first answer; now they count for orders that were sent before that answer arrived, since an order may be late.

--- a/quetzalcore/quetzalscheduler/accountcap_test.go
+++ b/quetzalcore/quetzalscheduler/accountcap_test.go
@@ -88,6 +88,7 @@
 		)
 		f := newAccountFleet(seed, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(6, 14).Draw(t, "minions"), cfg)
 		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
+		f.latePolls = f.lateOrders
 		f.run(3 * time.Second)
 		rng := rand.New(rand.NewPCG(seed, 2))
 		submit := func() {
@@ -102,7 +103,7 @@
 			}
 			injectFault(f, rng, fault, i)
 		}
-		f.loseAnswers, f.lateOrders, f.storeDown, f.delayedWrites = 0, 0, false, false
+		f.loseAnswers, f.lateOrders, f.latePolls, f.storeDown, f.delayedWrites = 0, 0, 0, false, false
 		clear(f.partitionedZones)
 		for _, e := range f.entries {
 			if !e.up {
--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -28,14 +28,16 @@
 
 // runRecord is a run that a minion started.
 type runRecord struct {
-	task      quetzalwork.TaskID
-	run       quetzalunit.RunNumber
-	minion    quetzalunit.MinionID
-	startedAt quetzalunit.Instant
-	endedAt   quetzalunit.Instant
-	over      bool
-	end       quetzalwork.RunOutcome
-	number    quetzalunit.EndNumber
+	task   quetzalwork.TaskID
+	run    quetzalunit.RunNumber
+	minion quetzalunit.MinionID
+	// incarnation is that of the minion's process, in which number is unique.
+	incarnation quetzalunit.MinionIncarnation
+	startedAt   quetzalunit.Instant
+	endedAt     quetzalunit.Instant
+	over        bool
+	end         quetzalwork.RunOutcome
+	number      quetzalunit.EndNumber
 	// acknowledged is true if the dispatcher acknowledged the end and leaseExpired was false then.
 	acknowledged bool
 	// leaseExpired is true if the minion's lease expired after the run had ended.
@@ -82,8 +84,9 @@
 // started records the start of a run and checks it: no other run of the task may be active (unless
 // the step is speculative) or acknowledged as done, the task must have attempts left, and the steps
 // on which its step depends must be done.
-func (c *checker) started(t quetzalwork.TaskID, run quetzalunit.RunNumber, m quetzalunit.MinionID) *runRecord {
-	r := &runRecord{task: t, run: run, minion: m, startedAt: c.f.now}
+func (c *checker) started(t quetzalwork.TaskID, run quetzalunit.RunNumber, on *minion) *runRecord {
+	m := on.record.ID
+	r := &runRecord{task: t, run: run, minion: m, incarnation: on.record.Incarnation, startedAt: c.f.now}
 	failed := 0
 	for _, other := range c.records[t] {
 		if !other.over && !c.step(t).Speculative {
@@ -136,16 +139,11 @@
 	}
 }
 
-// maxGrantedLease is the longest lease that an order to start grants. The order was sent no earlier
-// than this long before the end of the lease.
-const maxGrantedLease = 4500 * time.Millisecond
-
 // checkLimit checks that a start does not bring a minion over its capacity. used are the resources
 // of all runs on the minion, with those of the new one and of those that are being stopped. An order
 // that is carried out late is judged by the capacity at the time at which it was sent.
-func (c *checker) checkLimit(m *minion, start quetzalwork.StartRun, used quetzalunit.Resources) {
-	sent := quetzalunit.Instant(0).Add(time.Duration(start.LeaseEnd)*time.Millisecond + clockOffset - maxGrantedLease)
-	if limit := m.limit(min(sent, c.f.now)); !used.FitsIn(limit) {
+func (c *checker) checkLimit(m *minion, start quetzalwork.StartRun, used quetzalunit.Resources, sent quetzalunit.Instant) {
+	if limit := m.limit(sent); !used.FitsIn(limit) {
 		c.violationf("LIMIT: %v run %d brings %s to %v of %v", start.Task, start.Number, m.record.ID, used, limit)
 	}
 }
@@ -216,12 +214,12 @@
 	}
 }
 
-// acknowledged records that the end of a run was acknowledged, and checks that the task was not
-// started again after that run had ended.
-func (c *checker) acknowledged(m quetzalunit.MinionID, n quetzalunit.EndNumber) {
+// acknowledged records that the present process of a minion got the acknowledgement of the end of a run, and
+// checks that the task was not started again after that run had ended.
+func (c *checker) acknowledged(m *minion, n quetzalunit.EndNumber) {
 	for t, records := range c.records {
 		for i, r := range records {
-			if r.minion != m || r.number != n || !r.over || r.end != quetzalwork.OutcomeDone {
+			if r.minion != m.record.ID || r.incarnation != m.record.Incarnation || r.number != n || !r.over || r.end != quetzalwork.OutcomeDone {
 				continue
 			}
 			if r.leaseExpired {
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -450,8 +450,12 @@
 	// shrinkNotice is the time after which a reduced capacity limits the starts on a minion: one
 	// beat until its record shows the capacity, and three seconds for the dispatcher to read it.
 	shrinkNotice = 3*time.Second + beat
-	// callTime is the longest time in which a call that is not delayed arrives and is answered.
-	callTime = 6 * time.Millisecond
+	// answerTime is the longest time in which an answer that is not delayed arrives.
+	answerTime = 3 * time.Millisecond
+	// maxLease is the longest lease that a minion grants.
+	maxLease = 10 * time.Second
+	// pollMargin is how much longer than a minion may delay its answer to a poll the caller waits for it.
+	pollMargin = 600 * time.Millisecond
 )
 
 // minion simulates a minion. It rejects runs exceeding its capacity, unless the fleet is unguarded.
@@ -461,20 +465,14 @@
 	record quetzalwork.MinionRecord
 	// capacities are the capacities in the order of time, the present one last.
 	capacities []timedCapacity
-	// restartNoticed reports whether the present incarnation has answered a poll.
-	restartNoticed bool
-	zone           quetzalunit.ZoneID
-	up             bool
-	token          quetzalunit.OrderToken
-	lease          quetzalunit.MinionTime
-	runs           map[quetzalwork.TaskID]*fakeRun
-	ends           []quetzalwork.ReportedEnd
-	lastEnd        quetzalunit.EndNumber
-	endedThrough   map[quetzalwork.TaskID]quetzalunit.RunNumber
+	zone       quetzalunit.ZoneID
+	up         bool
+	runs       map[quetzalwork.TaskID]*fakeRun
+	// process is the present process, or the last one if the minion is down.
+	process *process
 	// failing makes every run fail; slowdown multiplies the run times.
-	failing      bool
-	slowdown     float64
-	waitingPolls []func()
+	failing  bool
+	slowdown float64
 	// drainingSince is when the store accepted the record that says that the minion leaves; zero if it
 	// has written none.
 	drainingSince quetzalunit.Instant
@@ -483,6 +481,20 @@
 	successor *minion
 }
 
+// process is what a process of a minion knows. A later process under the same ID begins anew.
+type process struct {
+	// clockBase is the fleet's time at which the process's clock shows zero.
+	clockBase quetzalunit.Instant
+	// noticedAt is when the process answered its first poll, zero if it has not.
+	noticedAt    quetzalunit.Instant
+	token        quetzalunit.OrderToken
+	lease        quetzalunit.MinionTime
+	ends         []quetzalwork.ReportedEnd
+	lastEnd      quetzalunit.EndNumber
+	endedThrough map[quetzalwork.TaskID]quetzalunit.RunNumber
+	waitingPolls []func()
+}
+
 // fakeRun is an active run on a simulated minion.
 type fakeRun struct {
 	number quetzalunit.RunNumber
@@ -501,12 +513,13 @@
 func (f *fleet) addMinion(zone quetzalunit.ZoneID, rack int) *minion {
 	id := quetzalunit.MinionID(fmt.Sprint("m", len(f.minions)))
 	m := &minion{
-		f: f, zone: zone, up: true, slowdown: 1, runs: make(map[quetzalwork.TaskID]*fakeRun), endedThrough: make(map[quetzalwork.TaskID]quetzalunit.RunNumber),
+		f: f, zone: zone, up: true, slowdown: 1, runs: make(map[quetzalwork.TaskID]*fakeRun),
 		record: quetzalwork.MinionRecord{
 			ID: id, Pool: testPool, Address: quetzalunit.Address(id), Zone: zone, Capacity: quetzalunit.Resources{Cores: 8000, Memory: 16000},
 			Rack: quetzalunit.RackID(fmt.Sprint("r", rack)), Incarnation: 1, Host: quetzalunit.HostID(id),
 		},
 	}
+	m.begin()
 	m.setCapacity(m.record.Capacity)
 	f.minions[id] = m
 	f.order = append(f.order, m)
@@ -552,40 +565,43 @@
 	m.publish(false)
 }
 
-// restart starts a new incarnation with a capacity of its own, which knows nothing of the earlier
-// one. Until it has answered a poll, the dispatcher can know only the earlier capacity. The numbers of
-// its ends continue, since the checker identifies ends by them.
+// begin starts a process that knows nothing of the earlier ones. Its clock begins anew: near the time of the
+// earlier one's, or anywhere.
+func (m *minion) begin() {
+	shows := time.Second + time.Duration(m.f.clocks.Int64N(int64(time.Hour)))
+	if m.process != nil && m.f.clocks.IntN(2) == 0 {
+		shows = max(time.Second, m.f.now.Sub(m.process.clockBase)-nearClock+time.Duration(m.f.clocks.Int64N(int64(2*nearClock))))
+	}
+	m.up = true
+	m.process = &process{
+		clockBase: m.f.now.Add(-shows.Truncate(time.Millisecond)), endedThrough: make(map[quetzalwork.TaskID]quetzalunit.RunNumber),
+	}
+}
+
+// nearClock is how far the clocks of two processes of a minion differ that are near each other.
+const nearClock = 15 * time.Second
+
+// restart starts a new incarnation with a capacity of its own. Until it has answered a poll, the dispatcher
+// can know only the earlier capacity.
 func (m *minion) restart(capacity quetzalunit.Resources) {
 	m.kill()
-	m.up, m.token, m.lease, m.ends, m.waitingPolls = true, 0, 0, nil, nil
-	clear(m.endedThrough)
+	m.begin()
 	m.record.Incarnation++
 	m.record.Capacity, m.record.Draining, m.drainingSince = capacity, false, 0
-	m.capacities, m.restartNoticed = append(m.capacities, timedCapacity{m.f.now, m.record.Incarnation, capacity}), false
+	m.capacities = append(m.capacities, timedCapacity{m.f.now, m.record.Incarnation, capacity})
 	m.f.after(time.Duration(m.f.rng.Int64N(int64(beat))), m.announce)
 }
 
-// noticeRestart makes the capacities of earlier incarnations count no longer, once the answer to the
-// first poll and the orders that were sent before it have arrived.
-func (m *minion) noticeRestart() {
-	if m.restartNoticed {
-		return
-	}
-	m.restartNoticed = true
-	incarnation := m.record.Incarnation
-	m.f.after(callTime, func() {
-		if m.record.Incarnation == incarnation {
-			i := slices.IndexFunc(m.capacities, func(c timedCapacity) bool { return c.incarnation == incarnation })
-			m.capacities = m.capacities[i:]
-		}
-	})
-}
-
 // limit returns the capacity that a start must not exceed: for each resource the largest amount that
-// the minion had from shrinkNotice before the order was sent until now.
+// the minion had from shrinkNotice before the order was sent until now. The capacities of earlier
+// incarnations do not count if the order was sent after the answer to the first poll had arrived.
 func (m *minion) limit(sent quetzalunit.Instant) quetzalunit.Resources {
 	limit := m.capacity()
+	noticed := m.process.noticedAt != 0 && sent > m.process.noticedAt.Add(answerTime)
 	for i, c := range m.capacities[:len(m.capacities)-1] {
+		if noticed && c.incarnation != m.record.Incarnation {
+			continue
+		}
 		if m.capacities[i+1].since >= sent.Add(-shrinkNotice) {
 			limit.Cores, limit.Memory = max(limit.Cores, c.Cores), max(limit.Memory, c.Memory)
 			limit.Accelerators = max(limit.Accelerators, c.Accelerators)
@@ -603,16 +619,18 @@
 // runningTasks returns the running tasks in a fixed order, for reproducible simulations.
 func (m *minion) runningTasks() []quetzalwork.TaskID {
 	names := slices.Collect(maps.Keys(m.runs))
-	slices.SortFunc(names, func(a, b quetzalwork.TaskID) int { return strings.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
+	slices.SortFunc(names, func(a, b quetzalwork.TaskID) int {
+		if a.Job != b.Job {
+			return strings.Compare(string(a.Job), string(b.Job))
+		}
+		return strings.Compare(fmt.Sprint(a), fmt.Sprint(b))
+	})
 	return names
 }
 
-// clockOffset is how far the minions' clocks are behind the fleet's.
-const clockOffset = 5 * time.Second
-
-// clock returns the time on the minion's clock.
+// clock returns the time on the clock of the minion's present process.
 func (m *minion) clock() quetzalunit.MinionTime {
-	return quetzalunit.MinionTime(m.f.now.Milliseconds() - clockOffset.Milliseconds())
+	return quetzalunit.MinionTime(m.f.now.Sub(m.process.clockBase).Milliseconds())
 }
 
 // kill stops the minion and all its runs. Their ends are never reported.
@@ -641,7 +659,7 @@
 }
 
 // recover starts a later process of a minion that is still down. It has the same ID, or a new one on
-// the same host. The numbers of its ends continue, as in restart.
+// the same host.
 func (m *minion) recover() {
 	if m.up {
 		return
@@ -652,30 +670,30 @@
 		m.successor = next
 		next.record.Rack, next.record.Host, next.record.Incarnation = m.record.Rack, m.record.Host, m.record.Incarnation
 		m.publish(true)
+	} else {
+		next.begin()
 	}
 	next.record.Incarnation++
 	next.record.Draining, next.drainingSince = false, 0
-	next.up, next.token, next.lease = true, 0, 0
-	next.ends, next.waitingPolls = nil, nil
 	next.record.Capacity = next.capacity()
-	next.capacities, next.restartNoticed = append(next.capacities, timedCapacity{m.f.now, next.record.Incarnation, next.record.Capacity}), false
-	clear(next.endedThrough)
+	next.capacities = append(next.capacities, timedCapacity{m.f.now, next.record.Incarnation, next.record.Capacity})
 	next.publish(false)
 }
 
-// extendLease extends the lease and schedules the end of all runs at its expiry, unless it has
-// been extended again by then.
+// extendLease extends the lease, at most to the longest one, and schedules the end of all runs at its
+// expiry, unless it has been extended again by then.
 func (m *minion) extendLease(to quetzalunit.MinionTime) {
-	if to <= m.lease {
+	p := m.process
+	to = min(to, m.clock().Add(maxLease))
+	if to <= p.lease {
 		return
 	}
-	if m.clock() > m.lease {
+	if m.clock() > p.lease {
 		m.f.checker.leaseExpired(m.record.ID)
 	}
-	m.lease = to
-	incarnation := m.record.Incarnation
+	p.lease = to
 	m.f.after(time.Duration(to-m.clock()+1)*time.Millisecond, func() {
-		if m.up && m.record.Incarnation == incarnation && m.clock() > m.lease {
+		if m.up && m.process == p && m.clock() > p.lease {
 			for _, name := range m.runningTasks() {
 				m.end(name, quetzalwork.OutcomeLapsed)
 			}
@@ -683,23 +701,24 @@
 	})
 }
 
-// start serves an order to start a run.
-func (m *minion) start(c quetzalwork.StartRun) quetzalwork.OrderResult {
-	if c.Target.Token < m.token {
+// start serves an order to start a run that was sent at an instant. An order that starts no run extends the
+// lease, too, unless it is fenced or expired.
+func (m *minion) start(c quetzalwork.StartRun, sent quetzalunit.Instant) quetzalwork.OrderResult {
+	if c.Target.Token < m.process.token {
 		return quetzalwork.OrderFenced{}
 	}
-	m.token = c.Target.Token
+	m.process.token = c.Target.Token
 	clock := m.clock()
+	m.extendLease(c.LeaseEnd)
 	if r := m.runs[c.Task]; r != nil && r.number == c.Number {
 		return quetzalwork.OrderAccepted{Clock: clock}
 	}
-	if c.Number <= m.endedThrough[c.Task] || m.runs[c.Task] != nil {
+	if c.Number <= m.process.endedThrough[c.Task] || m.runs[c.Task] != nil {
 		return quetzalwork.OrderOutdated{Clock: clock}
 	}
 	if c.LeaseEnd <= clock {
 		return quetzalwork.OrderExpired{Clock: clock}
 	}
-	m.extendLease(c.LeaseEnd)
 	needs := m.f.checker.step(c.Task).Resources
 	used := needs
 	for _, r := range m.runs {
@@ -708,9 +727,9 @@
 	if !m.f.unguarded && !used.FitsIn(m.capacity()) {
 		return quetzalwork.OrderNoCapacity{Clock: clock}
 	}
-	m.f.checker.checkLimit(m, c, used)
+	m.f.checker.checkLimit(m, c, used, sent)
 	m.f.checker.checkCap(c.Task)
-	run := &fakeRun{number: c.Number, needs: needs, record: m.f.checker.started(c.Task, c.Number, m.record.ID)}
+	run := &fakeRun{number: c.Number, needs: needs, record: m.f.checker.started(c.Task, c.Number, m)}
 	m.runs[c.Task] = run
 	if m.f.deadly[c.Task.Job] {
 		m.f.after(10*time.Millisecond, func() {
@@ -743,10 +762,10 @@
 // stop serves an order to stop a run, which ends 200 ms later. An order for a run that is not
 // running prevents its start.
 func (m *minion) stop(c quetzalwork.StopRun) quetzalwork.OrderResult {
-	if c.Target.Token < m.token {
+	if c.Target.Token < m.process.token {
 		return quetzalwork.OrderFenced{}
 	}
-	m.token = c.Target.Token
+	m.process.token = c.Target.Token
 	if r := m.runs[c.Task]; r != nil && r.number == c.Number {
 		m.f.after(200*time.Millisecond, func() {
 			if m.up && m.runs[c.Task] == r {
@@ -754,58 +773,64 @@
 			}
 		})
 	} else {
-		m.endedThrough[c.Task] = max(m.endedThrough[c.Task], c.Number)
+		m.process.endedThrough[c.Task] = max(m.process.endedThrough[c.Task], c.Number)
 	}
 	return quetzalwork.OrderAccepted{Clock: m.clock()}
 }
 
 // end ends a run, adds its end to those that the minion reports, and answers the waiting polls.
 func (m *minion) end(name quetzalwork.TaskID, outcome quetzalwork.RunOutcome) {
+	p := m.process
 	r := m.runs[name]
 	delete(m.runs, name)
-	m.endedThrough[name] = max(m.endedThrough[name], r.number)
-	m.lastEnd++
-	m.ends = append(m.ends, quetzalwork.ReportedEnd{Number: m.lastEnd, Task: name, Run: r.number, Outcome: outcome})
-	r.record.end, r.record.number = outcome, m.lastEnd
+	p.endedThrough[name] = max(p.endedThrough[name], r.number)
+	p.lastEnd++
+	p.ends = append(p.ends, quetzalwork.ReportedEnd{Number: p.lastEnd, Task: name, Run: r.number, Outcome: outcome})
+	r.record.end, r.record.number = outcome, p.lastEnd
 	m.f.checker.ended(r.record, "")
-	waiting := m.waitingPolls
-	m.waitingPolls = nil
+	waiting := p.waitingPolls
+	p.waitingPolls = nil
 	for _, answer := range waiting {
 		answer()
 	}
 }
 
-// poll serves a poll, which also extends the lease. If the command allows a wait and there is no
-// end to report, the answer is delayed until a run ends or the wait is over.
-func (m *minion) poll(from quetzalunit.ZoneID, c quetzalwork.PollMinion, post func(quetzalwork.Input)) func() {
-	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
-	if m.successor != nil {
-		in.Result = quetzalwork.OrderMisdirected{}
-		return func() { post(in) }
-	}
-	if !m.up {
-		return nil
-	}
-	if c.Target.Token < m.token {
-		in.Result = quetzalwork.OrderFenced{}
-		return func() { post(in) }
+// acceptPoll applies the lease and the acknowledgements of a poll, unless the poll is fenced.
+func (m *minion) acceptPoll(c quetzalwork.PollMinion) bool {
+	p := m.process
+	if c.Target.Token < p.token {
+		return false
 	}
-	m.token = c.Target.Token
-	if m.clock() > m.lease {
+	p.token = c.Target.Token
+	if m.clock() > p.lease {
 		m.f.checker.leaseExpired(m.record.ID)
 	}
 	m.extendLease(c.LeaseEnd)
-	m.ends = slices.DeleteFunc(m.ends, func(e quetzalwork.ReportedEnd) bool {
+	p.ends = slices.DeleteFunc(p.ends, func(e quetzalwork.ReportedEnd) bool {
 		if e.Number <= c.AckedThrough {
-			m.f.checker.acknowledged(m.record.ID, e.Number)
+			m.f.checker.acknowledged(m, e.Number)
 			return true
 		}
 		return false
 	})
+	return true
+}
+
+// poll serves a poll, which also extends the lease. If the command allows a wait and there is no
+// end to report, the answer is delayed until a run ends or the wait is over. The caller waits until the timeout.
+func (m *minion) poll(from quetzalunit.ZoneID, c quetzalwork.PollMinion, timeout time.Duration, post func(quetzalwork.Input)) func() {
+	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
+	if !m.acceptPoll(c) {
+		in.Result = quetzalwork.OrderFenced{}
+		return func() { post(in) }
+	}
+	p := m.process
 	answer := func() {
-		m.noticeRestart()
+		if p.noticedAt == 0 {
+			p.noticedAt = m.f.now
+		}
 		in.Result, in.Incarnation = quetzalwork.OrderAccepted{Clock: m.clock()}, m.record.Incarnation
-		in.Ends = slices.Clone(m.ends)
+		in.Ends = slices.Clone(p.ends)
 		if limit := m.f.maxReportedEnds; limit > 0 && len(in.Ends) >= limit {
 			in.Ends, in.MoreEnds = in.Ends[:limit], true
 		}
@@ -813,13 +838,13 @@
 			in.Running = append(in.Running, quetzalwork.ReportedRun{Task: name, Number: m.runs[name].number, Percent: 100})
 		}
 	}
-	if c.Wait == 0 || len(m.ends) > 0 {
+	if c.Wait == 0 || len(p.ends) > 0 {
 		answer()
 		return func() { post(in) }
 	}
 	sent := false
 	send := func() {
-		if !sent && m.up {
+		if !sent && m.up && m.process == p {
 			sent = true
 			answer()
 			m.f.after(m.f.delay(), func() {
@@ -830,9 +855,9 @@
 			})
 		}
 	}
-	m.waitingPolls = append(m.waitingPolls, send)
+	p.waitingPolls = append(p.waitingPolls, send)
 	m.f.after(c.Wait, send)
-	m.f.after(c.Wait+600*time.Millisecond, func() {
+	m.f.after(timeout, func() {
 		if !sent {
 			sent = true
 			in.Result = quetzalwork.OrderUnanswered{}
--- a/quetzalcore/quetzalscheduler/guarantee_test.go
+++ b/quetzalcore/quetzalscheduler/guarantee_test.go
@@ -223,6 +223,7 @@
 		f := newFleet(seed, threeZones, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(3, 9).Draw(t, "minions"), cfg)
 		f.unguarded = unguarded
 		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
+		f.latePolls = f.lateOrders
 		f.store.pageSize = rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "page")
 		f.newIDs = rapid.Bool().Draw(t, "new IDs")
 		f.run(3 * time.Second)
@@ -239,7 +240,7 @@
 			}
 			injectFault(f, rng, fault, i)
 		}
-		f.loseAnswers, f.lateOrders, f.storeDown, f.delayedWrites, f.store.listDown = 0, 0, false, false, false
+		f.loseAnswers, f.lateOrders, f.latePolls, f.storeDown, f.delayedWrites, f.store.listDown = 0, 0, 0, false, false, false
 		clear(f.partitionedZones)
 		for _, e := range f.entries {
 			if !e.up {
@@ -359,9 +360,7 @@
 		f.shortLived = append(f.shortLived, id)
 		f.after(d, func() { f.cancel(f.entries[rng.IntN(len(f.entries))], id) })
 	case restartFault:
-		// An order that is carried out late may reach the new incarnation after the earlier one has
-		// accepted the stop of its run. No guard covers that (see KNOWN-RED.txt).
-		if m := f.order[rng.IntN(len(f.order))]; m.up && f.lateOrders == 0 {
+		if m := f.order[rng.IntN(len(f.order))]; m.up {
 			m.restart(quetzalunit.Resources{Cores: quetzalunit.MilliCores(1+rng.IntN(4)) * 2000, Memory: 16000})
 		}
 	}
--- a/quetzalcore/quetzalscheduler/limit_test.go
+++ b/quetzalcore/quetzalscheduler/limit_test.go
@@ -91,11 +91,11 @@
 // runUnknown makes a minion run a task of which the dispatcher has no run, as after an order of an
 // earlier dispatcher. The checker does not judge this start.
 func (m *minion) runUnknown(task quetzalwork.TaskID) {
-	m.runs[task] = &fakeRun{number: 1, needs: m.f.checker.step(task).Resources, record: &runRecord{task: task, run: 1, minion: m.record.ID}}
-	for _, answer := range m.waitingPolls {
+	m.runs[task] = &fakeRun{number: 1, needs: m.f.checker.step(task).Resources, record: &runRecord{task: task, run: 1, minion: m.record.ID, incarnation: m.record.Incarnation}}
+	for _, answer := range m.process.waitingPolls {
 		answer()
 	}
-	m.waitingPolls = nil
+	m.process.waitingPolls = nil
 }
 
 // A minion runs a task of a job that the dispatcher does not know, with unknown resources.
@@ -157,7 +157,7 @@
 func TestLateOrderToARestartedMinionStartsNoTaskTwice(t *testing.T) {
 	for seed := range uint64(200) {
 		f := newFleet(seed, threeZones[:1], 2, 3, testConfig())
-		f.restarting, f.lateOrders, f.lateOrdersOutliveRestarts = true, 0.1, true
+		f.restarting, f.lateOrders = true, 0.1
 		f.run(5 * time.Second)
 		for i := range 60 {
 			f.submit(f.entries[0], testStep(3))
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -0,0 +1,180 @@
+package quetzalscheduler_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// newLongTaskFleet returns a fleet of three zones whose tasks run for 15 s, with an entry that dispatches the
+// pool.
+func newLongTaskFleet(seed uint64) *fleet {
+	f := newFleet(seed, threeZones, 6, 9, testConfig())
+	f.runTime = func(quetzalwork.TaskID) time.Duration { return 15 * time.Second }
+	f.run(3 * time.Second)
+	return f
+}
+
+// otherZone returns a zone without the dispatcher of the test pool.
+func (f *fleet) otherZone(rng *rand.Rand) quetzalunit.ZoneID {
+	i := rng.IntN(len(threeZones))
+	if h := f.holder(); h != nil && h.zone == threeZones[i] {
+		i = (i + 1) % len(threeZones)
+	}
+	return threeZones[i]
+}
+
+// restartZone makes the minions of a zone go down. They are back under their ids after a while.
+func (f *fleet) restartZone(zone quetzalunit.ZoneID, downtime time.Duration) {
+	for _, m := range f.order {
+		if m.zone == zone {
+			m.kill()
+			f.after(downtime, m.recover)
+		}
+	}
+}
+
+// submitEach50ms submits a job of one task each 50 ms to entries that are up. The pool has room for all tasks, so that
+// orders to start are sent at any time.
+func (f *fleet) submitEach50ms(rng *rand.Rand, d time.Duration) {
+	const interval = 50 * time.Millisecond
+	step := testStep(1)
+	step.Resources = quetzalunit.Resources{Cores: 200, Memory: 100}
+	for end := f.now.Add(d); f.now < end; {
+		if e := f.entries[rng.IntN(len(f.entries))]; e.up {
+			f.submit(e, step)
+		}
+		f.run(min(interval, end.Sub(f.now)))
+	}
+}
+
+// cutOff partitions a zone for a while.
+func (f *fleet) cutOff(rng *rand.Rand, zone quetzalunit.ZoneID, d time.Duration) {
+	f.partitionedZones[zone] = true
+	f.submitEach50ms(rng, d)
+	delete(f.partitionedZones, zone)
+}
+
+// Guards against a successor that starts tasks beside their runs on restarted minions: an order for the former
+// process gave the later one the longest lease, for which the successor did not wait.
+func TestKilledDispatcherOfRestartedMinionsStartsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(60) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.restartZone(zone, 600*time.Millisecond)
+			f.submitEach50ms(rng, 600*time.Millisecond+500*time.Millisecond+time.Duration(rng.Int64N(int64(1800*time.Millisecond))))
+			if h := f.holder(); h != nil {
+				h.kill()
+				f.after(8*time.Second, h.start)
+			}
+			f.submitEach50ms(rng, 600*time.Millisecond)
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		f.run(20 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+	}
+}
+
+// Guards against a successor that trusts what a release tells of the leases on minions that had restarted under
+// the entry that releases the pool.
+func TestReleaseAfterRestartsOfMinionsStartsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.restartZone(zone, 600*time.Millisecond)
+			f.submitEach50ms(rng, 600*time.Millisecond+500*time.Millisecond+time.Duration(rng.Int64N(int64(1800*time.Millisecond))))
+			if h := f.holder(); h != nil {
+				h.post(h.boot, quetzalwork.StopRequested{})
+				f.after(3*time.Second, h.kill)
+				f.after(8*time.Second, h.start)
+			}
+			f.submitEach50ms(rng, time.Duration(rng.Int64N(int64(600*time.Millisecond))))
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		f.run(20 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+	}
+}
+
+// Guards against polls for the former process of a minion that acknowledge ends of the later one, whose tasks
+// then run again.
+func TestLatePollOfARestartedMinionLosesNoEnd(t *testing.T) {
+	for seed := range uint64(100) {
+		f := newFleet(seed, threeZones[:1], 1, 3, testConfig())
+		f.restarting, f.latePolls = true, 0.1
+		f.run(5 * time.Second)
+		for i := range 100 {
+			f.submit(f.entries[0], testStep(3))
+			f.run(80 * time.Millisecond)
+			if i%20 == 10 {
+				f.order[i/20%3].restart(resources(8000))
+			}
+		}
+		f.latePolls = 0
+		f.run(20 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+	}
+}
+
+// Guards against orders for a minion's process before the last one, which a second restart within one lease
+// leaves in flight. In half of the cases a successor takes over.
+func TestMinionThatRestartsTwiceWithinALeaseRunsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			for range 2 {
+				f.restartZone(zone, 50*time.Millisecond+time.Duration(rng.Int64N(int64(400*time.Millisecond))))
+				f.submitEach50ms(rng, 500*time.Millisecond+time.Duration(rng.Int64N(int64(600*time.Millisecond))))
+			}
+			if h := f.holder(); h != nil && seed%2 == 1 {
+				h.kill()
+				f.after(8*time.Second, h.start)
+			}
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		f.run(20 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+	}
+}
+
+// Guards against a dispatcher that does not count with the lease that a restarted minion took from an order to
+// start that it had no room for.
+func TestStartWithoutRoomOnARestartedMinionStartsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			for _, m := range f.order {
+				if m.zone == zone {
+					m.kill()
+					f.after(600*time.Millisecond, func() { m.restart(resources(100)) })
+					f.after(900*time.Millisecond, func() { m.resize(resources(8000)) })
+				}
+			}
+			f.submitEach50ms(rng, 2500*time.Millisecond+time.Duration(rng.Int64N(int64(1500*time.Millisecond))))
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		f.run(20 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+	}
+}
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -18,9 +18,13 @@
 // have a random delay, are lost across a network partition and may be carried out late. The checker
 // checks every start and end of a run.
 type fleet struct {
-	now     quetzalunit.Instant
-	events  quetzaltable.Timers[func()]
-	rng     *rand.Rand
+	now    quetzalunit.Instant
+	events quetzaltable.Timers[func()]
+	rng    *rand.Rand
+	// clocks draws the clocks of the minions' processes and latePollRNG the polls that are late, so that these
+	// do not shift the draws of rng.
+	clocks, latePollRNG *rand.Rand
+
 	store   *store
 	entries []*entry
 	minions map[quetzalunit.MinionID]*minion
@@ -29,16 +33,13 @@
 	// partitionedZones are the zones that are cut off from all other zones and from the store.
 	partitionedZones map[quetzalunit.ZoneID]bool
 	// storeDown makes the store ignore all requests. loseAnswers is the fraction of the store's
-	// answers that are lost, lateOrders that of the orders to minions that are carried out late and
-	// without an answer.
-	storeDown               bool
-	loseAnswers, lateOrders float64
+	// answers that are lost. lateOrders is the fraction of the orders to minions, and latePolls that of the
+	// polls, that are carried out late and without an answer.
+	storeDown                          bool
+	loseAnswers, lateOrders, latePolls float64
 	// losesAnswer, if not nil, tells which other answers of the store are lost. answersLost counts them.
 	losesAnswer func(*entry, quetzalwork.Command) bool
 	answersLost int
-	// lateOrdersOutliveRestarts makes a minion that has restarted under its id carry out late orders to
-	// its earlier process, too.
-	lateOrdersOutliveRestarts bool
 	// delayedWrites makes the store carry out the writes of members' and duties' rows late.
 	delayedWrites bool
 	// censusDown makes the reads of the hosts fail.
@@ -108,6 +109,7 @@
 func newFleet(seed uint64, zones []quetzalunit.ZoneID, entries, minions int, cfg quetzalwork.FleetConfig) *fleet {
 	f := &fleet{
 		now: quetzalunit.InstantOf(time.Unix(1000, 0)), rng: rand.New(rand.NewPCG(seed, 1)),
+		clocks: rand.New(rand.NewPCG(seed, 3)), latePollRNG: rand.New(rand.NewPCG(seed, 4)),
 		minions: make(map[quetzalunit.MinionID]*minion), partitionedZones: make(map[quetzalunit.ZoneID]bool),
 		deadly: make(map[quetzalunit.JobID]bool), answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.CallerID]quetzalunit.JobID),
 	}
@@ -157,12 +159,31 @@
 // call sends a request from one zone to another. serve handles it and returns the function that
 // delivers the reply, or nil for no reply. If no reply arrives in time, lost is called.
 func (f *fleet) call(from, to quetzalunit.ZoneID, timeout time.Duration, serve func() func(), lost func()) {
+	f.callOnceUp(from, to, timeout, func() bool { return true }, func(time.Duration) func() { return serve() }, lost)
+}
+
+// reconnectDelay is the time between two attempts to connect to a minion that is down.
+const reconnectDelay = 20 * time.Millisecond
+
+// callOnceUp is call for a server that may be down: the request is sent again until it is up or the timeout is
+// over. serve gets the time that this has taken.
+func (f *fleet) callOnceUp(from, to quetzalunit.ZoneID, timeout time.Duration, up func() bool, serve func(time.Duration) func(), lost func()) {
 	answered := false
-	f.after(f.delay(), func() {
+	var waited time.Duration
+	var arrive func()
+	arrive = func() {
+		if answered {
+			return
+		}
+		if !up() {
+			waited += reconnectDelay
+			f.after(reconnectDelay, arrive)
+			return
+		}
 		if !f.reaches(from, to) {
 			return
 		}
-		reply := serve()
+		reply := serve(waited)
 		if reply == nil {
 			return
 		}
@@ -172,7 +193,8 @@
 				reply()
 			}
 		})
-	})
+	}
+	f.after(f.delay(), arrive)
 	f.after(timeout, func() {
 		if !answered {
 			answered = true
@@ -190,7 +212,7 @@
 		Self: quetzalwork.Identity{
 			Entry: e.id, Zone: e.zone, Incarnation: quetzalunit.Incarnation(e.f.now), PeerAddress: quetzalunit.Address(e.id), Seed: uint64(e.boot),
 		},
-		Bounds: quetzalwork.Bounds{MaxLease: 10 * time.Second, StopTimeout: 400 * time.Millisecond, OrderLease: 3 * time.Second, MaintenanceTime: 2 * time.Second},
+		Bounds: quetzalwork.Bounds{MaxLease: maxLease, StopTimeout: 400 * time.Millisecond, OrderLease: 3 * time.Second, MaintenanceTime: 2 * time.Second},
 	}
 	quetzalscheduler.Start(e.world, e.f.now)
 	e.wake(e.f.now)
@@ -262,17 +284,24 @@
 		e.callPeer(c, post)
 	case quetzalwork.PollMinion:
 		m := f.minions[c.Target.Minion]
-		none := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, Result: quetzalwork.OrderUnanswered{}}
-		f.call(e.zone, m.zone, c.Wait+600*time.Millisecond, func() func() { return m.poll(e.zone, c, post) }, func() { post(none) })
+		e.callMinion(m, &minionCall{
+			target: c.Target, timeout: c.Wait + pollMargin, late: f.latePolls > 0 && f.latePollRNG.Float64() < f.latePolls, lateRNG: f.latePollRNG,
+			serve:     func(waited time.Duration) func() { return m.poll(e.zone, c, c.Wait+pollMargin-waited, post) },
+			serveLate: func() { m.acceptPoll(c) },
+			answer: func(r quetzalwork.OrderResult) {
+				post(quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, Result: r})
+			},
+		})
 	case quetzalwork.StartRun:
 		m := f.minions[c.Target.Minion]
-		f.checker.checkDrain(m, c, f.now)
-		e.order(m, func() quetzalwork.OrderResult { return m.start(c) }, func(r quetzalwork.OrderResult) {
+		sent := f.now
+		f.checker.checkDrain(m, c, sent)
+		e.order(m, c.Target, func() quetzalwork.OrderResult { return m.start(c, sent) }, func(r quetzalwork.OrderResult) {
 			post(quetzalwork.StartAnswered{Run: c.Run, Token: c.Target.Token, Result: r})
 		})
 	case quetzalwork.StopRun:
 		m := f.minions[c.Target.Minion]
-		e.order(m, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) {
+		e.order(m, c.Target, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) {
 			post(quetzalwork.StopAnswered{Run: c.Run, Token: c.Target.Token, Result: r})
 		})
 	case quetzalwork.RequestAdvice:
@@ -340,30 +369,56 @@
 	}, func() { post(quetzalwork.PeerReplyReceived{Message: c.Message, Address: c.Address}) })
 }
 
-// order sends an order to a minion. The fraction lateOrders of all orders is carried out late and
-// without an answer. A later process on the minion's host rejects the order.
-func (e *entry) order(m *minion, serve func() quetzalwork.OrderResult, answer func(quetzalwork.OrderResult)) {
+// order sends an order to a minion. The fraction lateOrders of all orders is late.
+func (e *entry) order(m *minion, target quetzalwork.MinionTarget, serve func() quetzalwork.OrderResult, answer func(quetzalwork.OrderResult)) {
+	e.callMinion(m, &minionCall{
+		target: target, timeout: 900 * time.Millisecond, late: e.f.rng.Float64() < e.f.lateOrders, lateRNG: e.f.rng,
+		serve: func(time.Duration) func() {
+			r := serve()
+			return func() { answer(r) }
+		},
+		serveLate: func() { serve() },
+		answer:    answer,
+	})
+}
+
+// minionCall is a call to a minion. serve handles a call that arrives in time, after the caller has waited for the
+// minion, and returns the function that delivers the reply; serveLate handles one that arrives late. answer gets the results that are not from the minion.
+type minionCall struct {
+	target    quetzalwork.MinionTarget
+	timeout   time.Duration
+	late      bool
+	lateRNG   *rand.Rand
+	serve     func(waited time.Duration) func()
+	serveLate func()
+	answer    func(quetzalwork.OrderResult)
+}
+
+// callMinion sends a call to a minion. A call that is late gets no answer and is carried out by the process
+// that is up then, without regard to the one that it is for. While the minion is down, the caller tries to
+// connect again, so that it may reach a later process.
+func (e *entry) callMinion(m *minion, c *minionCall) {
 	f := e.f
-	incarnation := m.record.Incarnation
-	if f.rng.Float64() < f.lateOrders {
-		f.after(2*time.Second+time.Duration(f.rng.Int64N(int64(6*time.Second))), func() {
-			if m.up && (f.lateOrdersOutliveRestarts || m.record.Incarnation == incarnation) {
-				serve()
+	unanswered := func() { c.answer(quetzalwork.OrderUnanswered{}) }
+	if c.late {
+		f.after(2*time.Second+time.Duration(c.lateRNG.Int64N(int64(10*time.Second))), func() {
+			if m.up {
+				c.serveLate()
 			}
 		})
-		f.after(900*time.Millisecond, func() { answer(quetzalwork.OrderUnanswered{}) })
+		f.after(c.timeout, unanswered)
 		return
 	}
-	f.call(e.zone, m.zone, 900*time.Millisecond, func() func() {
-		if m.successor != nil {
-			return func() { answer(quetzalwork.OrderMisdirected{}) }
-		}
-		if !m.up {
-			return nil
+	f.callOnceUp(e.zone, m.zone, c.timeout, func() bool { return m.up || m.successor != nil }, func(waited time.Duration) func() {
+		present := m.record.Incarnation
+		switch {
+		case m.successor != nil:
+			return func() { c.answer(quetzalwork.OrderMisdirected{}) }
+		case c.target.Incarnation != 0 && c.target.Incarnation != present:
+			return func() { c.answer(quetzalwork.OrderWrongIncarnation{Incarnation: present}) }
 		}
-		r := serve()
-		return func() { answer(r) }
-	}, func() { answer(quetzalwork.OrderUnanswered{}) })
+		return c.serve(waited)
+	}, unanswered)
 }
 
 // submit sends a new job to an entry and returns its ID.
--- a/quetzalcore/quetzalscheduler/waitcheck_test.go
+++ b/quetzalcore/quetzalscheduler/waitcheck_test.go
@@ -127,7 +127,7 @@
 func (c *waitCheck) noticeDisturbances() {
 	f := c.f
 	marks := f.disturbanceMarks()
-	inProgress := f.storeDown || f.loseAnswers > 0 || f.lateOrders > 0 || f.delayedWrites || f.store.listDown || f.censusDown || len(f.partitionedZones) > 0
+	inProgress := f.storeDown || f.loseAnswers > 0 || f.lateOrders > 0 || f.latePolls > 0 || f.delayedWrites || f.store.listDown || f.censusDown || len(f.partitionedZones) > 0
 	for _, e := range f.entries {
 		inProgress = inProgress || !e.up && !e.gone || e.up && (e.watchFails || e.world.Stopping || e.pausedUntil > f.now)
 	}
--- a/quetzalcore/quetzalscheduler/waitreason_test.go
+++ b/quetzalcore/quetzalscheduler/waitreason_test.go
@@ -249,6 +249,7 @@
 		seed := rapid.Uint64().Draw(t, "seed")
 		f := newAccountFleet(seed, rapid.IntRange(2, 5).Draw(t, "entries"), rapid.IntRange(4, 10).Draw(t, "minions"), oneAccount(12000))
 		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
+		f.latePolls = f.lateOrders
 		type stepOfJob struct {
 			job   quetzalunit.JobID
 			step  quetzalunit.StepIndex
