Send each call to the process of a minion for which it was decided

Cause: a call names the minion by its id only. One that was decided for the former process, and went out on a connection that was opened after the restart, was carried out by the later one. Its lease is a time on the clock of the former process; on the later one's, whose clock begins anew, it may be far ahead, and the minion shortens it to the longest lease of 10 s. The dispatcher that sees the restart counts with that, a successor counts with 4.5 s. The class: a bound that is granted on one clock and read on another.

Change: calls name the incarnation that the dispatcher knows, so that the client sends them only on connections to that process. If another one answers, the call is not sent, its run starts elsewhere at once, and the dispatcher treats the minion as restarted. A lower incarnation counts if the list names the same one: the minion's time of day was set back. The log tells how a restart became known.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -192,7 +192,7 @@
 	}
 	m := w.Minions.At(row)
 	if m.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation > m.Incarnation {
-		resetRestartedMinion(w, row, r.Incarnation)
+		resetRestartedMinion(w, row, r.Incarnation, "List")
 	}
 	incarnation := max(m.Incarnation, r.Incarnation)
 	if r.Draining && !m.Draining {
@@ -239,9 +239,12 @@
 // resetRestartedMinion ends the runs of a minion's earlier incarnation and clears what this
 // process knew of it. The new incarnation may have carried out the orders to start the runs that no
 // report has shown yet: these stay active until its first report shows whether they run.
-func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation) {
+// source tells how the restart became known.
+func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation, source string) {
 	m := w.Minions.At(row)
-	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has restarted.", Minion: m.ID, Pool: m.Pool, Version: int64(incarnation)})
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The minion has restarted.", Minion: m.ID, Pool: m.Pool, Version: int64(incarnation), Age: ageOf(w, m.LastAnsweredAt), Reason: source,
+	})
 	runs := crashedRuns(w, m)
 	m.Untracked = quetzalwork.UntrackedRuns{}
 	for _, run := range slices.Clone(m.Runs) {
@@ -269,6 +272,18 @@
 	schedulePoll(w, row, 0)
 }
 
+// handleWrongIncarnation handles that a call was not sent, because another incarnation of its minion answers.
+// The present one may have the lower number if the minion's time of day was set back before it started: the
+// list then names the same one.
+func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, answering quetzalunit.MinionIncarnation) {
+	m := w.Minions.At(row)
+	if answering > m.Incarnation || answering < m.Incarnation && answering == m.RecordIncarnation {
+		resetRestartedMinion(w, row, answering, "Call")
+		return
+	}
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "An earlier process of the minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(answering), Routine: true})
+}
+
 // endMinionRuns ends all runs of a minion. The caller must know for certain that none of them
 // continues.
 func endMinionRuns(w *quetzalwork.World, row quetzalwork.Row, reason string) {
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -75,7 +75,7 @@
 }
 
 func targetOf(w *quetzalwork.World, m *quetzalwork.Minion) quetzalwork.MinionTarget {
-	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token.Order(0)}
+	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token.Order(0), Incarnation: m.Incarnation}
 }
 
 // pollMinion asks a minion which runs are active and which have ended, and acknowledges ends
@@ -135,6 +135,12 @@
 	switch r := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 		applyMinionReport(w, in, r.Clock)
+	case quetzalwork.OrderWrongIncarnation:
+		handleWrongIncarnation(w, in.Minion, r.Incarnation)
+		if m.Incarnation == r.Incarnation {
+			return
+		}
+		recordMissedPoll(w, in.Minion, "EarlierIncarnation")
 	case quetzalwork.OrderFenced:
 		dropDispatch(w, m.PoolRow, "Fenced")
 		return
@@ -189,7 +195,7 @@
 	m := w.Minions.At(in.Minion)
 	p := w.Pools.At(m.PoolRow)
 	if in.Incarnation != 0 && m.Incarnation != 0 && in.Incarnation > m.Incarnation {
-		resetRestartedMinion(w, in.Minion, in.Incarnation)
+		resetRestartedMinion(w, in.Minion, in.Incarnation, "Answer")
 	}
 	m.Incarnation = max(m.Incarnation, in.Incarnation)
 	if m.MissedAnswers > 0 {
--- a/quetzalcore/quetzalscheduler/pace.go
+++ b/quetzalcore/quetzalscheduler/pace.go
@@ -79,10 +79,12 @@
 	if r == nil {
 		return
 	}
-	switch in.Result.(type) {
+	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 	case quetzalwork.OrderFenced:
 		dropDispatch(w, w.Minions.At(r.Minion).PoolRow, "Fenced")
+	case quetzalwork.OrderWrongIncarnation:
+		handleWrongIncarnation(w, r.Minion, result.Incarnation)
 	default:
 		// The actual pace is unknown. Assuming full pace makes the next check send a new order
 		// if the run has to be slowed down.
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -411,12 +411,14 @@
 		return
 	}
 	r.StopInFlight = false
-	switch in.Result.(type) {
+	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 		r.StopAnsweredAt = w.Now
 		schedulePoll(w, r.Minion, 0)
 	case quetzalwork.OrderFenced:
 		dropDispatch(w, w.Minions.At(r.Minion).PoolRow, "Fenced")
+	case quetzalwork.OrderWrongIncarnation:
+		handleWrongIncarnation(w, r.Minion, result.Incarnation)
 	default:
 		// watchRuns sends the order again.
 	}
@@ -430,12 +432,16 @@
 	}
 	m := w.Minions.At(r.Minion)
 	r.AnsweredAt = w.Now
-	switch in.Result.(type) {
+	minion := r.Minion
+	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 		markRunStarted(w, r)
 		w.Jobs.At(w.Steps.At(w.Tasks.At(r.Task).Step).Job).Started = true
 	case quetzalwork.OrderFenced:
 		dropDispatch(w, m.PoolRow, "Fenced")
+	case quetzalwork.OrderWrongIncarnation:
+		rejectRun(w, in.Run, "WrongIncarnation")
+		handleWrongIncarnation(w, minion, result.Incarnation)
 	case quetzalwork.OrderUnanswered:
 		r.State = quetzalwork.RunStartUnanswered
 		stopRun(w, in.Run, quetzalwork.StopUnanswered)
