Raise the token of the calls to a minion when it restarts

Callers' tasks ran again after they were done.

Cause: ends are numbered from 1 in each process. A poll for the former process that is carried out seconds late, by the later one, acknowledges ends that nobody has read; a late start begins a run that the former process had been told to stop. Both carry the token that the dispatcher uses for the later process, too, so that it accepts them. The class: knowledge of one process applied to another.

The calls to a restarted minion have a higher token than all calls for its earlier processes, so that it rejects these once it has accepted one. The answer that shows a restart is not applied, since late calls still count until the next one; answers to calls with an earlier token are ignored, and a rejection of such a call does not end the dispatch. A start without an answer can have no effect any more once the minion has accepted a higher token, and its task waits for nothing else. The log tells when a minion no longer reports ends that nobody has seen.

--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -67,7 +67,7 @@
 // before the predecessor may extend leases for as long as its row of the duty says.
 func beginDispatch(w *quetzalwork.World, row quetzalwork.Row, revision quetzalunit.Revision, predecessor quetzalwork.Duty, mayBeRunning bool) {
 	p := w.Pools.At(row)
-	p.Held, p.Token, p.HeldSince = true, quetzalunit.FencingToken(revision), w.Now
+	p.Held, p.Token, p.Restarts, p.HeldSince = true, quetzalunit.FencingToken(revision), 0, w.Now
 	p.JobsLoaded, p.NextKey, p.ReadInFlight, p.SeenRevision, p.PredecessorWorkKnown = false, "", false, 0, false
 	p.RunNumbersExhausted, p.ReadFailingSince, p.UntoldToken = false, 0, 0
 	quetzallimit.ForgetPool(w, p)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -179,7 +179,7 @@
 		row = 0
 	}
 	if row == 0 {
-		row = w.Minions.Insert(quetzalwork.Minion{MinionRecord: *r, PoolRow: pool, FirstSeenAt: w.Now, Listed: true, Slowdown: 1})
+		row = w.Minions.Insert(quetzalwork.Minion{MinionRecord: *r, PoolRow: pool, FirstSeenAt: w.Now, Listed: true, Slowdown: 1, Restarts: p.Restarts})
 		w.MinionByID.Put(r.ID, row)
 		retireEarlierMinions(w, r)
 		p.Minions = append(p.Minions, row)
@@ -238,7 +238,8 @@
 
 // resetRestartedMinion ends the runs of a minion's earlier incarnation and clears what this
 // process knew of it. The new incarnation may have carried out the orders to start the runs that no
-// report has shown yet: these stay active until its first report shows whether they run.
+// report has shown yet: these stay active until its first report shows whether they run. The calls to the
+// new incarnation have a higher token, so that it rejects calls for the earlier one that arrive later.
 // source tells how the restart became known.
 func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation, source string) {
 	m := w.Minions.At(row)
@@ -269,9 +270,26 @@
 		// shortens it to the longest one.
 		m.LeaseEnd = m.Clock.Add(maxLeaseDuration(w))
 	}
+	m.RestartSeenAt, m.PollInFlight = w.Now, false
+	raiseOrderToken(w, m)
 	schedulePoll(w, row, 0)
 }
 
+// raiseOrderToken raises the token of the calls to a minion. Once the count has no larger value, it requests
+// the release of the pool's duty, since a new term has a higher token.
+func raiseOrderToken(w *quetzalwork.World, m *quetzalwork.Minion) {
+	p := w.Pools.At(m.PoolRow)
+	if !p.Held {
+		return
+	}
+	if p.Restarts == quetzalunit.MaxRestarts {
+		p.RunNumbersExhausted = true
+		return
+	}
+	p.Restarts++
+	m.Restarts = p.Restarts
+}
+
 // handleWrongIncarnation handles that a call was not sent, because another incarnation of its minion answers.
 // The present one may have the lower number if the minion's time of day was set back before it started: the
 // list then names the same one.
@@ -315,7 +333,7 @@
 		removeRun(w, run)
 	}
 	*m = quetzalwork.Minion{
-		MinionRecord: m.MinionRecord, RecordIncarnation: m.RecordIncarnation, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, Listed: m.Listed, Replaced: m.Replaced,
+		MinionRecord: m.MinionRecord, RecordIncarnation: m.RecordIncarnation, PoolRow: m.PoolRow, FirstSeenAt: m.FirstSeenAt, RestartSeenAt: m.RestartSeenAt, Listed: m.Listed, Replaced: m.Replaced,
 		RemovedAt: m.RemovedAt, RemovedRevision: m.RemovedRevision, DrainUntil: m.DrainUntil, Slowdown: 1,
 	}
 }
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -75,7 +76,12 @@
 }
 
 func targetOf(w *quetzalwork.World, m *quetzalwork.Minion) quetzalwork.MinionTarget {
-	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: w.Pools.At(m.PoolRow).Token.Order(0), Incarnation: m.Incarnation}
+	return quetzalwork.MinionTarget{Minion: m.ID, Address: m.Address, Token: orderToken(w, m), Incarnation: m.Incarnation}
+}
+
+// orderToken returns the token of the calls to a minion.
+func orderToken(w *quetzalwork.World, m *quetzalwork.Minion) quetzalunit.OrderToken {
+	return w.Pools.At(m.PoolRow).Token.Order(m.Restarts)
 }
 
 // pollMinion asks a minion which runs are active and which have ended, and acknowledges ends
@@ -128,12 +134,17 @@
 		return
 	}
 	p := w.Pools.At(m.PoolRow)
-	if !p.Held || p.Token.Order(0) != in.Token {
+	if !p.Held || orderToken(w, m) != in.Token {
 		return
 	}
 	m.PollInFlight = false
 	switch r := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
+		if m.Incarnation != 0 && in.Incarnation > m.Incarnation {
+			// Late calls for the earlier incarnation count until the present one has seen a higher token.
+			resetRestartedMinion(w, in.Minion, in.Incarnation, "Answer")
+			return
+		}
 		applyMinionReport(w, in, r.Clock)
 	case quetzalwork.OrderWrongIncarnation:
 		handleWrongIncarnation(w, in.Minion, r.Incarnation)
@@ -194,9 +205,6 @@
 func applyMinionReport(w *quetzalwork.World, in *quetzalwork.MinionPolled, clock quetzalunit.MinionTime) {
 	m := w.Minions.At(in.Minion)
 	p := w.Pools.At(m.PoolRow)
-	if in.Incarnation != 0 && m.Incarnation != 0 && in.Incarnation > m.Incarnation {
-		resetRestartedMinion(w, in.Minion, in.Incarnation, "Answer")
-	}
 	m.Incarnation = max(m.Incarnation, in.Incarnation)
 	if m.MissedAnswers > 0 {
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion answers again.", Minion: m.ID, Pool: m.Pool, Age: ageOf(w, m.LastAnsweredAt)})
@@ -205,14 +213,16 @@
 		p.NeedsPlacement = true
 	}
 	m.LeaseEnd = max(m.LeaseEnd, clock)
+	logForgottenEnds(w, in)
 	if !m.Answered {
-		// The minion may have a lease of the predecessor, whose token it has accepted until now.
+		// The minion may have a lease of an order whose token it has accepted until now.
 		m.EndsKnown = false
 		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(leaseDuration))
 		if len(m.Runs) > 0 {
 			// The minion has restarted, see resetRestartedMinion.
 			m.LeaseEnd = clock.Add(maxLeaseDuration(w))
 		}
+		logFirstAnswer(w, in, clock)
 	}
 	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
@@ -237,6 +247,32 @@
 	ackEnds(w, p)
 }
 
+// logForgottenEnds logs that a minion no longer reports ends that this process has not seen. Some call must
+// have acknowledged them: their runs look as if they had never ended.
+func logForgottenEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
+	m := w.Minions.At(in.Minion)
+	p := w.Pools.At(m.PoolRow)
+	if seenFromStart := m.Answered || m.RestartSeenAt > p.HeldSince; !seenFromStart || len(in.Ends) == 0 || in.Ends[0].Number <= m.SeenThrough+1 {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The minion has forgotten ends that this entry has not seen.", Minion: m.ID, Pool: m.Pool, Version: int64(in.Incarnation),
+		Reason: fmt.Sprintf("Seen%dFirst%d", m.SeenThrough, in.Ends[0].Number),
+	})
+}
+
+// logFirstAnswer logs what is known of a minion that has restarted once it has answered.
+func logFirstAnswer(w *quetzalwork.World, in *quetzalwork.MinionPolled, clock quetzalunit.MinionTime) {
+	m := w.Minions.At(in.Minion)
+	if m.RestartSeenAt <= w.Pools.At(m.PoolRow).HeldSince {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The restarted minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Incarnation), Age: w.Now.Sub(m.RestartSeenAt),
+		Reason: fmt.Sprintf("Lease%dmsRuns%dEnds%d", m.LeaseEnd-clock, len(in.Running), len(in.Ends)),
+	})
+}
+
 // applyReportedEnds applies the ends in a minion's answer that are new, in their order. It returns false
 // if it stopped at one whose job is not known.
 func applyReportedEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) bool {
@@ -316,9 +352,9 @@
 			}
 		case quetzalwork.RunStartUnanswered:
 			// An unanswered order to start has no effect once the minion has accepted an order to
-			// stop the run, or once the start deadline has passed.
+			// stop the run or one with a higher token, or once the start deadline has passed.
 			cancelled := r.StopAnsweredAt != 0 && r.StopAnsweredAt < in.SentAt
-			if cancelled || m.Clock > r.StartDeadline.Add(leaseExpiryMargin) {
+			if cancelled || r.StartToken < in.Token || m.Clock > r.StartDeadline.Add(leaseExpiryMargin) {
 				endRun(w, row, quetzalwork.OutcomeStopped, "", "NeverStarted")
 			}
 		case quetzalwork.RunStarting:
--- a/quetzalcore/quetzalscheduler/pace.go
+++ b/quetzalcore/quetzalscheduler/pace.go
@@ -82,7 +82,7 @@
 	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 	case quetzalwork.OrderFenced:
-		dropDispatch(w, w.Minions.At(r.Minion).PoolRow, "Fenced")
+		handleFenced(w, r.Minion, in.Token)
 	case quetzalwork.OrderWrongIncarnation:
 		handleWrongIncarnation(w, r.Minion, result.Incarnation)
 	default:
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -50,7 +50,7 @@
 		quetzallimit.ChargeStart(w, j, equivalentCores(needsOf(s.Spec), m.Capacity), expectedRunTime(p, j.Queue, s))
 	}
 	row := addRun(w, taskRow, minionRow, quetzalwork.Run{
-		Number: number, State: quetzalwork.RunStarting, StartedAt: w.Now, StartDeadline: lease, Pace: 100,
+		Number: number, State: quetzalwork.RunStarting, StartedAt: w.Now, StartToken: orderToken(w, m), StartDeadline: lease, Pace: 100,
 	})
 	t.IsolationDeadline = 0
 	if m.ReservedFor == t.Step {
@@ -416,7 +416,7 @@
 		r.StopAnsweredAt = w.Now
 		schedulePoll(w, r.Minion, 0)
 	case quetzalwork.OrderFenced:
-		dropDispatch(w, w.Minions.At(r.Minion).PoolRow, "Fenced")
+		handleFenced(w, r.Minion, in.Token)
 	case quetzalwork.OrderWrongIncarnation:
 		handleWrongIncarnation(w, r.Minion, result.Incarnation)
 	default:
@@ -438,7 +438,9 @@
 		markRunStarted(w, r)
 		w.Jobs.At(w.Steps.At(w.Tasks.At(r.Task).Step).Job).Started = true
 	case quetzalwork.OrderFenced:
-		dropDispatch(w, m.PoolRow, "Fenced")
+		if handleFenced(w, minion, in.Token) {
+			rejectRun(w, in.Run, "EarlierIncarnation")
+		}
 	case quetzalwork.OrderWrongIncarnation:
 		rejectRun(w, in.Run, "WrongIncarnation")
 		handleWrongIncarnation(w, minion, result.Incarnation)
@@ -472,6 +474,18 @@
 	}
 }
 
+// handleFenced handles that a minion has rejected an order because it has seen a higher token. It returns true
+// if that was one of this process: the order was for an earlier incarnation. Otherwise a later dispatcher uses
+// the minion, and this one's dispatch ends.
+func handleFenced(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken) bool {
+	m := w.Minions.At(row)
+	if token < orderToken(w, m) {
+		return true
+	}
+	dropDispatch(w, m.PoolRow, "Fenced")
+	return false
+}
+
 // markRunStarted records that the minion of a run has started it.
 func markRunStarted(w *quetzalwork.World, r *quetzalwork.Run) {
 	observeRunAfterWait(w, w.Tasks.At(r.Task), r.Adopted)
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -115,8 +115,10 @@
 	Abandoned Abandoned
 	// Held reports whether this process dispatches the pool.
 	Held bool
-	// Token is this process's fencing token, valid while Held.
-	Token quetzalunit.FencingToken
+	// Token is this process's fencing token, valid while Held. Restarts counts the restarts of the pool's
+	// minions that this process has seen since.
+	Token    quetzalunit.FencingToken
+	Restarts quetzalunit.Restarts
 	// HeldSince is when this process became the dispatcher.
 	HeldSince quetzalunit.Instant
 	// JobsLoaded reports whether all rows that were stored before the takeover are known.
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -392,7 +392,9 @@
 	StartedAt quetzalunit.Instant
 	// AnsweredAt is when the order to start was answered or timed out.
 	AnsweredAt quetzalunit.Instant
-	// StartDeadline is the time from which on the minion rejects the order to start.
+	// StartToken is the token of the order to start, zero if an earlier dispatcher gave it. StartDeadline is
+	// the time from which on the minion rejects the order.
+	StartToken    quetzalunit.OrderToken
 	StartDeadline quetzalunit.MinionTime
 	// Reported is set once the minion has reported the run as active.
 	Reported bool
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -36,6 +36,8 @@
 	// RecordIncarnation is the incarnation that wrote the record, zero if the record names none. The
 	// minion itself may have reported a later one.
 	RecordIncarnation quetzalunit.MinionIncarnation
+	// RestartSeenAt is when this process learned that the minion had restarted under its ID, zero if it has not.
+	RestartSeenAt quetzalunit.Instant
 	// Listed reports whether the minion is in the list. One that has left it gets no new runs.
 	Listed bool
 	// RemovedAt is when the minion left the list, RemovedRevision the revision of the read that showed it.
@@ -64,7 +66,10 @@
 	// out their orders to start; its first report shows whether it has.
 	UnconfirmedRuns []LostRun
 
-	// Answered reports whether the minion has accepted an order with this process's token. It then
+	// Restarts is the Restarts of the pool when the minion joined it or restarted. Its calls carry it in
+	// their token, so that the present incarnation rejects late calls for earlier ones.
+	Restarts quetzalunit.Restarts
+	// Answered reports whether the minion has accepted an order with the present token. It then
 	// accepts none of earlier dispatchers, and its active runs are known. FirstAnsweredAt is when it
 	// first did.
 	Answered        bool
