Check that the jobs end after restarts of minions, too

The regression tests of restarted minions required only that no guarantee is violated. They now require that all jobs end, and run for longer. The simulated minion knows for each of its processes when the dispatcher learned of it, so that an order to start that was sent after that is judged by the later capacity also if the minion restarts once more.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -465,9 +465,11 @@
 	record quetzalwork.MinionRecord
 	// capacities are the capacities in the order of time, the present one last.
 	capacities []timedCapacity
-	zone       quetzalunit.ZoneID
-	up         bool
-	runs       map[quetzalwork.TaskID]*fakeRun
+	// notices are the first answers to polls, one for each process that gave any.
+	notices []notice
+	zone    quetzalunit.ZoneID
+	up      bool
+	runs    map[quetzalwork.TaskID]*fakeRun
 	// process is the present process, or the last one if the minion is down.
 	process *process
 	// failing makes every run fail; slowdown multiplies the run times.
@@ -485,8 +487,8 @@
 type process struct {
 	// clockBase is the fleet's time at which the process's clock shows zero.
 	clockBase quetzalunit.Instant
-	// noticedAt is when the process answered its first poll, zero if it has not.
-	noticedAt    quetzalunit.Instant
+	// noticed reports whether the process has answered a poll.
+	noticed      bool
 	token        quetzalunit.OrderToken
 	lease        quetzalunit.MinionTime
 	ends         []quetzalwork.ReportedEnd
@@ -509,6 +511,12 @@
 	quetzalunit.Resources
 }
 
+// notice is the first answer of an incarnation of a minion to a poll.
+type notice struct {
+	incarnation quetzalunit.MinionIncarnation
+	at          quetzalunit.Instant
+}
+
 // addMinion adds a running minion to the fleet and to the store's minion list.
 func (f *fleet) addMinion(zone quetzalunit.ZoneID, rack int) *minion {
 	id := quetzalunit.MinionID(fmt.Sprint("m", len(f.minions)))
@@ -593,13 +601,18 @@
 }
 
 // limit returns the capacity that a start must not exceed: for each resource the largest amount that
-// the minion had from shrinkNotice before the order was sent until now. The capacities of earlier
-// incarnations do not count if the order was sent after the answer to the first poll had arrived.
+// the minion had from shrinkNotice before the order was sent until now. The capacities of incarnations
+// do not count if the order was sent after the first answer of a later one had arrived.
 func (m *minion) limit(sent quetzalunit.Instant) quetzalunit.Resources {
 	limit := m.capacity()
-	noticed := m.process.noticedAt != 0 && sent > m.process.noticedAt.Add(answerTime)
+	var known quetzalunit.MinionIncarnation
+	for _, n := range m.notices {
+		if sent > n.at.Add(answerTime) {
+			known = n.incarnation
+		}
+	}
 	for i, c := range m.capacities[:len(m.capacities)-1] {
-		if noticed && c.incarnation != m.record.Incarnation {
+		if c.incarnation < known {
 			continue
 		}
 		if m.capacities[i+1].since >= sent.Add(-shrinkNotice) {
@@ -826,8 +839,9 @@
 	}
 	p := m.process
 	answer := func() {
-		if p.noticedAt == 0 {
-			p.noticedAt = m.f.now
+		if !p.noticed {
+			p.noticed = true
+			m.notices = append(m.notices, notice{m.record.Incarnation, m.f.now})
 		}
 		in.Result, in.Incarnation = quetzalwork.OrderAccepted{Clock: m.clock()}, m.record.Incarnation
 		in.Ends = slices.Clone(p.ends)
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -15,6 +15,7 @@
 // pool.
 func newLongTaskFleet(seed uint64) *fleet {
 	f := newFleet(seed, threeZones, 6, 9, testConfig())
+	f.restarting = true
 	f.runTime = func(quetzalwork.TaskID) time.Duration { return 15 * time.Second }
 	f.run(3 * time.Second)
 	return f
@@ -79,8 +80,9 @@
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(20 * time.Second)
+		f.run(50 * time.Second)
 		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
 
@@ -104,8 +106,9 @@
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(20 * time.Second)
+		f.run(50 * time.Second)
 		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
 
@@ -124,8 +127,9 @@
 			}
 		}
 		f.latePolls = 0
-		f.run(20 * time.Second)
+		f.run(50 * time.Second)
 		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
 
@@ -149,8 +153,9 @@
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(20 * time.Second)
+		f.run(50 * time.Second)
 		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
 
@@ -174,7 +179,8 @@
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(20 * time.Second)
+		f.run(50 * time.Second)
 		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
