Count with the longest lease on a minion that has restarted

A task ran on two minions at once if a minion restarted, carried out a late poll for its former process before any other call, and was cut off some seconds later: the late poll gave it the longest lease of 10 s, on its new clock.

Cause: the dispatcher counted with that lease only while it had runs there whose start no report had shown. A start that is answered for want of room extends the lease as well, and so does a late poll; what the dispatcher starts there afterwards holds the same lease. A successor counted with 4.5 s whether or not it had seen the restart in the list.

Change: on the first answer of a process that began within the longest lease, the dispatcher assumes the longest lease. A successor of a dispatcher that has not released the duty waits for as long from when it saw the restart, if the minion does not answer it. A release names minions that have restarted and not answered since.

The rule for releases is by reading; no test fails without it.

--- a/quetzalcore/quetzalscheduler/census.go
+++ b/quetzalcore/quetzalscheduler/census.go
@@ -99,8 +99,8 @@
 // silentLeaseEnd returns the instant after which nothing of earlier dispatchers runs on a minion that has not
 // answered: their leases have ended, or the hosts show that the minion has. If it may start again under its id, an
 // earlier dispatcher could use it anew, so that the hosts count only once none of them grants leases.
-func silentLeaseEnd(p *quetzalwork.Pool, m *quetzalwork.Minion) quetzalunit.Instant {
-	end, seen := earlierLeaseEnd(p, m), &m.HostSeen
+func silentLeaseEnd(w *quetzalwork.World, p *quetzalwork.Pool, m *quetzalwork.Minion) quetzalunit.Instant {
+	end, seen := earlierLeaseEnd(w, p, m), &m.HostSeen
 	if seen.Replaced || seen.SentAt > grantsEnd(p) {
 		return min(end, seen.AnsweredAt)
 	}
@@ -113,7 +113,7 @@
 	p := w.Pools.At(row)
 	for _, minion := range p.Minions {
 		m := w.Minions.At(minion)
-		if m.Answered || m.MissedAnswers == 0 || m.Replaced || silentLeaseEnd(p, m) < w.Now {
+		if m.Answered || m.MissedAnswers == 0 || m.Replaced || silentLeaseEnd(w, p, m) < w.Now {
 			continue
 		}
 		requestCensus(w, p.HeldSince)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -264,12 +264,7 @@
 		handleCrash(w, m, &runs[i])
 	}
 	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
-	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, 0, false
-	if len(m.Runs) > 0 {
-		// Their orders to start name a time of another clock as the end of the lease. The minion
-		// shortens it to the longest one.
-		m.LeaseEnd = m.Clock.Add(maxLeaseDuration(w))
-	}
+	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, quetzalunit.MinionTime(0).Add(maxLeaseDuration(w)), false
 	m.RestartSeenAt, m.PollInFlight = w.Now, false
 	raiseOrderToken(w, m)
 	schedulePoll(w, row, 0)
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -120,6 +120,28 @@
 	return w.Bounds.MaxLease
 }
 
+// longestEarlierLease returns how long a lease may last that a minion has when it accepts the present token
+// for the first time. A minion that has restarted measures the lease of an order for an earlier incarnation
+// on another clock, and only shortens it to the longest one.
+func longestEarlierLease(w *quetzalwork.World, m *quetzalwork.Minion) time.Duration {
+	if restartedWithinLease(w, m) {
+		return maxLeaseDuration(w)
+	}
+	return leaseDuration
+}
+
+// restartedWithinLease reports whether a lease may last that an order for an earlier incarnation of a minion
+// has granted.
+func restartedWithinLease(w *quetzalwork.World, m *quetzalwork.Minion) bool {
+	return m.RestartSeenAt != 0 && w.Now <= m.RestartSeenAt.Add(restartedLeaseExpiry(w))
+}
+
+// restartedLeaseExpiry returns the time after which the longest lease has expired that an incarnation
+// may have when its restart is seen.
+func restartedLeaseExpiry(w *quetzalwork.World) time.Duration {
+	return maxLeaseDuration(w)*100/minClockPercent + leaseExpiryMargin
+}
+
 // leaseExpiry returns the instant at which a minion's lease has certainly expired, even if the
 // minion's clock is slow, unless it is renewed.
 func leaseExpiry(m *quetzalwork.Minion) quetzalunit.Instant {
@@ -217,11 +239,7 @@
 	if !m.Answered {
 		// The minion may have a lease of an order whose token it has accepted until now.
 		m.EndsKnown = false
-		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(leaseDuration))
-		if len(m.Runs) > 0 {
-			// The minion has restarted, see resetRestartedMinion.
-			m.LeaseEnd = clock.Add(maxLeaseDuration(w))
-		}
+		m.FirstAnsweredAt, m.LeaseEnd = w.Now, max(m.LeaseEnd, clock.Add(longestEarlierLease(w, m)))
 		logFirstAnswer(w, in, clock)
 	}
 	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -33,9 +33,9 @@
 	}
 	for _, minionRow := range p.Minions {
 		m := w.Minions.At(minionRow)
-		end := earlierLeaseEnd(p, m)
-		if m.Answered {
-			end = leaseExpiry(m)
+		end := leaseExpiry(m)
+		if !m.Answered {
+			end = max(end, earlierLeaseEnd(w, p, m))
 		}
 		left := end.Sub(w.Now)
 		if m.Replaced || m.Answered && m.MissedAnswers == 0 && m.Listed && left <= l.Listed {
@@ -113,9 +113,12 @@
 }
 
 // earlierLeaseEnd returns the instant after which the leases of earlier dispatchers on a minion have
-// ended.
-func earlierLeaseEnd(p *quetzalwork.Pool, m *quetzalwork.Minion) quetzalunit.Instant {
+// ended. One that did not release the duty may not have seen that the minion restarted.
+func earlierLeaseEnd(w *quetzalwork.World, p *quetzalwork.Pool, m *quetzalwork.Minion) quetzalunit.Instant {
 	l := p.ReleasedLeases
+	if l == nil && m.RestartSeenAt != 0 && p.PredecessorLeasesEnd > p.HeldSince {
+		return max(p.PredecessorLeasesEnd, m.RestartSeenAt.Add(restartedLeaseExpiry(w)))
+	}
 	if l == nil {
 		return p.PredecessorLeasesEnd
 	}
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -184,3 +184,44 @@
 		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
+
+// latePollAfterRestart makes the minions of a zone go down and, as soon as they are back under their ids, carry
+// out a poll for their former process.
+func (f *fleet) latePollAfterRestart(zone quetzalunit.ZoneID, downtime time.Duration) {
+	for _, m := range f.order {
+		if m.zone == zone {
+			late := quetzalwork.PollMinion{Target: quetzalwork.MinionTarget{Token: m.process.token}, LeaseEnd: m.clock().Add(24 * time.Hour)}
+			f.after(downtime+time.Millisecond, func() { m.acceptPoll(late) })
+		}
+	}
+	f.restartZone(zone, downtime)
+}
+
+// Guards against the lease that a late poll for the former process gave a restarted minion before it got any other
+// call, for which neither the dispatcher nor a successor waits.
+func TestLeaseOfALatePollOfARestartedMinionIsWaitedFor(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.latePollAfterRestart(zone, 300*time.Millisecond)
+			f.submitEach50ms(rng, 2*time.Second+time.Duration(rng.Int64N(int64(time.Second))))
+			switch h := f.holder(); {
+			case h != nil && seed%3 == 1:
+				h.kill()
+				f.after(8*time.Second, h.start)
+			case h != nil && seed%3 == 2:
+				h.post(h.boot, quetzalwork.StopRequested{})
+				f.after(3*time.Second, h.kill)
+				f.after(8*time.Second, h.start)
+			}
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		f.run(50 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+	}
+}
--- a/quetzalcore/quetzalscheduler/wait.go
+++ b/quetzalcore/quetzalscheduler/wait.go
@@ -100,8 +100,8 @@
 		case m.Listed && !m.Replaced && m.MissedAnswers == 0 && hadDispatcher(p):
 			// It may have ends that nobody has acknowledged, however long ago its leases ended.
 			polled = false
-		case !m.Replaced && silentLeaseEnd(p, m) > runsKnownAt:
-			runsKnownAt, reason = silentLeaseEnd(p, m), waitMinion
+		case !m.Replaced && silentLeaseEnd(w, p, m) > runsKnownAt:
+			runsKnownAt, reason = silentLeaseEnd(w, p, m), waitMinion
 		}
 	}
 	if w.Now <= runsKnownAt {
