--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -270,7 +270,9 @@
 func logForgottenEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
 	m := w.Minions.At(in.Minion)
 	p := w.Pools.At(m.PoolRow)
-	if seenFromStart := m.Answered || m.RestartSeenAt > p.HeldSince; !seenFromStart || len(in.Ends) == 0 || in.Ends[0].Number <= m.SeenThrough+1 {
+	// Of a process that an earlier dispatcher has used, this one knows no end before the first that is reported.
+	known := m.SeenThrough > 0 || m.RestartSeenAt > p.HeldSince
+	if !known || len(in.Ends) == 0 || in.Ends[0].Number <= m.SeenThrough+1 {
 		return
 	}
 	w.Log(quetzalwork.Decision{
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -225,3 +225,31 @@
 		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
 	}
 }
+
+// Ends that a successor never had to read, since its predecessor has acknowledged them, are not forgotten ones.
+func TestForgottenEndsAreLogged(t *testing.T) {
+	f := newFleet(1, threeZones[:1], 2, 1, testConfig())
+	lines := 0
+	f.onLog = func(d quetzalwork.Decision) {
+		if d.Message == "The minion has forgotten ends that this entry has not seen." {
+			lines++
+		}
+	}
+	runJobs := func() {
+		for _, e := range f.entries {
+			if e.up {
+				f.submit(e, testStep(3))
+			}
+		}
+		f.run(5 * time.Second)
+	}
+	f.run(3 * time.Second)
+	runJobs()
+	f.holder().kill()
+	f.run(15 * time.Second)
+	runJobs()
+	require.Zero(t, lines)
+	f.order[0].process.lastEnd += 3
+	runJobs()
+	require.Equal(t, 1, lines)
+}
