Use a minion that has restarted with an earlier time of day

A minion whose time of day was set back before it restarted under its id got no work for good: the record of the later process has the lower incarnation, so that its capacity counted as unknown, and nothing but a poll every 30 s asked it. Calls that are sent to one process only would never have reached it.

A record with a lower incarnation than the known one makes the dispatcher poll at once. If the process that answers is the one that the list names, it is the present one.

Evidence: TestMinionThatRestartsWithAnEarlierTimeOfDayIsUsed fails without either part.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -195,6 +195,10 @@
 		resetRestartedMinion(w, row, r.Incarnation, "List")
 	}
 	incarnation := max(m.Incarnation, r.Incarnation)
+	if p.Held && r.Incarnation != 0 && r.Incarnation < incarnation {
+		// The record is stale, or the minion has restarted with an earlier time of day.
+		schedulePoll(w, row, 0)
+	}
 	if r.Draining && !m.Draining {
 		m.DrainUntil = w.Now.Add(r.DrainRemaining)
 	}
@@ -290,11 +294,14 @@
 // list then names the same one.
 func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, answering quetzalunit.MinionIncarnation) {
 	m := w.Minions.At(row)
-	if answering > m.Incarnation || answering < m.Incarnation && answering == m.RecordIncarnation {
+	switch {
+	case answering == m.Incarnation:
+		// The restart has become known since the call was decided.
+	case answering > m.Incarnation || answering == m.RecordIncarnation:
 		resetRestartedMinion(w, row, answering, "Call")
-		return
+	default:
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "An earlier process of the minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(answering), Routine: true})
 	}
-	w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "An earlier process of the minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(answering), Routine: true})
 }
 
 // endMinionRuns ends all runs of a minion. The caller must know for certain that none of them
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -226,6 +226,24 @@
 	}
 }
 
+// The time of day of a minion is set back before it restarts, so that the later process has the lower incarnation.
+func TestMinionThatRestartsWithAnEarlierTimeOfDayIsUsed(t *testing.T) {
+	f := newFleet(1, threeZones[:1], 2, 1, testConfig())
+	m := f.order[0]
+	m.record.Incarnation = 10
+	m.publish(false)
+	f.run(3 * time.Second)
+	f.submit(f.entries[0], testStep(3))
+	f.run(3 * time.Second)
+	m.kill()
+	m.begin()
+	m.record.Incarnation = 4
+	m.publish(false)
+	f.run(time.Second)
+	f.submit(f.entries[0], testStep(3))
+	runAndVerify(t, f, 20*time.Second)
+}
+
 // Ends that a successor never had to read, since its predecessor has acknowledged them, are not forgotten ones.
 func TestForgottenEndsAreLogged(t *testing.T) {
 	f := newFleet(1, threeZones[:1], 2, 1, testConfig())
