Raise the token of the calls to a minion that joins the pool again

A task ran again after it was done if its minion left the list for so long that the dispatcher forgot it, and started again under its id: the token was raised only for minions that the dispatcher still knew, so that the new process accepted a late poll for the former one, with its acknowledgements.

The token is raised for each minion that joins. By reading: the acceptance of a stop by the former process no longer counts for the later one, and a call that was decided before the last restart cannot make the dispatcher go back to a lower incarnation.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -179,10 +179,11 @@
 		row = 0
 	}
 	if row == 0 {
-		row = w.Minions.Insert(quetzalwork.Minion{MinionRecord: *r, PoolRow: pool, FirstSeenAt: w.Now, Listed: true, Slowdown: 1, Restarts: p.Restarts})
+		row = w.Minions.Insert(quetzalwork.Minion{MinionRecord: *r, PoolRow: pool, FirstSeenAt: w.Now, Listed: true, Slowdown: 1})
 		w.MinionByID.Put(r.ID, row)
 		retireEarlierMinions(w, r)
 		p.Minions = append(p.Minions, row)
+		raiseOrderToken(w, w.Minions.At(row))
 		if p.Held {
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "A minion joined the pool.", Minion: r.ID, Pool: r.Pool, Host: r.Host, Version: int64(r.Incarnation)})
 			schedulePoll(w, row, 0)
@@ -274,7 +275,8 @@
 	schedulePoll(w, row, 0)
 }
 
-// raiseOrderToken raises the token of the calls to a minion. Once the count has no larger value, it requests
+// raiseOrderToken raises the token of the calls to a minion that has joined the pool or restarted: this process may have
+// called an earlier incarnation with the token before. Once the count has no larger value, it requests
 // the release of the pool's duty, since a new term has a higher token.
 func raiseOrderToken(w *quetzalwork.World, m *quetzalwork.Minion) {
 	p := w.Pools.At(m.PoolRow)
@@ -289,15 +291,15 @@
 	m.Restarts = p.Restarts
 }
 
-// handleWrongIncarnation handles that a call was not sent, because another incarnation of its minion answers.
-// The present one may have the lower number if the minion's time of day was set back before it started: the
-// list then names the same one.
-func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, answering quetzalunit.MinionIncarnation) {
+// handleWrongIncarnation handles that a call with a token was not sent, because another incarnation of its minion
+// answers. The present one may have the lower number if the minion's time of day was set back before it started:
+// the list then names the same one.
+func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken, answering quetzalunit.MinionIncarnation) {
 	m := w.Minions.At(row)
 	switch {
 	case answering == m.Incarnation:
 		// The restart has become known since the call was decided.
-	case answering > m.Incarnation || answering == m.RecordIncarnation:
+	case answering > m.Incarnation || answering == m.RecordIncarnation && token == orderToken(w, m):
 		resetRestartedMinion(w, row, answering, "Call")
 	default:
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "An earlier process of the minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(answering), Routine: true})
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -169,7 +169,7 @@
 		}
 		applyMinionReport(w, in, r.Clock)
 	case quetzalwork.OrderWrongIncarnation:
-		handleWrongIncarnation(w, in.Minion, r.Incarnation)
+		handleWrongIncarnation(w, in.Minion, in.Token, r.Incarnation)
 		if m.Incarnation == r.Incarnation {
 			return
 		}
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -72,17 +72,12 @@
 			zone := f.otherZone(rng)
 			f.restartZone(zone, 600*time.Millisecond)
 			f.submitEach50ms(rng, 600*time.Millisecond+500*time.Millisecond+time.Duration(rng.Int64N(int64(1800*time.Millisecond))))
-			if h := f.holder(); h != nil {
-				h.kill()
-				f.after(8*time.Second, h.start)
-			}
+			f.endTerm(termKilled)
 			f.submitEach50ms(rng, 600*time.Millisecond)
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(50 * time.Second)
-		require.Empty(t, f.checker.violations, "seed %d", seed)
-		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
 
@@ -97,18 +92,12 @@
 			zone := f.otherZone(rng)
 			f.restartZone(zone, 600*time.Millisecond)
 			f.submitEach50ms(rng, 600*time.Millisecond+500*time.Millisecond+time.Duration(rng.Int64N(int64(1800*time.Millisecond))))
-			if h := f.holder(); h != nil {
-				h.post(h.boot, quetzalwork.StopRequested{})
-				f.after(3*time.Second, h.kill)
-				f.after(8*time.Second, h.start)
-			}
+			f.endTerm(termReleased)
 			f.submitEach50ms(rng, time.Duration(rng.Int64N(int64(600*time.Millisecond))))
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(50 * time.Second)
-		require.Empty(t, f.checker.violations, "seed %d", seed)
-		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
 
@@ -127,9 +116,7 @@
 			}
 		}
 		f.latePolls = 0
-		f.run(50 * time.Second)
-		require.Empty(t, f.checker.violations, "seed %d", seed)
-		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
 
@@ -146,16 +133,11 @@
 				f.restartZone(zone, 50*time.Millisecond+time.Duration(rng.Int64N(int64(400*time.Millisecond))))
 				f.submitEach50ms(rng, 500*time.Millisecond+time.Duration(rng.Int64N(int64(600*time.Millisecond))))
 			}
-			if h := f.holder(); h != nil && seed%2 == 1 {
-				h.kill()
-				f.after(8*time.Second, h.start)
-			}
+			f.endTerm(termEnd(seed % 2))
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(50 * time.Second)
-		require.Empty(t, f.checker.violations, "seed %d", seed)
-		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
 
@@ -179,24 +161,62 @@
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(50 * time.Second)
-		require.Empty(t, f.checker.violations, "seed %d", seed)
-		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
 
+// latePoll makes a minion carry out a poll for its present process after a while, whatever process runs then.
+func (m *minion) latePoll(d time.Duration) {
+	late := quetzalwork.PollMinion{Target: quetzalwork.MinionTarget{Token: m.process.token}, LeaseEnd: m.clock().Add(24 * time.Hour)}
+	m.f.after(d, func() { m.acceptPoll(late) })
+}
+
 // latePollAfterRestart makes the minions of a zone go down and, as soon as they are back under their ids, carry
 // out a poll for their former process.
 func (f *fleet) latePollAfterRestart(zone quetzalunit.ZoneID, downtime time.Duration) {
 	for _, m := range f.order {
 		if m.zone == zone {
-			late := quetzalwork.PollMinion{Target: quetzalwork.MinionTarget{Token: m.process.token}, LeaseEnd: m.clock().Add(24 * time.Hour)}
-			f.after(downtime+time.Millisecond, func() { m.acceptPoll(late) })
+			m.latePoll(downtime + time.Millisecond)
 		}
 	}
 	f.restartZone(zone, downtime)
 }
 
+// termEnd is how the term of the pool's dispatcher ends.
+type termEnd int
+
+const (
+	termGoesOn termEnd = iota
+	termKilled
+	termReleased
+)
+
+// endTerm ends the term of the pool's dispatcher, which starts again later.
+func (f *fleet) endTerm(how termEnd) {
+	h := f.holder()
+	if h == nil {
+		return
+	}
+	switch how {
+	case termKilled:
+		h.kill()
+	case termReleased:
+		h.post(h.boot, quetzalwork.StopRequested{})
+		f.after(3*time.Second, h.kill)
+	default:
+		return
+	}
+	f.after(8*time.Second, h.start)
+}
+
+// requireGuaranteesAndEnds runs the fleet until its long tasks have ended.
+func requireGuaranteesAndEnds(t *testing.T, f *fleet, seed uint64) {
+	t.Helper()
+	f.run(50 * time.Second)
+	require.Empty(t, f.checker.violations, "seed %d", seed)
+	require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+}
+
 // Guards against the lease that a late poll for the former process gave a restarted minion before it got any other
 // call, for which neither the dispatcher nor a successor waits.
 func TestLeaseOfALatePollOfARestartedMinionIsWaitedFor(t *testing.T) {
@@ -208,21 +228,39 @@
 			zone := f.otherZone(rng)
 			f.latePollAfterRestart(zone, 300*time.Millisecond)
 			f.submitEach50ms(rng, 2*time.Second+time.Duration(rng.Int64N(int64(time.Second))))
-			switch h := f.holder(); {
-			case h != nil && seed%3 == 1:
-				h.kill()
-				f.after(8*time.Second, h.start)
-			case h != nil && seed%3 == 2:
-				h.post(h.boot, quetzalwork.StopRequested{})
-				f.after(3*time.Second, h.kill)
-				f.after(8*time.Second, h.start)
-			}
+			f.endTerm(termEnd(seed % 3))
 			f.cutOff(rng, zone, 9*time.Second)
 			f.submitEach50ms(rng, 3*time.Second)
 		}
-		f.run(50 * time.Second)
-		require.Empty(t, f.checker.violations, "seed %d", seed)
-		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
+// The dispatcher forgets a minion that has left the list, which then starts again under its id.
+func TestLatePollOfAMinionThatRejoinsLosesNoEnd(t *testing.T) {
+	for seed := range uint64(100) {
+		f := newFleet(seed, threeZones[:1], 1, 3, testConfig())
+		f.restarting, f.latePolls = true, 0.1
+		submitEach80ms := func(n int) {
+			for range n {
+				f.submit(f.entries[0], testStep(3))
+				f.run(80 * time.Millisecond)
+			}
+		}
+		f.run(5 * time.Second)
+		for round := range 5 {
+			submitEach80ms(20)
+			f.run(4 * time.Second)
+			m := f.order[round%3]
+			m.kill()
+			f.run(3100 * time.Millisecond)
+			m.publish(true)
+			f.run(1500 * time.Millisecond)
+			m.recover()
+			submitEach80ms(60)
+		}
+		f.latePolls = 0
+		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
 
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -413,12 +413,14 @@
 	r.StopInFlight = false
 	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
-		r.StopAnsweredAt = w.Now
+		if in.Token == orderToken(w, w.Minions.At(r.Minion)) {
+			r.StopAnsweredAt = w.Now
+		}
 		schedulePoll(w, r.Minion, 0)
 	case quetzalwork.OrderFenced:
 		handleFenced(w, r.Minion, in.Token)
 	case quetzalwork.OrderWrongIncarnation:
-		handleWrongIncarnation(w, r.Minion, result.Incarnation)
+		handleWrongIncarnation(w, r.Minion, in.Token, result.Incarnation)
 	default:
 		// watchRuns sends the order again.
 	}
@@ -443,7 +445,7 @@
 		}
 	case quetzalwork.OrderWrongIncarnation:
 		rejectRun(w, in.Run, "WrongIncarnation")
-		handleWrongIncarnation(w, minion, result.Incarnation)
+		handleWrongIncarnation(w, minion, in.Token, result.Incarnation)
 	case quetzalwork.OrderUnanswered:
 		r.State = quetzalwork.RunStartUnanswered
 		stopRun(w, in.Run, quetzalwork.StopUnanswered)
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -169,14 +169,14 @@
 	case quetzalwork.StartRun:
 		d.starts = append(d.starts, cmd)
 		if d.rejectsStarts {
-			return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderOutdated{Clock: d.clock()}}
+			return quetzalwork.StartAnswered{Run: cmd.Run, Token: cmd.Target.Token, Result: quetzalwork.OrderOutdated{Clock: d.clock()}}
 		}
 		if d.unansweredStarts {
-			return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderUnanswered{}}
+			return quetzalwork.StartAnswered{Run: cmd.Run, Token: cmd.Target.Token, Result: quetzalwork.OrderUnanswered{}}
 		}
-		return quetzalwork.StartAnswered{Run: cmd.Run, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
+		return quetzalwork.StartAnswered{Run: cmd.Run, Token: cmd.Target.Token, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
 	case quetzalwork.StopRun:
-		return quetzalwork.StopAnswered{Run: cmd.Run, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
+		return quetzalwork.StopAnswered{Run: cmd.Run, Token: cmd.Target.Token, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
 	default:
 		return nil
 	}
--- a/quetzalcore/quetzalunit/work.go
+++ b/quetzalcore/quetzalunit/work.go
@@ -38,7 +38,7 @@
 	// OrderToken orders the calls to a minion, which rejects those with a lower token than the highest that
 	// it has seen. The high bits are the dispatcher's FencingToken, the low restartBits bits its Restarts.
 	OrderToken int64
-	// Restarts counts the restarts of minions that a dispatcher has seen.
+	// Restarts counts the minions that have joined a pool or restarted under its dispatcher.
 	Restarts int32
 	// EndNumber numbers from 1 the ends of runs within one MinionIncarnation.
 	EndNumber int64
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -115,8 +115,8 @@
 	Abandoned Abandoned
 	// Held reports whether this process dispatches the pool.
 	Held bool
-	// Token is this process's fencing token, valid while Held. Restarts counts the restarts of the pool's
-	// minions that this process has seen since.
+	// Token is this process's fencing token, valid while Held. Restarts counts the minions
+	// that joined the pool or restarted since, by what this process has seen.
 	Token    quetzalunit.FencingToken
 	Restarts quetzalunit.Restarts
 	// HeldSince is when this process became the dispatcher.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -66,7 +66,7 @@
 	// out their orders to start; its first report shows whether it has.
 	UnconfirmedRuns []LostRun
 
-	// Restarts is the Restarts of the pool when the minion joined it or restarted. Its calls carry it in
+	// Restarts is the Restarts of the pool since the minion joined it or last restarted. Its calls carry it in
 	// their token, so that the present incarnation rejects late calls for earlier ones.
 	Restarts quetzalunit.Restarts
 	// Answered reports whether the minion has accepted an order with the present token. It then
