Count with the longest lease on every minion whose process may have begun lately

A task ran on two minions at once if a restarted minion carried out a late poll for its former process and nobody who waited for the leases there had seen the restart.

Cause: the longest lease counted for 10 s from the instant at which this process had seen a higher incarnation. A process that has started since has seen none, a call may be carried out for up to 12 s after it was sent, and a lower incarnation did not count.

Change: the time counts from when the process learned of the minion or of its restart, in either direction, and for as long as calls may be late in addition. A successor that the minion does not answer does not wait for late calls that are carried out after the takeover: with a restart that it has seen it would be 22 s, for a case that no test of ours shows.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -196,9 +196,12 @@
 		resetRestartedMinion(w, row, r.Incarnation, "List")
 	}
 	incarnation := max(m.Incarnation, r.Incarnation)
-	if p.Held && r.Incarnation != 0 && r.Incarnation < incarnation {
-		// The record is stale, or the minion has restarted with an earlier time of day.
-		schedulePoll(w, row, 0)
+	if r.Incarnation != 0 && r.Incarnation < m.RecordIncarnation {
+		// The minion has restarted with an earlier time of day, unless the record comes from another writer.
+		m.RestartSeenAt = w.Now
+		if p.Held {
+			schedulePoll(w, row, 0)
+		}
 	}
 	if r.Draining && !m.Draining {
 		m.DrainUntil = w.Now.Add(r.DrainRemaining)
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -38,6 +38,8 @@
 	// in hundredths. minClockRate is the same as a fraction.
 	minClockPercent = 98
 	minClockRate    = minClockPercent / 100.0
+	// maxCallDelay is how long after it was sent a call without an answer may be carried out.
+	maxCallDelay = 12 * time.Second
 	// unknownJobGrace is how long a minion's runs of an unknown job may continue: another entry
 	// may be about to report the job.
 	unknownJobGrace = 4 * time.Second
@@ -122,22 +124,22 @@
 
 // longestEarlierLease returns how long a lease may last that a minion has when it accepts the present token
 // for the first time. A minion that has restarted measures the lease of an order for an earlier incarnation
-// on another clock, and only shortens it to the longest one.
+// on another clock, and only shortens it to the longest one. Such an order may be carried out late.
 func longestEarlierLease(w *quetzalwork.World, m *quetzalwork.Minion) time.Duration {
-	if restartedWithinLease(w, m) {
+	if w.Now <= incarnationSeenAt(m).Add(maxCallDelay+restartedLeaseExpiry(w)) {
 		return maxLeaseDuration(w)
 	}
 	return leaseDuration
 }
 
-// restartedWithinLease reports whether a lease may last that an order for an earlier incarnation of a minion
-// has granted.
-func restartedWithinLease(w *quetzalwork.World, m *quetzalwork.Minion) bool {
-	return m.RestartSeenAt != 0 && w.Now <= m.RestartSeenAt.Add(restartedLeaseExpiry(w))
+// incarnationSeenAt returns when this process learned of a minion's present incarnation, which may have begun
+// just before.
+func incarnationSeenAt(m *quetzalwork.Minion) quetzalunit.Instant {
+	return max(m.FirstSeenAt, m.RestartSeenAt)
 }
 
 // restartedLeaseExpiry returns the time after which the longest lease has expired that an incarnation
-// may have when its restart is seen.
+// may have when this process learns of it.
 func restartedLeaseExpiry(w *quetzalwork.World) time.Duration {
 	return maxLeaseDuration(w)*100/minClockPercent + leaseExpiryMargin
 }
--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -113,11 +113,12 @@
 }
 
 // earlierLeaseEnd returns the instant after which the leases of earlier dispatchers on a minion have
-// ended. One that did not release the duty may not have seen that the minion restarted.
+// ended. One that did not release the duty may not have seen that the minion restarted just before this process
+// learned of it.
 func earlierLeaseEnd(w *quetzalwork.World, p *quetzalwork.Pool, m *quetzalwork.Minion) quetzalunit.Instant {
 	l := p.ReleasedLeases
-	if l == nil && m.RestartSeenAt != 0 && p.PredecessorLeasesEnd > p.HeldSince {
-		return max(p.PredecessorLeasesEnd, m.RestartSeenAt.Add(restartedLeaseExpiry(w)))
+	if l == nil && p.PredecessorLeasesEnd > p.HeldSince {
+		return max(p.PredecessorLeasesEnd, incarnationSeenAt(m).Add(restartedLeaseExpiry(w)))
 	}
 	if l == nil {
 		return p.PredecessorLeasesEnd
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -236,6 +236,56 @@
 	}
 }
 
+// As above, and the successor started after the restart, so that it has not seen it.
+func TestSuccessorThatStartedAfterARestartWaitsForTheLongestLease(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.latePollAfterRestart(zone, 300*time.Millisecond)
+			h := f.holder()
+			for _, e := range f.entries {
+				if e != h {
+					e.kill()
+					f.after(400*time.Millisecond, e.start)
+				}
+			}
+			f.submitEach50ms(rng, 2*time.Second+time.Duration(rng.Int64N(int64(time.Second))))
+			f.endTerm(termKilled + termEnd(seed%2))
+			f.submitEach50ms(rng, time.Duration(rng.Int64N(int64(600*time.Millisecond))))
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
+// The late poll is carried out while the minion is cut off, over 10 s after its restart became known.
+func TestLeaseOfAPollThatIsSecondsLateIsWaitedFor(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 2 {
+			zone := f.otherZone(rng)
+			for _, m := range f.order {
+				if m.zone == zone {
+					m.latePoll(11700 * time.Millisecond)
+				}
+			}
+			f.restartZone(zone, 100*time.Millisecond)
+			f.submitEach50ms(rng, 110*time.Millisecond)
+			f.cutOff(rng, zone, 11500*time.Millisecond)
+			f.submitEach50ms(rng, 1500*time.Millisecond)
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
 // The dispatcher forgets a minion that has left the list, which then starts again under its id.
 func TestLatePollOfAMinionThatRejoinsLosesNoEnd(t *testing.T) {
 	for seed := range uint64(100) {
@@ -264,6 +314,42 @@
 	}
 }
 
+// restartSetBack starts a later process with an earlier time of day.
+func (m *minion) restartSetBack() {
+	m.begin()
+	m.record.Incarnation--
+	m.capacities = append(m.capacities, timedCapacity{m.f.now, m.record.Incarnation, m.capacity()})
+	m.announce()
+}
+
+// As TestLeaseOfALatePollOfARestartedMinionIsWaitedFor, and the later process has the lower incarnation.
+func TestSuccessorSeesARestartWithAnEarlierTimeOfDay(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		for _, m := range f.order {
+			m.record.Incarnation = 100
+			m.publish(false)
+		}
+		f.submitEach50ms(rng, 3*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			for _, m := range f.order {
+				if m.zone == zone {
+					m.latePoll(301 * time.Millisecond)
+					m.kill()
+					f.after(300*time.Millisecond, m.restartSetBack)
+				}
+			}
+			f.submitEach50ms(rng, 2*time.Second+time.Duration(rng.Int64N(int64(time.Second))))
+			f.endTerm(termKilled)
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
 // The time of day of a minion is set back before it restarts, so that the later process has the lower incarnation.
 func TestMinionThatRestartsWithAnEarlierTimeOfDayIsUsed(t *testing.T) {
 	f := newFleet(1, threeZones[:1], 2, 1, testConfig())
