Release a pool whose minions reject the holder's token

A pool stayed without a dispatcher for good, and its jobs unfinished, after a minion had rejected a call for a higher token that did not come from a successor: the entry ended its dispatch, and its row of the duty still named it, alive, with the revision that it knew.

An entry whose dispatch has ended releases the duty if a read that was sent later shows that it still holds it. The next term has a higher token. TestPoolWhoseMinionsHaveSeenAHigherTokenIsDispatched leaves all 20 jobs unfinished without this.

--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -138,7 +138,7 @@
 		resetMinion(w, minionRow)
 	}
 	p.Held, p.JobsLoaded, p.ReadySteps, p.LateSteps = false, false, nil, nil
-	p.UntoldToken = p.Token
+	p.UntoldToken, p.DispatchEndedAt = p.Token, w.Now
 	notifyDutyDropped(w, p)
 	for i := range p.Shards {
 		p.Shards[i].StoreProgressInFlight = false
@@ -155,6 +155,22 @@
 	}
 }
 
+// releaseFencedPools releases the duties of pools whose dispatch this process has ended, although a read that was sent
+// after that shows that it still holds them: a minion had a higher token from elsewhere, such as a former pool. The next
+// term has a higher token.
+func releaseFencedPools(w *quetzalwork.World) {
+	for _, p := range w.Pools.All() {
+		d := &p.Duty
+		mine := d.Holder == w.Self.Entry && d.Incarnation == w.Self.Incarnation && d.Revision == quetzalunit.Revision(p.UntoldToken)
+		if p.Held || p.UntoldToken == 0 || !mine || w.Membership.ReadSentAt <= p.DispatchEndedAt {
+			continue
+		}
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "Minions reject the token of this entry, which holds the pool: releasing it.", Pool: p.ID, Version: int64(p.UntoldToken)})
+		p.UntoldToken, p.OwnRelease = 0, nil
+		releaseDuty(w, p.ID)
+	}
+}
+
 // notifyDutyDropped tells the holder after this process that its dispatch has ended, once that holder is known. A
 // minion that has accepted an order of the holder ends the dispatch before the row of the duty is read. The row of
 // a released duty tells as much.
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -39,6 +39,7 @@
 	}
 	takeOverDuties(w)
 	releaseExhaustedPools(w)
+	releaseFencedPools(w)
 	rebalanceDuties(w)
 	w.After(w.Jitter(renewPeriod), quetzalwork.MembershipDue{})
 }
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -395,3 +395,17 @@
 	runJobs()
 	require.Equal(t, 1, lines)
 }
+
+// The minions have seen a higher token than that of the entry that holds the pool, as after a move from another pool.
+func TestPoolWhoseMinionsHaveSeenAHigherTokenIsDispatched(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	f.run(5 * time.Second)
+	for _, m := range f.order {
+		m.process.token = quetzalunit.FencingToken(f.store.duties[testPool].Revision + 50).Order(0)
+	}
+	for range 20 {
+		f.submit(f.entries[0], testStep(2))
+		f.run(100 * time.Millisecond)
+	}
+	runAndVerify(t, f, 60*time.Second)
+}
