--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -350,6 +350,26 @@
 	}
 }
 
+// Late polls, restarts, killed and stopped dispatchers and cuts together.
+func TestLatePollsRestartsAndTakeoversStartNoTaskTwice(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newLongTaskFleet(seed)
+		f.latePolls = 0.15
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.restartZone(zone, time.Duration(rng.Int64N(int64(3*time.Second))))
+			f.submitEach50ms(rng, 3*time.Second+time.Duration(rng.Int64N(int64(4*time.Second))))
+			f.endTerm(termEnd(rng.IntN(3)))
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		f.latePolls = 0
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
 // The time of day of a minion is set back before it restarts, so that the later process has the lower incarnation.
 func TestMinionThatRestartsWithAnEarlierTimeOfDayIsUsed(t *testing.T) {
 	f := newFleet(1, threeZones[:1], 2, 1, testConfig())
