--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -69,7 +69,7 @@
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.Restarts, p.HeldSince = true, quetzalunit.FencingToken(revision), 0, w.Now
 	p.JobsLoaded, p.NextKey, p.ReadInFlight, p.SeenRevision, p.PredecessorWorkKnown = false, "", false, 0, false
-	p.RunNumbersExhausted, p.ReadFailingSince, p.UntoldToken = false, 0, 0
+	p.RunNumbersExhausted, p.ReadFailingSince, p.UntoldToken, p.DroppedAt = false, 0, 0, 0
 	quetzallimit.ForgetPool(w, p)
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
 	p.Predecessor = quetzalwork.Duty{}
@@ -138,7 +138,7 @@
 		resetMinion(w, minionRow)
 	}
 	p.Held, p.JobsLoaded, p.ReadySteps, p.LateSteps = false, false, nil, nil
-	p.UntoldToken, p.DispatchEndedAt = p.Token, w.Now
+	p.UntoldToken = p.Token
 	notifyDutyDropped(w, p)
 	for i := range p.Shards {
 		p.Shards[i].StoreProgressInFlight = false
@@ -150,6 +150,7 @@
 // unless that is known.
 func dropDispatch(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	endDispatch(w, row, reason)
+	w.Pools.At(row).DroppedAt = w.Now
 	if w.Pools.At(row).UntoldToken != 0 {
 		rereadMembers(w)
 	}
@@ -162,11 +163,11 @@
 	for _, p := range w.Pools.All() {
 		d := &p.Duty
 		mine := d.Holder == w.Self.Entry && d.Incarnation == w.Self.Incarnation && d.Revision == quetzalunit.Revision(p.UntoldToken)
-		if p.Held || p.UntoldToken == 0 || !mine || w.Membership.ReadSentAt <= p.DispatchEndedAt {
+		if p.Held || p.DroppedAt == 0 || !mine || w.Membership.ReadSentAt <= p.DroppedAt {
 			continue
 		}
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "Minions reject the token of this entry, which holds the pool: releasing it.", Pool: p.ID, Version: int64(p.UntoldToken)})
-		p.UntoldToken, p.OwnRelease = 0, nil
+		p.UntoldToken, p.DroppedAt, p.OwnRelease = 0, 0, nil
 		releaseDuty(w, p.ID)
 	}
 }
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -167,8 +167,9 @@
 	// UntoldToken is the token of this process's last dispatch if that has ended and the next holder is not
 	// known yet, who is to be told; zero otherwise.
 	UntoldToken quetzalunit.FencingToken
-	// DispatchEndedAt is when this process's last dispatch ended.
-	DispatchEndedAt quetzalunit.Instant
+	// DroppedAt is when this process ended its last dispatch without a release, since a minion had rejected its
+	// token; zero if it did not.
+	DroppedAt quetzalunit.Instant
 	// OwnRelease is what this process told at its last release.
 	OwnRelease *ReleasedLeases
 	// Minions are the pool's minions.
