--- a/quetzalcore/quetzalscheduler/doc.go
+++ b/quetzalcore/quetzalscheduler/doc.go
@@ -20,6 +20,7 @@
 //	occurrence.go      occurrences of jobs
 //	progress.go        storing of jobs' progress, acknowledgement of ended runs
 //	minion.go          list of minions, leases, runs that minions report
+//	restartedminion.go minions that start again under their ids
 //	run.go             start, stop and end of runs
 //	crash.go           tasks that crash the minions that start them
 //	rank.go            order of the ready steps
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -1,7 +1,6 @@
 package quetzalscheduler
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -38,8 +37,6 @@
 	// in hundredths. minClockRate is the same as a fraction.
 	minClockPercent = 98
 	minClockRate    = minClockPercent / 100.0
-	// maxCallDelay is how long after it was sent a call without an answer may be carried out.
-	maxCallDelay = 12 * time.Second
 	// unknownJobGrace is how long a minion's runs of an unknown job may continue: another entry
 	// may be about to report the job.
 	unknownJobGrace = 4 * time.Second
@@ -122,28 +119,6 @@
 	return w.Bounds.MaxLease
 }
 
-// longestEarlierLease returns how long a lease may last that a minion has when it accepts the present token
-// for the first time. A minion that has restarted measures the lease of an order for an earlier incarnation
-// on another clock, and only shortens it to the longest one. Such an order may be carried out late.
-func longestEarlierLease(w *quetzalwork.World, m *quetzalwork.Minion) time.Duration {
-	if w.Now <= incarnationSeenAt(m).Add(maxCallDelay+restartedLeaseExpiry(w)) {
-		return maxLeaseDuration(w)
-	}
-	return leaseDuration
-}
-
-// incarnationSeenAt returns when this process learned of a minion's present incarnation, which may have begun
-// just before.
-func incarnationSeenAt(m *quetzalwork.Minion) quetzalunit.Instant {
-	return max(m.FirstSeenAt, m.RestartSeenAt)
-}
-
-// restartedLeaseExpiry returns the time after which the longest lease has expired that an incarnation
-// may have when this process learns of it.
-func restartedLeaseExpiry(w *quetzalwork.World) time.Duration {
-	return maxLeaseDuration(w)*100/minClockPercent + leaseExpiryMargin
-}
-
 // leaseExpiry returns the instant at which a minion's lease has certainly expired, even if the
 // minion's clock is slow, unless it is renewed.
 func leaseExpiry(m *quetzalwork.Minion) quetzalunit.Instant {
@@ -267,34 +242,6 @@
 	ackEnds(w, p)
 }
 
-// logForgottenEnds logs that a minion no longer reports ends that this process has not seen. Some call must
-// have acknowledged them: their runs look as if they had never ended.
-func logForgottenEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
-	m := w.Minions.At(in.Minion)
-	p := w.Pools.At(m.PoolRow)
-	// Of a process that an earlier dispatcher has used, this one knows no end before the first that is reported.
-	known := m.SeenThrough > 0 || m.RestartSeenAt > p.HeldSince
-	if !known || len(in.Ends) == 0 || in.Ends[0].Number <= m.SeenThrough+1 {
-		return
-	}
-	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartMinion, Message: "The minion has forgotten ends that this entry has not seen.", Minion: m.ID, Pool: m.Pool, Version: int64(in.Incarnation),
-		Reason: fmt.Sprintf("Seen%dFirst%d", m.SeenThrough, in.Ends[0].Number),
-	})
-}
-
-// logFirstAnswer logs what is known of a minion that has restarted once it has answered.
-func logFirstAnswer(w *quetzalwork.World, in *quetzalwork.MinionPolled, clock quetzalunit.MinionTime) {
-	m := w.Minions.At(in.Minion)
-	if m.RestartSeenAt <= w.Pools.At(m.PoolRow).HeldSince {
-		return
-	}
-	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartMinion, Message: "The restarted minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Incarnation), Age: w.Now.Sub(m.RestartSeenAt),
-		Reason: fmt.Sprintf("Lease%dmsRuns%dEnds%d", m.LeaseEnd-clock, len(in.Running), len(in.Ends)),
-	})
-}
-
 // applyReportedEnds applies the ends in a minion's answer that are new, in their order. It returns false
 // if it stopped at one whose job is not known.
 func applyReportedEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) bool {
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -0,0 +1,144 @@
+package quetzalscheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// restartedminion.go handles minions that start again under their ids. The new process knows nothing of the former one: its
+// clock and the numbers of its ends begin anew, and it has seen no token. Calls that were meant for the former process and are
+// carried out late may reach it all the same.
+
+// maxCallDelay is how long after it was sent a call without an answer may be carried out.
+const maxCallDelay = 12 * time.Second
+
+// resetRestartedMinion ends the runs of a minion's earlier incarnation and clears what this
+// process knew of it. The new incarnation may have carried out the orders to start the runs that no
+// report has shown yet: these stay active until its first report shows whether they run. The calls to the
+// new incarnation have a higher token, so that it rejects calls for the earlier one that arrive later.
+// source tells how the restart became known.
+func resetRestartedMinion(w *quetzalwork.World, row quetzalwork.Row, incarnation quetzalunit.MinionIncarnation, source string) {
+	m := w.Minions.At(row)
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The minion has restarted.", Minion: m.ID, Pool: m.Pool, Version: int64(incarnation), Age: ageOf(w, m.LastAnsweredAt), Reason: source,
+	})
+	runs := crashedRuns(w, m)
+	m.Untracked = quetzalwork.UntrackedRuns{}
+	for _, run := range slices.Clone(m.Runs) {
+		if r := w.Runs.At(run); r.Reported {
+			endRun(w, run, quetzalwork.OutcomeLapsed, "", "Restarted")
+		} else {
+			// The new incarnation knows of no order to stop that the earlier one accepted.
+			r.StopAnsweredAt = 0
+		}
+	}
+	for i := range runs {
+		if activeRun(w, &runs[i]) != 0 {
+			m.UnconfirmedRuns = append(m.UnconfirmedRuns, runs[i])
+			continue
+		}
+		handleCrash(w, m, &runs[i])
+	}
+	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
+	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, quetzalunit.MinionTime(0).Add(maxLeaseDuration(w)), false
+	m.RestartSeenAt, m.PollInFlight = w.Now, false
+	raiseOrderToken(w, m)
+	schedulePoll(w, row, 0)
+}
+
+// raiseOrderToken raises the token of the calls to a minion that has joined the pool or restarted: this process may have
+// called an earlier incarnation with the token before. Once the count has no larger value, it requests
+// the release of the pool's duty, since a new term has a higher token.
+func raiseOrderToken(w *quetzalwork.World, m *quetzalwork.Minion) {
+	p := w.Pools.At(m.PoolRow)
+	if !p.Held {
+		return
+	}
+	if p.Restarts == quetzalunit.MaxRestarts {
+		p.RunNumbersExhausted = true
+		return
+	}
+	p.Restarts++
+	m.Restarts = p.Restarts
+}
+
+// handleWrongIncarnation handles that a call with a token was not sent, because another incarnation of its minion
+// answers. The present one may have the lower number if the minion's time of day was set back before it started:
+// the list then names the same one.
+func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken, answering quetzalunit.MinionIncarnation) {
+	m := w.Minions.At(row)
+	switch {
+	case answering == m.Incarnation:
+		// The restart has become known since the call was decided.
+	case answering > m.Incarnation || answering == m.RecordIncarnation && token == orderToken(w, m):
+		resetRestartedMinion(w, row, answering, "Call")
+	default:
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "An earlier process of the minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(answering), Routine: true})
+	}
+}
+
+// handleFenced handles that a minion has rejected an order because it has seen a higher token. It returns true
+// if that was one of this process: the order was for an earlier incarnation. Otherwise a later dispatcher uses
+// the minion, and this one's dispatch ends.
+func handleFenced(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken) bool {
+	m := w.Minions.At(row)
+	if token < orderToken(w, m) {
+		return true
+	}
+	dropDispatch(w, m.PoolRow, "Fenced")
+	return false
+}
+
+// longestEarlierLease returns how long a lease may last that a minion has when it accepts the present token
+// for the first time. A minion that has restarted measures the lease of an order for an earlier incarnation
+// on another clock, and only shortens it to the longest one. Such an order may be carried out late.
+func longestEarlierLease(w *quetzalwork.World, m *quetzalwork.Minion) time.Duration {
+	if w.Now <= incarnationSeenAt(m).Add(maxCallDelay+restartedLeaseExpiry(w)) {
+		return maxLeaseDuration(w)
+	}
+	return leaseDuration
+}
+
+// incarnationSeenAt returns when this process learned of a minion's present incarnation, which may have begun
+// just before.
+func incarnationSeenAt(m *quetzalwork.Minion) quetzalunit.Instant {
+	return max(m.FirstSeenAt, m.RestartSeenAt)
+}
+
+// restartedLeaseExpiry returns the time after which the longest lease has expired that an incarnation
+// may have when this process learns of it.
+func restartedLeaseExpiry(w *quetzalwork.World) time.Duration {
+	return maxLeaseDuration(w)*100/minClockPercent + leaseExpiryMargin
+}
+
+// logForgottenEnds logs that a minion no longer reports ends that this process has not seen. Some call must
+// have acknowledged them: their runs look as if they had never ended.
+func logForgottenEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
+	m := w.Minions.At(in.Minion)
+	p := w.Pools.At(m.PoolRow)
+	// Of a process that an earlier dispatcher has used, this one knows no end before the first that is reported.
+	known := m.SeenThrough > 0 || m.RestartSeenAt > p.HeldSince
+	if !known || len(in.Ends) == 0 || in.Ends[0].Number <= m.SeenThrough+1 {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The minion has forgotten ends that this entry has not seen.", Minion: m.ID, Pool: m.Pool, Version: int64(in.Incarnation),
+		Reason: fmt.Sprintf("Seen%dFirst%d", m.SeenThrough, in.Ends[0].Number),
+	})
+}
+
+// logFirstAnswer logs what is known of a minion that has restarted once it has answered.
+func logFirstAnswer(w *quetzalwork.World, in *quetzalwork.MinionPolled, clock quetzalunit.MinionTime) {
+	m := w.Minions.At(in.Minion)
+	if m.RestartSeenAt <= w.Pools.At(m.PoolRow).HeldSince {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The restarted minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Incarnation), Age: w.Now.Sub(m.RestartSeenAt),
+		Reason: fmt.Sprintf("Lease%dmsRuns%dEnds%d", m.LeaseEnd-clock, len(in.Running), len(in.Ends)),
+	})
+}
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -476,18 +476,6 @@
 	}
 }
 
-// handleFenced handles that a minion has rejected an order because it has seen a higher token. It returns true
-// if that was one of this process: the order was for an earlier incarnation. Otherwise a later dispatcher uses
-// the minion, and this one's dispatch ends.
-func handleFenced(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken) bool {
-	m := w.Minions.At(row)
-	if token < orderToken(w, m) {
-		return true
-	}
-	dropDispatch(w, m.PoolRow, "Fenced")
-	return false
-}
-
 // markRunStarted records that the minion of a run has started it.
 func markRunStarted(w *quetzalwork.World, r *quetzalwork.Run) {
 	observeRunAfterWait(w, w.Tasks.At(r.Task), r.Adopted)
