--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -182,6 +182,16 @@
 	f.restartZone(zone, downtime)
 }
 
+// restartZoneUnannounced is restartZone, and the records of the minions show the restart up to a beat later.
+func (f *fleet) restartZoneUnannounced(zone quetzalunit.ZoneID, downtime time.Duration) {
+	for _, m := range f.order {
+		if m.zone == zone {
+			m.kill()
+			f.after(downtime, func() { m.restart(m.capacity()) })
+		}
+	}
+}
+
 // termEnd is how the term of the pool's dispatcher ends.
 type termEnd int
 
@@ -429,3 +439,70 @@
 	}
 	runAndVerify(t, f, 60*time.Second)
 }
+
+// Guards against a dispatcher that takes the answer to a start for that of the process that it knows: a later one, on
+// a connection that outlives the former one, has granted the longest lease.
+func TestStartOnALaterProcessThatIsNotKnownYetStartsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(40) {
+		f := newLongTaskFleet(seed)
+		f.connsOutlive = true
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.restartZoneUnannounced(zone, 600*time.Millisecond)
+			f.submitEach50ms(rng, 600*time.Millisecond+time.Duration(rng.Int64N(int64(800*time.Millisecond))))
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
+// Guards against acknowledgements for the former process that a later one gets on a connection that outlives it:
+// the ends that they acknowledge are not read, and their tasks run again.
+func TestAcknowledgementForAFormerProcessLosesNoEnd(t *testing.T) {
+	step := testStep(1)
+	step.Estimate = 60 * time.Millisecond
+	for seed := range uint64(60) {
+		f := newFleet(seed, threeZones[:1], 1, 3, testConfig())
+		f.restarting, f.connsOutlive = true, true
+		f.run(5 * time.Second)
+		for i := range 300 {
+			f.submit(f.entries[0], step)
+			f.run(40 * time.Millisecond)
+			if i%50 == 25 {
+				f.order[i/50%3].restart(resources(8000))
+			}
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
+// As TestSuccessorSeesARestartWithAnEarlierTimeOfDay, on connections that outlive the former process.
+func TestPollOfAProcessWithAnEarlierTimeOfDayStartsNoTaskTwice(t *testing.T) {
+	for seed := range uint64(30) {
+		f := newLongTaskFleet(seed)
+		f.connsOutlive = true
+		rng := rand.New(rand.NewPCG(seed, 2))
+		for _, m := range f.order {
+			m.record.Incarnation = 100
+			m.publish(false)
+		}
+		f.submitEach50ms(rng, 3*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			for _, m := range f.order {
+				if m.zone == zone {
+					m.kill()
+					f.after(300*time.Millisecond, m.restartSetBack)
+				}
+			}
+			f.submitEach50ms(rng, 2*time.Second+time.Duration(rng.Int64N(int64(time.Second))))
+			f.endTerm(termKilled)
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -37,6 +37,9 @@
 	// polls, that are carried out late and without an answer.
 	storeDown                          bool
 	loseAnswers, lateOrders, latePolls float64
+	// connsOutlive makes connections to minions outlive their processes: calls for a former process that are in
+	// time reach the later one and are answered.
+	connsOutlive bool
 	// losesAnswer, if not nil, tells which other answers of the store are lost. answersLost counts them.
 	losesAnswer func(*entry, quetzalwork.Command) bool
 	answersLost int
@@ -414,7 +417,7 @@
 		switch {
 		case m.successor != nil:
 			return func() { c.answer(quetzalwork.OrderMisdirected{}) }
-		case c.target.Incarnation != 0 && c.target.Incarnation != present:
+		case c.target.Incarnation != 0 && c.target.Incarnation != present && !f.connsOutlive:
 			return func() { c.answer(quetzalwork.OrderWrongIncarnation{Incarnation: present}) }
 		}
 		return c.serve(waited)
