--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -11,11 +11,14 @@
 
 // restartedminion.go handles minions that start again under their ids. The new process knows nothing of the former one: its
 // clock and the numbers of its ends begin anew, and it has seen no token. Calls that were meant for the former process and are
-// carried out late may reach it all the same.
+// carried out late may reach it all the same, and calls in time, too, where connections outlive the process.
 
 // maxCallDelay is how long after it was sent a call without an answer may be carried out.
 const maxCallDelay = 12 * time.Second
 
+// clockResolution is the margin for the rounding of two readings of a minion's clock, which are in whole milliseconds.
+const clockResolution = 5 * time.Millisecond
+
 // resetRestartedMinion ends the runs of a minion's earlier incarnation and clears what this
 // process knew of it. The new incarnation may have carried out the orders to start the runs that no
 // report has shown yet: these stay active until its first report shows whether they run. The calls to the
@@ -44,12 +47,69 @@
 		handleCrash(w, m, &runs[i])
 	}
 	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
+	awaitNextProcess(w, row)
+}
+
+// awaitNextProcess prepares for the first answer of a minion's next process. Until then the process may have the
+// longest lease. Its calls have a higher token, so that answers to earlier calls no longer count.
+func awaitNextProcess(w *quetzalwork.World, row quetzalwork.Row) {
+	m := w.Minions.At(row)
 	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, quetzalunit.MinionTime(0).Add(maxLeaseDuration(w)), false
 	m.RestartSeenAt, m.PollInFlight = w.Now, false
 	raiseOrderToken(w, m)
 	schedulePoll(w, row, 0)
 }
 
+// handleAnswerClock handles the clock in the answer to an order that was decided at an instant. A clock that is behind
+// the known one is that of a later process, which has carried the order out. Its incarnation is not known before it answers
+// a poll, and the runs of the former one stay in the tables until then.
+func handleAnswerClock(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken, decidedAt quetzalunit.Instant, result quetzalwork.OrderResult) {
+	m := w.Minions.At(row)
+	clock, ok := answerClock(result)
+	if !ok || !m.Answered || token != orderToken(w, m) {
+		return
+	}
+	behind := earliestClock(m, decidedAt) - clock
+	if behind <= 0 {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "Another process of the minion has answered an order.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Incarnation),
+		Age: ageOf(w, m.LastAnsweredAt), Reason: fmt.Sprintf("ClockBehind%dms", behind),
+	})
+	awaitNextProcess(w, row)
+}
+
+// answerClock returns the minion's clock in the answer to an order. It returns false if there is none.
+func answerClock(result quetzalwork.OrderResult) (quetzalunit.MinionTime, bool) {
+	switch r := result.(type) {
+	case quetzalwork.OrderAccepted:
+		return r.Clock, true
+	case quetzalwork.OrderOutdated:
+		return r.Clock, true
+	case quetzalwork.OrderExpired:
+		return r.Clock, true
+	case quetzalwork.OrderNoCapacity:
+		return r.Clock, true
+	case quetzalwork.OrderTicketRejected:
+		return r.Clock, true
+	case quetzalwork.OrderFenced, quetzalwork.OrderRefused, quetzalwork.OrderNotSent, quetzalwork.OrderMalformed, quetzalwork.OrderMisdirected,
+		quetzalwork.OrderWrongIncarnation, quetzalwork.OrderUnanswered:
+		return 0, false
+	}
+	return 0, false
+}
+
+// earliestClock returns the earliest time that the clock of a minion's known process can have shown after an instant.
+// The last answer may be later than that.
+func earliestClock(m *quetzalwork.Minion, since quetzalunit.Instant) quetzalunit.MinionTime {
+	elapsed := since.Sub(m.ClockAt)
+	if elapsed > 0 {
+		elapsed = elapsed * minClockPercent / 100
+	}
+	return m.Clock.Add(elapsed - clockResolution)
+}
+
 // raiseOrderToken raises the token of the calls to a minion that has joined the pool or restarted: this process may have
 // called an earlier incarnation with the token before. Once the count has no larger value, it requests
 // the release of the pool's duty, since a new term has a higher token.
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -411,6 +411,7 @@
 		return
 	}
 	r.StopInFlight = false
+	handleAnswerClock(w, r.Minion, in.Token, r.StopSentAt, in.Result)
 	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 		if in.Token == orderToken(w, w.Minions.At(r.Minion)) {
@@ -435,6 +436,7 @@
 	m := w.Minions.At(r.Minion)
 	r.AnsweredAt = w.Now
 	minion := r.Minion
+	handleAnswerClock(w, minion, in.Token, r.StartedAt, in.Result)
 	switch result := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
 		markRunStarted(w, r)
