--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -83,15 +83,17 @@
 	return w.Pools.At(m.PoolRow).Token.Order(m.Restarts)
 }
 
-// pollMinion asks a minion which runs are active and which have ended, and acknowledges ends
-// whose progress is stored. If the minion answered the previous poll, this one also renews the
-// lease, provided that this process may extend leases now, and lets the minion delay its answer
-// until a run ends, unless an end still waits for its acknowledgement.
+// pollMinion asks a minion which runs are active and which have ended. If the minion answered the
+// previous poll, this one also acknowledges ends whose progress is stored, renews the lease, provided
+// that this process may extend leases now, and lets the minion delay its answer until a run ends, unless
+// an end still waits for its acknowledgement. A minion that did not answer may have restarted, and the
+// acknowledgement would count for ends of the later process.
 func pollMinion(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
 	m.PollInFlight, m.PolledAt, m.NextPollAt = true, w.Now, 0
-	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), AckedThrough: m.AckedThrough, SentAt: w.Now}
+	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SentAt: w.Now}
 	if m.Answered && m.MissedAnswers == 0 {
+		c.AckedThrough = m.AckedThrough
 		if mayExtendLeases(w) {
 			c.LeaseEnd = grantLease(w, m)
 		}
