--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -141,18 +141,15 @@
 	m.PollInFlight = false
 	switch r := in.Result.(type) {
 	case quetzalwork.OrderAccepted:
-		if m.Incarnation != 0 && in.Incarnation > m.Incarnation {
+		if m.Incarnation != 0 && in.Incarnation != 0 && in.Incarnation != m.Incarnation {
 			// Late calls for the earlier incarnation count until the present one has seen a higher token.
-			resetRestartedMinion(w, in.Minion, in.Incarnation, "Answer")
+			handlePollOfOtherIncarnation(w, in, in.Incarnation, "Answer")
 			return
 		}
 		applyMinionReport(w, in, r.Clock)
 	case quetzalwork.OrderWrongIncarnation:
-		handleWrongIncarnation(w, in.Minion, in.Token, r.Incarnation)
-		if m.Incarnation == r.Incarnation {
-			return
-		}
-		recordMissedPoll(w, in.Minion, "EarlierIncarnation")
+		handlePollOfOtherIncarnation(w, in, r.Incarnation, "Call")
+		return
 	case quetzalwork.OrderFenced:
 		dropDispatch(w, m.PoolRow, "Fenced")
 		return
@@ -168,6 +165,16 @@
 	}
 }
 
+// handlePollOfOtherIncarnation handles that another incarnation of a minion than the known one answers polls. Its
+// report does not count: calls to it get a higher token first.
+func handlePollOfOtherIncarnation(w *quetzalwork.World, in *quetzalwork.MinionPolled, answering quetzalunit.MinionIncarnation, source string) {
+	handleWrongIncarnation(w, in.Minion, in.Token, answering, source)
+	if w.Minions.At(in.Minion).Incarnation != answering {
+		recordMissedPoll(w, in.Minion, "EarlierIncarnation")
+		scheduleNextPoll(w, in.Minion)
+	}
+}
+
 // recordMissedPoll counts a poll without success and logs the first of a series.
 func recordMissedPoll(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	m := w.Minions.At(row)
--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -126,16 +126,16 @@
 	m.Restarts = p.Restarts
 }
 
-// handleWrongIncarnation handles that a call with a token was not sent, because another incarnation of its minion
-// answers. The present one may have the lower number if the minion's time of day was set back before it started:
-// the list then names the same one.
-func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken, answering quetzalunit.MinionIncarnation) {
+// handleWrongIncarnation handles that another incarnation of a minion than the known one answers calls with a token.
+// The present one may have the lower number if the minion's time of day was set back before it started:
+// the list then names the same one. source tells how it became known.
+func handleWrongIncarnation(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken, answering quetzalunit.MinionIncarnation, source string) {
 	m := w.Minions.At(row)
 	switch {
 	case answering == m.Incarnation:
 		// The restart has become known since the call was decided.
 	case answering > m.Incarnation || answering == m.RecordIncarnation && token == orderToken(w, m):
-		resetRestartedMinion(w, row, answering, "Call")
+		resetRestartedMinion(w, row, answering, source)
 	default:
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "An earlier process of the minion answers.", Minion: m.ID, Pool: m.Pool, Version: int64(answering), Routine: true})
 	}
