--- a/quetzalcore/quetzalcodec/workmessage.go
+++ b/quetzalcore/quetzalcodec/workmessage.go
@@ -33,6 +33,8 @@
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindLoad, Pool: string(m.Pool)}
 	case quetzalwork.NotifyHostWithdrawn:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host), Minion: string(m.Minion)}
+	case quetzalwork.NotifyMinionRestarted:
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindRestarted, Pool: string(m.Pool), Minion: string(m.Minion)}
 	}
 	return quetzalwire.WorkMessage{}
 }
@@ -63,6 +65,8 @@
 		return quetzalwork.QueryLoad{Pool: pool}, nil
 	case quetzalwire.WorkMessageKindTaken:
 		return quetzalwork.NotifyHostWithdrawn{Pool: pool, Host: quetzalunit.HostID(d.Host), Minion: quetzalunit.MinionID(d.Minion)}, nil
+	case quetzalwire.WorkMessageKindRestarted:
+		return quetzalwork.NotifyMinionRestarted{Pool: pool, Minion: quetzalunit.MinionID(d.Minion)}, nil
 	}
 	return nil, &FieldError{Field: "Kind", Problem: string(d.Kind)}
 }
--- a/quetzalcore/quetzalcodec/workmessage_test.go
+++ b/quetzalcore/quetzalcodec/workmessage_test.go
@@ -19,6 +19,7 @@
 		quetzalwork.NotifyDutyDropped{Pool: "p", Token: 8},
 		quetzalwork.EvacuateHost{Pool: "p", Host: "h", Wave: "1"},
 		quetzalwork.NotifyHostWithdrawn{Pool: "p", Host: "h", Minion: "m"},
+		quetzalwork.NotifyMinionRestarted{Pool: "p", Minion: "m"},
 		quetzalwork.NotifyCancelled{Pool: "p", Job: "00000000000000aa"},
 	} {
 		d := quetzalcodec.EncodeWorkMessage(want)
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -193,7 +193,7 @@
 	}
 	m := w.Minions.At(row)
 	if m.Incarnation != 0 && r.Incarnation != 0 && r.Incarnation > m.Incarnation {
-		resetRestartedMinion(w, row, r.Incarnation, "List")
+		resetRestartedMinion(w, row, r.Incarnation, restartInList)
 	}
 	incarnation := max(m.Incarnation, r.Incarnation)
 	if r.Incarnation != 0 && r.Incarnation < m.RecordIncarnation {
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -143,12 +143,12 @@
 	case quetzalwork.OrderAccepted:
 		if m.Incarnation != 0 && in.Incarnation != 0 && in.Incarnation != m.Incarnation {
 			// Late calls for the earlier incarnation count until the present one has seen a higher token.
-			handlePollOfOtherIncarnation(w, in, in.Incarnation, "Answer")
+			handlePollOfOtherIncarnation(w, in, in.Incarnation, restartInAnswer)
 			return
 		}
 		applyMinionReport(w, in, r.Clock)
 	case quetzalwork.OrderWrongIncarnation:
-		handlePollOfOtherIncarnation(w, in, r.Incarnation, "Call")
+		handlePollOfOtherIncarnation(w, in, r.Incarnation, restartInCall)
 		return
 	case quetzalwork.OrderFenced:
 		dropDispatch(w, m.PoolRow, "Fenced")
--- a/quetzalcore/quetzalscheduler/pace.go
+++ b/quetzalcore/quetzalscheduler/pace.go
@@ -84,7 +84,7 @@
 	case quetzalwork.OrderFenced:
 		handleFenced(w, r.Minion, in.Token)
 	case quetzalwork.OrderWrongIncarnation:
-		handleWrongIncarnation(w, r.Minion, in.Token, result.Incarnation, "Call")
+		handleWrongIncarnation(w, r.Minion, in.Token, result.Incarnation, restartInCall)
 	default:
 		// The actual pace is unknown. Assuming full pace makes the next check send a new order
 		// if the run has to be slowed down.
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -54,6 +54,8 @@
 		handleHostWithdrawn(w, &m)
 	case quetzalwork.NotifyDutyDropped:
 		handlePredecessorDropped(w, &m)
+	case quetzalwork.NotifyMinionRestarted:
+		handleMinionRestarted(w, &m)
 	case quetzalwork.QueryLoad:
 		row := poolRow(w, m.Pool)
 		if p := w.Pools.At(row); !p.Held || !p.JobsLoaded {
@@ -91,7 +93,8 @@
 		handleMoveEvacuation(w, &m, in.Reply)
 	case quetzalwork.QueryLoad:
 		handleLoad(w, m.Pool, in.Reply)
-	case quetzalwork.NotifyAccepted, quetzalwork.NotifyCancelled, quetzalwork.NotifyDuty, quetzalwork.NotifyHostWithdrawn, quetzalwork.NotifyDutyDropped:
+	case quetzalwork.NotifyAccepted, quetzalwork.NotifyCancelled, quetzalwork.NotifyDuty, quetzalwork.NotifyHostWithdrawn, quetzalwork.NotifyDutyDropped,
+		quetzalwork.NotifyMinionRestarted:
 		if in.Reply == nil {
 			suspectHolder(w)
 			w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "An entry did not reply to a message.", Reason: string(in.Address), Routine: true})
--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -16,6 +16,13 @@
 // maxCallDelay is how long after it was sent a call without an answer may be carried out.
 const maxCallDelay = 12 * time.Second
 
+// How restarts become known, for the log. The others are found by calls to the minion.
+const (
+	restartInList   = "List"
+	restartInAnswer = "Answer"
+	restartInCall   = "Call"
+)
+
 // clockResolution is the margin for the rounding of two readings of a minion's clock, which are in whole milliseconds.
 const clockResolution = 5 * time.Millisecond
 
@@ -48,6 +55,9 @@
 	}
 	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
 	awaitNextProcess(w, row)
+	if source != restartInList {
+		notifyMinionRestarted(w, m)
+	}
 }
 
 // awaitNextProcess prepares for the first answer of a minion's next process. Until then the process may have the
@@ -78,6 +88,24 @@
 		Age: ageOf(w, m.LastAnsweredAt), Reason: fmt.Sprintf("ClockBehind%dms", behind),
 	})
 	awaitNextProcess(w, row)
+	notifyMinionRestarted(w, m)
+}
+
+// notifyMinionRestarted tells the entries that may take a pool over of a restart that the minion list may not show
+// yet. If the minion is cut off before its record is stored, a successor would not know of the longest lease.
+func notifyMinionRestarted(w *quetzalwork.World, m *quetzalwork.Minion) {
+	for _, e := range w.Members.All() {
+		if e.Entry != w.Self.Entry && isCandidate(w, e) {
+			w.Emit(quetzalwork.CallPeer{Address: e.Address, Message: quetzalwork.NotifyMinionRestarted{Pool: m.Pool, Minion: m.ID}, Timeout: peerTimeout})
+		}
+	}
+}
+
+// handleMinionRestarted records that the dispatcher has found a minion restarted.
+func handleMinionRestarted(w *quetzalwork.World, in *quetzalwork.NotifyMinionRestarted) {
+	if m := w.Minions.At(w.MinionByID.Get(in.Minion)); m != nil {
+		m.RestartSeenAt = w.Now
+	}
 }
 
 // answerClock returns the minion's clock in the answer to an order. It returns false if there is none.
--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -459,6 +459,26 @@
 	}
 }
 
+// As above, and the dispatcher is killed: its successor must know of the restart, too.
+func TestSuccessorKnowsOfARestartThatOnlyItsPredecessorFound(t *testing.T) {
+	for seed := range uint64(60) {
+		f := newLongTaskFleet(seed)
+		f.connsOutlive = true
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 3 {
+			zone := f.otherZone(rng)
+			f.restartZoneUnannounced(zone, 600*time.Millisecond)
+			f.submitEach50ms(rng, 600*time.Millisecond+time.Duration(rng.Int64N(int64(800*time.Millisecond))))
+			f.endTerm(termKilled)
+			f.submitEach50ms(rng, time.Duration(rng.Int64N(int64(600*time.Millisecond))))
+			f.cutOff(rng, zone, 9*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
+
 // Guards against acknowledgements for the former process that a later one gets on a connection that outlives it:
 // the ends that they acknowledge are not read, and their tasks run again.
 func TestAcknowledgementForAFormerProcessLosesNoEnd(t *testing.T) {
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -421,7 +421,7 @@
 	case quetzalwork.OrderFenced:
 		handleFenced(w, r.Minion, in.Token)
 	case quetzalwork.OrderWrongIncarnation:
-		handleWrongIncarnation(w, r.Minion, in.Token, result.Incarnation, "Call")
+		handleWrongIncarnation(w, r.Minion, in.Token, result.Incarnation, restartInCall)
 	default:
 		// watchRuns sends the order again.
 	}
@@ -447,7 +447,7 @@
 		}
 	case quetzalwork.OrderWrongIncarnation:
 		rejectRun(w, in.Run, "WrongIncarnation")
-		handleWrongIncarnation(w, minion, in.Token, result.Incarnation, "Call")
+		handleWrongIncarnation(w, minion, in.Token, result.Incarnation, restartInCall)
 	case quetzalwork.OrderUnanswered:
 		r.State = quetzalwork.RunStartUnanswered
 		stopRun(w, in.Run, quetzalwork.StopUnanswered)
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1533,6 +1533,7 @@
 	WorkMessageKindEmpty     WorkMessageKind = "Empty"
 	WorkMessageKindLoad      WorkMessageKind = "Load"
 	WorkMessageKindPending   WorkMessageKind = "Pending"
+	WorkMessageKindRestarted WorkMessageKind = "Restarted"
 	WorkMessageKindState     WorkMessageKind = "State"
 	WorkMessageKindTaken     WorkMessageKind = "Taken"
 )
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -66,17 +66,24 @@
 		Host   quetzalunit.HostID
 		Minion quetzalunit.MinionID
 	}
+	// NotifyMinionRestarted notifies an entry that may take the pool over that the dispatcher has found a
+	// minion restarted that the minion list may not show as such yet.
+	NotifyMinionRestarted struct {
+		Pool   quetzalunit.PoolID
+		Minion quetzalunit.MinionID
+	}
 )
 
-func (NotifyAccepted) implementsPeerMessage()      {}
-func (NotifyCancelled) implementsPeerMessage()     {}
-func (QueryState) implementsPeerMessage()          {}
-func (QueryPending) implementsPeerMessage()        {}
-func (NotifyDuty) implementsPeerMessage()          {}
-func (EvacuateHost) implementsPeerMessage()        {}
-func (NotifyHostWithdrawn) implementsPeerMessage() {}
-func (QueryLoad) implementsPeerMessage()           {}
-func (NotifyDutyDropped) implementsPeerMessage()   {}
+func (NotifyAccepted) implementsPeerMessage()        {}
+func (NotifyCancelled) implementsPeerMessage()       {}
+func (QueryState) implementsPeerMessage()            {}
+func (QueryPending) implementsPeerMessage()          {}
+func (NotifyDuty) implementsPeerMessage()            {}
+func (EvacuateHost) implementsPeerMessage()          {}
+func (NotifyHostWithdrawn) implementsPeerMessage()   {}
+func (QueryLoad) implementsPeerMessage()             {}
+func (NotifyDutyDropped) implementsPeerMessage()     {}
+func (NotifyMinionRestarted) implementsPeerMessage() {}
 
 // PeerReply is the reply to a PeerMessage.
 type PeerReply interface{ implementsPeerReply() }
