--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -304,7 +304,11 @@
 		})
 	case quetzalwork.StopRun:
 		m := f.minions[c.Target.Minion]
-		e.order(m, c.Target, func() quetzalwork.OrderResult { return m.stop(c) }, func(r quetzalwork.OrderResult) {
+		sent := f.now
+		e.order(m, c.Target, func() quetzalwork.OrderResult {
+			f.checker.recordStop(m, c, sent)
+			return m.stop(c)
+		}, func(r quetzalwork.OrderResult) {
 			post(quetzalwork.StopAnswered{Run: c.Run, Token: c.Target.Token, Result: r})
 		})
 	case quetzalwork.RequestAdvice:
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -96,12 +96,17 @@
 	}
 }
 
-// retryStop sends an order to stop again if it had no answer or no effect.
+// retryStop sends an order to stop again if it had no answer or no effect, and is still wanted.
 func retryStop(w *quetzalwork.World, row quetzalwork.Row) {
 	r := w.Runs.At(row)
 	if r.StopInFlight {
 		return
 	}
+	if r.StopReason == quetzalwork.StopUnanswered && r.Reported && r.StopAnsweredAt == 0 {
+		// The order to start has been carried out: the stop, which was to prevent that, would only end the run.
+		r.StopReason = quetzalwork.StopNone
+		return
+	}
 	late := r.StopAnsweredAt != 0 && w.Now.Sub(r.StopAnsweredAt) > w.Bounds.StopTimeout+stopTimeoutMargin && r.State == quetzalwork.RunStarted
 	lost := r.StopAnsweredAt == 0 && w.Now.Sub(r.StopSentAt) > stopRetryDelay
 	if late || lost {
