--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -16,7 +16,8 @@
 // maxCallDelay is how long after it was sent a call without an answer may be carried out.
 const maxCallDelay = 12 * time.Second
 
-// How restarts become known, for the log. The others are found by calls to the minion.
+// How restarts become known, for the log: from the minion list, from the answer to a poll, or because a call was
+// not sent to another process than the one for which it was decided.
 const (
 	restartInList   = "List"
 	restartInAnswer = "Answer"
