--- a/quetzalcore/quetzalscheduler/guarantee_test.go
+++ b/quetzalcore/quetzalscheduler/guarantee_test.go
@@ -215,59 +215,66 @@
 
 // TestGuaranteesUnderRandomFaults injects random faults and checks every guarantee.
 func TestGuaranteesUnderRandomFaults(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		cfg := testConfig()
-		unguarded := rapid.Bool().Draw(t, "unguarded")
-		cfg.Pools[0].EnforcesCapacity = !unguarded
-		f := newFleet(seed, threeZones, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(3, 9).Draw(t, "minions"), cfg)
-		f.unguarded = unguarded
-		f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
-		f.latePolls = f.lateOrders
-		f.store.pageSize = rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "page")
-		f.newIDs = rapid.Bool().Draw(t, "new IDs")
-		f.run(3 * time.Second)
-		rng := rand.New(rand.NewPCG(seed, 2))
-		faults := rapid.SliceOfN(rapid.IntRange(0, 16), 1, 6).Draw(t, "faults")
-		f.restarting = slices.Contains(faults, restartFault)
-		longRunning := testStep(3)
-		longRunning.LongRunning, longRunning.MaxUnavailable, longRunning.MaxPerMinion = true, 1, 2
-		longRunningJob := f.submit(f.entries[0], longRunning)
-		for i, fault := range faults {
-			for range 12 {
-				f.submit(f.entries[rng.IntN(len(f.entries))], testStep(quetzalunit.Tasks(1+rng.IntN(4))), testStep(2, 0))
-				f.run(time.Duration(rng.IntN(200)) * time.Millisecond)
-			}
-			injectFault(f, rng, fault, i)
-		}
-		f.loseAnswers, f.lateOrders, f.latePolls, f.storeDown, f.delayedWrites, f.store.listDown = 0, 0, 0, false, false, false
-		clear(f.partitionedZones)
-		for _, e := range f.entries {
-			if !e.up {
-				e.start()
-			}
-		}
-		for range 40 {
-			f.submit(f.entries[rng.IntN(len(f.entries))], testStep(quetzalunit.Tasks(1+rng.IntN(4))))
+	rapid.Check(t, func(t *rapid.T) { checkGuaranteesUnderRandomFaults(t, false) })
+}
+
+// The same, with connections to minions that outlive their processes.
+func TestGuaranteesUnderRandomFaultsWhenConnectionsOutliveProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { checkGuaranteesUnderRandomFaults(t, true) })
+}
+
+func checkGuaranteesUnderRandomFaults(t *rapid.T, connsOutlive bool) {
+	seed := rapid.Uint64().Draw(t, "seed")
+	cfg := testConfig()
+	unguarded := rapid.Bool().Draw(t, "unguarded")
+	cfg.Pools[0].EnforcesCapacity = !unguarded
+	f := newFleet(seed, threeZones, rapid.IntRange(2, 6).Draw(t, "entries"), rapid.IntRange(3, 9).Draw(t, "minions"), cfg)
+	f.unguarded, f.connsOutlive = unguarded, connsOutlive
+	f.lateOrders = rapid.SampledFrom([]float64{0, 0, 0.05}).Draw(t, "late")
+	f.latePolls = f.lateOrders
+	f.store.pageSize = rapid.SampledFrom([]int{0, 2, 8}).Draw(t, "page")
+	f.newIDs = rapid.Bool().Draw(t, "new IDs")
+	f.run(3 * time.Second)
+	rng := rand.New(rand.NewPCG(seed, 2))
+	faults := rapid.SliceOfN(rapid.IntRange(0, 16), 1, 6).Draw(t, "faults")
+	f.restarting = slices.Contains(faults, restartFault)
+	longRunning := testStep(3)
+	longRunning.LongRunning, longRunning.MaxUnavailable, longRunning.MaxPerMinion = true, 1, 2
+	longRunningJob := f.submit(f.entries[0], longRunning)
+	for i, fault := range faults {
+		for range 12 {
+			f.submit(f.entries[rng.IntN(len(f.entries))], testStep(quetzalunit.Tasks(1+rng.IntN(4))), testStep(2, 0))
 			f.run(time.Duration(rng.IntN(200)) * time.Millisecond)
 		}
-		for range 3 {
-			for _, id := range f.shortLived {
-				f.cancel(f.entries[0], id)
-			}
-			f.run(4 * time.Second)
-		}
-		f.run(60 * time.Second)
-		if len(f.checker.violations) > 0 {
-			t.Fatalf("faults %v: %v", faults, f.checker.violations)
-		}
-		if f.checker.accepted[longRunningJob] && f.checker.running(longRunningJob) < 3 {
-			t.Fatalf("faults %v: %d long-running tasks are active\n%s", faults, f.checker.running(longRunningJob), f.explain(longRunningJob))
+		injectFault(f, rng, fault, i)
+	}
+	f.loseAnswers, f.lateOrders, f.latePolls, f.storeDown, f.delayedWrites, f.store.listDown = 0, 0, 0, false, false, false
+	clear(f.partitionedZones)
+	for _, e := range f.entries {
+		if !e.up {
+			e.start()
 		}
-		if ids := f.checker.unfinished(); len(ids) > 0 {
-			t.Fatalf("faults %v: unfinished jobs %v\n%s", faults, ids, f.explain(ids[0]))
+	}
+	for range 40 {
+		f.submit(f.entries[rng.IntN(len(f.entries))], testStep(quetzalunit.Tasks(1+rng.IntN(4))))
+		f.run(time.Duration(rng.IntN(200)) * time.Millisecond)
+	}
+	for range 3 {
+		for _, id := range f.shortLived {
+			f.cancel(f.entries[0], id)
 		}
-	})
+		f.run(4 * time.Second)
+	}
+	f.run(60 * time.Second)
+	if len(f.checker.violations) > 0 {
+		t.Fatalf("faults %v: %v", faults, f.checker.violations)
+	}
+	if f.checker.accepted[longRunningJob] && f.checker.running(longRunningJob) < 3 {
+		t.Fatalf("faults %v: %d long-running tasks are active\n%s", faults, f.checker.running(longRunningJob), f.explain(longRunningJob))
+	}
+	if ids := f.checker.unfinished(); len(ids) > 0 {
+		t.Fatalf("faults %v: unfinished jobs %v\n%s", faults, ids, f.explain(ids[0]))
+	}
 }
 
 // restartFault is the fault of a minion that restarts under its id.
