--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -20,8 +20,8 @@
 	// accounts has the accounts that submitted jobs, caps the largest caps that may be in force.
 	accounts map[quetzalunit.JobID]quetzalunit.AccountID
 	caps     map[quetzalunit.AccountID]quetzalunit.Resources
-	// stopsAtWork describes the orders to stop that arrived in time at runs that were at work.
-	stopsAtWork []string
+	// stops are the orders to stop that arrived in time at an active run.
+	stops []stopRecord
 	// waits, if not nil, checks what waits.
 	waits *waitCheck
 	// violations describes the violations found so far.
@@ -162,17 +162,27 @@
 	}
 }
 
-// startupTime is the time after which a run of a long-running task is at work.
-const startupTime = time.Second
+// stopRecord is an order to stop a run that had been active for a while.
+type stopRecord struct {
+	task   quetzalwork.TaskID
+	run    quetzalunit.RunNumber
+	minion quetzalunit.MinionID
+	ranFor time.Duration
+}
 
-// recordStop records an order to stop that was sent at an instant, if it arrives in time at a run that is at work.
+// recordStop records an order to stop that was sent at an instant, if it arrives in time at an active run.
 func (c *checker) recordStop(m *minion, stop quetzalwork.StopRun, sent quetzalunit.Instant) {
 	r := m.runs[stop.Task]
-	if r != nil && r.number == stop.Number && c.f.now.Sub(r.record.startedAt) > startupTime && c.f.now.Sub(sent) <= answerTime {
-		c.stopsAtWork = append(c.stopsAtWork, fmt.Sprintf("%v: %v run %d on %s", c.f.now, stop.Task, stop.Number, m.record.ID))
+	if r != nil && r.number == stop.Number && c.f.now.Sub(sent) <= answerTime {
+		c.stops = append(c.stops, stopRecord{stop.Task, stop.Number, m.record.ID, c.f.now.Sub(r.record.startedAt)})
 	}
 }
 
+// stopsAfter returns the recorded stops of runs that had been active for longer than d.
+func (c *checker) stopsAfter(d time.Duration) []stopRecord {
+	return slices.DeleteFunc(slices.Clone(c.stops), func(s stopRecord) bool { return s.ranFor <= d })
+}
+
 // maxDeadlyStarts is the number of starts, after the crash of three minions under a task that
 // crashes each of them, from which on the task has been started too often.
 const maxDeadlyStarts = 3
--- a/quetzalcore/quetzalscheduler/latestart_test.go
+++ b/quetzalcore/quetzalscheduler/latestart_test.go
@@ -9,27 +9,43 @@
 	"quetzalstair/quetzalcore/quetzalunit"
 )
 
-// Guards against repeated orders to stop a run whose order to start had no answer, after the minion has reported the
-// run: they end long-running tasks that are at work.
-func TestRunThatIsStartedLateIsNotStoppedAtWork(t *testing.T) {
+// newLateStartFleet returns a fleet with four long-running jobs of five tasks, 40 % of whose orders to minions are
+// carried out late.
+func newLateStartFleet(seed uint64) *fleet {
 	step := testStep(5)
 	step.LongRunning, step.MaxUnavailable = true, 1
 	step.Resources = quetzalunit.Resources{Cores: 1000, Memory: 500}
+	f := newFleet(seed, threeZones, 3, 6, testConfig())
+	f.run(3 * time.Second)
+	f.lateOrders = 0.4
+	for range 4 {
+		f.submit(f.entries[0], step)
+		f.run(2 * time.Second)
+	}
+	f.run(20 * time.Second)
+	return f
+}
+
+// Guards against repeated orders to stop a run whose order to start had no answer, after the minion has reported the
+// run: they end long-running tasks that are at work.
+func TestRunThatIsStartedLateIsNotStoppedAtWork(t *testing.T) {
 	for seed := range uint64(40) {
-		f := newFleet(seed, threeZones, 3, 6, testConfig())
-		f.run(3 * time.Second)
-		f.lateOrders = 0.4
-		for range 4 {
-			f.submit(f.entries[0], step)
-			f.run(2 * time.Second)
-		}
-		f.run(20 * time.Second)
+		f := newLateStartFleet(seed)
 		for _, m := range f.order[:4] {
 			m.kill()
 			f.after(600*time.Millisecond, m.recover)
 			f.run(5 * time.Second)
 		}
-		require.Empty(t, f.checker.stopsAtWork, "seed %d", seed)
+		require.Empty(t, f.checker.stopsAfter(time.Second), "seed %d", seed)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+	}
+}
+
+// Guards against such orders that are repeated before a report could show the run.
+func TestStopOfAStartWithoutAnswerIsRepeatedOnlyAfterAReport(t *testing.T) {
+	for seed := range uint64(100) {
+		f := newLateStartFleet(seed)
+		require.Empty(t, f.checker.stopsAfter(100*time.Millisecond), "seed %d", seed)
 		require.Empty(t, f.checker.violations, "seed %d", seed)
 	}
 }
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -334,6 +334,9 @@
 			cancelled := r.StopAnsweredAt != 0 && r.StopAnsweredAt < in.SentAt
 			if cancelled || r.StartToken < in.Token || m.Clock > r.StartDeadline.Add(leaseExpiryMargin) {
 				endRun(w, row, quetzalwork.OutcomeStopped, "", "NeverStarted")
+			} else if r.StopReason == quetzalwork.StopUnanswered && r.StopAnsweredAt == 0 && w.Now.Sub(r.StopSentAt) > stopRetryDelay {
+				// Now the run is not active. Later it might be, and the stop would end it at work.
+				stopRun(w, row, quetzalwork.StopUnanswered)
 			}
 		case quetzalwork.RunStarting:
 			// The answer to the start order is still in flight.
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -393,7 +393,7 @@
 // active until the minion reports its end.
 func stopRun(w *quetzalwork.World, row quetzalwork.Row, reason quetzalwork.StopReason) {
 	r := w.Runs.At(row)
-	if r.StopReason == quetzalwork.StopNone {
+	if r.StopReason == quetzalwork.StopNone || r.StopReason == quetzalwork.StopUnanswered {
 		r.StopReason = reason
 	}
 	if r.StopInFlight || r.StopAnsweredAt != 0 {
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -102,9 +102,12 @@
 	if r.StopInFlight {
 		return
 	}
-	if r.StopReason == quetzalwork.StopUnanswered && r.Reported && r.StopAnsweredAt == 0 {
-		// The order to start has been carried out: the stop, which was to prevent that, would only end the run.
-		r.StopReason = quetzalwork.StopNone
+	if r.StopReason == quetzalwork.StopUnanswered && r.StopAnsweredAt == 0 {
+		if r.Reported {
+			// The order to start has been carried out: the stop, which was to prevent that, would only end the run.
+			r.StopReason = quetzalwork.StopNone
+		}
+		// Otherwise a report without the run sends the order again; see endUnreportedRuns.
 		return
 	}
 	late := r.StopAnsweredAt != 0 && w.Now.Sub(r.StopAnsweredAt) > w.Bounds.StopTimeout+stopTimeoutMargin && r.State == quetzalwork.RunStarted
