--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -440,21 +440,30 @@
 	runAndVerify(t, f, 60*time.Second)
 }
 
+// restartAndCutOff makes the minions of a zone restart three times, on connections that outlive their processes.
+// Their records show it late. Soon after, the term of the dispatcher ends, and the zone is cut off.
+func (f *fleet) restartAndCutOff(rng *rand.Rand, end termEnd) {
+	f.connsOutlive = true
+	f.submitEach50ms(rng, 2*time.Second)
+	for range 3 {
+		zone := f.otherZone(rng)
+		f.restartZoneUnannounced(zone, 600*time.Millisecond)
+		f.submitEach50ms(rng, 600*time.Millisecond+time.Duration(rng.Int64N(int64(800*time.Millisecond))))
+		if end != termGoesOn {
+			f.endTerm(end)
+			f.submitEach50ms(rng, time.Duration(rng.Int64N(int64(600*time.Millisecond))))
+		}
+		f.cutOff(rng, zone, 9*time.Second)
+		f.submitEach50ms(rng, 3*time.Second)
+	}
+}
+
 // Guards against a dispatcher that takes the answer to a start for that of the process that it knows: a later one, on
 // a connection that outlives the former one, has granted the longest lease.
 func TestStartOnALaterProcessThatIsNotKnownYetStartsNoTaskTwice(t *testing.T) {
 	for seed := range uint64(40) {
 		f := newLongTaskFleet(seed)
-		f.connsOutlive = true
-		rng := rand.New(rand.NewPCG(seed, 2))
-		f.submitEach50ms(rng, 2*time.Second)
-		for range 3 {
-			zone := f.otherZone(rng)
-			f.restartZoneUnannounced(zone, 600*time.Millisecond)
-			f.submitEach50ms(rng, 600*time.Millisecond+time.Duration(rng.Int64N(int64(800*time.Millisecond))))
-			f.cutOff(rng, zone, 9*time.Second)
-			f.submitEach50ms(rng, 3*time.Second)
-		}
+		f.restartAndCutOff(rand.New(rand.NewPCG(seed, 2)), termGoesOn)
 		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
@@ -463,18 +472,7 @@
 func TestSuccessorKnowsOfARestartThatOnlyItsPredecessorFound(t *testing.T) {
 	for seed := range uint64(60) {
 		f := newLongTaskFleet(seed)
-		f.connsOutlive = true
-		rng := rand.New(rand.NewPCG(seed, 2))
-		f.submitEach50ms(rng, 2*time.Second)
-		for range 3 {
-			zone := f.otherZone(rng)
-			f.restartZoneUnannounced(zone, 600*time.Millisecond)
-			f.submitEach50ms(rng, 600*time.Millisecond+time.Duration(rng.Int64N(int64(800*time.Millisecond))))
-			f.endTerm(termKilled)
-			f.submitEach50ms(rng, time.Duration(rng.Int64N(int64(600*time.Millisecond))))
-			f.cutOff(rng, zone, 9*time.Second)
-			f.submitEach50ms(rng, 3*time.Second)
-		}
+		f.restartAndCutOff(rand.New(rand.NewPCG(seed, 2)), termKilled)
 		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
