--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/base64"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -10,13 +11,14 @@
 	"time"
 )
 
-// cases has the cases by the names of their folders, and a scenario of the report. Each returns whether the rule was broken.
+// cases has the cases by the names of their folders, and two scenarios of the report. Each returns whether the rule was broken.
 var cases = map[string]func(*world) (bool, error){
 	"6":       dayOfJobsLost,
-	"7":       movedQueueTwice,
-	"8":       cancelledUnasked,
-	"9":       lostMinionLost,
-	"10":      flappingMinionLost,
+	"7":       manyStepsLost,
+	"8":       movedQueueTwice,
+	"9":       cancelledUnasked,
+	"10":      lostMinionLost,
+	"flaps":   flappingMinionLost,
 	"removed": removedQueueBudget,
 }
 
@@ -190,6 +192,67 @@
 	return rows, nil
 }
 
+// manyStepsLost hands in one job of many steps that a last step waits for, and small jobs of the same queue after it.
+func manyStepsLost(w *world) (bool, error) {
+	const (
+		id   = "00000000000000c1"
+		wide = 9000
+		// finish is finish_s, and stalled the time for which a job may have nothing running after that.
+		finish, stalled = 14 * time.Second, 3 * time.Second
+		watch           = 40 * time.Second
+		smallJobs       = 6
+	)
+	w.configure([]string{"north"}, route("r-desk", "/desk/", "north", nil))
+	if err := start(w, 4, "north"); err != nil {
+		return false, err
+	}
+	// Without trouble, the same tasks are those of a single step.
+	steps := []map[string]any{step(wide, 1, 300, nil), step(1, 1, 300, map[string]any{"after": []int{0}})}
+	if w.trouble {
+		steps = nil
+		after := make([]int, wide)
+		for i := range wide {
+			after[i] = i
+			steps = append(steps, map[string]any{"count": 1, "cpu": 1})
+		}
+		steps = append(steps, map[string]any{"count": 1, "cpu": 1, "after": after})
+	}
+	body, _ := json.Marshal(map[string]any{"spec": "ms=300 cpu=1", "steps": steps})
+	w.note("case hands in a job with", len(steps), "steps and", wide+1, "tasks, body of", len(body), "bytes")
+	for _, e := range w.entries {
+		if status, _ := w.call(e, http.MethodPost, "/desk/"+id, string(body)); status == http.StatusOK {
+			break
+		}
+	}
+	accepted := map[string]time.Time{}
+	for i := range smallJobs {
+		small := fmt.Sprintf("00000000000001%02x", i)
+		if status, _ := w.call(w.entries[i%len(w.entries)], http.MethodPost, "/desk/"+small, job("ms=300", step(1, 1000, 300, nil))); status == http.StatusOK {
+			accepted[small] = time.Now()
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	if len(accepted) == 0 {
+		return false, fmt.Errorf("%w: no job is accepted", errUnusable)
+	}
+	broken := false
+	for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(2 * time.Second) {
+		waiting := 0
+		for small, at := range accepted {
+			if len(w.lines("start", small)) == 0 {
+				waiting++
+				broken = broken || time.Since(at) > finish+stalled
+			}
+		}
+		w.note("case", waiting, "of", len(accepted), "accepted small jobs have not begun")
+		if waiting == 0 {
+			break
+		}
+		w.call(w.entries[0], http.MethodGet, "/desk/"+id, "")
+	}
+	return broken, nil
+}
+
 // movedQueueTwice sends a queue to another service, by a version that removes its route and a version that adds it again,
 // while a request with a job arrives once more.
 func movedQueueTwice(w *world) (bool, error) {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -584,8 +584,15 @@
 	return http.StatusOK, ""
 }
 
+// maxShown is the length of the part of a body that the record shows.
+const maxShown = 300
+
 // call makes a request of a client to an entry and returns the status, 0 without an answer, and the body.
 func (w *world) call(e *entry, method, path, body string) (int, string) {
+	shown := body
+	if len(shown) > maxShown {
+		shown = shown[:maxShown] + "..."
+	}
 	req, err := http.NewRequest(method, "http://"+e.front+path, bytes.NewReader([]byte(body))) //nolint:noctx // the client has a timeout
 	if err != nil {
 		return 0, err.Error()
@@ -595,16 +602,16 @@
 	req.Header.Set("Content-Type", "application/json")
 	res, err := w.client.Do(req)
 	if err != nil {
-		w.note("client", method, path, body, "at", e.name, "no answer")
+		w.note("client", method, path, shown, "at", e.name, "no answer")
 		return 0, ""
 	}
 	defer res.Body.Close() //nolint:errcheck // read below
 	answer, err := io.ReadAll(res.Body)
 	if err != nil {
-		w.note("client", method, path, body, "at", e.name, "no complete answer")
+		w.note("client", method, path, shown, "at", e.name, "no complete answer")
 		return 0, ""
 	}
-	w.note("client", method, path, body, "at", e.name, "answered", res.StatusCode, strings.TrimSpace(string(answer)))
+	w.note("client", method, path, shown, "at", e.name, "answered", res.StatusCode, strings.TrimSpace(string(answer)))
 	return res.StatusCode, strings.TrimSpace(string(answer))
 }
 
