--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -229,26 +230,25 @@
 	return p, nil
 }
 
+// The entries get ports below those that the system gives to connections, so that none takes one before its entry listens.
+const (
+	lowestPort = 20000
+	portRange  = 11000
+)
+
 // freePorts returns the first of n free ports in a row.
 func freePorts(n int) int {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		open := []net.Listener{l}
-		for i := 1; i < n; i++ {
-			more, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(first+i))
+		first := lowestPort + rand.IntN(portRange)
+		free := 0
+		for ; free < n; free++ {
+			l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(first+free))
 			if err != nil {
 				break
 			}
-			open = append(open, more)
-		}
-		for _, l := range open {
 			_ = l.Close()
 		}
-		if len(open) == n {
+		if free == n {
 			return first
 		}
 	}
@@ -290,6 +290,11 @@
 		if err := w.startEntry(e); err != nil {
 			return err
 		}
+		select {
+		case <-e.proc.done:
+			return fmt.Errorf("%w: %s has ended", errUnusable, e.name)
+		case <-time.After(100 * time.Millisecond):
+		}
 	}
 	return nil
 }
