Log where an acknowledged end is recorded, and why the run before a start no longer counts

Three lines tell the hypotheses apart: the placement of a task names why its last run no longer counts, the acknowledgement of an end that is done names the revision that records it or why there is none, and the end of a run that no longer counted is logged by itself. The last one, and acknowledgements without a record, are not subject to the limit on lines.

No decision changes.

--- /dev/null
+++ b/quetzalcore/quetzalscheduler/acknowledgedend_test.go
@@ -0,0 +1,80 @@
+package quetzalscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+const acknowledgedLine = "The end of a run is acknowledged."
+
+// loggedWith returns the logged decisions with a message.
+func (d *dispatcher) loggedWith(message string) []quetzalwork.Decision {
+	var lines []quetzalwork.Decision
+	for _, l := range d.logged {
+		if l.Message == message {
+			lines = append(lines, l)
+		}
+	}
+	return lines
+}
+
+// reportEnds makes the minions run nothing and report ends until they are acknowledged.
+func (d *dispatcher) reportEnds(ends ...quetzalwork.ReportedEnd) {
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		for _, e := range ends {
+			if e.Number > c.AckedThrough {
+				in.Ends = append(in.Ends, e)
+			}
+		}
+		return in
+	}
+}
+
+func TestAcknowledgedEndIsLoggedWithItsRecord(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	var lines []quetzalwork.Decision
+	f.onLog = func(d quetzalwork.Decision) {
+		if d.Message == acknowledgedLine {
+			lines = append(lines, d)
+		}
+	}
+	f.run(3 * time.Second)
+	id := f.submit(f.entries[0], testStep(1), testStep(1, 0))
+	runAndVerify(t, f, 10*time.Second)
+	require.Len(t, lines, 2)
+	row := f.store.rows[rowKey(&quetzalwork.JobRow{Job: id, Content: quetzalwork.JobProgress{}})]
+	require.Equal(t, "Stored", lines[0].Reason)
+	require.Less(t, lines[0].Version, int64(row.Revision))
+	require.Equal(t, "Stored", lines[1].Reason)
+	require.Equal(t, int64(row.Revision), lines[1].Version)
+}
+
+func TestAcknowledgedEndOfAnUnknownJobIsLogged(t *testing.T) {
+	d := newDispatcher(t)
+	d.reportEnds(quetzalwork.ReportedEnd{Number: 1, Task: quetzalwork.TaskID{Job: otherJob}, Run: 7})
+	d.run(6 * time.Second)
+	lines := d.loggedWith(acknowledgedLine)
+	require.Len(t, lines, 1)
+	require.Equal(t, "UnknownJob", lines[0].Reason)
+	require.False(t, lines[0].Routine)
+}
+
+func TestDoneRunThatNoLongerCountedIsLogged(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.answerPoll = d.idle
+	d.run(2 * time.Second)
+	require.Greater(t, len(d.starts), 1, "no report shows the run")
+	d.reportEnds(quetzalwork.ReportedEnd{Number: 1, Task: d.starts[0].Task, Run: d.starts[0].Number})
+	d.run(time.Second)
+	placed := d.loggedWith("A task is placed.")
+	require.Empty(t, placed[0].Reason)
+	require.Equal(t, "AbsentLapsed", placed[1].Reason)
+	lines := d.loggedWith("A run that no longer counted has ended as done.")
+	require.Len(t, lines, 1)
+	require.Equal(t, d.starts[0].Number, lines[0].Run)
+}
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -216,6 +216,7 @@
 		n := 0
 		for n < len(m.UnackedEnds) && canAcknowledge(w, &m.UnackedEnds[n]) {
 			m.AckedThrough = m.UnackedEnds[n].Number
+			logAcknowledgement(w, m, &m.UnackedEnds[n])
 			n++
 		}
 		if n > 0 {
@@ -231,3 +232,27 @@
 	j := w.Jobs.At(e.Job)
 	return j == nil || j.Cancelled || j.StoredChanges >= e.Changes
 }
+
+// logAcknowledgement logs where the end of a run that is done is recorded as it is acknowledged, or why it is
+// acknowledged without that.
+func logAcknowledgement(w *quetzalwork.World, m *quetzalwork.Minion, e *quetzalwork.UnackedEnd) {
+	if e.Outcome != quetzalwork.OutcomeDone {
+		return
+	}
+	d := quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The end of a run is acknowledged.", Job: e.Task.Job, Task: e.Task.TaskRef, Run: e.Run, Minion: m.ID,
+		Pool: m.Pool, Version: int64(e.Number), Reason: e.Unrecorded,
+	}
+	j := w.Jobs.At(e.Job)
+	switch {
+	case d.Reason != "":
+	case j == nil:
+		d.Reason = "RowGone"
+	case j.Cancelled:
+		d.Reason = jobStateName(quetzalwork.JobCancelled)
+	default:
+		d.Reason, d.Version = "Stored", int64(j.ProgressRevision)
+	}
+	d.Routine = j != nil && (j.State.Final() || e.Unrecorded == "")
+	w.Log(d)
+}
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -67,7 +67,7 @@
 	p.LastStartAt = w.Now
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartPlacement, Message: "A task is placed.", Job: j.ID, Task: taskRef(w, t), Run: number, Minion: m.ID,
-		Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(s.RunnableAt), Routine: true,
+		Pool: p.ID, Version: int64(p.Token), Age: w.Now.Sub(s.RunnableAt), Reason: t.LossReason, Routine: true,
 	})
 	schedulePoll(w, minionRow, 0)
 	return number
@@ -162,9 +162,10 @@
 	if checkpoint != "" {
 		t.Checkpoint = checkpoint
 	}
+	t.LostRun, t.LossReason = r.Number, reason+outcomeName(outcome)
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartMinion, Message: "A run ended without a result.", Job: w.Jobs.At(job).ID, Task: taskRef(w, t), Run: r.Number,
-		Minion: w.Minions.At(r.Minion).ID, Age: w.Now.Sub(r.StartedAt), Reason: reason + outcomeName(outcome), Routine: true,
+		Minion: w.Minions.At(r.Minion).ID, Age: w.Now.Sub(r.StartedAt), Reason: t.LossReason, Routine: true,
 	})
 	removeRun(w, row)
 	pruneOccurrence(w, job, occurrence)
@@ -185,9 +186,9 @@
 		return false
 	}
 	m.SeenThrough = e.Number
-	unacked := quetzalwork.UnackedEnd{Number: e.Number}
+	unacked := quetzalwork.UnackedEnd{ReportedEnd: *e, Unrecorded: "UnknownJob"}
 	if j != nil {
-		applyEnd(w, minionRow, jobRow, e)
+		unacked.Unrecorded = applyEnd(w, minionRow, jobRow, e)
 		if e.Outcome == quetzalwork.OutcomeDone || e.Outcome == quetzalwork.OutcomeFailed {
 			unacked.Job, unacked.Changes = jobRow, j.ProgressChanges
 		}
@@ -196,14 +197,17 @@
 	return true
 }
 
-func applyEnd(w *quetzalwork.World, minionRow, jobRow quetzalwork.Row, e *quetzalwork.ReportedEnd) {
+// applyEnd applies the end of a run of a known job. It returns why the job's progress does not record the end,
+// "" if it does.
+func applyEnd(w *quetzalwork.World, minionRow, jobRow quetzalwork.Row, e *quetzalwork.ReportedEnd) string {
 	taskRow := findTask(w, jobRow, e.Task.TaskRef)
 	if taskRow == 0 {
-		return
+		return unknownTaskReason(w.Jobs.At(jobRow), e)
 	}
 	runRow := w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: e.Run})
 	switch e.Outcome {
 	case quetzalwork.OutcomeDone:
+		logSuperfluousRun(w, minionRow, taskRow, e)
 		recordRunTime(w, minionRow, runRow)
 		completeTask(w, jobRow, taskRow, runRow, e)
 	case quetzalwork.OutcomeFailed:
@@ -218,6 +222,42 @@
 			w.Tasks.At(taskRow).Checkpoint = e.Checkpoint
 		}
 	}
+	return ""
+}
+
+// unknownTaskReason returns why a job has no task for a reported end. Those of finished jobs and occurrences are freed.
+func unknownTaskReason(j *quetzalwork.Job, e *quetzalwork.ReportedEnd) string {
+	switch {
+	case j.State.Final():
+		return jobStateName(j.State)
+	case j.Progress.DoneOccurrences.Contains(e.Task.Occurrence):
+		return "" // recorded with its occurrence
+	default:
+		return "UnknownTask"
+	}
+}
+
+// logSuperfluousRun logs a run that has ended as done beside or after another one that this process has started
+// because it no longer counted the first.
+func logSuperfluousRun(w *quetzalwork.World, minionRow, taskRow quetzalwork.Row, e *quetzalwork.ReportedEnd) {
+	t := w.Tasks.At(taskRow)
+	s := w.Steps.At(t.Step)
+	d := quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "A run that no longer counted has ended as done.", Job: e.Task.Job, Task: e.Task.TaskRef, Run: e.Run,
+		Minion: w.Minions.At(minionRow).ID, Version: int64(t.LostRun), Reason: t.LossReason,
+	}
+	switch {
+	case w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: e.Run}) != 0 || s.Spec.Speculative || s.Spec.Gang:
+		return
+	case t.LostRun == e.Run:
+	case len(t.Runs) > 0:
+		d.Version, d.Reason = int64(w.Runs.At(t.Runs[0]).Number), "OtherRun"
+	case t.DoneBy != 0 && t.DoneBy != e.Run:
+		d.Version, d.Reason = int64(t.DoneBy), "DoneBefore"
+	default:
+		return
+	}
+	w.Log(d)
 }
 
 // completeTask marks a task as done, or every task of a gang. It stops the task's other runs,
@@ -226,6 +266,7 @@
 	j, t := w.Jobs.At(jobRow), w.Tasks.At(taskRow)
 	s := w.Steps.At(t.Step)
 	j.Started = true
+	t.DoneBy = e.Run
 	done := []quetzalwork.Row{taskRow}
 	if s.Spec.Gang {
 		done = slices.Clone(s.Tasks)
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -356,6 +356,12 @@
 	UnavailableSince quetzalunit.Instant
 	// LastRunEndedAt is when the task last lost a run that its minion had started, zero if it has lost none.
 	LastRunEndedAt quetzalunit.Instant
+	// LostRun is the last run that ended without a result, zero if there was none. LossReason is why it no
+	// longer counts.
+	LostRun    quetzalunit.RunNumber
+	LossReason string
+	// DoneBy is the run whose end completed the task, zero if no end was reported to this process.
+	DoneBy quetzalunit.RunNumber
 }
 
 // RunState is the state of a run.
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -184,11 +184,13 @@
 // the job's progress is stored: the minion forgets the end with it, and another dispatcher would
 // run the task again.
 type UnackedEnd struct {
-	Number quetzalunit.EndNumber
+	ReportedEnd
 	// Changes is the number of changes of the progress of Job that must be stored. Job is zero
 	// if the end can be acknowledged at once.
 	Job     Row
 	Changes int
+	// Unrecorded is why the progress of the job does not record the end, empty if it does.
+	Unrecorded string
 }
 
 // RunOutcome is how a run ended, in the terms of the platform. OutcomeDone completes the task, and
