Let a record of an undeclared pool end no runs of other minions

An agent of another system on a minion's machine writes a well-formed record with that machine and a service that no configuration names. Within 0.13 s the sound minion's tasks are started again beside their first runs, and it gets no more work. As the record stays, a minion that joins after it gets none at all.

Cause: retireEarlierMinions took each record with a host and a later start for a later minion on the host, and applyMinionRecord one over a minion's own record for a move to another pool. By PROTOCOL.md such an entry names no minion to use, and the others hold.

Change: only records of declared pools replace a minion, and only minions of such pools are replaced; this is caught up on when a configuration declares the pool. A record of an undeclared pool over a minion's own removes the minion from the list, as one that cannot be decoded does: its runs go on. An entry that starts after that knows the minion in the wrong pool only, so that the census counts a minion as known only in the pool that its host has.

The recovery of crashed minions is as before: their pools are declared.

--- a/quetzalcore/quetzalscheduler/census.go
+++ b/quetzalcore/quetzalscheduler/census.go
@@ -42,7 +42,7 @@
 		c.Unseen = make(map[quetzalunit.PoolID][]quetzalunit.MinionID)
 		for i := range in.Hosts {
 			h := &in.Hosts[i]
-			if h.Minion != "" && h.State != quetzalwork.HostMoving && h.State != quetzalwork.HostInMaintenance && w.MinionByID.Get(h.Minion) == 0 {
+			if h.Minion != "" && h.State != quetzalwork.HostMoving && h.State != quetzalwork.HostInMaintenance && !knowsMinion(w, h.Pool, h.Minion) {
 				c.Unseen[h.Pool] = append(c.Unseen[h.Pool], h.Minion)
 			}
 		}
@@ -139,7 +139,13 @@
 		return false
 	}
 	if unseen := c.Unseen[p.ID]; len(unseen) > 0 {
-		c.Unseen[p.ID] = slices.DeleteFunc(unseen, func(id quetzalunit.MinionID) bool { return w.MinionByID.Get(id) != 0 })
+		c.Unseen[p.ID] = slices.DeleteFunc(unseen, func(id quetzalunit.MinionID) bool { return knowsMinion(w, p.ID, id) })
 	}
 	return len(c.Unseen[p.ID]) == 0
 }
+
+// knowsMinion reports whether this process knows a minion as one of a pool. Another writer may have written over its record.
+func knowsMinion(w *quetzalwork.World, pool quetzalunit.PoolID, id quetzalunit.MinionID) bool {
+	m := w.Minions.At(w.MinionByID.Get(id))
+	return m != nil && m.Pool == pool
+}
--- a/quetzalcore/quetzalscheduler/config.go
+++ b/quetzalcore/quetzalscheduler/config.go
@@ -115,7 +115,13 @@
 	w.Config.Version, w.Config.Known, w.Config.MaxBodyBytes = cfg.Version, true, cfg.MaxBodyBytes
 	for _, spec := range cfg.Pools {
 		p := w.Pools.At(poolRow(w, spec.ID))
+		added := !p.Configured
 		p.PoolSpec, p.Configured, p.NeedsPlacement = spec, true, true
+		if added {
+			for _, row := range p.Minions {
+				retireEarlierMinions(w, &w.Minions.At(row).MinionRecord)
+			}
+		}
 	}
 	for _, q := range w.Queues.All() {
 		q.Removed = true
@@ -146,6 +152,12 @@
 	return row
 }
 
+// isConfigured reports whether a configuration has declared a pool.
+func isConfigured(w *quetzalwork.World, id quetzalunit.PoolID) bool {
+	p := w.Pools.At(w.PoolByID.Get(id))
+	return p != nil && p.Configured
+}
+
 // indexRoutes indexes the queues of the configuration by their HTTP hosts and path prefixes. A configuration may have
 // thousands of queues, and each call is routed.
 func indexRoutes(w *quetzalwork.World) {
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -170,12 +170,9 @@
 	p := w.Pools.At(pool)
 	row := w.MinionByID.Get(r.ID)
 	if m := w.Minions.At(row); m != nil && m.PoolRow != pool {
-		if r.Incarnation <= m.Incarnation {
-			// The record is stale: only a later incarnation can belong to another pool.
+		if !leaveFormerPool(w, row, r) {
 			return
 		}
-		endMinionRuns(w, row, "Moved")
-		deleteMinion(w, row)
 		row = 0
 	}
 	if row == 0 {
@@ -220,14 +217,30 @@
 	p.NeedsPlacement = true
 }
 
+// leaveFormerPool deletes a minion whose record is of another pool now. It returns false if that record does not count:
+// only a later incarnation can belong to another pool, and a record of a pool that no configuration declares may come
+// from another writer. Nobody may use the minion then, but its runs continue.
+func leaveFormerPool(w *quetzalwork.World, row quetzalwork.Row, r *quetzalwork.MinionRecord) bool {
+	if r.Incarnation <= w.Minions.At(row).Incarnation {
+		return false
+	}
+	if w.Config.Known && !isConfigured(w, r.Pool) {
+		markMinionRemoved(w, row)
+		return false
+	}
+	endMinionRuns(w, row, "Moved")
+	deleteMinion(w, row)
+	return true
+}
+
 // retireEarlierMinions marks earlier minions on the same host as replaced and ends their runs,
-// because only one minion runs on a host at a time.
+// because only one minion runs on a host at a time. Minions of pools that no configuration declares do not count.
 func retireEarlierMinions(w *quetzalwork.World, r *quetzalwork.MinionRecord) {
-	if r.Host == "" || r.Incarnation == 0 {
+	if r.Host == "" || r.Incarnation == 0 || !isConfigured(w, r.Pool) {
 		return
 	}
 	for row, m := range w.Minions.All() {
-		if m.Host != r.Host || m.ID == r.ID || m.Replaced {
+		if m.Host != r.Host || m.ID == r.ID || m.Replaced || !isConfigured(w, m.Pool) {
 			continue
 		}
 		if m.Incarnation > r.Incarnation {
--- a/quetzalcore/quetzalscheduler/oddrecord_test.go
+++ b/quetzalcore/quetzalscheduler/oddrecord_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
 )
 
 // Another writer has left records of pools that no configuration declares. Duties for them would take
@@ -22,3 +23,79 @@
 	runAndVerify(t, f, 10*time.Second)
 	require.True(t, f.checker.accepted[id])
 }
+
+// An agent of another system on a minion's machine has written a record with that machine. It must not replace the
+// minion, for this dispatcher or the next, whether its record comes before or after the minion's.
+func TestRecordOfAnUnknownPoolEndsNoRuns(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, threeZones, 3, 6, testConfig())
+		f.runTime = func(quetzalwork.TaskID) time.Duration { return 5 * time.Second }
+		agent := f.order[0].record
+		agent.ID, agent.Pool, agent.Address = "agent", "host-agents", "127.0.0.1:1"
+		agent.Incarnation += quetzalunit.MinionIncarnation(1 + seed%2)
+		write := func() {
+			f.store.revision++
+			f.store.list[agent.ID] = versionedRecord{agent, f.store.revision, false}
+		}
+		if seed%2 == 1 {
+			write()
+		}
+		f.run(3 * time.Second)
+		f.submit(f.entries[0], testStep(20))
+		f.run(500 * time.Millisecond)
+		require.NotEmpty(t, f.order[0].runs, "seed %d", seed)
+		write()
+		f.run(2 * time.Second)
+		f.holder().kill()
+		f.run(15 * time.Second)
+		require.Empty(t, f.checker.violations, "seed %d", seed)
+		require.Empty(t, f.checker.unfinished(), "seed %d", seed)
+	}
+}
+
+// Another writer has written a record of such a pool over that of a minion. The minion's tasks go on, whether the entries knew
+// it before or start only now.
+func TestRecordOfAnUnknownPoolOverAMinionsOwnEndsNoRuns(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, threeZones, 3, 6, testConfig())
+		f.runTime = func(quetzalwork.TaskID) time.Duration { return 5 * time.Second }
+		f.run(3 * time.Second)
+		f.submit(f.entries[0], testStep(20))
+		f.run(500 * time.Millisecond)
+		odd := f.order[0].record
+		odd.Pool, odd.Incarnation = "host-agents", odd.Incarnation+1
+		f.store.revision++
+		f.store.list[odd.ID] = versionedRecord{odd, f.store.revision, false}
+		f.run(time.Second)
+		if seed%2 == 1 {
+			for _, e := range f.entries {
+				e.kill()
+				e.start()
+			}
+		}
+		runAndVerify(t, f, 15*time.Second)
+	}
+}
+
+// The minion of a host that moves joins a pool that the entries get to know only later. From then on it replaces the
+// earlier minion of the host.
+func TestMinionOfAPoolThatIsDeclaredLaterReplacesTheEarlierOne(t *testing.T) {
+	f := newFleet(1, threeZones, 3, 6, testConfig())
+	f.run(3 * time.Second)
+	earlier, later := f.order[0], f.addMinion(threeZones[0], 0)
+	earlier.kill()
+	later.record.Pool, later.record.Host, later.record.Incarnation = "later", earlier.record.Host, earlier.record.Incarnation+1
+	later.publish(false)
+	f.run(time.Second)
+	replaced := func() bool {
+		w := f.holder().world
+		return w.Minions.At(w.MinionByID.Get(earlier.record.ID)).Replaced
+	}
+	require.False(t, replaced())
+	cfg := testConfig()
+	cfg.Version, cfg.Pools = 2, append(cfg.Pools, quetzalwork.PoolSpec{ID: "later"})
+	f.store.revision++
+	f.store.config, f.store.configRevision = &cfg, f.store.revision
+	f.run(35 * time.Second)
+	require.True(t, replaced())
+}
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -70,7 +70,7 @@
 // the message was late, and the runs of the earlier one have ended with its replacement.
 func handleHostWithdrawn(w *quetzalwork.World, m *quetzalwork.NotifyHostWithdrawn) {
 	for _, minion := range w.Minions.All() {
-		if m.Minion != "" && minion.Host == m.Host && minion.ID != m.Minion && !minion.Replaced {
+		if m.Minion != "" && minion.Host == m.Host && minion.ID != m.Minion && !minion.Replaced && isConfigured(w, minion.Pool) {
 			return
 		}
 	}
