Name the minion in each notice of a host in maintenance

What callers saw: tasks of a sound minion that has just joined may be started again beside their runs (TWICE), while an entry takes the control of hosts over during a wave.

Cause: a host controller that finds a host in maintenance as it takes over orders that again, and when the answer arrives and its list of hosts still shows the maintenance, it notifies the dispatcher without naming a minion. The list may be 0.6 s old then, and more beside a slow host service; a host that has come back meanwhile has a minion with runs, all of which the dispatcher ends ("Taken"). The holder of the pool itself ended the runs of all minions on the host even if the minion was known.

Change: such a controller names the minion that it knew on the host before it took over, and gives no notice if it knows none: the runs then end with the minion's replacement or lease. A notice to itself is checked like one from another entry.

Evidence, before: TestNoticeAfterATakeoverOfHostControlSparesTheNextMinion gets a notice for minion "" 0.25 s after the host was up again (in steps of 50 ms, with answers at once). After: the test is green.

--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -251,7 +251,7 @@
 	case h == nil:
 		*maintenance = quetzalwork.HostMaintenance{}
 	case maintenance.State == quetzalwork.MaintenanceActive:
-		if h.State == quetzalwork.HostInMaintenance && !maintenance.DispatcherNotified {
+		if h.State == quetzalwork.HostInMaintenance && !maintenance.DispatcherNotified && maintenance.Minion != "" {
 			maintenance.DispatcherNotified = true
 			notifyHostWithdrawn(w, h, maintenance.Minion)
 		}
@@ -261,13 +261,24 @@
 	case h.State == quetzalwork.HostInMaintenance && maintenance.State == quetzalwork.MaintenanceWaiting:
 		// The maintenance was ordered by a predecessor, or by an order whose answer was lost. The
 		// order is sent again, because its answer changes the state to MaintenanceActive.
-		maintenance.State, maintenance.Since = quetzalwork.MaintenanceOrdered, w.Now
+		maintenance.State, maintenance.Since, maintenance.Minion = quetzalwork.MaintenanceOrdered, w.Now, minionBeforeTakeover(w, h)
 		orderMaintenance(w, wave, i)
 	case maintenance.State == quetzalwork.MaintenanceOrdered && !maintenance.RequestInFlight && w.Now >= maintenance.RetryAt:
 		orderMaintenance(w, wave, i)
 	}
 }
 
+// minionBeforeTakeover returns the minion that a host had before this process became the host controller, empty if that is
+// not known. It has ended if the host is in maintenance since.
+func minionBeforeTakeover(w *quetzalwork.World, h *quetzalwork.Host) quetzalunit.MinionID {
+	for _, m := range w.Minions.All() {
+		if m.Host == h.ID && m.Pool == h.Pool && !m.Replaced && m.FirstSeenAt < w.HostController.HeldSince {
+			return m.ID
+		}
+	}
+	return ""
+}
+
 // evacuateWaveHost requests the evacuation of a host from the dispatcher of its pool. The
 // maintenance is ordered once the host's minion runs nothing, or after evacuationTime once it runs
 // no long-running task. A spare host needs no evacuation.
@@ -394,14 +405,15 @@
 // notifyHostWithdrawn notifies the dispatcher that the runs on a host in maintenance have ended. It
 // is called when the list of hosts shows the maintenance, not when the order is answered: the answer
 // is the same if the order was carried out earlier, and by then a new minion may be running on the
-// host.
+// host. The list may be that old, too, so that the notice must name the minion whose runs have ended.
 func notifyHostWithdrawn(w *quetzalwork.World, h *quetzalwork.Host, minion quetzalunit.MinionID) {
 	p := w.Pools.At(w.PoolByID.Get(h.Pool))
+	notice := quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID, Minion: minion}
 	switch {
 	case p == nil:
 	case p.Held:
-		endRunsOnHost(w, h.Pool, h.ID)
+		handleHostWithdrawn(w, &notice)
 	case p.Duty.Address != "":
-		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID, Minion: minion}, Timeout: peerTimeout})
+		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: notice, Timeout: peerTimeout})
 	}
 }
--- a/quetzalcore/quetzalscheduler/withdrawn_test.go
+++ b/quetzalcore/quetzalscheduler/withdrawn_test.go
@@ -108,3 +108,27 @@
 		require.Equal(t, quetzalunit.MinionID("minion of "+notice.Host), notice.Minion)
 	}
 }
+
+// A host controller finds a host in maintenance as it takes the duty over, and its list is up to 0.6 s old when the answer to
+// its order makes it notify the dispatcher. By then the host may have its next minion, whose runs must go on.
+func TestNoticeAfterATakeoverOfHostControlSparesTheNextMinion(t *testing.T) {
+	plan := quetzalwork.WavePlan{ID: "1", Hosts: []quetzalunit.HostID{"h1"}, TimeLimit: 40 * time.Second, MaxConcurrent: 1}
+	for _, known := range []bool{false, true} {
+		h1 := upHost("h1", "calm")
+		h1.State = quetzalwork.HostInMaintenance
+		c := newHostControllerAfter(t, quetzalwork.Duty{Revision: 6}, []quetzalwork.Host{h1}, plan)
+		var want []quetzalwork.NotifyHostWithdrawn
+		if known {
+			c.tick(quetzalwork.MinionsListed{Full: true, SeenRevision: 1, Minions: []quetzalwork.MinionRecord{{ID: "i-1", Pool: "calm", Host: "h1", Incarnation: 1}}})
+			want = []quetzalwork.NotifyHostWithdrawn{{Pool: "calm", Host: "h1", Minion: "i-1"}}
+		}
+		for len(c.takeovers) == 0 {
+			c.run(50 * time.Millisecond)
+		}
+		c.run(100 * time.Millisecond)
+		c.hosts[0].State, c.hosts[0].Minion = quetzalwork.HostUp, "i-2"
+		c.run(2 * time.Second)
+		require.NotEmpty(t, c.orders)
+		require.Equal(t, want, c.notices)
+	}
+}
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -327,7 +327,8 @@
 	// RequestInFlight reports whether a request to the dispatcher, or an order to the host, is in
 	// flight.
 	RequestInFlight bool
-	// Minion is the minion of the host when its evacuation was requested, empty if it was not.
+	// Minion is the minion of the host when its evacuation was requested, or before this process took the duty over, empty
+	// if neither is known.
 	Minion quetzalunit.MinionID
 	// DispatcherNotified reports whether the dispatcher was told that the host is in maintenance.
 	DispatcherNotified bool
