Wait for a report of a run whose start is rejected as outdated

What callers saw: none yet.

Cause: of the rejections, `old` is the only one that does not show that the run was not carried out. PROTOCOL.md: a run that is not higher than a run stopped or ended there is rejected, so that it may be this run that has ended. `fence`, `late`, `room`, `ticket`, 421, 429 and 503 are given by a minion that does not have the run: it answers 200 if the run is there.

Change: after `old` the run stays until the next report, like one of which the minion has accepted a stop.

Evidence: TestOutdatedStartWhoseRunHasEndedIsNotRepeated, with a minion whose next polls are lost for a second: three starts and more before, one after.

--- a/quetzalcore/quetzalscheduler/rejected_test.go
+++ b/quetzalcore/quetzalscheduler/rejected_test.go
@@ -68,3 +68,28 @@
 	}
 	runAndVerify(t, f, 5*time.Second)
 }
+
+// A minion answers that a start is outdated also if it has carried the order out before, as on a connection that broke, and the
+// run has ended there. Its next report is late.
+func TestOutdatedStartWhoseRunHasEndedIsNotRepeated(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.rejectsStarts, d.recordsProgress = true, true
+	other := testMinions[0]
+	other.ID, other.Address, other.Host = "m1", "m1", "h1"
+	d.minions = append(d.minions[:1:1], other)
+	var silentUntil quetzalunit.Instant
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		if len(d.starts) > 0 && c.Target.Minion == d.starts[0].Target.Minion {
+			in.Ends = []quetzalwork.ReportedEnd{{Number: 1, Task: d.starts[0].Task, Run: d.starts[0].Number}}
+			if d.now < silentUntil {
+				in = quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, Result: quetzalwork.OrderUnanswered{}}
+			}
+		}
+		return in
+	}
+	silentUntil = d.now.Add(time.Second)
+	d.run(3 * time.Second)
+	require.Len(t, d.starts, 1)
+	require.NotEmpty(t, d.stored)
+}
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -514,11 +514,24 @@
 		rejectRun(w, in.Run, "Astray")
 	case quetzalwork.OrderNotSent:
 		rejectRun(w, in.Run, "NotSent")
-	case quetzalwork.OrderOutdated, quetzalwork.OrderExpired, quetzalwork.OrderMalformed:
+	case quetzalwork.OrderOutdated:
+		awaitReportOfOutdated(w, in.Run, in.Token)
+	case quetzalwork.OrderExpired, quetzalwork.OrderMalformed:
 		rejectRun(w, in.Run, "Rejected")
 	}
 }
 
+// awaitReportOfOutdated keeps a run whose start a minion has rejected as outdated until a report shows whether it has ended
+// there: the minion has ended or stopped this run, or a later one of the task.
+func awaitReportOfOutdated(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken) {
+	r := w.Runs.At(row)
+	r.State = quetzalwork.RunStartUnanswered
+	if token == orderToken(w, w.Minions.At(r.Minion)) {
+		r.StopAnsweredAt = w.Now
+	}
+	schedulePoll(w, r.Minion, 0)
+}
+
 // markRunStarted records that the minion of a run has started it.
 func markRunStarted(w *quetzalwork.World, r *quetzalwork.Run) {
 	observeRunAfterWait(w, w.Tasks.At(r.Task), r.Adopted)
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -371,7 +371,8 @@
 const (
 	// RunStarting means that the order to start is in flight.
 	RunStarting RunState = iota
-	// RunStartUnanswered means that the order to start had no answer and may still be carried out.
+	// RunStartUnanswered means that the order to start had no answer and may still be carried out, or that it was rejected as
+	// outdated, which may be because it had been carried out.
 	RunStartUnanswered
 	// RunStarted means that the minion has accepted the order to start, or reports the run.
 	RunStarted
@@ -424,7 +425,8 @@
 	StopSentAt quetzalunit.Instant
 	// StopInFlight reports whether an order to stop is in flight.
 	StopInFlight bool
-	// StopAnsweredAt is when the minion accepted the order to stop; zero if it has not.
+	// StopAnsweredAt is when the minion accepted the order to stop, or rejected the order to start as outdated, after which it
+	// does not start the run; zero if it has not.
 	StopAnsweredAt quetzalunit.Instant
 }
 
