Let the wall clocks of simulated entries differ, and check the order of occurrences

The wall clocks of all simulated entries were the same, and the checker judged the steps that a task waits for by those of the first occurrence, so that it saw no wrong order in a later one and would have seen a wrong one in a right order.

Test code only.

--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -109,7 +109,7 @@
 	}
 	for _, dependency := range c.step(t).DependsOn {
 		for n := range c.specs[t.Job].Steps[dependency].TaskCount {
-			if !c.isDone(quetzalwork.TaskID{Job: t.Job, TaskRef: quetzalwork.TaskRef{Step: dependency, Task: quetzalunit.TaskIndex(n)}}) {
+			if !c.isDone(quetzalwork.TaskID{Job: t.Job, TaskRef: quetzalwork.TaskRef{Occurrence: t.Occurrence, Step: dependency, Task: quetzalunit.TaskIndex(n)}}) {
 				c.violationf("ORDER: %v before step %d is done", t, dependency)
 			}
 		}
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -107,6 +107,8 @@
 	replies    map[quetzalunit.CallerID]func(quetzalwork.PeerReply)
 	lastCaller quetzalunit.CallerID
 	config     quetzalwork.FleetConfig
+	// wallOffset is by how much the wall clock differs from that of the fleet.
+	wallOffset time.Duration
 }
 
 func newFleet(seed uint64, zones []quetzalunit.ZoneID, entries, minions int, cfg quetzalwork.FleetConfig) *fleet {
@@ -213,7 +215,7 @@
 	e.replies = make(map[quetzalunit.CallerID]func(quetzalwork.PeerReply))
 	e.world = &quetzalwork.World{
 		Self: quetzalwork.Identity{
-			Entry: e.id, Zone: e.zone, Incarnation: quetzalunit.Incarnation(e.f.now), PeerAddress: quetzalunit.Address(e.id), Seed: uint64(e.boot),
+			Entry: e.id, Zone: e.zone, Incarnation: quetzalunit.Incarnation(e.f.now.Add(e.wallOffset)), PeerAddress: quetzalunit.Address(e.id), Seed: uint64(e.boot),
 		},
 		Bounds: quetzalwork.Bounds{MaxLease: maxLease, StopTimeout: 400 * time.Millisecond, OrderLease: 3 * time.Second, MaintenanceTime: 2 * time.Second},
 	}
@@ -259,6 +261,7 @@
 	inputs := e.inputs
 	e.inputs = nil
 	began := time.Now()
+	e.world.WallClockOffset = e.wallOffset
 	commands := quetzalscheduler.Tick(e.world, e.f.now, inputs)
 	e.f.tickTime += time.Since(began)
 	for _, c := range commands {
