Create occurrences that minions report before they are due here

A task of a scheduled job was started again after its first run had ended done and that end was acknowledged, or beside its first run, after the pool's duty had passed to another entry. No late call is needed, nor any fault of the store or of a minion.

Cause: the wall clock of the successor was behind that of its predecessor, which had started tasks of occurrences that were not due yet at the successor. For these findTask found no task: applyEnd dropped the end, which was acknowledged at once (the job's progress had not changed), and applyReportedRun stopped a run that goes on as one that no task needs. Once the occurrence was due, its tasks started again. Ends that were failures did not count either. A successor that defers occurrences that its predecessor had not deferred drops ends in the same way.

Evidence: TestOccurrenceThatIsNotDueYetAtASuccessorRunsOnce and TestEndOfAnOccurrenceThatIsNotDueYetIsRecorded fail without the change.

Change: an occurrence of which a minion reports a run or an end is created, and with it those before it, which are due before it.

--- a/quetzalcore/quetzalscheduler/occurrence.go
+++ b/quetzalcore/quetzalscheduler/occurrence.go
@@ -31,9 +31,7 @@
 		tasks += j.Spec.Steps[i].TaskCount
 	}
 	for j.CreatedOccurrences < j.Spec.Occurrences {
-		if end, done := j.Progress.DoneOccurrences.EndOf(j.CreatedOccurrences); done {
-			j.CompletedOccurrences += end - j.CreatedOccurrences
-			j.CreatedOccurrences = end
+		if skipDoneOccurrences(j) {
 			continue
 		}
 		unfinished := quetzalunit.Tasks(j.CreatedOccurrences - j.CompletedOccurrences)
@@ -56,6 +54,29 @@
 	}
 }
 
+// skipDoneOccurrences counts the next occurrences of a repeating job as created and completed if they are finished. It
+// returns false if the next one is not.
+func skipDoneOccurrences(j *quetzalwork.Job) bool {
+	end, done := j.Progress.DoneOccurrences.EndOf(j.CreatedOccurrences)
+	if done {
+		j.CompletedOccurrences += end - j.CreatedOccurrences
+		j.CreatedOccurrences = end
+	}
+	return done
+}
+
+// createReportedOccurrences creates the occurrences of a repeating job up to one of which a minion reports a run. An
+// earlier dispatcher has started it whose wall clock was ahead of that of this process, or that knew of more finished
+// occurrences.
+func createReportedOccurrences(w *quetzalwork.World, row quetzalwork.Row, reported quetzalunit.Occurrence) {
+	j := w.Jobs.At(row)
+	for j.Spec != nil && !j.State.Final() && j.CreatedOccurrences <= reported && reported < j.Spec.Occurrences {
+		if !skipDoneOccurrences(j) {
+			createOccurrence(w, row, j.CreatedOccurrences)
+		}
+	}
+}
+
 // createOccurrence creates the steps and tasks of an occurrence, and marks the tasks done that are
 // stored as done.
 func createOccurrence(w *quetzalwork.World, row quetzalwork.Row, occurrence quetzalunit.Occurrence) {
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -200,6 +200,7 @@
 // applyEnd applies the end of a run of a known job. It returns why the job's progress does not record the end,
 // "" if it does.
 func applyEnd(w *quetzalwork.World, minionRow, jobRow quetzalwork.Row, e *quetzalwork.ReportedEnd) string {
+	createReportedOccurrences(w, jobRow, e.Task.Occurrence)
 	taskRow := findTask(w, jobRow, e.Task.TaskRef)
 	if taskRow == 0 {
 		return unknownTaskReason(w.Jobs.At(jobRow), e)
@@ -375,6 +376,7 @@
 		}
 		return 0, false
 	}
+	createReportedOccurrences(w, jobRow, reported.Task.Occurrence)
 	taskRow := findTask(w, jobRow, reported.Task.TaskRef)
 	if taskRow == 0 || w.Tasks.At(taskRow).State == quetzalwork.TaskDone && w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: reported.Number}) == 0 {
 		stopUnknownRun(w, m, reported)
