Wait for the leases on forgotten minions until the hosts have been read

What callers saw: TWICE, two runs at once and starts of tasks whose first run had ended done before, with an end that was acknowledged later on a minion whose lease went on. No late call is needed.

Cause: minions that do not reach the store leave the list, and other entries forget them 16 s later, while the dispatcher uses them on. If it dies, its successor reads the hosts to find such minions; without an answer it went on after a second if it had known the list for long. The leases last up to 4.5 s. A page of the hosts alone may take 1.5 s, and the platform may be slow, unavailable, or answer 429.

Change: without a census the successor waits until the predecessor's leases have ended, as an entry that has just started does. Jobs from before the takeover wait longer if the hosts cannot be read within a second; by how much was not measured.

--- a/quetzalcore/quetzalscheduler/census.go
+++ b/quetzalcore/quetzalscheduler/census.go
@@ -15,12 +15,8 @@
 // or not it reaches the store: if this process knows all of them, there is nothing to wait for. The same
 // list shows that a minion which is known, but does not answer, has ended.
 
-const (
-	// censusRetryDelay is the delay before another read of the hosts after one that failed.
-	censusRetryDelay = 200 * time.Millisecond
-	// censusPatience is how long a process that has known the list of minions for long waits for a census.
-	censusPatience = time.Second
-)
+// censusRetryDelay is the delay before another read of the hosts after one that failed.
+const censusRetryDelay = 200 * time.Millisecond
 
 // requestCensus reads the list of hosts unless it has been read since an instant or a read is in flight.
 func requestCensus(w *quetzalwork.World, since quetzalunit.Instant) {
--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -151,7 +151,7 @@
 		case censusTaken(w, p):
 			return p.PredecessorLeasesEnd, waitUnseen
 		default:
-			return min(p.PredecessorLeasesEnd, p.HeldSince.Add(censusPatience)), waitCensus
+			return p.PredecessorLeasesEnd, waitCensus
 		}
 	}
 	end, reason := p.ReleasedFrom.Add(l.Unknown), waitUnknown
