--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -57,8 +57,8 @@
 	// fullListTime is how long a read of the whole minion list takes.
 	fullListTime time.Duration
 	// compactedThrough is the revision up to which the change history has been compacted, of the
-	// minion list listCompactedThrough.
-	compactedThrough, listCompactedThrough quetzalunit.Revision
+	// minion list listCompactedThrough, of the rows of members and duties membersCompactedThrough.
+	compactedThrough, listCompactedThrough, membersCompactedThrough quetzalunit.Revision
 }
 
 // versionedMember is a member row with the revision of its last write.
@@ -84,7 +84,7 @@
 		f.after(watch.Wait, func() {
 			in := quetzalwork.ConfigWatched{SeenRevision: watch.SinceRevision, SentAt: watch.SentAt}
 			switch {
-			case f.storeDown || e.watchFails || !f.reaches(e.zone, storeZone):
+			case f.storeDown || e.watchFails || !f.reaches(e.zone, storeZone) || f.strict.refused[e.id] != quetzalwork.StoreDone:
 				in = quetzalwork.ConfigWatched{Result: quetzalwork.StoreUnanswered}
 			case s.unreadableRevision > watch.SinceRevision:
 				in.Unreadable, in.SeenRevision = true, s.unreadableRevision
@@ -97,6 +97,13 @@
 		})
 		return
 	}
+	if f.strict.rng != nil {
+		if _, ok := c.(quetzalwork.RenewHostLease); ok {
+			timeout = leaseTimeout
+		}
+		s.performStrictly(e, c, timeout, post)
+		return
+	}
 	switch c := c.(type) {
 	case quetzalwork.RenewMember, quetzalwork.WriteDuty, quetzalwork.SettleDuty, quetzalwork.StoreDivision:
 		if f.delayedWrites {
@@ -203,7 +210,11 @@
 
 // unansweredInput returns the input that reports that a store command had no answer.
 func unansweredInput(c quetzalwork.Command) quetzalwork.Input {
-	const r = quetzalwork.StoreUnanswered
+	return failedInput(c, quetzalwork.StoreUnanswered)
+}
+
+// failedInput returns the input that reports that a store command failed with a result.
+func failedInput(c quetzalwork.Command, r quetzalwork.StoreResult) quetzalwork.Input {
 	switch c := c.(type) {
 	case quetzalwork.WatchConfig:
 		return quetzalwork.ConfigWatched{Result: r}
@@ -252,6 +263,9 @@
 		return quetzalwork.ConfigWatched{Config: &cfg, SeenRevision: max(1, s.configRevision), SentAt: c.SentAt}
 	case quetzalwork.ReadMembers:
 		s.memberReads[e.id]++
+		if c.SinceRevision > 0 && c.SinceRevision < s.membersCompactedThrough {
+			return quetzalwork.MembersRead{SentAt: c.SentAt, Result: quetzalwork.StoreCompacted}
+		}
 		in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: c.SinceRevision == 0, SeenRevision: s.revision, StoreNow: quetzalunit.StoreTime(e.f.now.Milliseconds()), Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
 		for _, m := range s.members {
 			if m.revision > c.SinceRevision {
@@ -487,6 +501,9 @@
 type process struct {
 	// clockBase is the fleet's time at which the process's clock shows zero.
 	clockBase quetzalunit.Instant
+	// slow tells that the clock is 2 % slow. It shows the time shown at clockBase then.
+	slow  bool
+	shown time.Duration
 	// noticed reports whether the process has answered a poll.
 	noticed      bool
 	token        quetzalunit.OrderToken
@@ -557,7 +574,7 @@
 	if !m.up {
 		return
 	}
-	if m.f.storeDown || !m.f.reaches(m.zone, storeZone) {
+	if !m.reachesStore() {
 		m.f.after(beat, m.announce)
 		return
 	}
@@ -578,12 +595,15 @@
 func (m *minion) begin() {
 	shows := time.Second + time.Duration(m.f.clocks.Int64N(int64(time.Hour)))
 	if m.process != nil && m.f.clocks.IntN(2) == 0 {
-		shows = max(time.Second, m.f.now.Sub(m.process.clockBase)-nearClock+time.Duration(m.f.clocks.Int64N(int64(2*nearClock))))
+		shows = max(time.Second, m.process.shown+m.f.now.Sub(m.process.clockBase)-nearClock+time.Duration(m.f.clocks.Int64N(int64(2*nearClock))))
 	}
 	m.up = true
 	m.process = &process{
 		clockBase: m.f.now.Add(-shows.Truncate(time.Millisecond)), endedThrough: make(map[quetzalwork.TaskID]quetzalunit.RunNumber),
 	}
+	if m.f.strict.slowClocks && m.f.strict.chance(0.5) {
+		m.process.slow, m.process.shown, m.process.clockBase = true, shows.Truncate(time.Millisecond), m.f.now
+	}
 }
 
 // nearClock is how far the clocks of two processes of a minion differ that are near each other.
@@ -643,6 +663,9 @@
 
 // clock returns the time on the clock of the minion's present process.
 func (m *minion) clock() quetzalunit.MinionTime {
+	if p := m.process; p.slow {
+		return quetzalunit.MinionTime((p.shown + m.f.now.Sub(p.clockBase)*98/100).Milliseconds())
+	}
 	return quetzalunit.MinionTime(m.f.now.Sub(m.process.clockBase).Milliseconds())
 }
 
@@ -705,7 +728,11 @@
 		m.f.checker.leaseExpired(m.record.ID)
 	}
 	p.lease = to
-	m.f.after(time.Duration(to-m.clock()+1)*time.Millisecond, func() {
+	left := time.Duration(to-m.clock()+1) * time.Millisecond
+	if p.slow {
+		left = left*100/98 + time.Millisecond
+	}
+	m.f.after(left, func() {
 		if m.up && m.process == p && m.clock() > p.lease {
 			for _, name := range m.runningTasks() {
 				m.end(name, quetzalwork.OutcomeLapsed)
@@ -756,6 +783,10 @@
 	if spec.LongRunning {
 		return quetzalwork.OrderAccepted{Clock: clock}
 	}
+	if spec.Gang && m.f.strict.gangs {
+		m.f.strict.joinGang(m, c.Task, run, spec)
+		return quetzalwork.OrderAccepted{Clock: clock}
+	}
 	took := time.Duration(float64(spec.Estimate) * m.slowdown * (0.5 + m.f.rng.Float64()))
 	if m.f.runTime != nil {
 		took = time.Duration(float64(m.f.runTime(c.Task)) * m.slowdown)
@@ -831,7 +862,7 @@
 
 // poll serves a poll, which also extends the lease. If the command allows a wait and there is no
 // end to report, the answer is delayed until a run ends or the wait is over. The caller waits until the timeout.
-func (m *minion) poll(from quetzalunit.ZoneID, c quetzalwork.PollMinion, timeout time.Duration, post func(quetzalwork.Input)) func() {
+func (m *minion) poll(from *entry, c quetzalwork.PollMinion, timeout time.Duration, post func(quetzalwork.Input)) func() {
 	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
 	if !m.acceptPoll(c) {
 		in.Result = quetzalwork.OrderFenced{}
@@ -856,13 +887,17 @@
 		answer()
 		return func() { post(in) }
 	}
-	sent := false
+	sent, deadline := false, m.f.now.Add(timeout)
 	send := func() {
 		if !sent && m.up && m.process == p {
 			sent = true
 			answer()
-			m.f.after(m.f.delay(), func() {
-				if !m.f.reaches(from, m.zone) {
+			wait := m.f.delay()
+			if lag := m.f.strict.lag(deadline.Sub(m.f.now)); lag > 0 {
+				wait = lag
+			}
+			m.f.after(wait, func() {
+				if !m.f.linked(from, m) {
 					in.Result, in.Running, in.Ends = quetzalwork.OrderUnanswered{}, nil, nil
 				}
 				post(in)
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -72,6 +72,8 @@
 	runTime func(quetzalwork.TaskID) time.Duration
 	// onLog, if not nil, gets the decisions that the entries log.
 	onLog func(quetzalwork.Decision)
+	// strict makes the fleet as unkind as the platform may be. It has an effect if its rng is not nil.
+	strict strictness
 	// tickTime is the total duration of the entries' ticks on the real clock.
 	tickTime time.Duration
 }
@@ -265,6 +267,10 @@
 	commands := quetzalscheduler.Tick(e.world, e.f.now, inputs)
 	e.f.tickTime += time.Since(began)
 	for _, c := range commands {
+		if e.f.strict.rng != nil {
+			e.send(c)
+			continue
+		}
 		e.perform(c)
 	}
 	if at, ok := quetzalscheduler.NextTick(e.world); ok {
@@ -290,9 +296,12 @@
 		e.callPeer(c, post)
 	case quetzalwork.PollMinion:
 		m := f.minions[c.Target.Minion]
+		if f.strict.rng != nil {
+			post = once(post)
+		}
 		e.callMinion(m, &minionCall{
 			target: c.Target, timeout: c.Wait + pollMargin, late: f.latePolls > 0 && f.latePollRNG.Float64() < f.latePolls, lateRNG: f.latePollRNG,
-			serve:     func(waited time.Duration) func() { return m.poll(e.zone, c, c.Wait+pollMargin-waited, post) },
+			serve:     func(waited time.Duration) func() { return m.poll(e, c, c.Wait+pollMargin-waited, post) },
 			serveLate: func() { m.acceptPoll(c) },
 			answer: func(r quetzalwork.OrderResult) {
 				post(quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, Result: r})
@@ -302,7 +311,12 @@
 		m := f.minions[c.Target.Minion]
 		sent := f.now
 		f.checker.checkDrain(m, c, sent)
-		e.order(m, c.Target, func() quetzalwork.OrderResult { return m.start(c, sent) }, func(r quetzalwork.OrderResult) {
+		e.order(m, c.Target, func() quetzalwork.OrderResult {
+			if f.strict.chance(f.strict.unhealthy) {
+				return quetzalwork.OrderRefused{}
+			}
+			return m.start(c, sent)
+		}, func(r quetzalwork.OrderResult) {
 			post(quetzalwork.StartAnswered{Run: c.Run, Token: c.Target.Token, Result: r})
 		})
 	case quetzalwork.StopRun:
@@ -360,21 +374,27 @@
 // callPeer sends a message to another entry, which replies in a later tick.
 func (e *entry) callPeer(c quetzalwork.CallPeer, post func(quetzalwork.Input)) {
 	f := e.f
+	if f.strict.rng != nil {
+		post = once(post)
+		f.after(c.Timeout, func() { post(quetzalwork.PeerReplyReceived{Message: c.Message, Address: c.Address}) })
+	}
 	i := slices.IndexFunc(f.entries, func(p *entry) bool { return quetzalunit.Address(p.id) == c.Address })
 	peer := f.entries[i]
 	f.call(e.zone, peer.zone, c.Timeout, func() func() {
 		if !peer.up {
 			return nil
 		}
-		peer.lastCaller++
-		peer.replies[peer.lastCaller] = func(r quetzalwork.PeerReply) {
-			f.after(f.delay(), func() {
-				if f.reaches(e.zone, peer.zone) {
-					post(quetzalwork.PeerReplyReceived{Message: c.Message, Address: c.Address, Reply: r})
-				}
-			})
-		}
-		peer.post(peer.boot, quetzalwork.PeerMessageReceived{Caller: peer.lastCaller, Message: c.Message})
+		peer.receive(func() {
+			peer.lastCaller++
+			peer.replies[peer.lastCaller] = func(r quetzalwork.PeerReply) {
+				f.after(f.delay(), func() {
+					if f.reaches(e.zone, peer.zone) {
+						post(quetzalwork.PeerReplyReceived{Message: c.Message, Address: c.Address, Reply: r})
+					}
+				})
+			}
+			peer.post(peer.boot, quetzalwork.PeerMessageReceived{Caller: peer.lastCaller, Message: c.Message})
+		})
 		return func() {}
 	}, func() { post(quetzalwork.PeerReplyReceived{Message: c.Message, Address: c.Address}) })
 }
@@ -410,6 +430,10 @@
 func (e *entry) callMinion(m *minion, c *minionCall) {
 	f := e.f
 	unanswered := func() { c.answer(quetzalwork.OrderUnanswered{}) }
+	if f.strict.rng != nil && !c.late {
+		e.callMinionStrictly(m, c)
+		return
+	}
 	if c.late {
 		f.after(2*time.Second+time.Duration(c.lateRNG.Int64N(int64(10*time.Second))), func() {
 			if m.up {
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/strictsearch_test.go
@@ -0,0 +1,290 @@
+package quetzalscheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// strictFeature is something that a strict scenario may have.
+type strictFeature int
+
+const (
+	strictLateWrites strictFeature = iota
+	strictSlowAnswers
+	strictSlowSends
+	strictLatePeers
+	strictUnhealthy
+	strictSplitReads
+	strictSlowClocks
+	strictGangs
+	strictSchedules
+	strictEndLimit
+	strictPages
+	strictPools
+	strictNewIDs
+	// Those below are events.
+	strictRefusal
+	strictPartDown
+	strictCutLinks
+	strictCutMinions
+	strictCompaction
+	strictCensusDown
+	strictKill
+	strictFreeze
+	strictCutZone
+	strictStop
+	strictRestart
+	strictLeave
+	strictStoreDown
+	strictLoseAnswers
+	strictListDown
+	strictClockStep
+	strictFeatures
+)
+
+// allStrict has all features.
+const allStrict = 1<<strictFeatures - 1
+
+// strictScenario is a short scenario with the features of a mask, drawn from a seed.
+type strictScenario struct {
+	f    *fleet
+	rng  *rand.Rand
+	mask uint64
+	// trace describes what was drawn.
+	trace []string
+}
+
+func (s *strictScenario) notef(format string, args ...any) {
+	s.trace = append(s.trace, fmt.Sprintf("%v: ", s.f.now)+fmt.Sprintf(format, args...))
+}
+
+// has draws whether the scenario has a feature, if it may.
+func (s *strictScenario) has(x strictFeature, p float64) bool {
+	drawn := s.rng.Float64() < p
+	return drawn && s.mask&(1<<x) != 0
+}
+
+func (s *strictScenario) upTo(d time.Duration) time.Duration {
+	return time.Duration(s.rng.Int64N(int64(d)))
+}
+
+// newStrictScenario returns a fleet whose entries dispatch their pools.
+func newStrictScenario(seed, mask uint64) *strictScenario {
+	s := &strictScenario{rng: rand.New(rand.NewPCG(seed, 7)), mask: mask}
+	cfg := testConfig()
+	if s.has(strictPools, 0.5) {
+		cfg.Pools = append(cfg.Pools, quetzalwork.PoolSpec{ID: "other"}, quetzalwork.PoolSpec{ID: "third"})
+	}
+	s.f = newFleet(seed, threeZones, 2+s.rng.IntN(4), 2+s.rng.IntN(5), cfg)
+	f := s.f
+	st := strictness{rng: rand.New(rand.NewPCG(seed, 5))}
+	share := func(x strictFeature, most float64) float64 {
+		v := s.rng.Float64() * most
+		if !s.has(x, 0.4) {
+			return 0
+		}
+		return v
+	}
+	st.lateWrites, st.slowAnswers, st.slowSends = share(strictLateWrites, 0.4), share(strictSlowAnswers, 0.5), share(strictSlowSends, 0.2)
+	st.latePeers, st.unhealthy = share(strictLatePeers, 0.5), share(strictUnhealthy, 0.3)
+	st.splitReads, st.slowClocks, st.gangs = s.has(strictSplitReads, 0.5), s.has(strictSlowClocks, 0.5), true
+	if s.has(strictEndLimit, 0.3) {
+		f.maxReportedEnds = 1 + s.rng.IntN(4)
+	}
+	if s.has(strictPages, 0.5) {
+		f.store.pageSize, f.store.changePageSize = 1+s.rng.IntN(6), 1+s.rng.IntN(6)
+	}
+	f.newIDs = s.has(strictNewIDs, 0.3)
+	f.restarting = true
+	f.run(3 * time.Second)
+	f.strict = st
+	s.notef("entries %d minions %d late writes %.2f slow answers %.2f sends %.2f peers %.2f unhealthy %.2f split %t slow clocks %t limit %d pages %d",
+		len(f.entries), len(f.order), st.lateWrites, st.slowAnswers, st.slowSends, st.latePeers, st.unhealthy, st.splitReads, st.slowClocks, f.maxReportedEnds, f.store.pageSize)
+	return s
+}
+
+// submit submits a random job to a random entry that is up.
+func (s *strictScenario) submit() {
+	e := s.f.entries[s.rng.IntN(len(s.f.entries))]
+	step := func(dependsOn ...quetzalunit.StepIndex) quetzalwork.StepSpec {
+		step := testStep(quetzalunit.Tasks(1+s.rng.IntN(3)), dependsOn...)
+		step.Resources = quetzalunit.Resources{Cores: 500, Memory: 100}
+		step.Estimate = []time.Duration{120 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second, 5 * time.Second}[s.rng.IntN(4)]
+		step.Gang = s.has(strictGangs, 0.15)
+		step.Checkpointing = s.rng.IntN(4) == 0
+		return step
+	}
+	steps := []quetzalwork.StepSpec{step()}
+	if s.rng.IntN(3) == 0 {
+		steps = append(steps, step(0))
+	}
+	schedule := s.has(strictSchedules, 0.3)
+	first, interval, n := s.upTo(4*time.Second), 300*time.Millisecond+s.upTo(2*time.Second), 1+s.rng.IntN(5)
+	if !e.up {
+		return
+	}
+	s.f.lastID++
+	spec := &quetzalwork.JobSpec{Payload: "text", Steps: steps}
+	if schedule {
+		spec.FirstAt, spec.Interval, spec.Occurrences = s.f.now.Add(first), interval, quetzalunit.Occurrence(n)
+	}
+	s.f.send(e, quetzalunit.JobID(fmt.Sprintf("%016x", s.f.lastID)), spec)
+}
+
+// run submits jobs for a while.
+func (s *strictScenario) run(d time.Duration) {
+	for end := s.f.now.Add(d); s.f.now < end; {
+		s.submit()
+		s.f.run(min(50*time.Millisecond+s.upTo(300*time.Millisecond), end.Sub(s.f.now)))
+	}
+}
+
+// disturb begins an event and schedules its end.
+func (s *strictScenario) disturb() {
+	f, rng := s.f, s.rng
+	x := strictRefusal + strictFeature(rng.IntN(int(strictFeatures-strictRefusal)))
+	e := f.entries[rng.IntN(len(f.entries))]
+	if h := f.holder(); h != nil && rng.IntN(3) > 0 {
+		e = h
+	}
+	d := 300*time.Millisecond + s.upTo(7*time.Second)
+	m := f.order[rng.IntN(len(f.order))]
+	dice := rng.IntN(1 << 20)
+	if s.mask&(1<<x) == 0 {
+		return
+	}
+	s.notef("event %d entry %s minion %s for %v dice %d", x, e.id, m.record.ID, d, dice)
+	st := &f.strict
+	switch x {
+	case strictRefusal:
+		if st.refused == nil {
+			st.refused = make(map[quetzalunit.EntryID]quetzalwork.StoreResult)
+		}
+		st.refused[e.id] = []quetzalwork.StoreResult{quetzalwork.StoreRefused, quetzalwork.StoreUnanswered}[dice%2]
+		f.after(d, func() { delete(st.refused, e.id) })
+	case strictPartDown:
+		st.partDown = func(c quetzalwork.Command) bool { return dice>>commandKind(c)&1 == 1 }
+		f.after(d, func() { st.partDown = nil })
+	case strictCutLinks:
+		for i, m := range f.order {
+			if dice>>(i%20)&1 == 1 {
+				f.cutLink(e, m, d)
+			}
+		}
+	case strictCutMinions:
+		for i, m := range f.order {
+			if m.up && dice>>(i%20)&1 == 1 {
+				m.cutFromStore(d)
+			}
+		}
+	case strictCompaction:
+		f.store.compactedThrough, f.store.listCompactedThrough, f.store.membersCompactedThrough = f.store.revision, f.store.revision, f.store.revision
+	case strictCensusDown:
+		f.censusDown = true
+		f.after(d, func() { f.censusDown = false })
+	case strictKill:
+		e.kill()
+		f.after(d, func() {
+			if !e.up {
+				e.start()
+			}
+		})
+	case strictFreeze:
+		e.pausedUntil = f.now.Add(d)
+	case strictCutZone:
+		f.partitionedZones[e.zone] = true
+		f.after(d, func() { delete(f.partitionedZones, e.zone) })
+	case strictStop:
+		e.post(e.boot, quetzalwork.StopRequested{})
+		f.after(2*time.Second, func() {
+			if e.up {
+				e.kill()
+				f.after(500*time.Millisecond, e.start)
+			}
+		})
+	case strictRestart:
+		if m.up {
+			m.restart(quetzalunit.Resources{Cores: 8000, Memory: 16000})
+		}
+	case strictLeave:
+		f.leave(rng, 90)
+	case strictStoreDown:
+		f.storeDown = true
+		f.after(d, func() { f.storeDown = false })
+	case strictLoseAnswers:
+		f.loseAnswers = 0.1 + 0.5*float64(dice%100)/100
+		f.after(d, func() { f.loseAnswers = 0 })
+	case strictListDown:
+		f.store.listDown = true
+		f.after(d, func() { f.store.listDown = false })
+	case strictClockStep:
+		e.wallOffset = time.Duration(dice%8000-4000) * time.Millisecond
+	default:
+		// The others are no events.
+	}
+}
+
+// commandKind returns a small number for each kind of command.
+func commandKind(c quetzalwork.Command) int {
+	switch c.(type) {
+	case quetzalwork.ReadMembers:
+		return 0
+	case quetzalwork.RenewMember:
+		return 1
+	case quetzalwork.WriteDuty:
+		return 2
+	case quetzalwork.ListMinions:
+		return 3
+	case quetzalwork.ReadPoolJobs:
+		return 4
+	case quetzalwork.StoreJobs:
+		return 5
+	case quetzalwork.StoreProgress:
+		return 6
+	case quetzalwork.SettleDuty:
+		return 7
+	default:
+		return 8
+	}
+}
+
+// play plays the scenario to its end.
+func (s *strictScenario) play() {
+	f := s.f
+	s.run(s.upTo(2 * time.Second))
+	for range 1 + s.rng.IntN(3) {
+		for range 1 + s.rng.IntN(4) {
+			s.disturb()
+			s.run(s.upTo(2 * time.Second))
+		}
+		s.run(s.upTo(5 * time.Second))
+	}
+	s.run(time.Second)
+	s.heal()
+	f.run(40 * time.Second)
+}
+
+// heal ends all events.
+func (s *strictScenario) heal() {
+	f, st := s.f, &s.f.strict
+	st.lateWrites, st.slowAnswers, st.slowSends, st.latePeers, st.unhealthy, st.partDown = 0, 0, 0, 0, 0, nil
+	clear(st.refused)
+	clear(st.cutLinks)
+	clear(st.cutMinions)
+	clear(f.partitionedZones)
+	f.loseAnswers, f.storeDown, f.censusDown, f.store.listDown = 0, false, false, false
+	for _, e := range f.entries {
+		if !e.up {
+			e.start()
+		}
+	}
+	for _, m := range f.order {
+		if m.up && m.successor == nil {
+			m.publish(false)
+		}
+	}
+}
