Apply the ends of a minion that was taken for gone anew

When another minion answers at a minion's address, its host is said to be withdrawn, or a later minion is listed on the host, its ends that wait for the store were discarded, but not that they had been seen. If the minion reported on, they were skipped, and the next end that could be acknowledged acknowledged them by its number.

The ends count as new when they are reported again; applying an end twice changes nothing.

--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -194,7 +194,8 @@
 	for row, m := range w.Minions.All() {
 		if m.Host == host && m.Pool == pool && w.Pools.At(m.PoolRow).Held {
 			endMinionRuns(w, row, "Taken")
-			m.UnackedEnds, m.HostWithdrawn = nil, true
+			m.HostWithdrawn = true
+			forgetUnackedEnds(m)
 		}
 	}
 }
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -247,7 +247,8 @@
 			w.Minions.At(w.MinionByID.Get(r.ID)).Replaced = true
 			continue
 		}
-		m.Replaced, m.UnackedEnds = true, nil
+		m.Replaced = true
+		forgetUnackedEnds(m)
 		if m.Pool == r.Pool {
 			endCrashedRuns(w, row, "Replaced")
 		} else {
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -155,7 +155,7 @@
 		return
 	case quetzalwork.OrderMisdirected:
 		endCrashedRuns(w, in.Minion, "Astray")
-		m.UnackedEnds = nil
+		forgetUnackedEnds(m)
 		recordMissedPoll(w, in.Minion, "Astray")
 	default:
 		recordMissedPoll(w, in.Minion, "Silent")
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -226,6 +226,11 @@
 	}
 }
 
+// forgetUnackedEnds discards the ends of a minion that is taken for gone. If it reports them again, they count as new.
+func forgetUnackedEnds(m *quetzalwork.Minion) {
+	m.SeenThrough, m.UnackedEnds = m.AckedThrough, nil
+}
+
 // canAcknowledge reports whether an end may be acknowledged: the job's progress is stored up to
 // that end, or is no longer needed because the job is cancelled or unknown here.
 func canAcknowledge(w *quetzalwork.World, e *quetzalwork.UnackedEnd) bool {
