Store a cancellation with the pool that has the job

The dispatcher of a job whose queue has moved to another pool stored the cancellation in the table of that pool, but applied it to the job in its own. It then acknowledged the ends of the job without waiting for the store, as a successor is to find the cancellation; but no successor reads it there.

The cancellation of a job that this entry knows is stored where the job is. The simulated store wrote cancellations and looked jobs up for all pools alike; it now keeps them to the job's pool, as the real one does.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -342,7 +342,7 @@
 			return in
 		}
 		in.Rows = s.find(func(r *quetzalwork.JobRow) bool {
-			if pool, ok := s.pools[r.Job]; ok && pool != c.Pool {
+			if !s.mayHave(c.Pool, r.Job) {
 				return false
 			}
 			return !c.Full && r.Revision > c.SinceRevision || c.Full && rowKey(r) > c.StartKey
@@ -402,10 +402,14 @@
 		}
 		return in
 	case quetzalwork.StoreCancel:
+		if !s.mayHave(c.Pool, c.Job) {
+			// The row is written to another pool's table, which has no job of that ID.
+			return quetzalwork.CancelStored{Request: c.Request}
+		}
 		s.write([]quetzalwork.JobRow{{Job: c.Job, Content: quetzalwork.JobCancellation{}}})
 		return quetzalwork.CancelStored{Request: c.Request}
 	case quetzalwork.LookUpJob:
-		return quetzalwork.JobLookedUp{Request: c.Request, Rows: s.find(func(r *quetzalwork.JobRow) bool { return r.Job == c.Job })}
+		return quetzalwork.JobLookedUp{Request: c.Request, Rows: s.find(func(r *quetzalwork.JobRow) bool { return r.Job == c.Job && s.mayHave(c.Pool, c.Job) })}
 	case quetzalwork.ReadDivision:
 		return quetzalwork.DivisionAnswered{Division: s.division}
 	case quetzalwork.StoreDivision:
@@ -422,6 +426,12 @@
 	panic(fmt.Sprintf("unexpected command %T", c))
 }
 
+// mayHave reports whether a pool's table may have rows of a job: it was stored there, or not at all.
+func (s *store) mayHave(pool quetzalunit.PoolID, job quetzalunit.JobID) bool {
+	stored, ok := s.pools[job]
+	return !ok || stored == pool
+}
+
 // rejects reports whether a row is larger than maxRowBytes.
 func (s *store) rejects(rows []quetzalwork.JobRow) bool {
 	for i := range rows {
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -248,6 +248,8 @@
 			answerJobRequest(w, row, quetzalwork.CancelAccepted{})
 			return
 		}
+		// The queue may have moved to another pool since the job was accepted.
+		w.JobRequests.At(row).Pool = j.Pool
 		storeCancellation(w, row)
 		return
 	}
