Ignore rows of a job in another pool than the one it is known from

applyJobRow found the job by its ID alone. It now ignores the rows of other pools and logs that.

The test is red before: the end is acknowledged, nothing stored.

--- a/quetzalcore/quetzalscheduler/movedqueue_test.go
+++ b/quetzalcore/quetzalscheduler/movedqueue_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
@@ -35,3 +36,30 @@
 		require.Len(t, runs, 1)
 	}
 }
+
+// Guards against rows of a job of the same ID in another pool, to which its queue has moved and where it was submitted
+// again: its progress and its cancellation there say nothing of the job here.
+func TestRowsOfAnotherPoolDoNotApplyToAJob(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.recordsProgress = true
+	d.reports(nil)
+	d.run(2 * time.Second)
+	require.Len(t, d.starts, 1)
+	d.readRows = func(c quetzalwork.ReadPoolJobs) quetzalwork.Input {
+		in := quetzalwork.PoolJobsRead{Pool: c.Pool, Token: c.Token, Full: c.Full, SeenRevision: testToken, SentAt: c.SentAt}
+		if c.Pool == hallPool {
+			in.Rows = []quetzalwork.JobRow{
+				accepted(testJob, testToken), {Job: testJob, Content: quetzalwork.JobCancellation{}}, progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning}),
+			}
+		}
+		return in
+	}
+	duty := quetzalwork.Duty{Holder: "e0", Incarnation: 1, Address: "e0", Revision: testToken}
+	d.tick(quetzalwork.MembersRead{SentAt: d.now, Duties: map[quetzalunit.PoolID]quetzalwork.Duty{hallPool: duty}})
+	require.True(t, d.w.Pools.At(d.w.PoolByID.Get(hallPool)).JobsLoaded)
+	d.reportEnds(quetzalwork.ReportedEnd{Number: 1, Task: quetzalwork.TaskID{Job: testJob}, Run: d.starts[0].Number})
+	d.run(2 * time.Second)
+	require.Zero(t, d.acked(), "the end is not stored")
+	require.Len(t, d.stored, 1)
+	require.Zero(t, d.stored[0].Rows[0].Revision, "the job has no progress in its pool")
+}
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -137,6 +137,13 @@
 		w.JobByID.Put(r.Job, row)
 	}
 	j := w.Jobs.At(row)
+	if j.Pool != pool {
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartStore, Message: "A row of a job that is known from another pool is ignored.", Job: r.Job, Pool: w.Pools.At(pool).ID, Version: int64(r.Revision),
+			Reason: "OtherPool", Routine: true,
+		})
+		return
+	}
 	switch c := r.Content.(type) {
 	case quetzalwork.AcceptedJob:
 		if c.Spec != nil && j.Spec == nil && !j.State.Final() {
