Acknowledge ends of an unknown job only after a read without it

A minion's unknown jobs are now tracked one by one, and an end counts as that of a job that does not exist only after unknownJobGrace and a read of the pool's rows that was sent after the end was first reported. Runs of unknown jobs are stopped by the same rule. No call is made that was not made before.

--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -230,14 +231,14 @@
 	}
 	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
-	unknown := !applyReportedEnds(w, in)
-	setEndsPending(w, in.Minion, in.MoreEnds || unknown)
+	trackUnknownJobs(w, in)
+	pending := !applyReportedEnds(w, in)
+	setEndsPending(w, in.Minion, in.MoreEnds || pending)
 	reported := make(map[quetzalwork.Row]bool, len(in.Running))
 	p.NeedsPlacement = p.NeedsPlacement || m.Untracked.Count > 0
 	m.Untracked = quetzalwork.UntrackedRuns{}
 	for i := range in.Running {
-		run, known := applyReportedRun(w, in.Minion, &in.Running[i])
-		unknown = unknown || !known
+		run := applyReportedRun(w, in.Minion, &in.Running[i])
 		reported[run] = true
 		if run == 0 {
 			addUntrackedRun(w, m, &in.Running[i])
@@ -247,7 +248,6 @@
 		endUnreportedRuns(w, in, reported)
 	}
 	confirmCrashes(w, in)
-	trackUnknownWork(w, in.Minion, unknown)
 	ackEnds(w, p)
 }
 
@@ -293,24 +293,43 @@
 	u.UnknownUse = true
 }
 
-// trackUnknownWork records since when a minion has reported runs or ends of unknown jobs, and
+// trackUnknownJobs records since when a minion has reported runs or ends of each unknown job, and
 // reads the pool's rows to find these jobs.
-func trackUnknownWork(w *quetzalwork.World, row quetzalwork.Row, unknown bool) {
-	m := w.Minions.At(row)
-	if !unknown {
-		m.UnknownWorkSince = 0
-		return
+func trackUnknownJobs(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
+	m := w.Minions.At(in.Minion)
+	var unknown map[quetzalunit.JobID]quetzalunit.Instant
+	track := func(id quetzalunit.JobID) {
+		if isKnown(w.Jobs.At(w.JobByID.Get(id))) {
+			return
+		}
+		if unknown == nil {
+			unknown = make(map[quetzalunit.JobID]quetzalunit.Instant)
+		}
+		unknown[id] = cmp.Or(m.UnknownJobs[id], w.Now)
 	}
-	if m.UnknownWorkSince == 0 {
-		m.UnknownWorkSince = w.Now
+	for i := range in.Ends {
+		if in.Ends[i].Number > m.SeenThrough {
+			track(in.Ends[i].Task.Job)
+		}
+	}
+	for i := range in.Running {
+		track(in.Running[i].Task.Job)
 	}
-	readPool(w, m.PoolRow, w.Pools.At(m.PoolRow).Token)
+	if m.UnknownJobs = unknown; unknown != nil {
+		readPool(w, m.PoolRow, w.Pools.At(m.PoolRow).Token)
+	}
+}
+
+// isKnown reports whether the tasks of a job are known, or that it needs none any more.
+func isKnown(j *quetzalwork.Job) bool {
+	return j != nil && (j.Spec != nil || j.State.Final())
 }
 
-// unknownWorkExpired reports whether a minion has reported runs or ends of unknown jobs for
-// longer than unknownJobGrace.
-func unknownWorkExpired(w *quetzalwork.World, m *quetzalwork.Minion) bool {
-	return m.UnknownWorkSince != 0 && w.Now.Sub(m.UnknownWorkSince) > unknownJobGrace
+// staysUnknown reports whether a job of which a minion reports runs or ends is not stored in the minion's pool: the
+// minion has reported them for longer than unknownJobGrace, and a read of the rows since then has not found the job.
+func staysUnknown(w *quetzalwork.World, m *quetzalwork.Minion, id quetzalunit.JobID) bool {
+	since := m.UnknownJobs[id]
+	return since != 0 && w.Now.Sub(since) > unknownJobGrace && w.Pools.At(m.PoolRow).CompletedReadSentAt >= since
 }
 
 // endUnreportedRuns ends the runs that a minion's answer would report if they were active or had ended,
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -177,12 +177,12 @@
 }
 
 // handleReportedEnd applies the end of a run that a minion reports. It returns false, and neither
-// applies nor acknowledges the end, if the job is unknown and unknownJobGrace has not passed.
+// applies nor acknowledges the end, if the job is unknown and may still become known.
 func handleReportedEnd(w *quetzalwork.World, minionRow quetzalwork.Row, e *quetzalwork.ReportedEnd) bool {
 	m := w.Minions.At(minionRow)
 	jobRow := w.JobByID.Get(e.Task.Job)
 	j := w.Jobs.At(jobRow)
-	if (j == nil || j.Spec == nil && !j.State.Final()) && !unknownWorkExpired(w, m) {
+	if !isKnown(j) && !staysUnknown(w, m, e.Task.Job) {
 		return false
 	}
 	m.SeenThrough = e.Number
@@ -365,29 +365,29 @@
 }
 
 // applyReportedRun applies an active run that a minion reports. It returns the run's row, zero
-// when the job is unknown or no task needs the run, and reports whether the job is known.
-func applyReportedRun(w *quetzalwork.World, minionRow quetzalwork.Row, reported *quetzalwork.ReportedRun) (quetzalwork.Row, bool) {
+// when the job is unknown or no task needs the run.
+func applyReportedRun(w *quetzalwork.World, minionRow quetzalwork.Row, reported *quetzalwork.ReportedRun) quetzalwork.Row {
 	m := w.Minions.At(minionRow)
 	jobRow := w.JobByID.Get(reported.Task.Job)
 	j := w.Jobs.At(jobRow)
-	if j == nil || j.Spec == nil && !j.State.Final() {
-		if unknownWorkExpired(w, m) {
+	if !isKnown(j) {
+		if staysUnknown(w, m, reported.Task.Job) {
 			stopUnknownRun(w, m, reported)
 		}
-		return 0, false
+		return 0
 	}
 	createReportedOccurrences(w, jobRow, reported.Task.Occurrence)
 	taskRow := findTask(w, jobRow, reported.Task.TaskRef)
 	if taskRow == 0 || w.Tasks.At(taskRow).State == quetzalwork.TaskDone && w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: reported.Number}) == 0 {
 		stopUnknownRun(w, m, reported)
-		return 0, true
+		return 0
 	}
 	row := w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: reported.Number})
 	if row == 0 {
 		t := w.Tasks.At(taskRow)
 		if len(t.Runs) > 0 && !w.Steps.At(t.Step).Spec.Speculative {
 			stopUnknownRun(w, m, reported)
-			return 0, true
+			return 0
 		}
 		row = addRun(w, taskRow, minionRow, quetzalwork.Run{
 			Number: reported.Number, StartedAt: w.Now, Pace: 100,
@@ -398,7 +398,7 @@
 	if j.State.Final() {
 		stopRun(w, row, quetzalwork.StopCancelled)
 	}
-	return row, true
+	return row
 }
 
 func updateRun(w *quetzalwork.World, row quetzalwork.Row, reported *quetzalwork.ReportedRun) {
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -97,9 +97,8 @@
 	// PollInFlight reports whether a poll is in flight. PolledAt is when the last one was sent.
 	PollInFlight bool
 	PolledAt     quetzalunit.Instant
-	// UnknownWorkSince is the time since which the minion has reported runs or ends of unknown
-	// jobs; zero if it reports none.
-	UnknownWorkSince quetzalunit.Instant
+	// UnknownJobs are the unknown jobs of which the minion reports runs or ends, with the time since which it does.
+	UnknownJobs map[quetzalunit.JobID]quetzalunit.Instant
 	// NextPollAt is the instant of the next poll, zero if none is scheduled.
 	NextPollAt quetzalunit.Instant
 	// MissedAnswers counts the calls in a row that had no answer.
