Acknowledge no end because its job is no longer known

The test is red before (1 is acknowledged instead of 0), and again without either half of the change: the ends must wait, but not for ever.

--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -219,6 +219,11 @@
 			logAcknowledgement(w, m, &m.UnackedEnds[n])
 			n++
 		}
+		if n < len(m.UnackedEnds) && m.UnackedEnds[n].Job != 0 && w.Jobs.At(m.UnackedEnds[n].Job) == nil {
+			forgetUnackedEnds(m)
+			schedulePoll(w, row, 0)
+			continue
+		}
 		if n > 0 {
 			m.UnackedEnds = slices.Delete(m.UnackedEnds, 0, n)
 			schedulePoll(w, row, 0)
@@ -226,16 +231,20 @@
 	}
 }
 
-// forgetUnackedEnds discards the ends of a minion that is taken for gone. If it reports them again, they count as new.
+// forgetUnackedEnds discards the ends of a minion that is taken for gone, or whose job is no longer known. If it
+// reports them again, they count as new.
 func forgetUnackedEnds(m *quetzalwork.Minion) {
 	m.SeenThrough, m.UnackedEnds = m.AckedThrough, nil
 }
 
 // canAcknowledge reports whether an end may be acknowledged: the job's progress is stored up to
-// that end, or is no longer needed because the job is cancelled or unknown here.
+// that end or no longer needed because the job's cancellation is stored, or the end concerns no job.
 func canAcknowledge(w *quetzalwork.World, e *quetzalwork.UnackedEnd) bool {
+	if e.Job == 0 {
+		return true
+	}
 	j := w.Jobs.At(e.Job)
-	return j == nil || j.Cancelled || j.StoredChanges >= e.Changes
+	return j != nil && (j.Cancelled || j.StoredChanges >= e.Changes)
 }
 
 // logAcknowledgement logs where the end of a run that is done is recorded as it is acknowledged, or why it is
@@ -251,8 +260,6 @@
 	j := w.Jobs.At(e.Job)
 	switch {
 	case d.Reason != "":
-	case j == nil:
-		d.Reason = "RowGone"
 	case j.Cancelled:
 		d.Reason = jobStateName(quetzalwork.JobCancelled)
 	default:
--- a/quetzalcore/quetzalscheduler/unknownjob_test.go
+++ b/quetzalcore/quetzalscheduler/unknownjob_test.go
@@ -41,3 +41,30 @@
 	d.storesAll()
 	require.Equal(t, quetzalunit.EndNumber(1), d.acked())
 }
+
+// Guards against an end that is acknowledged unrecorded because its job is no longer known: it was one of another pool,
+// whose dispatch has ended.
+func TestEndOfAJobThatIsNoLongerKnownIsNotAcknowledged(t *testing.T) {
+	d := newDispatcher(t)
+	d.recordsProgress = true
+	rows := []quetzalwork.JobRow{accepted(testJob, testToken)}
+	d.readRows = func(c quetzalwork.ReadPoolJobs) quetzalwork.Input {
+		in := quetzalwork.PoolJobsRead{Pool: c.Pool, Token: c.Token, Full: c.Full, SeenRevision: testToken, SentAt: c.SentAt}
+		if c.Pool == hallPool {
+			in.Rows = rows
+		}
+		return in
+	}
+	duty := quetzalwork.Duty{Holder: "e0", Incarnation: 1, Address: "e0", Revision: testToken}
+	d.tick(quetzalwork.MembersRead{SentAt: d.now, Duties: map[quetzalunit.PoolID]quetzalwork.Duty{hallPool: duty}})
+	d.reportEnds(quetzalwork.ReportedEnd{Number: 1, Task: quetzalwork.TaskID{Job: testJob}, Run: 1})
+	d.run(2 * time.Second)
+	require.Zero(t, d.acked())
+	duty.Holder, duty.Revision = "e1", testToken+1
+	d.tick(quetzalwork.MembersRead{SentAt: d.now, Duties: map[quetzalunit.PoolID]quetzalwork.Duty{hallPool: duty}})
+	require.Zero(t, d.w.JobByID.Get(testJob))
+	d.run(2 * time.Second)
+	require.Zero(t, d.acked())
+	d.run(4 * time.Second)
+	require.Equal(t, quetzalunit.EndNumber(1), d.acked(), "no later end waits for it for ever")
+}
