--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -220,7 +220,7 @@
 		Result      OrderResult
 		Incarnation quetzalunit.MinionIncarnation
 		Running     []ReportedRun
-		// Ends are the first ends that are not acknowledged. MoreEnds reports whether others may follow
+		// Ends are the first ends that are not acknowledged, in ascending order. MoreEnds reports whether others may follow
 		// that the answer has no room for: a run that the answer does not show may have ended.
 		Ends     []ReportedEnd
 		MoreEnds bool
