Use a minion again that only seemed to be replaced

What callers saw: a machine whose time of day is set back while its minion is down is lost for good to each entry that saw both minions. If another entry, which started later, has used it, tasks of it hang after the next takeover (LOST), or start again beside their runs if the minion does not answer the first poll (TWICE, by reading).

Cause: of two minions on a host the one with the later start replaces the other, also if it has ended; nothing undoes that when its record is removed. A replaced minion is not polled after the first answer and not waited for at a takeover.

Change: a minion that seemed replaced counts again as soon as it alone of its host is listed.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -102,6 +102,7 @@
 		markMinionRemoved(w, w.MinionByID.Get(id))
 	}
 	l.SeenRevision = in.SeenRevision
+	restoreReplaced(w)
 	for row, m := range w.Minions.All() {
 		p := w.Pools.At(m.PoolRow)
 		p.NeedsPlacement = p.NeedsPlacement || p.Held && !p.PredecessorWorkKnown
@@ -258,6 +259,31 @@
 	}
 }
 
+// restoreReplaced lets minions that seemed replaced be used again if they alone of their hosts are listed. The time of day was
+// set back before they started, and the minions with later starts have ended.
+func restoreReplaced(w *quetzalwork.World) {
+	for row, m := range w.Minions.All() {
+		if !m.Replaced || !m.Listed || !isConfigured(w, m.Pool) || hasListedMinion(w, m.Host) {
+			continue
+		}
+		m.Replaced = false
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "A minion that seemed replaced is the only one of its host.", Minion: m.ID, Pool: m.Pool, Host: m.Host, Version: int64(m.Incarnation)})
+		if w.Pools.At(m.PoolRow).Held {
+			schedulePoll(w, row, 0)
+		}
+	}
+}
+
+// hasListedMinion reports whether a minion that is not replaced is listed for a host.
+func hasListedMinion(w *quetzalwork.World, host quetzalunit.HostID) bool {
+	for _, m := range w.Minions.All() {
+		if m.Host == host && m.Listed && !m.Replaced && isConfigured(w, m.Pool) {
+			return true
+		}
+	}
+	return false
+}
+
 // endMinionRuns ends all runs of a minion. The caller must know for certain that none of them
 // continues.
 func endMinionRuns(w *quetzalwork.World, row quetzalwork.Row, reason string) {
--- a/quetzalcore/quetzalscheduler/oddrecord_test.go
+++ b/quetzalcore/quetzalscheduler/oddrecord_test.go
@@ -99,3 +99,25 @@
 	f.run(35 * time.Second)
 	require.True(t, replaced())
 }
+
+// A host's time of day is set back while its minion is down. The next one seems to have started before it, but must be used, and
+// its runs must survive a takeover by entries that saw both.
+func TestMinionThatSeemsToStartBeforeTheFormerOneIsUsed(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, threeZones, 3, 6, testConfig())
+		f.newIDs, f.downtime = true, 2*time.Second
+		f.runTime = func(quetzalwork.TaskID) time.Duration { return 8 * time.Second }
+		former := f.order[0]
+		former.record.Incarnation = 5
+		former.publish(false)
+		f.run(4 * time.Second)
+		former.crash()
+		former.record.Incarnation = 2
+		f.run(5 * time.Second)
+		f.submit(f.entries[0], testStep(24))
+		f.run(time.Second)
+		require.NotEmpty(t, former.successor.runs, "seed %d", seed)
+		f.holder().kill()
+		runAndVerify(t, f, 25*time.Second)
+	}
+}
