End the former term when an entry takes over a pool that it holds

What callers saw: LOST. Jobs of a shard stay unfinished for good: no progress of them is stored any more, the ends of their runs are never acknowledged, and behind these a minion with many ends reports no later one.

Cause: an entry whose renewals are lost while its other writes succeed finds its own duty free and takes it over. handleDutyWritten began the new term without an end of the former one, as applyDutyRow has it: a progress transaction of the former term stayed in flight for the shard, since its answer names the former token.

Change: the former term ends first.

--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -365,6 +365,10 @@
 			beginHostControl(w, in.Revision, predecessor, in.SentAt)
 		} else if !in.Release {
 			row := poolRow(w, in.Pool)
+			if w.Pools.At(row).Held {
+				// This process's renewals are lost: its duty looked free.
+				endDispatch(w, row, "Superseded")
+			}
 			beginDispatch(w, row, in.Revision, predecessor, mayBeRunning)
 			if first {
 				w.Pools.At(row).PredecessorLeasesEnd = w.Now
