--- a/quetzalcore/quetzalscheduler/strictfleet_test.go
+++ b/quetzalcore/quetzalscheduler/strictfleet_test.go
@@ -71,6 +71,8 @@
 	m    *minion
 	task quetzalwork.TaskID
 	run  *fakeRun
+	// works tells that all tasks have been present.
+	works bool
 }
 
 func (g *gangMember) active() bool {
@@ -310,7 +312,8 @@
 	}
 }
 
-// joinGang adds a task to the run of its gang. The run works from the moment at which all tasks are present.
+// joinGang adds a task to the run of its gang. The run works from the moment at which all tasks are present. A task for
+// which that does not come ends by itself.
 func (st *strictness) joinGang(m *minion, task quetzalwork.TaskID, run *fakeRun, spec *quetzalwork.StepSpec) {
 	key := gangRun{task.Job, task.Occurrence, task.Step, run.number}
 	if st.present == nil {
@@ -320,24 +323,35 @@
 	if members == nil {
 		members = make(map[quetzalunit.TaskIndex]*gangMember)
 		st.present[key] = members
-		m.f.after(gangPatience, func() {
-			if len(members) < int(spec.TaskCount) {
-				endGang(members, quetzalwork.OutcomeGangTimeout)
-			}
-		})
 		st.watchGang(m.f, members)
 	}
-	members[task.Task] = &gangMember{m, task, run}
-	if len(members) == int(spec.TaskCount) {
+	joined := &gangMember{m: m, task: task, run: run}
+	members[task.Task] = joined
+	if complete(members, spec.TaskCount) {
+		for _, g := range members {
+			g.works = true
+		}
 		m.f.after(time.Duration(float64(spec.Estimate)*(0.5+st.rng.Float64())), func() {
-			for _, g := range members {
-				if !g.active() {
-					return
-				}
+			if complete(members, spec.TaskCount) {
+				endGang(members, quetzalwork.OutcomeDone)
 			}
-			endGang(members, quetzalwork.OutcomeDone)
 		})
 	}
+	m.f.after(gangPatience, func() {
+		if !joined.works && joined.active() {
+			m.end(task, quetzalwork.OutcomeGangTimeout)
+		}
+	})
+}
+
+// complete reports whether all tasks of a gang are present.
+func complete(members map[quetzalunit.TaskIndex]*gangMember, count quetzalunit.Tasks) bool {
+	for _, g := range members {
+		if !g.active() {
+			return false
+		}
+	}
+	return len(members) == int(count)
 }
 
 // watchGang ends the tasks of a gang's run soon after one of them has ended otherwise.
