Test runs and ends of occurrences that are not due or do not exist

A run of an occurrence that is not due here is neither stopped nor started a second time, and an end of an occurrence that is finished, beyond the last one or of a task that the step does not have leaves nothing in stored progress. The first is red without createReportedOccurrences in applyReportedRun, the second without its bound by the number of occurrences.

--- a/quetzalcore/quetzalscheduler/occurrenceends_test.go
+++ b/quetzalcore/quetzalscheduler/occurrenceends_test.go
@@ -87,3 +87,35 @@
 	d.run(time.Second)
 	require.Equal(t, quetzalwork.JobFailed, d.w.Jobs.At(d.w.JobByID.Get(testJob)).State, "three failures are the limit")
 }
+
+// Guards against a second run beside one of an occurrence that is not due yet: it continues, and the task is not started
+// when the occurrence becomes due.
+func TestRunOfAnOccurrenceThatIsNotDueContinues(t *testing.T) {
+	d := newDispatcher(t, repeating(9, testStep(1)))
+	d.reports([]quetzalwork.ReportedRun{{Task: taskOf(6), Number: 1}})
+	d.run(5 * time.Second)
+	require.Empty(t, d.stops)
+	d.run(5 * time.Second)
+	for _, s := range d.starts {
+		require.NotEqual(t, taskOf(6), s.Task)
+	}
+	require.NotEmpty(t, d.starts)
+}
+
+// Guards against progress that records ends that no occurrence to come needs.
+func TestEndsThatNoOccurrenceNeedsAreNotStored(t *testing.T) {
+	lasting := testStep(1)
+	lasting.LongRunning = true
+	finished := quetzalwork.OccurrenceSet{{First: 4, End: 5}}
+	d := newDispatcher(t, repeating(6, testStep(1), lasting), progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning, DoneOccurrences: finished}))
+	d.recordsProgress = true
+	ofLasting, noTask := taskOf(5), taskOf(5)
+	ofLasting.Step, noTask.Task = 1, 1
+	d.reportEnds(
+		quetzalwork.ReportedEnd{Number: 1, Task: taskOf(4), Run: 1}, quetzalwork.ReportedEnd{Number: 2, Task: taskOf(6), Run: 1},
+		quetzalwork.ReportedEnd{Number: 3, Task: noTask, Run: 1}, quetzalwork.ReportedEnd{Number: 4, Task: ofLasting, Run: 1, Outcome: quetzalwork.OutcomeFailed},
+	)
+	d.run(2 * time.Second)
+	require.Empty(t, d.stored)
+	require.Equal(t, quetzalunit.EndNumber(4), d.acked())
+}
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -40,8 +40,9 @@
 	stored          []quetzalwork.StoreProgress
 	// answerPoll answers polls of minions. If nil, they get no answer.
 	answerPoll func(quetzalwork.PollMinion) quetzalwork.MinionPolled
-	// starts and polls are the orders to minions so far.
+	// starts, stops and polls are the orders to minions so far.
 	starts []quetzalwork.StartRun
+	stops  []quetzalwork.StopRun
 	polls  []quetzalwork.PollMinion
 	// rejectsStarts makes minions answer that they cannot run a task. releases are the releases of
 	// the duty so far.
@@ -176,6 +177,7 @@
 		}
 		return quetzalwork.StartAnswered{Run: cmd.Run, Token: cmd.Target.Token, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
 	case quetzalwork.StopRun:
+		d.stops = append(d.stops, cmd)
 		return quetzalwork.StopAnswered{Run: cmd.Run, Token: cmd.Target.Token, Result: quetzalwork.OrderAccepted{Clock: d.clock()}}
 	default:
 		return nil
