Let tasks wait for the late starts of minions that have restarted

Cause: an order to start without an answer is carried out up to 12 s after it was sent. The dispatcher takes the run for never started once the minion's process has accepted an order to stop it, or has answered a call with a higher token. The next process of the minion knows neither, and carries the order out if it gets it before any other call. Its task runs, or is done, elsewhere by then. Where the restart is seen before the task is placed again, or a second restart follows within the 12 s, the dispatcher could know.

Change: a minion keeps the orders to start that had no answer and that no report has shown to be carried out. When it is seen to have restarted, their tasks are not started before 12 s after those orders. Long-running tasks, which must not be unavailable for so long, and speculative ones, which may run twice, do not wait.

--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -67,6 +67,7 @@
 	m := w.Minions.At(row)
 	m.Clock, m.ClockAt, m.LeaseEnd, m.Answered = 0, w.Now, quetzalunit.MinionTime(0).Add(maxLeaseDuration(w)), false
 	m.RestartSeenAt, m.PollInFlight = w.Now, false
+	deferLateStarts(w, m)
 	raiseOrderToken(w, m)
 	schedulePoll(w, row, 0)
 }
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -206,6 +206,7 @@
 		return unknownTaskReason(w.Jobs.At(jobRow), e)
 	}
 	runRow := w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: e.Run})
+	forgetUnansweredStart(w.Minions.At(minionRow), e.Task, e.Run)
 	switch e.Outcome {
 	case quetzalwork.OutcomeDone:
 		logSuperfluousRun(w, minionRow, taskRow, e)
@@ -315,7 +316,7 @@
 	if t.State == quetzalwork.TaskDone || j.State.Final() {
 		return
 	}
-	t.AvoidMinion, t.NotBefore = minionRow, w.Now.Add(taskRetryDelay)
+	t.AvoidMinion, t.NotBefore = minionRow, max(t.NotBefore, w.Now.Add(taskRetryDelay))
 	if s.Spec.LongRunning {
 		t.Failures++
 	} else if !recordFailure(w, jobRow, quetzalwork.TaskFailure{TaskRef: e.Task.TaskRef, Run: e.Run}) {
@@ -407,6 +408,7 @@
 	s := w.Steps.At(t.Step)
 	w.Jobs.At(s.Job).Started = true
 	if r.State != quetzalwork.RunStarted {
+		forgetUnansweredStart(w.Minions.At(r.Minion), reported.Task, r.Number)
 		r.AnsweredAt = w.Now
 		markRunStarted(w, r)
 	}
@@ -493,6 +495,7 @@
 		handleWrongIncarnation(w, minion, in.Token, result.Incarnation, restartInCall)
 	case quetzalwork.OrderUnanswered:
 		r.State = quetzalwork.RunStartUnanswered
+		noteUnansweredStart(w, r)
 		stopRun(w, in.Run, quetzalwork.StopUnanswered)
 		schedulePoll(w, r.Minion, 0)
 	case quetzalwork.OrderNoCapacity:
@@ -543,6 +546,6 @@
 // rejectRun ends a run that its minion has not started and never will start.
 func rejectRun(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	t := w.Tasks.At(w.Runs.At(row).Task)
-	t.NotBefore = w.Now.Add(taskRetryDelay)
+	t.NotBefore = max(t.NotBefore, w.Now.Add(taskRetryDelay))
 	endRun(w, row, quetzalwork.OutcomeStopped, "", reason)
 }
--- /dev/null
+++ b/quetzalcore/quetzalscheduler/unansweredstart.go
@@ -0,0 +1,41 @@
+package quetzalscheduler
+
+import (
+	"slices"
+
+	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
+)
+
+// unansweredstart.go keeps tasks from being started again while a later process of a minion may carry out an earlier order
+// to start them. What a process of the minion has accepted since, an order to stop that run or a higher token, is unknown to
+// the next one. Only the restart of a minion shows that there may be another.
+
+// noteUnansweredStart records that an order to start a run had no answer.
+func noteUnansweredStart(w *quetzalwork.World, r *quetzalwork.Run) {
+	m := w.Minions.At(r.Minion)
+	m.UnansweredStarts = slices.DeleteFunc(m.UnansweredStarts, func(u quetzalwork.UnansweredStart) bool { return w.Now > u.SentAt.Add(maxCallDelay) })
+	m.UnansweredStarts = append(m.UnansweredStarts, quetzalwork.UnansweredStart{Task: taskName(w, w.Tasks.At(r.Task)), Number: r.Number, SentAt: r.StartedAt})
+	if m.RestartSeenAt > r.StartedAt {
+		deferLateStarts(w, m)
+	}
+}
+
+// forgetUnansweredStart forgets an order to start a run that a minion has carried out.
+func forgetUnansweredStart(m *quetzalwork.Minion, task quetzalwork.TaskID, number quetzalunit.RunNumber) {
+	m.UnansweredStarts = slices.DeleteFunc(m.UnansweredStarts, func(u quetzalwork.UnansweredStart) bool { return u.Task == task && u.Number == number })
+}
+
+// deferLateStarts makes the tasks wait that a later process of a minion that has restarted may still start by an order without
+// an answer. A long-running task must not be unavailable for so long.
+func deferLateStarts(w *quetzalwork.World, m *quetzalwork.Minion) {
+	for _, u := range m.UnansweredStarts {
+		t := w.Tasks.At(findTask(w, w.JobByID.Get(u.Task.Job), u.Task.TaskRef))
+		if t == nil {
+			continue
+		}
+		if spec := w.Steps.At(t.Step).Spec; !spec.Speculative && !spec.LongRunning {
+			t.NotBefore = max(t.NotBefore, u.SentAt.Add(maxCallDelay))
+		}
+	}
+}
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -65,6 +65,9 @@
 	// UnconfirmedRuns are runs of an earlier incarnation that crashed. The present one may have carried
 	// out their orders to start; its first report shows whether it has.
 	UnconfirmedRuns []LostRun
+	// UnansweredStarts are the orders to start runs that had no answer and that no report has shown to be carried
+	// out. Those that can no longer be carried out may be among them.
+	UnansweredStarts []UnansweredStart
 
 	// Restarts is the Restarts of the pool since the minion joined it or last restarted. Its calls carry it in
 	// their token, so that the present incarnation rejects late calls for earlier ones.
@@ -172,6 +175,13 @@
 	OthersSilent bool
 }
 
+// UnansweredStart is an order to start a run that had no answer.
+type UnansweredStart struct {
+	Task   TaskID
+	Number quetzalunit.RunNumber
+	SentAt quetzalunit.Instant
+}
+
 // Silence is the begin of a time in which a minion does not answer. It lies between the last answer
 // and the first one that is missed.
 type Silence struct {
