Wait for the lease of a start that the next process of a silent minion carries out late

What callers saw: two runs of a task at once (TWICE), in the simulated fleet with late orders.

Cause: a minion restarts while an order to start has no answer, and is cut off before its next process has answered. The dispatcher ends the run after the longest lease, counted from when it learned of the restart. But the next process may carry the order out up to 12 s after it was sent, and has the longest lease from then on.

Change: while the next process of a minion has not answered, its lease counts as expired only after the longest lease that an order to start without an answer may give when it is carried out last.

--- a/quetzalcore/quetzalscheduler/restartedminion_test.go
+++ b/quetzalcore/quetzalscheduler/restartedminion_test.go
@@ -524,3 +524,23 @@
 		requireGuaranteesAndEnds(t, f, seed)
 	}
 }
+
+// Guards against a dispatcher that does not wait for the lease of a start that the next process of a minion, which is
+// cut off by then, carries out late.
+func TestLeaseOfALateStartOnARestartedMinionIsWaitedFor(t *testing.T) {
+	for seed := range uint64(20) {
+		f := newLongTaskFleet(seed)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		f.submitEach50ms(rng, 2*time.Second)
+		for range 2 {
+			zone := f.otherZone(rng)
+			f.lateOrders = 0.5
+			f.submitEach50ms(rng, 400*time.Millisecond)
+			f.lateOrders = 0
+			f.restartZone(zone, 300*time.Millisecond)
+			f.cutOff(rng, zone, 14*time.Second)
+			f.submitEach50ms(rng, 3*time.Second)
+		}
+		requireGuaranteesAndEnds(t, f, seed)
+	}
+}
--- a/quetzalcore/quetzalscheduler/unansweredstart.go
+++ b/quetzalcore/quetzalscheduler/unansweredstart.go
@@ -39,3 +39,16 @@
 		}
 	}
 }
+
+// lateLeaseExpiry returns the instant at which the lease of a minion has expired that does not answer. The next process of
+// one that has restarted may get the longest lease with each order to start that is carried out late.
+func lateLeaseExpiry(w *quetzalwork.World, m *quetzalwork.Minion) quetzalunit.Instant {
+	expiry := leaseExpiry(m)
+	if m.Answered {
+		return expiry
+	}
+	for _, u := range m.UnansweredStarts {
+		expiry = max(expiry, u.SentAt.Add(maxCallDelay+restartedLeaseExpiry(w)))
+	}
+	return expiry
+}
--- a/quetzalcore/quetzalscheduler/watch.go
+++ b/quetzalcore/quetzalscheduler/watch.go
@@ -46,7 +46,7 @@
 		if m == nil {
 			continue
 		}
-		if m.MissedAnswers > 0 && len(m.Runs) > 0 && w.Now > leaseExpiry(m) {
+		if m.MissedAnswers > 0 && len(m.Runs) > 0 && w.Now > lateLeaseExpiry(w, m) {
 			expireMinionLease(w, row)
 			m = w.Minions.At(row)
 		}
@@ -65,7 +65,7 @@
 // expiry shows that there is no successor.
 func expireMinionLease(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
-	if w.Membership.ReadSentAt <= leaseExpiry(m) {
+	if w.Membership.ReadSentAt <= lateLeaseExpiry(w, m) {
 		readMembers(w)
 		return
 	}
