Name the incarnation of the minion in notices of withdrawn hosts

What callers saw: none yet.

Cause: a notice names the minion whose runs have ended, and the dispatcher ignores it if it knows another one on the host. PROTOCOL.md: a minion may start again under the id that it had. The late notice then names the one that runs.

Change: the notice also carries the incarnation that the host controller knew when it named the minion, and does not count if the dispatcher knows another one. After a takeover only an incarnation that was seen before it is named. The field that tells a token in another message carries it; entries without the change send zero, which counts as before.

Evidence: TestLateNoticeOfAWithdrawnHostSparesAMinionThatIsBackUnderItsID, without the check two starts and more (the second one at once), one with it. The two tests of what notices name require the incarnation now.

--- a/quetzalcore/quetzalcodec/workmessage.go
+++ b/quetzalcore/quetzalcodec/workmessage.go
@@ -32,7 +32,7 @@
 	case quetzalwork.QueryLoad:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindLoad, Pool: string(m.Pool)}
 	case quetzalwork.NotifyHostWithdrawn:
-		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host), Minion: string(m.Minion)}
+		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindTaken, Pool: string(m.Pool), Host: string(m.Host), Minion: string(m.Minion), Revision: int(m.Incarnation)}
 	case quetzalwork.NotifyMinionRestarted:
 		return quetzalwire.WorkMessage{Kind: quetzalwire.WorkMessageKindRestarted, Pool: string(m.Pool), Minion: string(m.Minion)}
 	}
@@ -64,7 +64,9 @@
 	case quetzalwire.WorkMessageKindLoad:
 		return quetzalwork.QueryLoad{Pool: pool}, nil
 	case quetzalwire.WorkMessageKindTaken:
-		return quetzalwork.NotifyHostWithdrawn{Pool: pool, Host: quetzalunit.HostID(d.Host), Minion: quetzalunit.MinionID(d.Minion)}, nil
+		return quetzalwork.NotifyHostWithdrawn{
+			Pool: pool, Host: quetzalunit.HostID(d.Host), Minion: quetzalunit.MinionID(d.Minion), Incarnation: quetzalunit.MinionIncarnation(d.Revision),
+		}, nil
 	case quetzalwire.WorkMessageKindRestarted:
 		return quetzalwork.NotifyMinionRestarted{Pool: pool, Minion: quetzalunit.MinionID(d.Minion)}, nil
 	}
--- a/quetzalcore/quetzalcodec/workmessage_test.go
+++ b/quetzalcore/quetzalcodec/workmessage_test.go
@@ -18,7 +18,7 @@
 		quetzalwork.NotifyDuty{Pool: "p", Duty: quetzalwork.Duty{Holder: "e", Incarnation: 3, Address: "a", OrderedHosts: []quetzalunit.HostID{}, EarlierLeases: 7 * time.Second, Revision: 10}},
 		quetzalwork.NotifyDutyDropped{Pool: "p", Token: 8},
 		quetzalwork.EvacuateHost{Pool: "p", Host: "h", Wave: "1"},
-		quetzalwork.NotifyHostWithdrawn{Pool: "p", Host: "h", Minion: "m"},
+		quetzalwork.NotifyHostWithdrawn{Pool: "p", Host: "h", Minion: "m", Incarnation: 1_790_000_000_123},
 		quetzalwork.NotifyMinionRestarted{Pool: "p", Minion: "m"},
 		quetzalwork.NotifyCancelled{Pool: "p", Job: "00000000000000aa"},
 	} {
--- a/quetzalcore/quetzalscheduler/move.go
+++ b/quetzalcore/quetzalscheduler/move.go
@@ -181,7 +181,7 @@
 
 // beginMove adds a move to the table of moves and starts it.
 func beginMove(w *quetzalwork.World, plan *hostPlan, host quetzalunit.HostID, from, to quetzalunit.PoolID, reason string) {
-	row := w.Moves.Insert(quetzalwork.HostMove{Host: host, From: from, To: to, Minion: minionOf(w, host), Since: w.Now})
+	row := w.Moves.Insert(quetzalwork.HostMove{Host: host, From: from, To: to, Minion: minionOf(w, host), Incarnation: incarnationOf(w, minionOf(w, host)), Since: w.Now})
 	w.MoveByHost.Put(host, row)
 	plan.arriving[to] += plan.capacityOf(w, host)
 	plan.leaving[from]++
@@ -286,7 +286,7 @@
 		if p := w.Pools.At(poolRow(w, m.From)); p.Held {
 			endRunsOnHost(w, m.From, m.Host)
 		} else if p.Duty.Address != "" {
-			w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: m.From, Host: m.Host, Minion: m.Minion}, Timeout: peerTimeout})
+			w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: quetzalwork.NotifyHostWithdrawn{Pool: m.From, Host: m.Host, Minion: m.Minion, Incarnation: m.Incarnation}, Timeout: peerTimeout})
 		}
 	case quetzalwork.HostResultFenced:
 		endHostControl(w, "Fenced")
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -66,14 +66,17 @@
 	return quetzalwork.Acknowledged{}
 }
 
-// handleHostWithdrawn ends the runs on a host that was withdrawn. If the host has got another minion since,
-// the message was late, and the runs of the earlier one have ended with its replacement.
+// handleHostWithdrawn ends the runs on a host that was withdrawn. If the host has got another minion since, or the same
+// one has started again under its id, the message was late, and the runs of the earlier one have ended with its replacement.
 func handleHostWithdrawn(w *quetzalwork.World, m *quetzalwork.NotifyHostWithdrawn) {
 	for _, minion := range w.Minions.All() {
 		if m.Minion != "" && minion.Host == m.Host && minion.ID != m.Minion && !minion.Replaced && isConfigured(w, minion.Pool) {
 			return
 		}
 	}
+	if known := incarnationOf(w, m.Minion); known != 0 && m.Incarnation != 0 && known != m.Incarnation {
+		return
+	}
 	endRunsOnHost(w, m.Pool, m.Host)
 }
 
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -253,7 +253,7 @@
 	case maintenance.State == quetzalwork.MaintenanceActive:
 		if h.State == quetzalwork.HostInMaintenance && !maintenance.DispatcherNotified && maintenance.Minion != "" {
 			maintenance.DispatcherNotified = true
-			notifyHostWithdrawn(w, h, maintenance.Minion)
+			notifyHostWithdrawn(w, &quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID, Minion: maintenance.Minion, Incarnation: maintenance.Incarnation})
 		}
 		if h.State != quetzalwork.HostInMaintenance && w.HostController.HostsReadAt.Sub(maintenance.Since) > w.Bounds.MaintenanceTime {
 			maintenance.State = quetzalwork.MaintenanceDone
@@ -261,7 +261,9 @@
 	case h.State == quetzalwork.HostInMaintenance && maintenance.State == quetzalwork.MaintenanceWaiting:
 		// The maintenance was ordered by a predecessor, or by an order whose answer was lost. The
 		// order is sent again, because its answer changes the state to MaintenanceActive.
-		maintenance.State, maintenance.Since, maintenance.Minion = quetzalwork.MaintenanceOrdered, w.Now, minionBeforeTakeover(w, h)
+		maintenance.State, maintenance.Since = quetzalwork.MaintenanceOrdered, w.Now
+		maintenance.Minion = minionBeforeTakeover(w, h)
+		maintenance.Incarnation = incarnationOf(w, maintenance.Minion)
 		orderMaintenance(w, wave, i)
 	case maintenance.State == quetzalwork.MaintenanceOrdered && !maintenance.RequestInFlight && w.Now >= maintenance.RetryAt:
 		orderMaintenance(w, wave, i)
@@ -272,7 +274,7 @@
 // not known. It has ended if the host is in maintenance since.
 func minionBeforeTakeover(w *quetzalwork.World, h *quetzalwork.Host) quetzalunit.MinionID {
 	for _, m := range w.Minions.All() {
-		if m.Host == h.ID && m.Pool == h.Pool && !m.Replaced && m.FirstSeenAt < w.HostController.HeldSince {
+		if m.Host == h.ID && m.Pool == h.Pool && !m.Replaced && incarnationSeenAt(m) < w.HostController.HeldSince {
 			return m.ID
 		}
 	}
@@ -299,7 +301,7 @@
 	if pool == nil || h.State != quetzalwork.HostUp {
 		return
 	}
-	maintenance.Minion = h.Minion
+	maintenance.Minion, maintenance.Incarnation = h.Minion, incarnationOf(w, h.Minion)
 	request := quetzalwork.EvacuateHost{Pool: h.Pool, Host: h.ID, Wave: wave.ID}
 	switch {
 	case pool.Spare:
@@ -406,14 +408,21 @@
 // is called when the list of hosts shows the maintenance, not when the order is answered: the answer
 // is the same if the order was carried out earlier, and by then a new minion may be running on the
 // host. The list may be that old, too, so that the notice must name the minion whose runs have ended.
-func notifyHostWithdrawn(w *quetzalwork.World, h *quetzalwork.Host, minion quetzalunit.MinionID) {
-	p := w.Pools.At(w.PoolByID.Get(h.Pool))
-	notice := quetzalwork.NotifyHostWithdrawn{Pool: h.Pool, Host: h.ID, Minion: minion}
+func notifyHostWithdrawn(w *quetzalwork.World, notice *quetzalwork.NotifyHostWithdrawn) {
+	p := w.Pools.At(w.PoolByID.Get(notice.Pool))
 	switch {
 	case p == nil:
 	case p.Held:
-		handleHostWithdrawn(w, &notice)
+		handleHostWithdrawn(w, notice)
 	case p.Duty.Address != "":
-		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: notice, Timeout: peerTimeout})
+		w.Emit(quetzalwork.CallPeer{Address: p.Duty.Address, Message: *notice, Timeout: peerTimeout})
+	}
+}
+
+// incarnationOf returns the incarnation of a minion by the minion list, zero if it is not known.
+func incarnationOf(w *quetzalwork.World, id quetzalunit.MinionID) quetzalunit.MinionIncarnation {
+	if m := w.Minions.At(w.MinionByID.Get(id)); m != nil {
+		return m.Incarnation
 	}
+	return 0
 }
--- a/quetzalcore/quetzalscheduler/withdrawn_test.go
+++ b/quetzalcore/quetzalscheduler/withdrawn_test.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// The notice is late, and the host's next minion has started under the id of the one that the notice names.
+func TestLateNoticeOfAWithdrawnHostSparesAMinionThatIsBackUnderItsID(t *testing.T) {
+	d := newDispatcher(t)
+	var running []quetzalwork.ReportedRun
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		in.Incarnation = c.Target.Incarnation
+		if c.Target.Minion == "m0" {
+			in.Running = running
+		}
+		return in
+	}
+	d.run(2 * time.Second)
+	back, other := testMinions[0], testMinions[0]
+	back.Incarnation = testMinions[0].Incarnation + 1000
+	d.minions = []quetzalwork.MinionRecord{back}
+	d.run(2 * time.Second)
+	row := accepted(testJob, testToken)
+	d.tick(quetzalwork.PeerMessageReceived{Caller: 1, Message: quetzalwork.NotifyAccepted{Pool: testPool, Jobs: []quetzalwork.JobRow{row}}})
+	require.Len(t, d.starts, 1)
+	running = []quetzalwork.ReportedRun{{Task: d.starts[0].Task, Number: d.starts[0].Number}}
+	other.ID, other.Address, other.Host = "m1", "m1", "h1"
+	d.minions = []quetzalwork.MinionRecord{back, other}
+	d.run(2 * time.Second)
+	d.tick(quetzalwork.PeerMessageReceived{Caller: 2, Message: quetzalwork.NotifyHostWithdrawn{Pool: testPool, Host: "h0", Minion: "m0", Incarnation: testMinions[0].Incarnation}})
+	d.run(2 * time.Second)
+	require.Equal(t, []quetzalunit.MinionID{"m0"}, minionsOf(d.starts))
+}
+
 func minionsOf(starts []quetzalwork.StartRun) []quetzalunit.MinionID {
 	var minions []quetzalunit.MinionID
 	for i := range starts {
@@ -120,7 +149,7 @@
 		var want []quetzalwork.NotifyHostWithdrawn
 		if known {
 			c.tick(quetzalwork.MinionsListed{Full: true, SeenRevision: 1, Minions: []quetzalwork.MinionRecord{{ID: "i-1", Pool: "calm", Host: "h1", Incarnation: 1}}})
-			want = []quetzalwork.NotifyHostWithdrawn{{Pool: "calm", Host: "h1", Minion: "i-1"}}
+			want = []quetzalwork.NotifyHostWithdrawn{{Pool: "calm", Host: "h1", Minion: "i-1", Incarnation: 1}}
 		}
 		for len(c.takeovers) == 0 {
 			c.run(50 * time.Millisecond)
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -337,8 +337,9 @@
 	// flight.
 	RequestInFlight bool
 	// Minion is the minion of the host when its evacuation was requested, or before this process took the duty over, empty
-	// if neither is known.
-	Minion quetzalunit.MinionID
+	// if neither is known. Incarnation is the one that ran then, zero if it is not known.
+	Minion      quetzalunit.MinionID
+	Incarnation quetzalunit.MinionIncarnation
 	// DispatcherNotified reports whether the dispatcher was told that the host is in maintenance.
 	DispatcherNotified bool
 	// SafeToInterrupt reports whether the host's minion runs no long-running task: its other runs
@@ -353,8 +354,9 @@
 type HostMove struct {
 	Host     quetzalunit.HostID
 	From, To quetzalunit.PoolID
-	// Minion is the minion of the host when the move began.
-	Minion quetzalunit.MinionID
+	// Minion is the minion of the host when the move began, Incarnation the one that ran then, zero if it is not known.
+	Minion      quetzalunit.MinionID
+	Incarnation quetzalunit.MinionIncarnation
 	// Ordered reports whether the host has been ordered to move, RequestInFlight whether a request
 	// to the dispatcher or the order is in flight.
 	Ordered, RequestInFlight bool
--- a/quetzalcore/quetzalwork/peer.go
+++ b/quetzalcore/quetzalwork/peer.go
@@ -60,11 +60,13 @@
 	QueryLoad struct{ Pool quetzalunit.PoolID }
 	// NotifyHostWithdrawn notifies the dispatcher that a host was ordered to move or into
 	// maintenance, which ended all of its runs. Minion is the minion that ran on the host before, empty
-	// if it is not known: the message may arrive when the host has another one.
+	// if it is not known: the message may arrive when the host has another one, or that one has started again
+	// under its id. Incarnation is the one that ran, zero if it is not known.
 	NotifyHostWithdrawn struct {
-		Pool   quetzalunit.PoolID
-		Host   quetzalunit.HostID
-		Minion quetzalunit.MinionID
+		Pool        quetzalunit.PoolID
+		Host        quetzalunit.HostID
+		Minion      quetzalunit.MinionID
+		Incarnation quetzalunit.MinionIncarnation
 	}
 	// NotifyMinionRestarted notifies an entry that may take the pool over that the dispatcher has found a
 	// minion restarted that the minion list may not show as such yet.
