Use a minion that joins after one with a later start has left the list

What callers saw: none yet. A successor may start tasks again beside their runs (TWICE, also a start after an end that is acknowledged later), and never polls the minion again, so that its runs lapse.

Cause: a minion whose host has had one with a later start counts as replaced, also if that one has left the list before it joined: the time of day was set back before its start. Nobody waits for a replaced minion. The dispatcher forgets a silent minion without runs at once, and then uses the next one; the standbys remember the first one for 16 s, and count the next one as replaced for good.

Change: only one that is in the list makes an earlier one that joins count as replaced.

Evidence: TestMinionWithAnEarlierStartThanOneThatLeftTheListIsWaitedFor, before: the task starts 0.48 s after the takeover, while the predecessor may extend the lease of its run up to 7.59 s; green after.

Left: the case that the first one is still in the list when the next one joins. All entries then leave the next one unused.

--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -245,7 +245,10 @@
 			continue
 		}
 		if m.Incarnation > r.Incarnation {
-			w.Minions.At(w.MinionByID.Get(r.ID)).Replaced = true
+			// One that joins after the other has left the list is the later one: the time of day was set back before its start.
+			if m.Listed {
+				w.Minions.At(w.MinionByID.Get(r.ID)).Replaced = true
+			}
 			continue
 		}
 		m.Replaced = true
