Start nothing on a restarted minion before a read of the duties

What callers saw: none yet. A dispatcher whose pool has been taken over may start a task on a minion that restarts under its id, while the successor runs the task elsewhere (TWICE, also a start after an end that is acknowledged later). No late call to a minion is needed.

Cause: the dispatcher may start runs for up to 3 s without a read of the duties. The successor's token keeps it from the minions that both use, but a process that has just started has seen no token. The successor knows the work of its predecessor once all minions have answered, and does not wait for their later processes. For a minion that joins, usable therefore asks for a read of the duties that was sent after that; it did not for one that restarts under its id, although the restart is as new to the successor.

Change: usable counts from the instant at which the present process became known, and the restart requests a read as a join does.

--- a/quetzalcore/quetzalscheduler/place.go
+++ b/quetzalcore/quetzalscheduler/place.go
@@ -292,9 +292,9 @@
 		// Capacity and labels of the present incarnation are not known.
 		return false
 	}
-	// A read of the duties that was sent after the minion joined shows that no successor as the
+	// A read of the duties that was sent after the minion joined or restarted shows that no successor as the
 	// pool's dispatcher has used the minion.
-	return m.Listed && m.Answered && !m.HostWithdrawn && !m.Replaced && w.Membership.ReadSentAt >= m.FirstSeenAt && m.MissedAnswers == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.FailureBackoffUntil && w.Now >= m.RejectionBackoffUntil
+	return m.Listed && m.Answered && !m.HostWithdrawn && !m.Replaced && w.Membership.ReadSentAt >= incarnationSeenAt(m) && m.MissedAnswers == 0 && !m.Draining && w.Now >= m.CordonedUntil && w.Now >= m.FailureBackoffUntil && w.Now >= m.RejectionBackoffUntil
 }
 
 // eligible reports whether the step's label and the advisor's tickets permit a minion.
--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -70,6 +70,10 @@
 	deferLateStarts(w, m)
 	raiseOrderToken(w, m)
 	schedulePoll(w, row, 0)
+	if w.Pools.At(m.PoolRow).Held {
+		// The process gets no task before a read of the duties that follows; see usable.
+		rereadMembers(w)
+	}
 }
 
 // handleAnswerClock handles the clock in the answer to an order that was decided at an instant. A clock that is behind
