Create no occurrences because of a report that is far ahead

A dispatcher never has more than maxJobTasks unfinished tasks of a job, so a report beyond that many is of no run that one started, and leaves the occurrences as they are. The test is red before (1,000,000 created).

--- a/quetzalcore/quetzalscheduler/occurrence.go
+++ b/quetzalcore/quetzalscheduler/occurrence.go
@@ -26,10 +26,7 @@
 	if j == nil || j.Spec == nil || j.State.Final() {
 		return
 	}
-	var tasks quetzalunit.Tasks
-	for i := range j.Spec.Steps {
-		tasks += j.Spec.Steps[i].TaskCount
-	}
+	tasks := tasksPerOccurrence(j.Spec)
 	for j.CreatedOccurrences < j.Spec.Occurrences {
 		if skipDoneOccurrences(j) {
 			continue
@@ -54,6 +51,15 @@
 	}
 }
 
+// tasksPerOccurrence returns the number of tasks of each occurrence of a job.
+func tasksPerOccurrence(spec *quetzalwork.JobSpec) quetzalunit.Tasks {
+	var n quetzalunit.Tasks
+	for i := range spec.Steps {
+		n += spec.Steps[i].TaskCount
+	}
+	return n
+}
+
 // skipDoneOccurrences counts the next occurrences of a repeating job as created and completed if they are finished. It
 // returns false if the next one is not.
 func skipDoneOccurrences(j *quetzalwork.Job) bool {
@@ -67,9 +73,12 @@
 
 // createReportedOccurrences creates the occurrences of a repeating job up to one of which a minion reports a run. An
 // earlier dispatcher has started it whose wall clock was ahead of that of this process, or that knew of more finished
-// occurrences.
+// occurrences. One that is so far ahead that no dispatcher can have created it does not count.
 func createReportedOccurrences(w *quetzalwork.World, row quetzalwork.Row, reported quetzalunit.Occurrence) {
 	j := w.Jobs.At(row)
+	if j.Spec == nil || quetzalunit.Tasks(reported-j.CreatedOccurrences) > maxJobTasks/tasksPerOccurrence(j.Spec) {
+		return
+	}
 	for j.Spec != nil && !j.State.Final() && j.CreatedOccurrences <= reported && reported < j.Spec.Occurrences {
 		if !skipDoneOccurrences(j) {
 			createOccurrence(w, row, j.CreatedOccurrences)
--- a/quetzalcore/quetzalscheduler/occurrenceends_test.go
+++ b/quetzalcore/quetzalscheduler/occurrenceends_test.go
@@ -119,3 +119,12 @@
 	require.Empty(t, d.stored)
 	require.Equal(t, quetzalunit.EndNumber(4), d.acked())
 }
+
+// Guards against a report of an occurrence in the far future that makes the dispatcher create all before it.
+func TestReportOfAnOccurrenceFarAheadCreatesNone(t *testing.T) {
+	d := newDispatcher(t, repeating(1_000_000, testStep(1)))
+	d.reportEnds(quetzalwork.ReportedEnd{Number: 1, Task: taskOf(999_999), Run: 1})
+	d.run(3 * time.Second)
+	require.Less(t, d.w.Jobs.At(d.w.JobByID.Get(testJob)).CreatedOccurrences, quetzalunit.Occurrence(10))
+	require.Equal(t, quetzalunit.EndNumber(1), d.acked())
+}
