--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -494,10 +494,7 @@
 		rejectRun(w, in.Run, "WrongIncarnation")
 		handleWrongIncarnation(w, minion, in.Token, result.Incarnation, restartInCall)
 	case quetzalwork.OrderUnanswered:
-		r.State = quetzalwork.RunStartUnanswered
-		noteUnansweredStart(w, r)
-		stopRun(w, in.Run, quetzalwork.StopUnanswered)
-		schedulePoll(w, r.Minion, 0)
+		handleUnansweredStart(w, in.Run)
 	case quetzalwork.OrderNoCapacity:
 		m.RejectionBackoffUntil = w.Now.Add(rejectionBackoff)
 		w.Timers.Push(m.RejectionBackoffUntil, quetzalwork.PlacementDue{Pool: m.PoolRow})
@@ -526,6 +523,15 @@
 	}
 }
 
+// handleUnansweredStart orders a run to be stopped whose order to start had no answer, before it may be carried out late.
+func handleUnansweredStart(w *quetzalwork.World, row quetzalwork.Row) {
+	r := w.Runs.At(row)
+	r.State = quetzalwork.RunStartUnanswered
+	noteUnansweredStart(w, r)
+	stopRun(w, row, quetzalwork.StopUnanswered)
+	schedulePoll(w, r.Minion, 0)
+}
+
 // awaitReportOfOutdated keeps a run whose start a minion has rejected as outdated until a report shows whether it has ended
 // there: the minion has ended or stopped this run, or a later one of the task.
 func awaitReportOfOutdated(w *quetzalwork.World, row quetzalwork.Row, token quetzalunit.OrderToken) {
