Let a reported run go on that counted as never started

What callers saw: a task starts while its minion reports an earlier run of it (TWICE), in the simulated fleet with late calls.

Cause: an order to start without an answer counts as void once the minion has accepted a stop. If the minion then restarts under its id, the next process knows of no stop and may carry the order out late. The task has another order to start without an answer by then. The reported run was stopped as superfluous, the other one counted as never started by the same report, and the task started again at once, while the stop was in progress.

Change: a reported run goes on if the task's other runs are only orders without an answer; these are stopped as duplicates. Gangs are as before.

Evidence: TestTaskDoesNotStartBesideAReportedRunThatCountedAsNeverStarted, 191 starts before (the fake does not carry out stops), the two before the report after.

--- a/quetzalcore/quetzalscheduler/latestart_test.go
+++ b/quetzalcore/quetzalscheduler/latestart_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
 )
 
 // newLateStartFleet returns a fleet with four long-running jobs of five tasks, 40 % of whose orders to minions are
@@ -49,3 +50,19 @@
 		require.Empty(t, f.checker.violations, "seed %d", seed)
 	}
 }
+
+// The minion has carried out an earlier order to start the task late, which had counted as void. A start while that run goes on
+// would be a second run of the task.
+func TestTaskDoesNotStartBesideAReportedRunThatCountedAsNeverStarted(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.unansweredStarts = true
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		if len(d.starts) > 1 {
+			in.Running = []quetzalwork.ReportedRun{{Task: d.starts[0].Task, Number: d.starts[0].Number}}
+		}
+		return in
+	}
+	d.run(4 * time.Second)
+	require.Len(t, minionsOf(d.starts), 2)
+}
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -386,14 +386,20 @@
 	row := w.RunByKey.Get(quetzalwork.RunKey{Task: taskRow, Number: reported.Number})
 	if row == 0 {
 		t := w.Tasks.At(taskRow)
-		if len(t.Runs) > 0 && !w.Steps.At(t.Step).Spec.Speculative {
+		if !mayAdopt(w, t) {
 			stopUnknownRun(w, m, reported)
 			return 0
 		}
+		others := slices.Clone(t.Runs)
 		row = addRun(w, taskRow, minionRow, quetzalwork.Run{
 			Number: reported.Number, StartedAt: w.Now, Pace: 100,
 		})
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "A run that an earlier dispatcher started continues.", Job: j.ID, Task: reported.Task.TaskRef, Run: reported.Number, Minion: m.ID, Routine: true})
+		if !w.Steps.At(t.Step).Spec.Speculative {
+			for _, other := range others {
+				stopRun(w, other, quetzalwork.StopDuplicate)
+			}
+		}
 	}
 	updateRun(w, row, reported)
 	if j.State.Final() {
@@ -402,6 +408,17 @@
 	return row
 }
 
+// mayAdopt reports whether a reported run of a task that is not in the tables is to continue. It is stopped if the task has
+// another run, unless that has not been shown to run: once that has ended, the task would start again beside the reported one.
+func mayAdopt(w *quetzalwork.World, t *quetzalwork.Task) bool {
+	s := w.Steps.At(t.Step)
+	if s.Spec.Speculative || len(t.Runs) == 0 {
+		return true
+	}
+	counts := func(row quetzalwork.Row) bool { return w.Runs.At(row).State != quetzalwork.RunStartUnanswered }
+	return !s.Spec.Gang && !slices.ContainsFunc(t.Runs, counts)
+}
+
 func updateRun(w *quetzalwork.World, row quetzalwork.Row, reported *quetzalwork.ReportedRun) {
 	r := w.Runs.At(row)
 	t := w.Tasks.At(r.Task)
