--- a/quetzalcore/quetzalscheduler/occurrence.go
+++ b/quetzalcore/quetzalscheduler/occurrence.go
@@ -76,10 +76,13 @@
 // occurrences. One that is so far ahead that no dispatcher can have created it does not count.
 func createReportedOccurrences(w *quetzalwork.World, row quetzalwork.Row, reported quetzalunit.Occurrence) {
 	j := w.Jobs.At(row)
-	if j.Spec == nil || quetzalunit.Tasks(reported-j.CreatedOccurrences) > maxJobTasks/tasksPerOccurrence(j.Spec) {
+	if j.Spec == nil || reported < j.CreatedOccurrences || reported >= j.Spec.Occurrences {
 		return
 	}
-	for j.Spec != nil && !j.State.Final() && j.CreatedOccurrences <= reported && reported < j.Spec.Occurrences {
+	if quetzalunit.Tasks(reported-j.CreatedOccurrences) > maxJobTasks/tasksPerOccurrence(j.Spec) {
+		return
+	}
+	for j.CreatedOccurrences <= reported && !j.State.Final() {
 		if !skipDoneOccurrences(j) {
 			createOccurrence(w, row, j.CreatedOccurrences)
 		}
