Find jobs by an index of their IDs, not only in the pool of their queue

Cause: an entry looked an ID up only in the pool to which its configuration of that moment leads, and took "no rows there" for "no such job". The log of a run shows it: b1 is stored in north under version 2, under version 6 "The store has no rows of the requested job" names south, then b1 is stored in south, while north's dispatcher finishes the first run. The dispatcher had not forgotten the job, and the store had its rows.

Change: the transaction that stores a job adds its ID to the job index, on condition that the index does not have it. The index's parts are named by the ID, so that entries with any configuration meet at the same row; the transaction is one over two parts. A request for a job that its queue's pool does not have goes on in the pool that the index names. An entry that knows the job itself, in any pool, answers at once. A batch has at most 24 jobs instead of 40, for the store's limit of 100 entries.

The simulated store kept the rows of all pools in one table, which hid the fault; it keeps them by pool now, as the adapter does.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -55,6 +55,29 @@
 	return decodeAcceptedJob(&d), nil
 }
 
+// EncodeJobIndexEntry returns the JSON of a job's entry in the job index, without the ID.
+func EncodeJobIndexEntry(e *quetzalwork.JobIndexEntry) ([]byte, error) {
+	d := quetzalwire.WorkIndexDoc{Pool: string(e.Pool)}
+	if account := string(e.Account); account != "" {
+		d.Account = &account
+	}
+	data, err := json.Marshal(d)
+	return data, eris.Wrap(err, "encode job index entry")
+}
+
+// DecodeJobIndexEntry decodes the entry of a job in the job index.
+func DecodeJobIndexEntry(id quetzalunit.JobID, data []byte) (quetzalwork.JobIndexEntry, error) {
+	var d quetzalwire.WorkIndexDoc
+	if err := json.Unmarshal(data, &d); err != nil {
+		return quetzalwork.JobIndexEntry{}, eris.Wrap(err, "decode job index entry")
+	}
+	e := quetzalwork.JobIndexEntry{Job: id, Pool: quetzalunit.PoolID(d.Pool)}
+	if d.Account != nil {
+		e.Account = quetzalunit.AccountID(*d.Account)
+	}
+	return e, nil
+}
+
 func encodeAcceptedJob(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
 	d := quetzalwire.WorkJobDoc{Queue: string(a.Queue), Duty: int(a.DutyRevision)}
 	if account := string(a.Account); account != "" {
--- a/quetzalcore/quetzalscheduler/acknowledgedend_test.go
+++ b/quetzalcore/quetzalscheduler/acknowledgedend_test.go
@@ -47,7 +47,7 @@
 	id := f.submit(f.entries[0], testStep(1), testStep(1, 0))
 	runAndVerify(t, f, 10*time.Second)
 	require.Len(t, lines, 2)
-	row := f.store.rows[rowKey(&quetzalwork.JobRow{Job: id, Content: quetzalwork.JobProgress{}})]
+	row, _ := f.store.stored(quetzalwork.JobRow{Job: id, Content: quetzalwork.JobProgress{}})
 	require.Equal(t, "Stored", lines[0].Reason)
 	require.Less(t, lines[0].Version, int64(row.Revision))
 	require.Equal(t, "Stored", lines[1].Reason)
--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -316,8 +316,7 @@
 
 // storedState returns the state in the stored progress of a job, JobQueued if there is none.
 func (f *fleet) storedState(id quetzalunit.JobID) quetzalwork.JobState {
-	key := quetzalwork.JobRow{Job: id, Content: quetzalwork.JobProgress{}}
-	if row, ok := f.store.rows[rowKey(&key)]; ok {
+	if row, ok := f.store.stored(quetzalwork.JobRow{Job: id, Content: quetzalwork.JobProgress{}}); ok {
 		return row.Content.(quetzalwork.JobProgress).Progress.State
 	}
 	return quetzalwork.JobQueued
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -22,10 +22,13 @@
 	hostLease quetzalunit.Revision
 	members   map[quetzalunit.EntryID]versionedMember
 	settled   map[quetzalunit.PoolID]quetzalunit.Revision
-	rows      map[string]quetzalwork.JobRow
-	list      map[quetzalunit.MinionID]versionedRecord
-	// pools has the pool of each job that was stored.
+	// rows are the rows of jobs, each in the table of a pool.
+	rows map[tableKey]quetzalwork.JobRow
+	list map[quetzalunit.MinionID]versionedRecord
+	// pools has the pool in which each job was stored first.
 	pools map[quetzalunit.JobID]quetzalunit.PoolID
+	// index is the job index.
+	index map[quetzalunit.JobID]quetzalwork.JobIndexEntry
 	// config is a later configuration than that of the entries, nil if there is none. Watches see it from
 	// the revision configRevision on.
 	config         *quetzalwork.FleetConfig
@@ -61,6 +64,12 @@
 	compactedThrough, listCompactedThrough, membersCompactedThrough quetzalunit.Revision
 }
 
+// tableKey is the key of a job's row with the pool in whose table it is.
+type tableKey struct {
+	pool quetzalunit.PoolID
+	key  string
+}
+
 // versionedMember is a member row with the revision of its last write.
 type versionedMember struct {
 	quetzalwork.Member
@@ -240,6 +249,8 @@
 		return quetzalwork.CancelStored{Result: r, Request: c.Request}
 	case quetzalwork.LookUpJob:
 		return quetzalwork.JobLookedUp{Result: r, Request: c.Request}
+	case quetzalwork.LocateJob:
+		return quetzalwork.JobLocated{Result: r, Request: c.Request}
 	case quetzalwork.StoreDivision, quetzalwork.ReadDivision:
 		return quetzalwork.DivisionAnswered{Result: r}
 	case quetzalwork.ReadWaves:
@@ -341,10 +352,7 @@
 			in.Result = quetzalwork.StoreCompacted
 			return in
 		}
-		in.Rows = s.find(func(r *quetzalwork.JobRow) bool {
-			if !s.mayHave(c.Pool, r.Job) {
-				return false
-			}
+		in.Rows = s.find(c.Pool, func(r *quetzalwork.JobRow) bool {
 			return !c.Full && r.Revision > c.SinceRevision || c.Full && rowKey(r) > c.StartKey
 		})
 		if c.Full && s.pageSize > 0 && len(in.Rows) > s.pageSize {
@@ -372,15 +380,23 @@
 			in.Result, in.CurrentDuty = quetzalwork.StoreConflict, &d
 		}
 		for i := range c.Jobs {
-			if _, ok := s.rows[rowKey(&c.Jobs[i])]; ok {
+			if _, ok := s.rows[tableKey{c.Pool, rowKey(&c.Jobs[i])}]; ok {
 				in.Result = quetzalwork.StoreConflict
 				in.ExistingJobs = append(in.ExistingJobs, c.Jobs[i].Job)
 			}
+			if e, ok := s.index[c.Jobs[i].Job]; ok {
+				in.Result = quetzalwork.StoreConflict
+				in.Indexed = append(in.Indexed, e)
+			}
 		}
 		if in.Result == quetzalwork.StoreDone {
-			s.write(c.Jobs)
+			s.write(c.Pool, c.Jobs)
 			for i := range c.Jobs {
-				s.pools[c.Jobs[i].Job] = c.Pool
+				id := c.Jobs[i].Job
+				if s.pools[id] == "" {
+					s.pools[id] = c.Pool
+				}
+				s.index[id] = quetzalwork.JobIndexEntry{Job: id, Pool: c.Pool, Account: c.Jobs[i].Content.(quetzalwork.AcceptedJob).Account}
 			}
 		}
 		return in
@@ -391,25 +407,23 @@
 			return in
 		}
 		for i := range c.Rows {
-			if old := s.rows[rowKey(&c.Rows[i])]; old.Revision != c.Rows[i].Revision {
+			if old := s.rows[tableKey{c.Pool, rowKey(&c.Rows[i])}]; old.Revision != c.Rows[i].Revision {
 				in.Result = quetzalwork.StoreConflict
 				in.CurrentRows = append(in.CurrentRows, old)
 			}
 		}
 		if in.Result == quetzalwork.StoreDone {
-			s.write(append(slices.Clone(c.Rows), c.EndedJobs...))
+			s.write(c.Pool, append(slices.Clone(c.Rows), c.EndedJobs...))
 			in.Revision = s.revision
 		}
 		return in
 	case quetzalwork.StoreCancel:
-		if !s.mayHave(c.Pool, c.Job) {
-			// The row is written to another pool's table, which has no job of that ID.
-			return quetzalwork.CancelStored{Request: c.Request}
-		}
-		s.write([]quetzalwork.JobRow{{Job: c.Job, Content: quetzalwork.JobCancellation{}}})
+		s.write(c.Pool, []quetzalwork.JobRow{{Job: c.Job, Content: quetzalwork.JobCancellation{}}})
 		return quetzalwork.CancelStored{Request: c.Request}
 	case quetzalwork.LookUpJob:
-		return quetzalwork.JobLookedUp{Request: c.Request, Rows: s.find(func(r *quetzalwork.JobRow) bool { return r.Job == c.Job && s.mayHave(c.Pool, c.Job) })}
+		return quetzalwork.JobLookedUp{Request: c.Request, Rows: s.find(c.Pool, func(r *quetzalwork.JobRow) bool { return r.Job == c.Job })}
+	case quetzalwork.LocateJob:
+		return quetzalwork.JobLocated{Request: c.Request, Entry: s.index[c.Job]}
 	case quetzalwork.ReadDivision:
 		return quetzalwork.DivisionAnswered{Division: s.division}
 	case quetzalwork.StoreDivision:
@@ -426,10 +440,10 @@
 	panic(fmt.Sprintf("unexpected command %T", c))
 }
 
-// mayHave reports whether a pool's table may have rows of a job: it was stored there, or not at all.
-func (s *store) mayHave(pool quetzalunit.PoolID, job quetzalunit.JobID) bool {
-	stored, ok := s.pools[job]
-	return !ok || stored == pool
+// stored returns the row with the key of r in the pool in which its job was stored first.
+func (s *store) stored(r quetzalwork.JobRow) (quetzalwork.JobRow, bool) {
+	row, ok := s.rows[tableKey{s.pools[r.Job], rowKey(&r)}]
+	return row, ok
 }
 
 // rejects reports whether a row is larger than maxRowBytes.
@@ -447,20 +461,20 @@
 	return false
 }
 
-// write stores rows of jobs under a new revision.
-func (s *store) write(rows []quetzalwork.JobRow) {
+// write stores rows of a pool's jobs under a new revision.
+func (s *store) write(pool quetzalunit.PoolID, rows []quetzalwork.JobRow) {
 	s.revision++
 	for _, r := range rows {
 		r.Revision = s.revision
-		s.rows[rowKey(&r)] = r
+		s.rows[tableKey{pool, rowKey(&r)}] = r
 	}
 }
 
-// find returns the matching rows in the order of their keys.
-func (s *store) find(want func(*quetzalwork.JobRow) bool) []quetzalwork.JobRow {
+// find returns the matching rows of a pool in the order of their keys.
+func (s *store) find(pool quetzalunit.PoolID, want func(*quetzalwork.JobRow) bool) []quetzalwork.JobRow {
 	var rows []quetzalwork.JobRow
-	for _, r := range s.rows {
-		if want(&r) {
+	for k, r := range s.rows {
+		if k.pool == pool && want(&r) {
 			rows = append(rows, r)
 		}
 	}
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -88,17 +88,17 @@
 	}
 }
 
-// queryState looks up the state of a job: in this process's tables if it dispatches the pool,
+// queryState looks up the state of a job: in this process's tables if it dispatches the job's pool,
 // else at the dispatcher, and in the store if the dispatcher is not live or this process does
 // not know the job.
 func queryState(w *quetzalwork.World, row quetzalwork.Row) {
 	r := w.JobRequests.At(row)
+	if j := w.Jobs.At(w.JobByID.Get(r.Job)); j != nil {
+		answerJobRequest(w, row, quetzalwork.JobStateAnswer{State: visibleState(j)})
+		return
+	}
 	p := w.Pools.At(r.Pool)
 	if p.Held {
-		if j := w.Jobs.At(w.JobByID.Get(r.Job)); j != nil && j.Pool == r.Pool {
-			answerJobRequest(w, row, quetzalwork.JobStateAnswer{State: visibleState(j)})
-			return
-		}
 		beginLookUp(w, row, quetzalwork.LookUpNotInTables)
 		return
 	}
@@ -130,15 +130,30 @@
 	lookUpJob(w, row)
 }
 
-// lookUpJob reads the rows of a request's job from the store.
+// lookUpJob reads the rows of a request's job in the request's pool from the store.
 func lookUpJob(w *quetzalwork.World, row quetzalwork.Row) {
+	if countAttempt(w, row) {
+		r := w.JobRequests.At(row)
+		w.Emit(quetzalwork.LookUpJob{Pool: w.Pools.At(r.Pool).ID, Job: r.Job, Request: row, Timeout: storeTimeout})
+	}
+}
+
+// locateJob reads the entry of a request's job in the job index.
+func locateJob(w *quetzalwork.World, row quetzalwork.Row) {
+	if countAttempt(w, row) {
+		w.Emit(quetzalwork.LocateJob{Job: w.JobRequests.At(row).Job, Request: row, Timeout: storeTimeout})
+	}
+}
+
+// countAttempt counts another attempt of a request. After maxJobRequestAttempts it answers the request and returns false.
+func countAttempt(w *quetzalwork.World, row quetzalwork.Row) bool {
 	r := w.JobRequests.At(row)
 	r.Attempts++
 	if r.Attempts > maxJobRequestAttempts {
 		answerJobRequest(w, row, quetzalwork.Indeterminate{Reason: reasonStoreSilent})
-		return
+		return false
 	}
-	w.Emit(quetzalwork.LookUpJob{Pool: w.Pools.At(r.Pool).ID, Job: r.Job, Request: row, Timeout: storeTimeout})
+	return true
 }
 
 // handleJobLookUp applies the result of a LookUpJob command.
@@ -157,12 +172,11 @@
 	}
 	exists, state := storedState(in.Rows)
 	switch {
+	case !exists && !r.Located:
+		// The pool to which the queue leads now need not be the one in which the job is stored.
+		locateJob(w, in.Request)
 	case !exists:
-		w.Log(quetzalwork.Decision{
-			Part: quetzalwork.PartFront, Message: "The store has no rows of the requested job.", Job: r.Job, Pool: w.Pools.At(r.Pool).ID,
-			Version: int64(r.Attempts), Age: w.Now.Sub(r.ArrivedAt), Reason: string(r.LookUpCause),
-		})
-		answerJobRequest(w, in.Request, quetzalwork.NoSuchJob{})
+		answerUnknownJob(w, in.Request)
 	case r.Kind != quetzalwork.JobRequestKindCancel:
 		answerJobRequest(w, in.Request, quetzalwork.JobStateAnswer{State: state})
 	case state.Final():
@@ -172,6 +186,41 @@
 	}
 }
 
+// handleJobLocated applies the result of a LocateJob command: the request goes on in the pool that the index names.
+func handleJobLocated(w *quetzalwork.World, in *quetzalwork.JobLocated) {
+	r := w.JobRequests.At(in.Request)
+	switch {
+	case r == nil:
+	case in.Result == quetzalwork.StoreUnanswered:
+		locateJob(w, in.Request)
+	case in.Result != quetzalwork.StoreDone:
+		answerJobRequest(w, in.Request, quetzalwork.Indeterminate{Reason: reasonStoreUnavailable})
+	case in.Entry.Pool == "":
+		answerUnknownJob(w, in.Request)
+	default:
+		r.Located, r.Pool = true, poolRow(w, in.Entry.Pool)
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartFront, Message: "The job index names the pool of the requested job.", Job: r.Job, Pool: in.Entry.Pool,
+			Version: int64(w.Config.Version), Age: w.Now.Sub(r.ArrivedAt), Reason: string(r.LookUpCause), Routine: true,
+		})
+		if r.Kind == quetzalwork.JobRequestKindCancel {
+			lookUpJob(w, in.Request)
+			return
+		}
+		queryState(w, in.Request)
+	}
+}
+
+// answerUnknownJob answers a request for a job that is stored in no pool.
+func answerUnknownJob(w *quetzalwork.World, row quetzalwork.Row) {
+	r := w.JobRequests.At(row)
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartFront, Message: "The store has no rows of the requested job.", Job: r.Job, Pool: w.Pools.At(r.Pool).ID,
+		Version: int64(r.Attempts), Age: w.Now.Sub(r.ArrivedAt), Reason: string(r.LookUpCause),
+	})
+	answerJobRequest(w, row, quetzalwork.NoSuchJob{})
+}
+
 // storedState derives the state of a job from its stored rows. A final state in the progress
 // row takes precedence over a cancellation.
 func storedState(rows []quetzalwork.JobRow) (exists bool, state quetzalwork.JobState) {
--- a/quetzalcore/quetzalscheduler/lookupcause_test.go
+++ b/quetzalcore/quetzalscheduler/lookupcause_test.go
@@ -33,7 +33,7 @@
 		require.EqualValues(t, unknown, l.Job)
 		require.EqualValues(t, testPool, l.Pool)
 		require.Positive(t, l.Age)
-		require.EqualValues(t, 1, l.Version, "one read")
+		require.EqualValues(t, 2, l.Version, "one read of the pool, one of the job index")
 	}
 	require.Equal(t, quetzalwork.NoSuchJob{}, f.state(other, "not-an-id"))
 	require.Equal(t, []string{"InvalidJobID"}, reasonsOf(lines("A request names no job that can exist.")))
--- a/quetzalcore/quetzalscheduler/simulation_test.go
+++ b/quetzalcore/quetzalscheduler/simulation_test.go
@@ -121,7 +121,7 @@
 		deadly: make(map[quetzalunit.JobID]bool), answers: make(map[quetzalunit.JobID][]quetzalwork.Answer), callers: make(map[quetzalunit.CallerID]quetzalunit.JobID),
 	}
 	f.checker.f = f
-	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), settled: make(map[quetzalunit.PoolID]quetzalunit.Revision), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[string]quetzalwork.JobRow), pools: make(map[quetzalunit.JobID]quetzalunit.PoolID), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
+	f.store = &store{duties: make(map[quetzalunit.PoolID]quetzalwork.Duty), settled: make(map[quetzalunit.PoolID]quetzalunit.Revision), members: make(map[quetzalunit.EntryID]versionedMember), rows: make(map[tableKey]quetzalwork.JobRow), pools: make(map[quetzalunit.JobID]quetzalunit.PoolID), index: make(map[quetzalunit.JobID]quetzalwork.JobIndexEntry), list: make(map[quetzalunit.MinionID]versionedRecord), memberReads: make(map[quetzalunit.EntryID]int), minionLists: make(map[quetzalunit.EntryID]int), busyUntil: make(map[quetzalunit.Shard]quetzalunit.Instant)}
 	for i := range minions {
 		f.addMinion(zones[i%len(zones)], i/2)
 	}
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -12,8 +12,9 @@
 
 const (
 	// maxSubmitBatch is the maximum number of jobs in one transaction. The store accepts at most
-	// 1 MB and 100 entries, and each job needs two: a condition and a value.
-	maxSubmitBatch = 40
+	// 1 MB and 100 entries, and each job needs four: the conditions and values of its row and of its entry in
+	// the job index.
+	maxSubmitBatch = 24
 	// maxSubmitCalls is the maximum number of transactions in flight for one shard. The store
 	// executes the transactions of a shard sequentially.
 	maxSubmitCalls = 2
@@ -80,8 +81,8 @@
 	q := w.Queues.At(queue)
 	pool := poolRow(w, q.Pool)
 	id := quetzalunit.JobID(rest)
-	if j := w.Jobs.At(w.JobByID.Get(id)); j != nil && j.Pool == pool {
-		// The job is already stored: this is a retry of the caller.
+	if w.JobByID.Get(id) != 0 {
+		// The job is already stored, maybe in the pool to which the queue led before: this is a retry of the caller.
 		answer(quetzalwork.JobAccepted{})
 		return
 	}
@@ -217,6 +218,10 @@
 	for _, id := range in.ExistingJobs {
 		existing[id] = true
 	}
+	for i := range in.Indexed {
+		noteIndexed(w, in.Pool, &in.Indexed[i])
+		existing[in.Indexed[i].Job] = true
+	}
 	var stored []quetzalwork.JobRow
 	for _, row := range in.Submissions {
 		s := w.Submissions.At(row)
@@ -249,6 +254,16 @@
 	}
 }
 
+// noteIndexed logs that a submission was for a job that is stored in another pool.
+func noteIndexed(w *quetzalwork.World, pool quetzalunit.PoolID, e *quetzalwork.JobIndexEntry) {
+	if e.Pool != pool {
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartFront, Message: "A submitted job is stored in another pool.", Job: e.Job, Pool: e.Pool, Version: int64(w.Config.Version),
+			Reason: "OtherPool",
+		})
+	}
+}
+
 // paceSubmissions updates the mean time of the transactions that store jobs, and delays the next one
 // after one that was slow, failed, or met a conflict that explains nothing.
 func paceSubmissions(w *quetzalwork.World, poolRow quetzalwork.Row, in *quetzalwork.JobsStored) {
@@ -268,7 +283,7 @@
 	case quetzalwork.StoreRefused, quetzalwork.StoreUnanswered, quetzalwork.StoreRejected:
 		pauseSubmissions(w, poolRow, shard, submitRetryDelay)
 	case quetzalwork.StoreConflict:
-		if in.CurrentDuty == nil && len(in.ExistingJobs) == 0 {
+		if in.CurrentDuty == nil && len(in.ExistingJobs) == 0 && len(in.Indexed) == 0 {
 			// For example because the shard has no fence yet.
 			pauseSubmissions(w, poolRow, shard, submitRetryDelay)
 		}
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -118,6 +118,8 @@
 		quetzallimit.HandleDivision(w, &in)
 	case quetzalwork.JobLookedUp:
 		handleJobLookUp(w, &in)
+	case quetzalwork.JobLocated:
+		handleJobLocated(w, &in)
 	default:
 		applyOrderAnswer(w, in)
 	}
--- a/quetzalcore/quetzalscheduler/waitcheck_test.go
+++ b/quetzalcore/quetzalscheduler/waitcheck_test.go
@@ -211,7 +211,7 @@
 
 // storedCancel reports whether a job's cancellation is stored.
 func (f *fleet) storedCancel(id quetzalunit.JobID) bool {
-	_, ok := f.store.rows[rowKey(&quetzalwork.JobRow{Job: id, Content: quetzalwork.JobCancellation{}})]
+	_, ok := f.store.stored(quetzalwork.JobRow{Job: id, Content: quetzalwork.JobCancellation{}})
 	return ok
 }
 
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1461,6 +1461,15 @@
 	Entry string `json:"Entry" yaml:"Entry"`
 }
 
+// WorkIndexDoc is the entry of a job in the job index.
+type WorkIndexDoc struct {
+	// Client account that submitted the job; absent if none did.
+	Account *string `json:"Account,omitempty,omitzero" yaml:"Account,omitempty"`
+
+	// Pool in which the job is stored.
+	Pool string `json:"Pool" yaml:"Pool"`
+}
+
 // WorkJobDoc is an accepted job of tasks; FirstAtMs is in milliseconds since the
 // Unix epoch.
 type WorkJobDoc struct {
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -118,8 +118,8 @@
 		SinceRevision quetzalunit.Revision
 		SentAt        quetzalunit.Instant
 	}
-	// StoreJobs stores jobs of one shard in one transaction, provided that none of them exists and
-	// that the pool's duty still has the revision DutyRevision.
+	// StoreJobs stores jobs of one shard and their entries in the job index in one transaction, provided that
+	// none of them exists in any pool and that the pool's duty still has the revision DutyRevision.
 	StoreJobs struct {
 		Pool         quetzalunit.PoolID
 		Shard        quetzalunit.Shard
@@ -151,13 +151,19 @@
 		Request Row
 		Timeout time.Duration
 	}
-	// LookUpJob reads the stored rows of one job.
+	// LookUpJob reads the stored rows of one job in one pool.
 	LookUpJob struct {
 		Pool    quetzalunit.PoolID
 		Job     quetzalunit.JobID
 		Request Row
 		Timeout time.Duration
 	}
+	// LocateJob reads the entry of a job in the job index.
+	LocateJob struct {
+		Job     quetzalunit.JobID
+		Request Row
+		Timeout time.Duration
+	}
 	// StoreDivision stores the division of the accounts' caps if its row still has the revision
 	// Expected, 0 if it must not exist.
 	StoreDivision struct {
@@ -291,6 +297,7 @@
 func (StoreProgress) implementsCommand()  {}
 func (StoreCancel) implementsCommand()    {}
 func (LookUpJob) implementsCommand()      {}
+func (LocateJob) implementsCommand()      {}
 func (StoreDivision) implementsCommand()  {}
 func (ReadDivision) implementsCommand()   {}
 func (ReadWaves) implementsCommand()      {}
--- a/quetzalcore/quetzalwork/front.go
+++ b/quetzalcore/quetzalwork/front.go
@@ -40,6 +40,8 @@
 	ArrivedAt quetzalunit.Instant
 	// Deadline is when the caller must be answered.
 	Deadline quetzalunit.Instant
+	// Located reports whether Pool is the one that the job index names, not the one to which the queue leads.
+	Located bool
 	// LookUpCause is why the store was asked for the job, empty if it was not.
 	LookUpCause LookUpCause
 	// Attempts counts the lookups in the store and the other calls that had no answer. It bounds
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -148,8 +148,10 @@
 		// DutyRevision is the revision of the pool's duty that the transaction required.
 		DutyRevision quetzalunit.Revision
 		Submissions  []Row
-		// ExistingJobs are the jobs that caused a conflict because they were stored before.
+		// ExistingJobs are the jobs that caused a conflict because the pool has rows of them, Indexed the
+		// entries of those that caused one because they are in the job index.
 		ExistingJobs []quetzalunit.JobID
+		Indexed      []JobIndexEntry
 		// CurrentDuty is the pool's current duty after a conflict, nil if it did not change or if
 		// its row could not be read.
 		CurrentDuty *Duty
@@ -171,12 +173,18 @@
 		Result  StoreResult
 		Request Row
 	}
-	// JobLookedUp is the result of LookUpJob. Rows is empty if there is no such job.
+	// JobLookedUp is the result of LookUpJob. Rows is empty if the pool has no such job.
 	JobLookedUp struct {
 		Result  StoreResult
 		Request Row
 		Rows    []JobRow
 	}
+	// JobLocated is the result of LocateJob. Entry is zero if the index has no such job.
+	JobLocated struct {
+		Result  StoreResult
+		Request Row
+		Entry   JobIndexEntry
+	}
 	// WavesRead is the result of ReadWaves.
 	WavesRead struct {
 		Result StoreResult
@@ -292,6 +300,7 @@
 func (JobsStored) implementsInput()          {}
 func (ProgressStored) implementsInput()      {}
 func (CancelStored) implementsInput()        {}
+func (JobLocated) implementsInput()          {}
 func (JobLookedUp) implementsInput()         {}
 func (WavesRead) implementsInput()           {}
 func (WaveHostsStored) implementsInput()     {}
@@ -423,6 +432,15 @@
 	Content  JobContent
 }
 
+// JobIndexEntry tells in which pool a job is stored. The job index has at most one entry of an ID, whatever the
+// configuration, so that entries with different configurations find the same job.
+type JobIndexEntry struct {
+	Job  quetzalunit.JobID
+	Pool quetzalunit.PoolID
+	// Account is the client account that submitted the job, empty if none did.
+	Account quetzalunit.AccountID
+}
+
 // JobContent is the content of a JobRow.
 type JobContent interface{ implementsJobContent() }
 
