--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -57,11 +57,7 @@
 
 // EncodeJobIndexEntry returns the JSON of a job's entry in the job index, without the ID.
 func EncodeJobIndexEntry(e *quetzalwork.JobIndexEntry) ([]byte, error) {
-	d := quetzalwire.WorkIndexDoc{Pool: string(e.Pool)}
-	if account := string(e.Account); account != "" {
-		d.Account = &account
-	}
-	data, err := json.Marshal(d)
+	data, err := json.Marshal(quetzalwire.WorkIndexDoc{Pool: string(e.Pool)})
 	return data, eris.Wrap(err, "encode job index entry")
 }
 
@@ -71,11 +67,7 @@
 	if err := json.Unmarshal(data, &d); err != nil {
 		return quetzalwork.JobIndexEntry{}, eris.Wrap(err, "decode job index entry")
 	}
-	e := quetzalwork.JobIndexEntry{Job: id, Pool: quetzalunit.PoolID(d.Pool)}
-	if d.Account != nil {
-		e.Account = quetzalunit.AccountID(*d.Account)
-	}
-	return e, nil
+	return quetzalwork.JobIndexEntry{Job: id, Pool: quetzalunit.PoolID(d.Pool)}, nil
 }
 
 func encodeAcceptedJob(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -396,7 +396,7 @@
 				if s.pools[id] == "" {
 					s.pools[id] = c.Pool
 				}
-				s.index[id] = quetzalwork.JobIndexEntry{Job: id, Pool: c.Pool, Account: c.Jobs[i].Content.(quetzalwork.AcceptedJob).Account}
+				s.index[id] = quetzalwork.JobIndexEntry{Job: id, Pool: c.Pool}
 			}
 		}
 		return in
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1463,9 +1463,6 @@
 
 // WorkIndexDoc is the entry of a job in the job index.
 type WorkIndexDoc struct {
-	// Client account that submitted the job; absent if none did.
-	Account *string `json:"Account,omitempty,omitzero" yaml:"Account,omitempty"`
-
 	// Pool in which the job is stored.
 	Pool string `json:"Pool" yaml:"Pool"`
 }
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -437,8 +437,6 @@
 type JobIndexEntry struct {
 	Job  quetzalunit.JobID
 	Pool quetzalunit.PoolID
-	// Account is the client account that submitted the job, empty if none did.
-	Account quetzalunit.AccountID
 }
 
 // JobContent is the content of a JobRow.
