Store the cancellation of an unknown job, so that it binds requests that are still under way

What callers saw: a job was submitted at a frozen entry, which did not answer, and cancelled at another one, which answered 410 at once.

Cause: an entry that found no rows of the job answered 410 and stored nothing, and no condition of the submission's transaction could fail.

Change: the cancellation is stored where every submission of the ID has a condition, in the job index, and among the rows of the pool. So the store decides the order of the two. A submission that finds it is stored beside it, without its specification: it is accepted, its state is cancelled, and it never starts. Without an answer of the store the caller has no acknowledgement. The pool's dispatcher removes cancellations of IDs that no job has after status_s and 30 s; an account has a quota of them. A store without transactions over several parts has the same order between the reservation of an ID and its job.

--- a/quetzalcore/quetzalcodec/work.go
+++ b/quetzalcore/quetzalcodec/work.go
@@ -57,17 +57,21 @@
 
 // EncodeJobIndexEntry returns the JSON of a job's entry in the job index, without the ID.
 func EncodeJobIndexEntry(e *quetzalwork.JobIndexEntry) ([]byte, error) {
-	data, err := json.Marshal(quetzalwire.WorkIndexDoc{Pool: string(e.Pool)})
+	d := quetzalwire.WorkIndexDoc{Pool: string(e.Pool)}
+	if e.Cancelled {
+		d.Cancelled = &e.Cancelled
+	}
+	data, err := json.Marshal(d)
 	return data, eris.Wrap(err, "encode job index entry")
 }
 
 // DecodeJobIndexEntry decodes the entry of a job in the job index.
-func DecodeJobIndexEntry(id quetzalunit.JobID, data []byte) (quetzalwork.JobIndexEntry, error) {
+func DecodeJobIndexEntry(id quetzalunit.JobID, revision quetzalunit.Revision, data []byte) (quetzalwork.JobIndexEntry, error) {
 	var d quetzalwire.WorkIndexDoc
 	if err := json.Unmarshal(data, &d); err != nil {
 		return quetzalwork.JobIndexEntry{}, eris.Wrap(err, "decode job index entry")
 	}
-	return quetzalwork.JobIndexEntry{Job: id, Pool: quetzalunit.PoolID(d.Pool)}, nil
+	return quetzalwork.JobIndexEntry{Job: id, Pool: quetzalunit.PoolID(d.Pool), Cancelled: d.Cancelled != nil && *d.Cancelled, Revision: revision}, nil
 }
 
 func encodeAcceptedJob(a *quetzalwork.AcceptedJob) quetzalwire.WorkJobDoc {
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -251,6 +251,12 @@
 		return quetzalwork.JobLookedUp{Result: r, Request: c.Request}
 	case quetzalwork.LocateJob:
 		return quetzalwork.JobLocated{Result: r, Request: c.Request}
+	case quetzalwork.StoreEarlyCancel:
+		return quetzalwork.EarlyCancelStored{Result: r, Request: c.Request}
+	case quetzalwork.StoreCancelledJob:
+		return quetzalwork.CancelledJobStored{Result: r, Submission: c.Submission}
+	case quetzalwork.RemoveEarlyCancel:
+		return quetzalwork.EarlyCancelRemoved{Result: r, Job: c.Job, Revision: c.Revision}
 	case quetzalwork.StoreDivision, quetzalwork.ReadDivision:
 		return quetzalwork.DivisionAnswered{Result: r}
 	case quetzalwork.ReadWaves:
@@ -396,7 +402,7 @@
 				if s.pools[id] == "" {
 					s.pools[id] = c.Pool
 				}
-				s.index[id] = quetzalwork.JobIndexEntry{Job: id, Pool: c.Pool}
+				s.index[id] = quetzalwork.JobIndexEntry{Job: id, Pool: c.Pool, Revision: s.revision}
 			}
 		}
 		return in
@@ -422,6 +428,40 @@
 		return quetzalwork.CancelStored{Request: c.Request}
 	case quetzalwork.LookUpJob:
 		return quetzalwork.JobLookedUp{Request: c.Request, Rows: s.find(c.Pool, func(r *quetzalwork.JobRow) bool { return r.Job == c.Job })}
+	case quetzalwork.StoreEarlyCancel:
+		if e := s.index[c.Job]; e.Revision != c.Expected {
+			return quetzalwork.EarlyCancelStored{Result: quetzalwork.StoreConflict, Request: c.Request, Entry: e}
+		}
+		s.write(c.Pool, []quetzalwork.JobRow{{Job: c.Job, Content: quetzalwork.JobCancellation{}}})
+		s.index[c.Job] = quetzalwork.JobIndexEntry{Job: c.Job, Pool: c.Pool, Cancelled: true, Revision: s.revision}
+		return quetzalwork.EarlyCancelStored{Request: c.Request}
+	case quetzalwork.StoreCancelledJob:
+		in := quetzalwork.CancelledJobStored{Submission: c.Submission}
+		_, cancelled := s.rows[tableKey{c.Pool, rowKey(&quetzalwork.JobRow{Job: c.Job.Job, Content: quetzalwork.JobCancellation{}})}]
+		_, stored := s.rows[tableKey{c.Pool, rowKey(&c.Job)}]
+		switch {
+		case stored:
+		case cancelled:
+			s.write(c.Pool, []quetzalwork.JobRow{c.Job})
+		default:
+			in.Result = quetzalwork.StoreConflict
+		}
+		return in
+	case quetzalwork.RemoveEarlyCancel:
+		in := quetzalwork.EarlyCancelRemoved{Job: c.Job, Revision: c.Revision}
+		key := tableKey{c.Pool, rowKey(&quetzalwork.JobRow{Job: c.ID, Content: quetzalwork.JobCancellation{}})}
+		row, ok := s.rows[key]
+		_, stored := s.rows[tableKey{c.Pool, rowKey(&quetzalwork.JobRow{Job: c.ID, Content: quetzalwork.AcceptedJob{}})}]
+		switch {
+		case !ok:
+		case row.Revision != c.Revision || stored || s.index[c.ID].Revision != c.Revision:
+			in.Result = quetzalwork.StoreConflict
+		default:
+			s.revision++
+			delete(s.rows, key)
+			delete(s.index, c.ID)
+		}
+		return in
 	case quetzalwork.LocateJob:
 		return quetzalwork.JobLocated{Request: c.Request, Entry: s.index[c.Job]}
 	case quetzalwork.ReadDivision:
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -241,7 +241,7 @@
 	w.Steps.Delete(row)
 }
 
-// deleteJob deletes a job of a pool that this process no longer dispatches.
+// deleteJob deletes a job of a pool that this process no longer dispatches, or one that was cancelled and never accepted.
 func deleteJob(w *quetzalwork.World, row quetzalwork.Row) {
 	j := w.Jobs.At(row)
 	deleteSteps(w, row)
--- a/quetzalcore/quetzalscheduler/jobrequest.go
+++ b/quetzalcore/quetzalscheduler/jobrequest.go
@@ -24,11 +24,11 @@
 // handleJobQuery handles a query for the state of a job, or for the pending jobs of a queue if the
 // path names no job.
 func handleJobQuery(w *quetzalwork.World, in *quetzalwork.JobQueried) {
-	queue, rest, ok := routeJobRequest(w, in.Caller, in.HTTPHost, in.Path, in.Key)
+	r := quetzalwork.JobRequest{Caller: in.Caller, Deadline: w.Now.Add(answerTimeout(in.Timeout))}
+	rest, ok := routeJobRequest(w, &r, in.HTTPHost, in.Path, in.Key)
 	if !ok {
 		return
 	}
-	r := quetzalwork.JobRequest{Caller: in.Caller, Queue: queue, Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(answerTimeout(in.Timeout))}
 	if rest == "" {
 		r.Kind = quetzalwork.JobRequestKindPending
 		queryPending(w, addJobRequest(w, &r))
@@ -38,29 +38,32 @@
 	queryState(w, addJobRequest(w, &r))
 }
 
-// routeJobRequest resolves the path of a request to a queue and a job id, which is empty if the
-// path names only the queue, and checks the caller's key. If it cannot, it answers the caller and
-// returns false.
-func routeJobRequest(w *quetzalwork.World, caller quetzalunit.CallerID, host, path string, key quetzalunit.KeyDigest) (quetzalwork.Row, string, bool) {
+// routeJobRequest resolves the path of a request to a queue, whose pool it notes in the request, and a job id, which is
+// empty if the path names only the queue, and to the account of the caller's key. If it cannot, it answers the
+// caller and returns false.
+func routeJobRequest(w *quetzalwork.World, r *quetzalwork.JobRequest, host, path string, key quetzalunit.KeyDigest) (string, bool) {
+	refuse := func(a quetzalwork.Answer) (string, bool) {
+		w.Emit(quetzalwork.AnswerCaller{Caller: r.Caller, Answer: a})
+		return "", false
+	}
 	if refusal := refuseByConfig(w); refusal != nil {
-		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: refusal})
-		return 0, "", false
+		return refuse(refusal)
 	}
 	queue, rest := route(w, host, path)
 	if queue == 0 {
-		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.NoSuchQueue{}})
-		return 0, "", false
+		return refuse(quetzalwork.NoSuchQueue{})
 	}
-	if _, refusal := quetzallimit.Admit(w, w.Queues.At(queue), key); refusal != nil {
-		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: refusal})
-		return 0, "", false
+	q := w.Queues.At(queue)
+	account, refusal := quetzallimit.Admit(w, q, key)
+	if refusal != nil {
+		return refuse(refusal)
 	}
 	if rest != "" && !validJobID(rest) {
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Message: "A request names no job that can exist.", Pool: w.Queues.At(queue).Pool, Reason: "InvalidJobID", Routine: true})
-		w.Emit(quetzalwork.AnswerCaller{Caller: caller, Answer: quetzalwork.NoSuchJob{}})
-		return 0, "", false
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartFront, Message: "A request names no job that can exist.", Pool: q.Pool, Reason: "InvalidJobID", Routine: true})
+		return refuse(quetzalwork.NoSuchJob{})
 	}
-	return queue, rest, true
+	r.Queue, r.Pool, r.Account = queue, poolRow(w, q.Pool), account
+	return rest, true
 }
 
 // addJobRequest inserts a request and sets the timer for its deadline.
@@ -93,7 +96,7 @@
 // not know the job.
 func queryState(w *quetzalwork.World, row quetzalwork.Row) {
 	r := w.JobRequests.At(row)
-	if j := w.Jobs.At(w.JobByID.Get(r.Job)); j != nil {
+	if j := w.Jobs.At(w.JobByID.Get(r.Job)); j != nil && j.Accepted {
 		answerJobRequest(w, row, quetzalwork.JobStateAnswer{State: visibleState(j)})
 		return
 	}
@@ -172,6 +175,8 @@
 	}
 	exists, state := storedState(in.Rows)
 	switch {
+	case !exists && r.Kind == quetzalwork.JobRequestKindCancel:
+		storeEarlyCancellation(w, in.Request)
 	case !exists && !r.Located:
 		// The pool to which the queue leads now need not be the one in which the job is stored.
 		locateJob(w, in.Request)
@@ -195,22 +200,31 @@
 		locateJob(w, in.Request)
 	case in.Result != quetzalwork.StoreDone:
 		answerJobRequest(w, in.Request, quetzalwork.Indeterminate{Reason: reasonStoreUnavailable})
-	case in.Entry.Pool == "":
-		answerUnknownJob(w, in.Request)
-	default:
-		r.Located, r.Pool = true, poolRow(w, in.Entry.Pool)
-		w.Log(quetzalwork.Decision{
-			Part: quetzalwork.PartFront, Message: "The job index names the pool of the requested job.", Job: r.Job, Pool: in.Entry.Pool,
-			Version: int64(w.Config.Version), Age: w.Now.Sub(r.ArrivedAt), Reason: string(r.LookUpCause), Routine: true,
-		})
+	case in.Entry.Pool != "":
+		noteLocated(w, in.Request, &in.Entry)
 		if r.Kind == quetzalwork.JobRequestKindCancel {
 			lookUpJob(w, in.Request)
 			return
 		}
 		queryState(w, in.Request)
+	case r.Kind == quetzalwork.JobRequestKindCancel:
+		r.Located, r.IndexRevision = true, 0
+		storeEarlyCancellation(w, in.Request)
+	default:
+		answerUnknownJob(w, in.Request)
 	}
 }
 
+// noteLocated notes the pool that the job index names for a request's job.
+func noteLocated(w *quetzalwork.World, row quetzalwork.Row, e *quetzalwork.JobIndexEntry) {
+	r := w.JobRequests.At(row)
+	r.Located, r.Pool, r.IndexRevision = true, poolRow(w, e.Pool), e.Revision
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartFront, Message: "The job index names the pool of the requested job.", Job: r.Job, Pool: e.Pool,
+		Version: int64(w.Config.Version), Age: w.Now.Sub(r.ArrivedAt), Reason: string(r.LookUpCause), Routine: true,
+	})
+}
+
 // answerUnknownJob answers a request for a job that is stored in no pool.
 func answerUnknownJob(w *quetzalwork.World, row quetzalwork.Row) {
 	r := w.JobRequests.At(row)
@@ -280,7 +294,8 @@
 // handleCancelRequest handles a request to cancel a job. A job that is unknown here is looked up
 // in the store first.
 func handleCancelRequest(w *quetzalwork.World, in *quetzalwork.CancelRequested) {
-	queue, rest, ok := routeJobRequest(w, in.Caller, in.HTTPHost, in.Path, in.Key)
+	r := quetzalwork.JobRequest{Caller: in.Caller, Kind: quetzalwork.JobRequestKindCancel, Deadline: w.Now.Add(answerTimeout(in.Timeout))}
+	rest, ok := routeJobRequest(w, &r, in.HTTPHost, in.Path, in.Key)
 	if !ok {
 		return
 	}
@@ -288,11 +303,9 @@
 		w.Emit(quetzalwork.AnswerCaller{Caller: in.Caller, Answer: quetzalwork.InvalidJob{Problem: "the path names no job"}})
 		return
 	}
-	row := addJobRequest(w, &quetzalwork.JobRequest{
-		Caller: in.Caller, Kind: quetzalwork.JobRequestKindCancel, Job: quetzalunit.JobID(rest), Queue: queue,
-		Pool: poolRow(w, w.Queues.At(queue).Pool), Deadline: w.Now.Add(answerTimeout(in.Timeout)),
-	})
-	if j := w.Jobs.At(w.JobByID.Get(quetzalunit.JobID(rest))); j != nil {
+	r.Job = quetzalunit.JobID(rest)
+	row := addJobRequest(w, &r)
+	if j := w.Jobs.At(w.JobByID.Get(r.Job)); j != nil && j.Accepted {
 		if j.StoredState.Final() || j.Cancelled {
 			answerJobRequest(w, row, quetzalwork.CancelAccepted{})
 			return
--- a/quetzalcore/quetzalscheduler/peer.go
+++ b/quetzalcore/quetzalscheduler/peer.go
@@ -32,7 +32,7 @@
 		if !w.Pools.At(row).Held {
 			return quetzalwork.NotHolder{}
 		}
-		if j == nil || j.Pool != row {
+		if j == nil || !j.Accepted || j.Pool != row {
 			return quetzalwork.StateReply{}
 		}
 		return quetzalwork.StateReply{Known: true, State: visibleState(j)}
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -146,12 +146,14 @@
 	}
 	switch c := r.Content.(type) {
 	case quetzalwork.AcceptedJob:
+		j.Accepted = true
 		if c.Spec != nil && j.Spec == nil && !j.State.Final() {
 			j.Queue, j.Account, j.Spec, j.DutyRevision = c.Queue, c.Account, c.Spec, c.DutyRevision
 			activateJob(w, row)
 		}
 	case quetzalwork.JobCancellation:
 		cancelJob(w, row)
+		noteCancelRevision(w, row, r.Revision)
 	case quetzalwork.JobProgress:
 		mergeProgress(w, row, r.Revision, &c.Progress)
 	}
--- a/quetzalcore/quetzalscheduler/strictfleet_test.go
+++ b/quetzalcore/quetzalscheduler/strictfleet_test.go
@@ -213,7 +213,7 @@
 // isWrite reports whether a command is a transaction.
 func isWrite(c quetzalwork.Command) bool {
 	switch c.(type) {
-	case quetzalwork.StoreJobs, quetzalwork.StoreProgress, quetzalwork.StoreCancel, quetzalwork.RenewMember, quetzalwork.WriteDuty,
+	case quetzalwork.StoreJobs, quetzalwork.StoreProgress, quetzalwork.StoreCancel, quetzalwork.StoreEarlyCancel, quetzalwork.StoreCancelledJob, quetzalwork.RemoveEarlyCancel, quetzalwork.RenewMember, quetzalwork.WriteDuty,
 		quetzalwork.SettleDuty, quetzalwork.RenewHostLease, quetzalwork.StoreDivision:
 		return true
 	default:
--- a/quetzalcore/quetzalscheduler/submit.go
+++ b/quetzalcore/quetzalscheduler/submit.go
@@ -81,7 +81,7 @@
 	q := w.Queues.At(queue)
 	pool := poolRow(w, q.Pool)
 	id := quetzalunit.JobID(rest)
-	if w.JobByID.Get(id) != 0 {
+	if j := w.Jobs.At(w.JobByID.Get(id)); j != nil && j.Accepted {
 		// The job is already stored, maybe in the pool to which the queue led before: this is a retry of the caller.
 		answer(quetzalwork.JobAccepted{})
 		return
@@ -214,14 +214,7 @@
 	if in.Result == quetzalwork.StoreUnanswered {
 		refuseQueued(w, shard)
 	}
-	existing := make(map[quetzalunit.JobID]bool, len(in.ExistingJobs))
-	for _, id := range in.ExistingJobs {
-		existing[id] = true
-	}
-	for i := range in.Indexed {
-		noteIndexed(w, in.Pool, &in.Indexed[i])
-		existing[in.Indexed[i].Job] = true
-	}
+	existing, cancelled := conflictingJobs(w, in)
 	var stored []quetzalwork.JobRow
 	for _, row := range in.Submissions {
 		s := w.Submissions.At(row)
@@ -235,6 +228,8 @@
 				stored = append(stored, quetzalwork.JobRow{Job: s.Job, Content: quetzalwork.AcceptedJob{Queue: s.Queue, Account: s.Account, Spec: s.Spec, DutyRevision: in.DutyRevision}})
 			}
 			answerSubmission(w, row, quetzalwork.JobAccepted{}, "Stored")
+		case cancelled[s.Job] != "":
+			storeCancelledJob(w, row, cancelled[s.Job])
 		case in.Result == quetzalwork.StoreConflict:
 			shard.Submissions.Add(row)
 		case in.Result == quetzalwork.StoreRejected && len(in.Submissions) > 1:
@@ -254,6 +249,25 @@
 	}
 }
 
+// conflictingJobs returns the jobs that a conflict shows to be stored, and the pools with the cancellations of those whose
+// ID was cancelled before a job had it.
+func conflictingJobs(w *quetzalwork.World, in *quetzalwork.JobsStored) (existing map[quetzalunit.JobID]bool, cancelled map[quetzalunit.JobID]quetzalunit.PoolID) {
+	existing, cancelled = make(map[quetzalunit.JobID]bool), make(map[quetzalunit.JobID]quetzalunit.PoolID)
+	for _, id := range in.ExistingJobs {
+		existing[id] = true
+	}
+	for i := range in.Indexed {
+		e := &in.Indexed[i]
+		if e.Cancelled {
+			cancelled[e.Job] = e.Pool
+			continue
+		}
+		noteIndexed(w, in.Pool, e)
+		existing[e.Job] = true
+	}
+	return existing, cancelled
+}
+
 // noteIndexed logs that a submission was for a job that is stored in another pool.
 func noteIndexed(w *quetzalwork.World, pool quetzalunit.PoolID, e *quetzalwork.JobIndexEntry) {
 	if e.Pool != pool {
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -108,16 +108,31 @@
 		handleMinionList(w, &in)
 	case quetzalwork.PoolJobsRead:
 		handlePoolRead(w, &in)
+	case quetzalwork.DivisionAnswered:
+		quetzallimit.HandleDivision(w, &in)
+	default:
+		applyJobRowsAnswer(w, in)
+	}
+}
+
+// applyJobRowsAnswer applies the store's answers to the commands on the rows of jobs. It continues the type switch of
+// applyInput.
+func applyJobRowsAnswer(w *quetzalwork.World, in quetzalwork.Input) {
+	switch in := in.(type) {
 	case quetzalwork.JobsStored:
 		handleJobsStored(w, &in)
 	case quetzalwork.ProgressStored:
 		handleProgressStored(w, &in)
 	case quetzalwork.CancelStored:
 		handleCancelStored(w, &in)
-	case quetzalwork.DivisionAnswered:
-		quetzallimit.HandleDivision(w, &in)
 	case quetzalwork.JobLookedUp:
 		handleJobLookUp(w, &in)
+	case quetzalwork.EarlyCancelStored:
+		handleEarlyCancelStored(w, &in)
+	case quetzalwork.CancelledJobStored:
+		handleCancelledJobStored(w, &in)
+	case quetzalwork.EarlyCancelRemoved:
+		handleEarlyCancelRemoved(w, &in)
 	case quetzalwork.JobLocated:
 		handleJobLocated(w, &in)
 	default:
@@ -126,7 +141,7 @@
 }
 
 // applyOrderAnswer applies the inputs from minions, hosts and the advisor, and those about
-// maintenance waves. It continues the type switch of applyInput.
+// maintenance waves. It continues the type switch of applyJobRowsAnswer.
 func applyOrderAnswer(w *quetzalwork.World, in quetzalwork.Input) {
 	switch in := in.(type) {
 	case quetzalwork.MinionPolled:
@@ -177,6 +192,8 @@
 		expireSubmission(w, t.Submission)
 	case quetzalwork.JobRequestDue:
 		expireJobRequest(w, t.Request)
+	case quetzalwork.EarlyCancellationDue:
+		removeEarlyCancellation(w, t.Job)
 	case quetzalwork.OccurrenceDue:
 		createDueOccurrences(w, t.Job)
 	case quetzalwork.WatchdogDue:
--- a/quetzalcore/quetzalwire/wire.go
+++ b/quetzalcore/quetzalwire/wire.go
@@ -1463,6 +1463,9 @@
 
 // WorkIndexDoc is the entry of a job in the job index.
 type WorkIndexDoc struct {
+	// Whether the ID was cancelled while no job had it.
+	Cancelled *bool `json:"Cancelled,omitempty,omitzero" yaml:"Cancelled,omitempty"`
+
 	// Pool in which the job is stored.
 	Pool string `json:"Pool" yaml:"Pool"`
 }
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -151,6 +151,33 @@
 		Request Row
 		Timeout time.Duration
 	}
+	// StoreEarlyCancel stores the cancellation of a job that is stored in no pool, so that none with its ID will be. It
+	// writes the entry of the ID in the job index, if that still has the revision Expected, 0 if there must be none, and a
+	// cancellation among the rows of the pool.
+	StoreEarlyCancel struct {
+		Pool     quetzalunit.PoolID
+		Job      quetzalunit.JobID
+		Expected quetzalunit.Revision
+		Request  Row
+		Timeout  time.Duration
+	}
+	// StoreCancelledJob stores a job whose ID was cancelled before, without its specification, in the pool that has the
+	// cancellation. It has no effect if that was removed or the job is stored.
+	StoreCancelledJob struct {
+		Pool       quetzalunit.PoolID
+		Job        JobRow
+		Submission Row
+		Timeout    time.Duration
+	}
+	// RemoveEarlyCancel removes a cancellation that StoreEarlyCancel stored, if it still has its revision and there is no
+	// job with the ID.
+	RemoveEarlyCancel struct {
+		Pool     quetzalunit.PoolID
+		ID       quetzalunit.JobID
+		Revision quetzalunit.Revision
+		Job      Row
+		Timeout  time.Duration
+	}
 	// LookUpJob reads the stored rows of one job in one pool.
 	LookUpJob struct {
 		Pool    quetzalunit.PoolID
@@ -277,40 +304,43 @@
 	Incarnation quetzalunit.MinionIncarnation
 }
 
-func (AnswerCaller) implementsCommand()   {}
-func (ReplyToPeer) implementsCommand()    {}
-func (CallPeer) implementsCommand()       {}
-func (LogDecision) implementsCommand()    {}
-func (SetRelays) implementsCommand()      {}
-func (ObserveRefusal) implementsCommand() {}
-func (ObserveJob) implementsCommand()     {}
-func (ObserveWait) implementsCommand()    {}
-func (WatchConfig) implementsCommand()    {}
-func (ReadMembers) implementsCommand()    {}
-func (RenewMember) implementsCommand()    {}
-func (WriteDuty) implementsCommand()      {}
-func (RenewHostLease) implementsCommand() {}
-func (SettleDuty) implementsCommand()     {}
-func (ListMinions) implementsCommand()    {}
-func (ReadPoolJobs) implementsCommand()   {}
-func (StoreJobs) implementsCommand()      {}
-func (StoreProgress) implementsCommand()  {}
-func (StoreCancel) implementsCommand()    {}
-func (LookUpJob) implementsCommand()      {}
-func (LocateJob) implementsCommand()      {}
-func (StoreDivision) implementsCommand()  {}
-func (ReadDivision) implementsCommand()   {}
-func (ReadWaves) implementsCommand()      {}
-func (StoreWaveHosts) implementsCommand() {}
-func (StoreWaveState) implementsCommand() {}
-func (PollMinion) implementsCommand()     {}
-func (StartRun) implementsCommand()       {}
-func (StopRun) implementsCommand()        {}
-func (PaceRun) implementsCommand()        {}
-func (RequestAdvice) implementsCommand()  {}
-func (ListHosts) implementsCommand()      {}
-func (ReadCensus) implementsCommand()     {}
-func (OrderHost) implementsCommand()      {}
+func (AnswerCaller) implementsCommand()      {}
+func (ReplyToPeer) implementsCommand()       {}
+func (CallPeer) implementsCommand()          {}
+func (LogDecision) implementsCommand()       {}
+func (SetRelays) implementsCommand()         {}
+func (ObserveRefusal) implementsCommand()    {}
+func (ObserveJob) implementsCommand()        {}
+func (ObserveWait) implementsCommand()       {}
+func (WatchConfig) implementsCommand()       {}
+func (ReadMembers) implementsCommand()       {}
+func (RenewMember) implementsCommand()       {}
+func (WriteDuty) implementsCommand()         {}
+func (RenewHostLease) implementsCommand()    {}
+func (SettleDuty) implementsCommand()        {}
+func (ListMinions) implementsCommand()       {}
+func (ReadPoolJobs) implementsCommand()      {}
+func (StoreJobs) implementsCommand()         {}
+func (StoreProgress) implementsCommand()     {}
+func (StoreCancel) implementsCommand()       {}
+func (StoreEarlyCancel) implementsCommand()  {}
+func (StoreCancelledJob) implementsCommand() {}
+func (RemoveEarlyCancel) implementsCommand() {}
+func (LookUpJob) implementsCommand()         {}
+func (LocateJob) implementsCommand()         {}
+func (StoreDivision) implementsCommand()     {}
+func (ReadDivision) implementsCommand()      {}
+func (ReadWaves) implementsCommand()         {}
+func (StoreWaveHosts) implementsCommand()    {}
+func (StoreWaveState) implementsCommand()    {}
+func (PollMinion) implementsCommand()        {}
+func (StartRun) implementsCommand()          {}
+func (StopRun) implementsCommand()           {}
+func (PaceRun) implementsCommand()           {}
+func (RequestAdvice) implementsCommand()     {}
+func (ListHosts) implementsCommand()         {}
+func (ReadCensus) implementsCommand()        {}
+func (OrderHost) implementsCommand()         {}
 
 // Answer is the response to a caller.
 type Answer interface{ implementsAnswer() }
@@ -319,7 +349,8 @@
 	// JobAccepted means that the job is stored.
 	JobAccepted struct{}
 	// JobRefused means that the job is not stored and never runs unless it is submitted again.
-	// It also answers queries and cancellations while no configuration is known.
+	// It also answers queries and cancellations while no configuration is known, and cancellations
+	// that have no effect.
 	JobRefused struct {
 		RetryAfter time.Duration
 		Reason     string
@@ -331,7 +362,7 @@
 	Unauthorized struct{}
 	// NoSuchQueue means that no queue matches the path.
 	NoSuchQueue struct{}
-	// NoSuchJob means that the queue has no such job.
+	// NoSuchJob means that no such job is stored. To a cancellation it means that none with the ID will be, either.
 	NoSuchJob struct{}
 	// InvalidJob means that the submission is invalid, or that a cancellation names no job.
 	InvalidJob struct{ Problem string }
--- a/quetzalcore/quetzalwork/front.go
+++ b/quetzalcore/quetzalwork/front.go
@@ -37,11 +37,17 @@
 	Job       quetzalunit.JobID
 	Queue     Row
 	Pool      Row
+	Account   quetzalunit.AccountID
 	ArrivedAt quetzalunit.Instant
 	// Deadline is when the caller must be answered.
 	Deadline quetzalunit.Instant
-	// Located reports whether Pool is the one that the job index names, not the one to which the queue leads.
+	// Located reports whether the job index has been read, and Pool is the one that it names, if any, not the one to which
+	// the queue leads.
 	Located bool
+	// IndexRevision is the revision of the entry of the job in the job index, zero if none is known.
+	IndexRevision quetzalunit.Revision
+	// QuotaUsed reports whether the request has used the quota of its account for cancellations of unknown jobs.
+	QuotaUsed bool
 	// LookUpCause is why the store was asked for the job, empty if it was not.
 	LookUpCause LookUpCause
 	// Attempts counts the lookups in the store and the other calls that had no answer. It bounds
@@ -49,6 +55,15 @@
 	Attempts int
 }
 
+// CancellationQuota is a client account's quota of cancellations of unknown jobs at this entry. Each is stored and kept
+// for a while.
+type CancellationQuota struct {
+	Account quetzalunit.AccountID
+	// Left is the number of cancellations that may be stored as of RefilledAt. It grows with time.
+	Left       float64
+	RefilledAt quetzalunit.Instant
+}
+
 // LookUpCause is why the store is asked for a job, in one word for the log. That a job does not exist is
 // concluded from the store's answer alone.
 type LookUpCause string
@@ -103,6 +118,8 @@
 	MinionPollDue struct{ Minion Row }
 	// PlacementDue starts a placement pass over a pool.
 	PlacementDue struct{ Pool Row }
+	// EarlyCancellationDue removes the cancellation of an ID that no job has.
+	EarlyCancellationDue struct{ Job Row }
 	// StoreProgressDue stores the progress of a pool's jobs.
 	StoreProgressDue struct{ Pool Row }
 	// StoreJobsDue stores a pool's submissions.
@@ -130,21 +147,22 @@
 	HostControllerDue struct{}
 )
 
-func (MembershipDue) implementsTimer()     {}
-func (ConfigWatchDue) implementsTimer()    {}
-func (MinionListDue) implementsTimer()     {}
-func (PoolJobsReadDue) implementsTimer()   {}
-func (MinionPollDue) implementsTimer()     {}
-func (PlacementDue) implementsTimer()      {}
-func (StoreProgressDue) implementsTimer()  {}
-func (StoreJobsDue) implementsTimer()      {}
-func (SubmissionDue) implementsTimer()     {}
-func (JobRequestDue) implementsTimer()     {}
-func (OccurrenceDue) implementsTimer()     {}
-func (WatchdogDue) implementsTimer()       {}
-func (DutyReleaseDue) implementsTimer()    {}
-func (LimitsDue) implementsTimer()         {}
-func (HostControllerDue) implementsTimer() {}
+func (MembershipDue) implementsTimer()        {}
+func (ConfigWatchDue) implementsTimer()       {}
+func (MinionListDue) implementsTimer()        {}
+func (PoolJobsReadDue) implementsTimer()      {}
+func (MinionPollDue) implementsTimer()        {}
+func (PlacementDue) implementsTimer()         {}
+func (StoreProgressDue) implementsTimer()     {}
+func (EarlyCancellationDue) implementsTimer() {}
+func (StoreJobsDue) implementsTimer()         {}
+func (SubmissionDue) implementsTimer()        {}
+func (JobRequestDue) implementsTimer()        {}
+func (OccurrenceDue) implementsTimer()        {}
+func (WatchdogDue) implementsTimer()          {}
+func (DutyReleaseDue) implementsTimer()       {}
+func (LimitsDue) implementsTimer()            {}
+func (HostControllerDue) implementsTimer()    {}
 
 // Part is a component of the scheduler. Its text prefixes the component's log lines and labels
 // its metrics.
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -173,6 +173,25 @@
 		Result  StoreResult
 		Request Row
 	}
+	// EarlyCancelStored is the result of StoreEarlyCancel. Entry is the entry of the ID that caused a conflict, zero if
+	// there is none.
+	EarlyCancelStored struct {
+		Result  StoreResult
+		Request Row
+		Entry   JobIndexEntry
+	}
+	// CancelledJobStored is the result of StoreCancelledJob. After a conflict, the cancellation is removed or has changed.
+	CancelledJobStored struct {
+		Result     StoreResult
+		Submission Row
+	}
+	// EarlyCancelRemoved is the result of RemoveEarlyCancel. It is StoreDone if the cancellation is removed, by whichever
+	// attempt. Revision is that of the command.
+	EarlyCancelRemoved struct {
+		Result   StoreResult
+		Job      Row
+		Revision quetzalunit.Revision
+	}
 	// JobLookedUp is the result of LookUpJob. Rows is empty if the pool has no such job.
 	JobLookedUp struct {
 		Result  StoreResult
@@ -300,6 +319,9 @@
 func (JobsStored) implementsInput()          {}
 func (ProgressStored) implementsInput()      {}
 func (CancelStored) implementsInput()        {}
+func (EarlyCancelStored) implementsInput()   {}
+func (CancelledJobStored) implementsInput()  {}
+func (EarlyCancelRemoved) implementsInput()  {}
 func (JobLocated) implementsInput()          {}
 func (JobLookedUp) implementsInput()         {}
 func (WavesRead) implementsInput()           {}
@@ -437,6 +459,11 @@
 type JobIndexEntry struct {
 	Job  quetzalunit.JobID
 	Pool quetzalunit.PoolID
+	// Cancelled reports whether the ID was cancelled while no job had it. A job that gets the ID later is stored in Pool and
+	// does not start.
+	Cancelled bool
+	// Revision is that of the entry's last write.
+	Revision quetzalunit.Revision
 }
 
 // JobContent is the content of a JobRow.
--- a/quetzalcore/quetzalwork/job.go
+++ b/quetzalcore/quetzalwork/job.go
@@ -91,6 +91,9 @@
 	// Spec is nil while only a cancellation or the progress of the job is known, and again once
 	// its state is final and none of its runs is active.
 	Spec *JobSpec
+	// Accepted reports whether the row of the accepted job is known. Without it there is at most a cancellation of an ID
+	// that no job has.
+	Accepted bool
 	// FirstSeenAt is when this entry learned of the job.
 	FirstSeenAt quetzalunit.Instant
 	// State is the state as far as this entry knows it, StoredState the state in the store. Callers
@@ -100,8 +103,11 @@
 	ProgressRevision quetzalunit.Revision
 	// Started reports whether any task has started.
 	Started bool
-	// Cancelled reports whether a cancellation is stored.
-	Cancelled bool
+	// Cancelled reports whether a cancellation is stored. CancelRevision is the revision of its row, zero if that has not
+	// been read, and CancelSeenAt is when this revision was read first.
+	Cancelled      bool
+	CancelRevision quetzalunit.Revision
+	CancelSeenAt   quetzalunit.Instant
 	// DutyRevision is the revision of the pool's duty when the job was stored. If it is below this
 	// process's token, an earlier dispatcher may have started some of the tasks.
 	DutyRevision quetzalunit.Revision
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -52,10 +52,29 @@
 	// ConfigApply is how long after its acknowledgement a configuration has to be in force at every entry that reaches
 	// the store; 0 if there is no bound.
 	ConfigApply time.Duration
+	// JobRetention is how long the state of a job must be known after its end. Zero stands for the default of
+	// RowRetention.
+	JobRetention time.Duration
 	// KeepGaps reports whether placement keeps gaps for large tasks.
 	KeepGaps bool
 }
 
+const (
+	// defaultJobRetention is the JobRetention of a platform that names none.
+	defaultJobRetention = 2 * time.Minute
+	// retentionMargin is the time between the end of JobRetention and the removal of rows. Requests and transactions
+	// that were sent before an entry or the store stopped for seconds arrive within it.
+	retentionMargin = 30 * time.Second
+)
+
+// RowRetention returns how long the rows of a job are kept after its end, and those of a cancelled ID that no job had.
+func (b *Bounds) RowRetention() time.Duration {
+	if b.JobRetention == 0 {
+		return defaultJobRetention + retentionMargin
+	}
+	return b.JobRetention + retentionMargin
+}
+
 // World holds all state of one entry's scheduler. The zero value is an empty World. It is not
 // safe for concurrent use.
 type World struct {
@@ -82,6 +101,8 @@
 	Waves       quetzaltable.Table[Wave]
 	Hosts       quetzaltable.Table[Host]
 	Moves       quetzaltable.Table[HostMove]
+	// CancellationQuotas has the quotas of those accounts that have cancelled unknown jobs.
+	CancellationQuotas quetzaltable.Table[CancellationQuota]
 
 	PoolByID           quetzaltable.Index[quetzalunit.PoolID]
 	QueueByID          quetzaltable.Index[quetzalunit.QueueID]
@@ -93,6 +114,7 @@
 	WaveByID           quetzaltable.Index[quetzalunit.WaveID]
 	HostByID           quetzaltable.Index[quetzalunit.HostID]
 	MoveByHost         quetzaltable.Index[quetzalunit.HostID]
+	QuotaByAccount     quetzaltable.Index[quetzalunit.AccountID]
 	SubmissionByCaller quetzaltable.Index[quetzalunit.CallerID]
 	// RoutesByHost has the queues of the configuration in force by their HTTP hosts.
 	RoutesByHost map[string]*HostRoutes
