Let an accepted job replace the cancellation of its ID that was removed from another pool

What callers would see: a job is accepted and never starts. Its ID was cancelled while its queue led to another pool, that cancellation was removed, and the answer to the removal was lost; the dispatcher of both pools took the job's rows for those of another pool's job and ignored them.

TestRemovedCancellationDoesNotHideAJobOfAnotherPool was red before. An ID that no job has is no longer logged and counted as a job that was cancelled.

--- a/quetzalcore/quetzalscheduler/earlycancel_test.go
+++ b/quetzalcore/quetzalscheduler/earlycancel_test.go
@@ -184,6 +184,24 @@
 	f.requireState(t, id, quetzalwork.JobStateAnswer{State: quetzalwork.JobCancelled})
 }
 
+// Guards against an accepted job that is never started (LOST): its dispatcher still has the cancellation of the ID that was
+// removed from another pool, which it dispatches, too.
+func TestRemovedCancellationDoesNotHideAJobOfAnotherPool(t *testing.T) {
+	f := newAccountFleet(1, 1, 8, accountConfig())
+	f.run(4 * time.Second)
+	const id quetzalunit.JobID = "00000000000000ff"
+	e := f.entries[0]
+	f.requestCancel(e, id)
+	f.run(5 * time.Second)
+	require.NotZero(t, e.world.JobByID.Get(id))
+	clear(f.store.rows)
+	clear(f.store.index)
+	f.sendTo(e, hallPrefix+string(id), id, "", &quetzalwork.JobSpec{Payload: "text", Steps: []quetzalwork.StepSpec{testStep(1)}})
+	f.run(10 * time.Second)
+	require.Equal(t, []quetzalwork.Answer{quetzalwork.JobAccepted{}}, f.answers[id])
+	require.Len(t, f.checker.records, 1)
+}
+
 // Guards against the loss of a cancellation that was stored again while the earlier one was removed.
 func TestLateRemovalForgetsNoLaterCancellation(t *testing.T) {
 	f := newFleet(1, threeZones, 3, 6, testConfig())
--- a/quetzalcore/quetzalscheduler/job.go
+++ b/quetzalcore/quetzalscheduler/job.go
@@ -160,12 +160,14 @@
 	}
 	j.State = state
 	j.Progress.State = state
-	late := j.ObjectiveAt != 0 && w.Now > j.ObjectiveAt
-	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartJob, Message: "A job reached its final state.", Job: j.ID, Pool: w.Pools.At(j.Pool).ID,
-		Age: w.Now.Sub(j.FirstSeenAt), Reason: jobStateName(state), Routine: true,
-	})
-	w.Emit(quetzalwork.ObserveJob{Queue: j.Queue, State: state, Total: w.Now.Sub(j.FirstSeenAt), Late: late})
+	if j.Accepted {
+		late := j.ObjectiveAt != 0 && w.Now > j.ObjectiveAt
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartJob, Message: "A job reached its final state.", Job: j.ID, Pool: w.Pools.At(j.Pool).ID,
+			Age: w.Now.Sub(j.FirstSeenAt), Reason: jobStateName(state), Routine: true,
+		})
+		w.Emit(quetzalwork.ObserveJob{Queue: j.Queue, State: state, Total: w.Now.Sub(j.FirstSeenAt), Late: late})
+	}
 	if state != quetzalwork.JobCancelled && j.StoredState != state {
 		markProgressChanged(w, row)
 	}
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -132,6 +132,13 @@
 		return
 	}
 	row := w.JobByID.Get(r.Job)
+	if _, accepted := r.Content.(quetzalwork.AcceptedJob); accepted && row != 0 {
+		// A cancellation without a job may have been removed from the other pool since.
+		if j := w.Jobs.At(row); j.Pool != pool && !j.Accepted {
+			deleteJob(w, row)
+			row = 0
+		}
+	}
 	if row == 0 {
 		row = w.Jobs.Insert(quetzalwork.Job{ID: r.Job, Pool: pool, FirstSeenAt: w.Now})
 		w.JobByID.Put(r.Job, row)
