--- a/quetzalcore/quetzalscheduler/earlycancel_test.go
+++ b/quetzalcore/quetzalscheduler/earlycancel_test.go
@@ -170,14 +170,20 @@
 	require.IsType(t, quetzalwork.Indeterminate{}, f.answers[answer][0])
 }
 
-// Guards against an accepted job that is stored nowhere (LOST): its dispatcher knows the cancellation of its ID, and takes
-// that for the job.
-func TestDispatcherStoresAJobThatWasCancelledBefore(t *testing.T) {
+// newCancelledFleet returns a fleet and an ID that was cancelled and not submitted.
+func newCancelledFleet() (*fleet, quetzalunit.JobID) {
+	const id quetzalunit.JobID = "00000000000000ff"
 	f := newFleet(1, threeZones, 3, 6, testConfig())
 	f.run(4 * time.Second)
-	const id quetzalunit.JobID = "00000000000000ff"
 	f.requestCancel(f.entries[0], id)
 	f.run(5 * time.Second)
+	return f, id
+}
+
+// Guards against an accepted job that is stored nowhere (LOST): its dispatcher knows the cancellation of its ID, and takes
+// that for the job.
+func TestDispatcherStoresAJobThatWasCancelledBefore(t *testing.T) {
+	f, id := newCancelledFleet()
 	f.send(f.holder(), id, &quetzalwork.JobSpec{Payload: "text", Steps: []quetzalwork.StepSpec{testStep(1)}})
 	f.run(time.Second)
 	require.Equal(t, []quetzalwork.Answer{quetzalwork.JobAccepted{}}, f.answers[id])
@@ -204,11 +210,7 @@
 
 // Guards against the loss of a cancellation that was stored again while the earlier one was removed.
 func TestLateRemovalForgetsNoLaterCancellation(t *testing.T) {
-	f := newFleet(1, threeZones, 3, 6, testConfig())
-	f.run(4 * time.Second)
-	const id quetzalunit.JobID = "00000000000000ff"
-	f.requestCancel(f.entries[0], id)
-	f.run(5 * time.Second)
+	f, id := newCancelledFleet()
 	e := f.holder()
 	row := e.world.JobByID.Get(id)
 	e.post(e.boot, quetzalwork.EarlyCancelRemoved{Job: row, Revision: e.world.Jobs.At(row).CancelRevision - 1})
@@ -218,11 +220,7 @@
 
 // Guards against a cancellation without effect: the one before it is removed while it is stored again.
 func TestCancellationIsStoredAgainAfterTheRemovalOfAnEarlierOne(t *testing.T) {
-	f := newFleet(1, threeZones, 3, 6, testConfig())
-	f.run(4 * time.Second)
-	const id quetzalunit.JobID = "00000000000000ff"
-	f.requestCancel(f.entries[0], id)
-	f.run(5 * time.Second)
+	f, id := newCancelledFleet()
 	reads := 0
 	f.losesAnswer = func(_ *entry, c quetzalwork.Command) bool {
 		if _, ok := c.(quetzalwork.LookUpJob); ok {
