--- a/quetzalcore/quetzallimit/cancellation.go
+++ b/quetzalcore/quetzallimit/cancellation.go
@@ -7,9 +7,9 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// maxCancellations is the number of cancellations of unknown jobs that one account may have stored in a row at all
-// entries together, and again within each Bounds.RowRetention after that. A row of each is kept that long. The load is a
-// caller that cancels IDs which it has never submitted.
+// maxCancellations is the burst of cancellations of unknown jobs that an account may have stored by all entries together,
+// and their number within each Bounds.RowRetention, for which each is kept. It bounds the rows and the dispatcher's memory
+// when a caller cancels IDs that it has never submitted.
 const maxCancellations = 1000
 
 // UseCancellation takes one cancellation of an unknown job from the quota of an account at this entry. If none is left, it
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -151,8 +151,8 @@
 		Request Row
 		Timeout time.Duration
 	}
-	// StoreEarlyCancel stores the cancellation of a job that is stored in no pool, so that none with its ID will be. It
-	// writes the entry of the ID in the job index, if that still has the revision Expected, 0 if there must be none, and a
+	// StoreEarlyCancel stores the cancellation of a job that is stored in no pool, so that one that gets its ID later does
+	// not start. It writes the entry of the ID in the job index, if that still has the revision Expected, 0 if there must be none, and a
 	// cancellation among the rows of the pool.
 	StoreEarlyCancel struct {
 		Pool     quetzalunit.PoolID
@@ -362,7 +362,8 @@
 	Unauthorized struct{}
 	// NoSuchQueue means that no queue matches the path.
 	NoSuchQueue struct{}
-	// NoSuchJob means that no such job is stored. To a cancellation it means that none with the ID will be, either.
+	// NoSuchJob means that no such job is stored. To a cancellation it means that none with the ID
+	// will start.
 	NoSuchJob struct{}
 	// InvalidJob means that the submission is invalid, or that a cancellation names no job.
 	InvalidJob struct{ Problem string }
