--- a/quetzalproof/harness_test.go
+++ b/quetzalproof/harness_test.go
@@ -63,7 +63,7 @@
 }
 
 // startProcess starts a program that appends its output to a log file. The test's cleanup kills it.
-func startProcess(t *testing.T, logPath, name string, args ...string) *process {
+func startProcess(t testing.TB, logPath, name string, args ...string) *process {
 	t.Helper()
 	f, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	require.NoError(t, err)
@@ -138,7 +138,7 @@
 
 // reservePorts reserves n consecutive free ports and returns the first. No two calls return the
 // same port.
-func reservePorts(t *testing.T, n int) int {
+func reservePorts(t testing.TB, n int) int {
 	t.Helper()
 	reservedPorts.Lock()
 	defer reservedPorts.Unlock()
--- a/quetzalproof/rig_test.go
+++ b/quetzalproof/rig_test.go
@@ -27,7 +27,7 @@
 
 // rig has entries of the platform's program as processes, beside the platform and minions in this process.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	fleet   *quetzalplatformstandin.Fleet
 	caller  quetzalplatformstandin.Caller
@@ -39,6 +39,8 @@
 	origins sync.Map
 	// minions has the address and the zone of each minion.
 	minions []rigMinion
+	// direct is that of the rigSpec.
+	direct bool
 
 	// mu guards rng, which draws the delays of the links, and the end of an entry.
 	mu  sync.Mutex
@@ -66,6 +68,10 @@
 	hosts []int
 	// cores is the capacity of each minion.
 	cores quetzalunit.MilliCores
+	// direct reports whether entries call minions without links between them.
+	direct bool
+	// cpuShare is the part of a core that entries are told to have; 0 stands for the default of the stand-in.
+	cpuShare float64
 }
 
 // hostsPerRack is the number of hosts in a rack.
@@ -88,9 +94,9 @@
 
 // newRig starts a rig and waits until its entries are ready. Entries and minions take turns in the zones, minions in
 // the pools.
-func newRig(t *testing.T, s *rigSpec) *rig {
+func newRig(t testing.TB, s *rigSpec) *rig {
 	t.Helper()
-	r := &rig{t: t, dir: s.dir, rng: rand.New(rand.NewPCG(s.Seed, 1))}
+	r := &rig{t: t, dir: s.dir, direct: s.direct, rng: rand.New(rand.NewPCG(s.Seed, 1))}
 	s.Origin = func(remote string, listens quetzalunit.Address) quetzalunit.EntryID {
 		from, _ := r.origins.Load(connKey{remote, listens})
 		entry, _ := from.(quetzalunit.EntryID) // a connection that has ended has none
@@ -111,6 +117,7 @@
 	r.configure(s.pools)
 	for i := range s.entries {
 		r.addEntry(quetzalunit.EntryID(fmt.Sprint("entry-", i)), zoneName(i%s.zones))
+		r.entries[i].CPUShare = s.cpuShare
 	}
 	r.connect()
 	for _, e := range r.entries {
@@ -150,7 +157,9 @@
 		e.Store, e.Hosts = r.addLink(e, store, ""), r.addLink(e, hosts, "")
 		r.links[len(r.links)-2].toStore = true
 		for _, m := range r.minions {
-			r.fleet.View(e.Entry, m.address, r.addLink(e, m.address, m.zone))
+			if !r.direct {
+				r.fleet.View(e.Entry, m.address, r.addLink(e, m.address, m.zone))
+			}
 		}
 		for _, peer := range r.entries {
 			if listens := quetzalunit.Address(address(peer.FirstPort)); peer != e {
