Leave spare hosts to pools that lack capacity while a wave has time

At the beginning of a queue's peak its pool did not get the hosts that it asked for: "No host is available for the pool" for 2 s, with about 170 spare hosts a moment before.

Cause: a wave took spare hosts first, and as many at once as its limit allows, although it had 27 s for hosts that take 2 s each. When it began in the rise of a peak it took all that were left.

Change: while a pool lacks capacity and the wave still spares the hosts that pools need, it has only as many hosts active as complete it in the planned part of its time.

TestWaveLeavesSpareHostsToAPoolAtItsPeak failed before: 0 of 40 spare hosts moved to the pool, now more than two thirds.

--- a/quetzalcore/quetzalscheduler/hostcontrol_test.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -486,3 +487,30 @@
 		require.Equal(t, 1, n, "reads at %v", at)
 	}
 }
+
+// A wave over all spare hosts begins while the load of a pool rises. Most of these hosts must go to the pool that needs them at
+// once; the wave has time enough for them afterwards.
+func TestWaveLeavesSpareHostsToAPoolAtItsPeak(t *testing.T) {
+	const spare, size = 40, 32000
+	plan := quetzalwork.WavePlan{ID: "1", TimeLimit: 30 * time.Second, MaxConcurrent: spare}
+	var hosts []quetzalwork.Host
+	for i := range spare {
+		id := quetzalunit.HostID(fmt.Sprintf("h%02d", i))
+		hosts, plan.Hosts = append(hosts, upHost(id, "off")), append(plan.Hosts, id)
+	}
+	c := newHostController(t, hosts, plan)
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 3 * size, Usable: 2 * size, UsableHosts: 2}
+	c.run(time.Second)
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 32 * size, Usable: 2 * size, UsableHosts: 2}
+	c.run(time.Second)
+	moved := 0
+	for _, o := range c.orders {
+		if o.Order == quetzalwork.HostOrderMove && o.Pool == "busy" {
+			moved++
+		}
+	}
+	require.Greater(t, moved, spare*2/3)
+	c.loads["busy"] = quetzalwork.PoolLoad{Wanted: 2 * size, Usable: 2 * size, UsableHosts: 2}
+	c.run(27 * time.Second)
+	require.Contains(t, c.waveStates, quetzalwork.WaveCompleted)
+}
--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -171,9 +171,10 @@
 	case wave.StoredState == quetzalwork.WaveUnstored:
 		storeWaveState(w, wave, quetzalwork.WaveRunning)
 	}
+	limit := waveConcurrency(w, wave, len(wave.Maintenance)-done)
 	for _, i := range waveOrder(w, wave) {
 		maintenance := &wave.Maintenance[i]
-		if maintenance.State == quetzalwork.MaintenanceWaiting && active < max(1, wave.MaxConcurrent) && mayOrder(w) && mayTakeWaveHost(w, plan, wave, i) {
+		if maintenance.State == quetzalwork.MaintenanceWaiting && active < limit && mayOrder(w) && mayTakeWaveHost(w, plan, wave, i) {
 			maintenance.State, maintenance.Since = quetzalwork.MaintenanceEvacuating, w.Now
 			plan.takeForWave(w, wave.Hosts[i])
 			active++
@@ -184,6 +185,24 @@
 	}
 }
 
+// waveConcurrency returns how many hosts of a wave may be active at once while some are left. While a pool lacks capacity, and the
+// wave takes only hosts that their pools do not need, these are as many as complete it in plannedWaveShare of its time limit: the
+// spare and the idle hosts, which it takes first, are those that the pool can get.
+func waveConcurrency(w *quetzalwork.World, wave *quetzalwork.Wave, left int) int {
+	limit := max(1, wave.MaxConcurrent)
+	remaining := time.Duration(plannedWaveShare*float64(wave.TimeLimit)) - w.Now.Sub(wave.FirstSeenAt)
+	if takesNeededHosts(w, wave) || !anyPoolLacksCapacity(w) {
+		return limit
+	}
+	hostTime := minEvacuationTime + w.Bounds.MaintenanceTime + hostListPeriod
+	return min(limit, int((time.Duration(left)*hostTime+remaining-1)/remaining))
+}
+
+// anyPoolLacksCapacity reports whether the work of a pool could use more capacity than the pool has.
+func anyPoolLacksCapacity(w *quetzalwork.World) bool {
+	return slices.ContainsFunc(loadedPools(w), func(p *quetzalwork.Pool) bool { return p.Load.Wanted > p.Load.Usable })
+}
+
 // mayTakeWaveHost reports whether a wave may take a host now. The host must not be part of a move,
 // and its pool must not need it unless neededHostWaitShare of the wave's time limit has passed.
 func mayTakeWaveHost(w *quetzalwork.World, plan *hostPlan, wave *quetzalwork.Wave, i int) bool {
@@ -192,12 +211,17 @@
 		return false
 	}
 	p := w.Pools.At(w.PoolByID.Get(h.Pool))
-	if p == nil || p.Spare || w.Now.Sub(wave.FirstSeenAt) > time.Duration(neededHostWaitShare*float64(wave.TimeLimit)) {
+	if p == nil || p.Spare || takesNeededHosts(w, wave) {
 		return true
 	}
 	return !plan.needsAllHosts(p)
 }
 
+// takesNeededHosts reports whether a wave also takes hosts that their pools need.
+func takesNeededHosts(w *quetzalwork.World, wave *quetzalwork.Wave) bool {
+	return w.Now.Sub(wave.FirstSeenAt) > time.Duration(neededHostWaitShare*float64(wave.TimeLimit))
+}
+
 // waveOrder returns the indexes of a wave's hosts in the order in which the wave takes them: spare
 // hosts first, then idle ones, then the others.
 func waveOrder(w *quetzalwork.World, wave *quetzalwork.Wave) []int {
