--- a/quetzalcore/quetzalinbox/actor.go
+++ b/quetzalcore/quetzalinbox/actor.go
@@ -34,7 +34,8 @@
 // Start starts the actor and wakes it. The function that it returns stops it.
 func (a *Actor[I]) Start() func() {
 	system := actor.NewActorSystem(actor.WithLoggerFactory(actorLogger))
-	pid := system.Root.Spawn(actor.PropsFromFunc(a.receive))
+	d, stopDispatcher := newDispatcher()
+	pid := system.Root.Spawn(actor.PropsFromFunc(a.receive, actor.WithDispatcher(d)))
 	a.SendWake = func() { system.Root.Send(pid, wakeMessage{}) }
 	a.timer = time.AfterFunc(time.Hour, a.Wake)
 	a.Wake()
@@ -42,6 +43,7 @@
 		a.timer.Stop()
 		_ = system.Root.StopFuture(pid).Wait() // the actor has stopped even if this returns an error
 		system.Shutdown()
+		stopDispatcher()
 	}
 }
 
