--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -91,7 +91,7 @@
 func pollMinion(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
 	m.PollInFlight, m.PolledAt, m.NextPollAt, m.PollWait = true, w.Now, 0, 0
-	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SentAt: w.Now}
+	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SeenThrough: m.SeenThrough, SentAt: w.Now}
 	if m.Answered && m.MissedAnswers == 0 {
 		if m.Acknowledging {
 			m.AckPollThrough = m.AckedThrough
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -229,6 +229,8 @@
 		// AckedThrough acknowledges the ends up to this number: the minion need not report them
 		// again.
 		AckedThrough quetzalunit.EndNumber
+		// SeenThrough is the last end that has been applied. Of the ends up to it, the result need only have the first.
+		SeenThrough quetzalunit.EndNumber
 		// Wait is how long the minion may wait for a new end before it answers.
 		Wait   time.Duration
 		SentAt quetzalunit.Instant
