--- a/quetzalcore/quetzalscheduler/runorder.go
+++ b/quetzalcore/quetzalscheduler/runorder.go
@@ -63,12 +63,7 @@
 	handleAnswerClock(w, minion, in.Token, r.StartedAt, in.Result)
 	switch result := startResult(r, in.Result).(type) {
 	case quetzalwork.OrderAccepted:
-		if r.OrderedAt == r.StartedAt {
-			observeAnswerDelay(m, w.Now.Sub(r.StartedAt))
-		}
-		markRunStarted(w, r)
-		noteOtherOrder(w, r, false)
-		w.Jobs.At(w.Steps.At(w.Tasks.At(r.Task).Step).Job).Started = true
+		acceptStart(w, r)
 	case quetzalwork.OrderFenced:
 		if handleFenced(w, minion, in.Token) {
 			rejectRun(w, in.Run, "EarlierIncarnation")
@@ -106,6 +101,16 @@
 	}
 }
 
+// acceptStart records that the minion of a run has accepted an order to start it.
+func acceptStart(w *quetzalwork.World, r *quetzalwork.Run) {
+	if r.OrderedAt == r.StartedAt {
+		observeAnswerDelay(w.Minions.At(r.Minion), w.Now.Sub(r.StartedAt))
+	}
+	markRunStarted(w, r)
+	noteOtherOrder(w, r, false)
+	w.Jobs.At(w.Steps.At(w.Tasks.At(r.Task).Step).Job).Started = true
+}
+
 // handleUnansweredStart orders a run to be stopped whose order to start had no answer, before it may be carried out late.
 func handleUnansweredStart(w *quetzalwork.World, row quetzalwork.Row) {
 	r := w.Runs.At(row)
