--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,7 @@
 	cd quetzalcore && go test ./quetzallimit -run XXX -bench . -benchtime 300ms
 	cd platform && go test ./quetzalorder -run XXX -bench . -benchtime 1s
 	cd quetzalentry && go test . -run XXX -bench . -benchtime 2s
+	cd quetzalproof && go test . -run XXX -bench . -benchtime 1x
 
 .PHONY: compare
 compare: build
--- a/quetzalcore/quetzalscheduler/lostcalls_test.go
+++ b/quetzalcore/quetzalscheduler/lostcalls_test.go
@@ -32,3 +32,10 @@
 	}
 	require.Greater(t, mean, least)
 }
+
+// The first order to start a run is still on its way when the second one is answered, and reaches the next process of the minion. The
+// task must not start elsewhere beside it, although a later process has answered that order.
+func TestSecondOrderToStartOfARestartedMinionStartsNoTaskTwice(t *testing.T) {
+	const seed = 0xdc87
+	require.Empty(t, playStrictly(seed, allStrict).problems())
+}
