--- a/quetzalcore/quetzalscheduler/wave.go
+++ b/quetzalcore/quetzalscheduler/wave.go
@@ -185,13 +185,13 @@
 	}
 }
 
-// waveConcurrency returns how many hosts of a wave may be active at once while some are left. While a pool lacks capacity, and the
-// wave takes only hosts that their pools do not need, these are as many as complete it in plannedWaveShare of its time limit: the
-// spare and the idle hosts, which it takes first, are those that the pool can get.
+// waveConcurrency returns how many hosts of a wave may be active at once while some are left. While a pool lacks capacity these are
+// as many as complete the wave in plannedWaveShare of its time limit: the spare and the idle hosts, which it takes first, are those
+// that the pool can get.
 func waveConcurrency(w *quetzalwork.World, wave *quetzalwork.Wave, left int) int {
 	limit := max(1, wave.MaxConcurrent)
 	remaining := time.Duration(plannedWaveShare*float64(wave.TimeLimit)) - w.Now.Sub(wave.FirstSeenAt)
-	if takesNeededHosts(w, wave) || !anyPoolLacksCapacity(w) {
+	if remaining <= 0 || !anyPoolLacksCapacity(w) {
 		return limit
 	}
 	hostTime := minEvacuationTime + w.Bounds.MaintenanceTime + hostListPeriod
