--- a/quetzalcore/quetzalscheduler/duty.go
+++ b/quetzalcore/quetzalscheduler/duty.go
@@ -288,7 +288,7 @@
 	for row, p := range w.Pools.All() {
 		// Progress that is not stored yet is not lost: the minions report it to the successor. A pool
 		// whose predecessor's work is not known yet would wait for it at the next entry, too.
-		if p.Held && p.PredecessorWorkKnown && mayGiveAway(w, p) {
+		if p.Held && p.PredecessorWorkKnown {
 			w.Membership.RebalancedAt = w.Now
 			releaseDuty(w, p.ID)
 			endDispatch(w, row, "Shared")
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -25,7 +25,15 @@
 // maintainMembership renews this entry's member row, reads the rows of members and duties, and takes
 // over or releases duties.
 func maintainMembership(w *quetzalwork.World) {
-	renewMember(w)
+	m := &w.Membership
+	if !m.RenewalInFlight {
+		m.RenewalInFlight = true
+		m.Heartbeat++
+		w.Emit(quetzalwork.RenewMember{SentAt: w.Now, Member: quetzalwork.Member{
+			Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, Zone: w.Self.Zone,
+			Heartbeat: m.Heartbeat, Stopping: w.Stopping, CPUShare: w.Self.CPUShare,
+		}})
+	}
 	if w.Now.Sub(w.Membership.ReadAt) >= readPeriod(w)-renewPeriod/4 {
 		readMembers(w)
 	}
@@ -36,20 +44,6 @@
 	w.After(w.Jitter(renewPeriod), quetzalwork.MembershipDue{})
 }
 
-// renewMember renews this entry's member row unless a renewal is in flight.
-func renewMember(w *quetzalwork.World) {
-	m := &w.Membership
-	if m.RenewalInFlight {
-		return
-	}
-	m.RenewalInFlight = true
-	m.Heartbeat++
-	w.Emit(quetzalwork.RenewMember{SentAt: w.Now, Member: quetzalwork.Member{
-		Entry: w.Self.Entry, Incarnation: w.Self.Incarnation, Address: w.Self.PeerAddress, Zone: w.Self.Zone,
-		Heartbeat: m.Heartbeat, Stopping: w.Stopping, CPUShare: availableShare(w),
-	}})
-}
-
 // readMembers reads the rows of members and duties unless a read is in flight.
 func readMembers(w *quetzalwork.World) {
 	if !w.Membership.ReadInFlight {
--- a/quetzalcore/quetzalscheduler/tick.go
+++ b/quetzalcore/quetzalscheduler/tick.go
@@ -94,8 +94,6 @@
 		beginStop(w)
 	case quetzalwork.BoundsChanged:
 		w.Bounds = in.Bounds
-	case quetzalwork.ProcessorMeasured:
-		handleProcessorMeasured(w, &in)
 	case quetzalwork.ConfigWatched:
 		handleConfigWatch(w, &in)
 	case quetzalwork.MembersRead:
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -252,8 +252,6 @@
 		Ends     []ReportedEnd
 		MoreEnds bool
 	}
-	// ProcessorMeasured tells whether this process has got much less processor time lately than its share, although it had work.
-	ProcessorMeasured struct{ Short bool }
 	// StartAnswered is the result of StartRun.
 	StartAnswered struct {
 		Run    Row
@@ -331,7 +329,6 @@
 func (WaveStateStored) implementsInput()     {}
 func (DivisionAnswered) implementsInput()    {}
 func (MinionPolled) implementsInput()        {}
-func (ProcessorMeasured) implementsInput()   {}
 func (StartAnswered) implementsInput()       {}
 func (StopAnswered) implementsInput()        {}
 func (PaceAnswered) implementsInput()        {}
--- a/quetzalcore/quetzalwork/world.go
+++ b/quetzalcore/quetzalwork/world.go
@@ -137,8 +137,6 @@
 	// PendingReleases is the number of duties whose release is in progress.
 	PendingReleases int
 
-	// ShortUntil is until when this entry counts as one that gets less processor time than its share.
-	ShortUntil quetzalunit.Instant
 	// StartsInProgress is the number of the Runs that are RunStarting.
 	StartsInProgress int
 	// Meter measures the ticks. No decision depends on it.
