Use an answer for ends only if it has all that count as new

Cause: a poll carries the last end that was applied when it was sent, and the decoder leaves the ends up to it out of the answer. When the dispatcher discards ends that are not stored yet (a host that is withdrawn, a minion that is replaced, a job that is no longer known), they count anew, but the answer in flight lacks them. Its later ends raised the counter past them, and the next end that needs no record let all of them be acknowledged. A successor then knows of no end.

The class is a second place that knows a state which may go back, and four counters on one list that several systems move. Now a report names what it leaves out, the dispatcher decides whether it has that, and the ends of a minion are one type (EndLog): they enter it from a report that has all new ones only, and are settled only where their record is stored or none is needed. An answer that does not cover the log counts like one without room for all ends: nothing is given up by it, and the minion is polled again.

Lines of the log tell when ends are discarded and when an answer is not used for them.

TestEndThatAnAnswerLeavesOutIsNotAcknowledgedUnstored fails on (acknowledged through 3, where 2 is not stored) and passes now.

--- a/quetzalcore/quetzalscheduler/acknowledgement.go
+++ b/quetzalcore/quetzalscheduler/acknowledgement.go
@@ -24,7 +24,7 @@
 
 // ackDue reports whether a minion lists ends that may be acknowledged.
 func ackDue(m *quetzalwork.Minion) bool {
-	return m.AckedThrough > m.ForgottenThrough
+	return m.Ends.Listed() > 0
 }
 
 // beginAck lets the next poll of a minion acknowledge ends if there are any and it is permitted. The poll is sent in this
@@ -63,7 +63,8 @@
 		m.LeasePolledAt = 0
 	}
 	if m.Acknowledging {
-		m.Acknowledging, m.ForgottenThrough, m.AckDueSince = false, m.AckPollThrough, w.Now
+		m.Ends.Forget(m.AckPollThrough)
+		m.Acknowledging, m.AckDueSince = false, w.Now
 		w.Pools.At(m.PoolRow).NeedsPlacement = true
 	}
 }
--- a/quetzalcore/quetzalscheduler/demand.go
+++ b/quetzalcore/quetzalscheduler/demand.go
@@ -123,7 +123,7 @@
 func addMovableHost(w *quetzalwork.World, l *quetzalwork.PoolLoad, m *quetzalwork.Minion, labelCounts map[quetzalunit.Label]int) {
 	switch {
 	case m.Host == "" || isNeededForLabel(labelCounts, m):
-	case len(m.Runs) == 0 && len(m.UnackedEnds) == 0:
+	case len(m.Runs) == 0 && len(m.Ends.Open()) == 0:
 		l.MovableHosts = append(l.MovableHosts, quetzalwork.MovableHost{Host: m.Host, IdleFor: w.Now.Sub(max(m.IdleSince, m.FirstSeenAt))})
 	case isLightlyLoaded(w, m):
 		l.MovableHosts = append(l.MovableHosts, quetzalwork.MovableHost{Host: m.Host})
--- a/quetzalcore/quetzalscheduler/forgottenends_test.go
+++ b/quetzalcore/quetzalscheduler/forgottenends_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -53,3 +54,50 @@
 		require.Equal(t, quetzalunit.EndNumber(2), acked, name)
 	}
 }
+
+// Guards against an end that is acknowledged unstored: the minion was taken for gone while a poll was in flight, so that its ends
+// count anew, and the answer leaves out those that were applied when the poll was sent.
+func TestEndThatAnAnswerLeavesOutIsNotAcknowledgedUnstored(t *testing.T) {
+	later := testMinions[0]
+	later.ID, later.Address, later.Incarnation = "m1", "m1", 2
+	for name, takenForGone := range map[string]quetzalwork.Input{
+		"withdrawn": quetzalwork.PeerMessageReceived{Message: quetzalwork.NotifyHostWithdrawn{Pool: testPool, Host: "h0"}},
+		"replaced":  quetzalwork.MinionsListed{SeenRevision: testToken + 1, Minions: []quetzalwork.MinionRecord{later}},
+	} {
+		d := newDispatcher(t, accepted(testJob, oldDuty))
+		d.recordsProgress = true
+		stopped := quetzalwork.ReportedEnd{Number: 1, Task: quetzalwork.TaskID{Job: testJob}, Run: 1, Outcome: quetzalwork.OutcomeStopped}
+		ends := []quetzalwork.ReportedEnd{stopped, {Number: 2, Task: quetzalwork.TaskID{Job: testJob}, Run: 2}}
+		var held *quetzalwork.PollMinion
+		hold := false
+		answer := func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+			in := d.idle(c)
+			in.EndsAfter = c.SeenThrough
+			in.Ends = slices.DeleteFunc(slices.Clone(ends), func(e quetzalwork.ReportedEnd) bool { return e.Number > 1 && e.Number <= c.SeenThrough })
+			return in
+		}
+		d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+			switch {
+			case c.Target.Minion != "m0":
+				return d.idle(c)
+			case hold && held == nil:
+				held = &c
+				return quetzalwork.MinionPolled{}
+			}
+			return answer(c)
+		}
+		d.run(2 * time.Second)
+		hold = true
+		d.run(100 * time.Millisecond)
+		require.NotNil(t, held, name)
+		require.Equal(t, quetzalunit.EndNumber(2), held.SeenThrough, name)
+		d.tick(takenForGone)
+		stopped.Number, stopped.Run = 3, 3
+		ends = append(ends, stopped)
+		d.tick(answer(*held))
+		d.run(2 * time.Second)
+		require.LessOrEqual(t, d.acked(), quetzalunit.EndNumber(1), name)
+		d.storesAll()
+		require.Equal(t, quetzalunit.EndNumber(3), d.acked(), name)
+	}
+}
--- a/quetzalcore/quetzalscheduler/hostcontrol.go
+++ b/quetzalcore/quetzalscheduler/hostcontrol.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		minion.CordonedUntil = w.Now.Add(cordonTime)
-		hasEnds := len(minion.UnackedEnds) > 0 || minion.EndsPending || ackDue(minion) && !mayStartLate(w, minion)
+		hasEnds := len(minion.Ends.Open()) > 0 || minion.EndsPending || ackDue(minion) && !mayStartLate(w, minion)
 		if !minion.Answered || len(minion.Runs) > 0 || minion.Untracked.Count > 0 || hasEnds {
 			reply.Empty = false
 		}
@@ -211,7 +211,7 @@
 		if m.Host == host && m.Pool == pool && w.Pools.At(m.PoolRow).Held {
 			endMinionRuns(w, row, "Taken", proof)
 			m.HostWithdrawn = true
-			forgetUnackedEnds(m)
+			discardOpenEnds(w, m, "Withdrawn")
 		}
 	}
 }
--- a/quetzalcore/quetzalscheduler/minion.go
+++ b/quetzalcore/quetzalscheduler/minion.go
@@ -252,7 +252,7 @@
 			continue
 		}
 		markReplaced(w, m, r.ID, r.Incarnation)
-		forgetUnackedEnds(m)
+		discardOpenEnds(w, m, "Replaced")
 		proof := replacementProof(w, m)
 		if m.Pool == r.Pool {
 			endCrashedRuns(w, row, "Replaced", &proof)
@@ -307,7 +307,7 @@
 // logGivenUp logs that the runs of a minion are given up, and what else this process may not hear of. The lines on its
 // runs are routine, and left out at the peak.
 func logGivenUp(w *quetzalwork.World, m *quetzalwork.Minion, reason string, proof *quetzalwork.Proof) {
-	if len(m.Runs) == 0 && len(m.UnackedEnds) == 0 && m.Untracked.Count == 0 {
+	if len(m.Runs) == 0 && len(m.Ends.Open()) == 0 && m.Untracked.Count == 0 {
 		return
 	}
 	w.Log(quetzalwork.Decision{
@@ -318,12 +318,12 @@
 
 // openWork tells, beside its runs, how many ends and runs a minion has reported that are neither acknowledged nor in the tables.
 func openWork(m *quetzalwork.Minion) string {
-	return fmt.Sprintf("Unacked%dPending%tUntracked%d", len(m.UnackedEnds), m.EndsPending, m.Untracked.Count)
+	return fmt.Sprintf("Unacked%dPending%tUntracked%d", len(m.Ends.Open()), m.EndsPending, m.Untracked.Count)
 }
 
 // logDeleted logs that a minion is removed from the tables although this process may not have heard of all that it has run.
 func logDeleted(w *quetzalwork.World, m *quetzalwork.Minion) {
-	if len(m.Runs) == 0 && len(m.UnackedEnds) == 0 && !m.EndsPending && m.Untracked.Count == 0 && (!m.Answered || m.EndsKnown) {
+	if len(m.Runs) == 0 && len(m.Ends.Open()) == 0 && !m.EndsPending && m.Untracked.Count == 0 && (!m.Answered || m.EndsKnown) {
 		return
 	}
 	w.Log(quetzalwork.Decision{
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -91,17 +92,17 @@
 func pollMinion(w *quetzalwork.World, row quetzalwork.Row) {
 	m := w.Minions.At(row)
 	m.PollInFlight, m.PolledAt, m.NextPollAt, m.PollWait = true, w.Now, 0, 0
-	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SeenThrough: m.SeenThrough, SentAt: w.Now}
+	c := quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SeenThrough: m.Ends.SeenThrough(), SentAt: w.Now}
 	if m.Answered && m.MissedAnswers == 0 {
 		if m.Acknowledging {
-			m.AckPollThrough = m.AckedThrough
+			m.AckPollThrough = m.Ends.SettledThrough()
 			c.AckedThrough = m.AckPollThrough
 		}
 		if mayExtendLeases(w) {
 			c.LeaseEnd = grantLease(w, m)
 			m.LeasePolledAt = w.Now
 		}
-		if len(m.UnackedEnds) == 0 && !ackDue(m) {
+		if len(m.Ends.Open()) == 0 && !ackDue(m) {
 			c.Wait = min(longestPollWait(w, m), isolationLeft(w, m))
 			m.PollWait = c.Wait
 		}
@@ -167,7 +168,7 @@
 		forgetUnansweredAck(m, in.SentAt)
 		abandonAck(w, m)
 		endCrashedRuns(w, in.Minion, "Astray", &quetzalwork.Proof{Kind: quetzalwork.ProofOtherAnswers, Age: w.Now.Sub(in.SentAt)})
-		forgetUnackedEnds(m)
+		discardOpenEnds(w, m, "Astray")
 		recordMissedPoll(w, in.Minion, "Astray")
 	default:
 		abandonAck(w, m)
@@ -211,7 +212,7 @@
 		deleteMinion(w, row)
 	case m.MissedAnswers > 0:
 		schedulePoll(w, row, pollRetryDelay*time.Duration(min(m.MissedAnswers, 4)))
-	case len(m.UnackedEnds) > 0 || ackDue(m) || m.EndsPending:
+	case len(m.Ends.Open()) > 0 || ackDue(m) || m.EndsPending:
 		schedulePoll(w, row, ackPollDelay)
 		beginAck(w, row)
 	case len(m.Runs) > 0 || m.Untracked.Count > 0:
@@ -236,7 +237,7 @@
 // mayHaveUnstoredWork reports whether a minion has ends that are not stored, or runs without a row in the table of runs, under
 // a lease that may last. A successor learns of them from the minion alone, so that the release of the duty must name it.
 func mayHaveUnstoredWork(w *quetzalwork.World, m *quetzalwork.Minion) bool {
-	return (len(m.UnackedEnds) > 0 || m.EndsPending || m.Untracked.Count > 0) && w.Now <= lateLeaseExpiry(w, m)
+	return (len(m.Ends.Open()) > 0 || m.EndsPending || m.Untracked.Count > 0) && w.Now <= lateLeaseExpiry(w, m)
 }
 
 // applyMinionReport applies the active and ended runs that a minion reports in its answer to a
@@ -254,7 +255,7 @@
 	m.LeaseEnd = max(m.LeaseEnd, clock)
 	logForgottenEnds(w, in)
 	if len(in.Ends) > 0 {
-		m.ForgottenThrough = max(m.ForgottenThrough, in.Ends[0].Number-1)
+		m.Ends.Forget(in.Ends[0].Number - 1)
 	}
 	if !m.Answered {
 		// The minion may have a lease of an order whose token it has accepted until now.
@@ -268,8 +269,12 @@
 	m.Answered, m.MissedAnswers, m.LostRuns = true, 0, nil
 	confirmAck(w, m, in.SentAt)
 	m.Clock, m.ClockAt, m.LastAnsweredAt = clock, w.Now, w.Now
-	trackUnknownJobs(w, in)
-	pending := !applyReportedEnds(w, in)
+	ends, complete := m.Ends.NewEnds(in)
+	if !complete {
+		logLeftOutEnds(w, in)
+	}
+	trackUnknownJobs(w, in, ends)
+	pending := !applyReportedEnds(w, in.Minion, ends) || !complete
 	setEndsPending(w, in.Minion, in.MoreEnds || pending)
 	reported := make(map[quetzalwork.Row]bool, len(in.Running))
 	p.NeedsPlacement = p.NeedsPlacement || m.Untracked.Count > 0
@@ -288,18 +293,26 @@
 	ackEnds(w, p)
 }
 
-// applyReportedEnds applies the ends in a minion's answer that are new, in their order. It returns false
-// if it stopped at one whose job is not known.
-func applyReportedEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) bool {
-	m := w.Minions.At(in.Minion)
-	for i := range in.Ends {
-		if in.Ends[i].Number > m.SeenThrough && !handleReportedEnd(w, in.Minion, &in.Ends[i]) {
+// applyReportedEnds applies the new ends of a minion in their order. It returns false if it stopped at one whose job is
+// not known.
+func applyReportedEnds(w *quetzalwork.World, row quetzalwork.Row, ends []quetzalwork.ReportedEnd) bool {
+	for i := range ends {
+		if !handleReportedEnd(w, row, &ends[i]) {
 			return false
 		}
 	}
 	return true
 }
 
+// logLeftOutEnds logs that an answer is not used for ends, since it leaves out some that have been discarded after the poll.
+func logLeftOutEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
+	m := w.Minions.At(in.Minion)
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "An answer leaves out ends that count as new.", Minion: m.ID, Pool: m.Pool, Version: int64(in.EndsAfter),
+		Age: w.Now.Sub(in.SentAt), Reason: fmt.Sprintf("Seen%d", m.Ends.SeenThrough()),
+	})
+}
+
 // setEndsPending records whether a minion has ends that are still to be applied, and logs when that
 // begins and when it is over.
 func setEndsPending(w *quetzalwork.World, row quetzalwork.Row, pending bool) {
@@ -307,9 +320,9 @@
 	switch {
 	case pending && !m.EndsPending:
 		m.EndsPendingSince = w.Now
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has ends that are still to be applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.SeenThrough)})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "The minion has ends that are still to be applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Ends.SeenThrough())})
 	case !pending && m.EndsPending:
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "All ends of the minion are applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.SeenThrough), Age: w.Now.Sub(m.EndsPendingSince)})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartMinion, Message: "All ends of the minion are applied.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Ends.SeenThrough()), Age: w.Now.Sub(m.EndsPendingSince)})
 	}
 	m.EndsPending = pending
 	if !pending && !m.EndsKnown {
@@ -330,9 +343,9 @@
 	u.UnknownUse = true
 }
 
-// trackUnknownJobs records since when a minion has reported runs or ends of each unknown job, and
+// trackUnknownJobs records since when a minion has reported runs or new ends of each unknown job, and
 // reads the pool's rows to find these jobs.
-func trackUnknownJobs(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
+func trackUnknownJobs(w *quetzalwork.World, in *quetzalwork.MinionPolled, ends []quetzalwork.ReportedEnd) {
 	m := w.Minions.At(in.Minion)
 	var unknown map[quetzalunit.JobID]quetzalunit.Instant
 	track := func(id quetzalunit.JobID) {
@@ -344,10 +357,8 @@
 		}
 		unknown[id] = cmp.Or(m.UnknownJobs[id], w.Now)
 	}
-	for i := range in.Ends {
-		if in.Ends[i].Number > m.SeenThrough {
-			track(in.Ends[i].Task.Job)
-		}
+	for i := range ends {
+		track(ends[i].Task.Job)
 	}
 	for i := range in.Running {
 		track(in.Running[i].Task.Job)
--- a/quetzalcore/quetzalscheduler/overdue.go
+++ b/quetzalcore/quetzalscheduler/overdue.go
@@ -51,7 +51,7 @@
 		return
 	}
 	m.ProbeInFlight, m.ProbedAt = true, w.Now
-	w.Emit(quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SeenThrough: m.SeenThrough, SentAt: w.Now})
+	w.Emit(quetzalwork.PollMinion{Minion: row, Target: targetOf(w, m), SeenThrough: m.Ends.SeenThrough(), SentAt: w.Now})
 }
 
 // settlePoll records that a poll or a probe of a minion has ended. It returns false if its result does not count: the other one
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -210,35 +211,44 @@
 func ackEnds(w *quetzalwork.World, p *quetzalwork.Pool) {
 	for _, row := range p.Minions {
 		m := w.Minions.At(row)
-		if m == nil || len(m.UnackedEnds) == 0 {
+		if m == nil || len(m.Ends.Open()) == 0 {
 			continue
 		}
-		n := 0
 		if !ackDue(m) {
 			m.AckDueSince = w.Now
 		}
-		for n < len(m.UnackedEnds) && canAcknowledge(w, &m.UnackedEnds[n]) {
-			m.AckedThrough = m.UnackedEnds[n].Number
-			logAcknowledgement(w, m, &m.UnackedEnds[n])
-			n++
-		}
-		if n < len(m.UnackedEnds) && m.UnackedEnds[n].Job != 0 && w.Jobs.At(m.UnackedEnds[n].Job) == nil {
-			forgetUnackedEnds(m)
+		before := m.Ends.SettledThrough()
+		m.Ends.Settle(func(e *quetzalwork.UnackedEnd) bool {
+			if !canAcknowledge(w, e) {
+				return false
+			}
+			logAcknowledgement(w, m, e)
+			return true
+		})
+		if open := m.Ends.Open(); len(open) > 0 && open[0].Job != 0 && w.Jobs.At(open[0].Job) == nil {
+			discardOpenEnds(w, m, "UnknownJob")
 			schedulePoll(w, row, 0)
 			continue
 		}
-		if n > 0 {
-			m.UnackedEnds = slices.Delete(m.UnackedEnds, 0, n)
+		if m.Ends.SettledThrough() > before {
 			schedulePoll(w, row, 0)
 			beginAck(w, row)
 		}
 	}
 }
 
-// forgetUnackedEnds discards the ends of a minion that is taken for gone, or whose job is no longer known. If it
-// reports them again, they count as new.
-func forgetUnackedEnds(m *quetzalwork.Minion) {
-	m.SeenThrough, m.UnackedEnds = m.AckedThrough, nil
+// discardOpenEnds discards the ends that must not be acknowledged yet of a minion that is taken for gone, or whose job is no
+// longer known. If it reports them again, they count as new.
+func discardOpenEnds(w *quetzalwork.World, m *quetzalwork.Minion, reason string) {
+	open := m.Ends.Open()
+	if len(open) == 0 {
+		return
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "Ends of the minion that are not acknowledged are discarded.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Ends.SeenThrough()),
+		Age: ageOf(w, m.LastAnsweredAt), Reason: fmt.Sprintf("%sEnds%dFrom%dThrough%d", reason, len(open), open[0].Number, m.Ends.SeenThrough()),
+	})
+	m.Ends.Discard()
 }
 
 // canAcknowledge reports whether an end may be acknowledged: the job's progress is stored up to
--- a/quetzalcore/quetzalscheduler/restartedminion.go
+++ b/quetzalcore/quetzalscheduler/restartedminion.go
@@ -61,8 +61,7 @@
 		}
 		handleCrash(w, m, &runs[i])
 	}
-	m.Incarnation, m.SeenThrough, m.AckedThrough, m.UnackedEnds, m.HostWithdrawn = incarnation, 0, 0, nil, false
-	m.ForgottenThrough, m.ReportSentAt = 0, 0
+	m.Incarnation, m.Ends, m.HostWithdrawn, m.ReportSentAt = incarnation, quetzalwork.EndLog{}, false, 0
 	awaitNextProcess(w, row)
 	if source != restartInList {
 		notifyMinionRestarted(w, m)
@@ -236,13 +235,13 @@
 	m := w.Minions.At(in.Minion)
 	p := w.Pools.At(m.PoolRow)
 	// Of a process that an earlier dispatcher has used, this one knows no end before the first that is reported.
-	known := m.SeenThrough > 0 || m.RestartSeenAt > p.HeldSince
-	if !known || len(in.Ends) == 0 || in.Ends[0].Number <= m.SeenThrough+1 {
+	known := m.Ends.SeenThrough() > 0 || m.RestartSeenAt > p.HeldSince
+	if !known || len(in.Ends) == 0 || in.Ends[0].Number <= m.Ends.SeenThrough()+1 {
 		return
 	}
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartMinion, Message: "The minion has forgotten ends that this entry has not seen.", Minion: m.ID, Pool: m.Pool, Version: int64(in.Incarnation),
-		Reason: fmt.Sprintf("Seen%dFirst%d", m.SeenThrough, in.Ends[0].Number),
+		Reason: fmt.Sprintf("Seen%dFirst%d", m.Ends.SeenThrough(), in.Ends[0].Number),
 	})
 }
 
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -192,7 +192,6 @@
 	if !isKnown(j) && !staysUnknown(w, m, e.Task.Job) {
 		return false
 	}
-	m.SeenThrough = e.Number
 	unacked := quetzalwork.UnackedEnd{ReportedEnd: *e, Unrecorded: "UnknownJob"}
 	if j != nil {
 		unacked.Unrecorded = applyEnd(w, minionRow, jobRow, e)
@@ -200,7 +199,7 @@
 			unacked.Job, unacked.Changes = jobRow, j.ProgressChanges
 		}
 	}
-	m.UnackedEnds = append(m.UnackedEnds, unacked)
+	m.Ends.Append(unacked)
 	return true
 }
 
--- a/quetzalcore/quetzalscheduler/unansweredack.go
+++ b/quetzalcore/quetzalscheduler/unansweredack.go
@@ -53,7 +53,7 @@
 // in the reason are those of the last end that is applied and of the last one that may be acknowledged.
 func logAbsentRun(w *quetzalwork.World, r *quetzalwork.Run, proof *quetzalwork.Proof) {
 	m, t := w.Minions.At(r.Minion), w.Tasks.At(r.Task)
-	reason := fmt.Sprintf("Seen%dAcked%d", m.SeenThrough, m.AckedThrough)
+	reason := fmt.Sprintf("Seen%dAcked%d", m.Ends.SeenThrough(), m.Ends.SettledThrough())
 	if m.RestartSeenAt >= r.StartedAt {
 		reason = "Restarted" + reason
 	}
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -251,6 +251,8 @@
 		// that the answer has no room for: a run that the answer does not show may have ended.
 		Ends     []ReportedEnd
 		MoreEnds bool
+		// EndsAfter is the end up to which Ends leaves out all but the first.
+		EndsAfter quetzalunit.EndNumber
 	}
 	// StartAnswered is the result of StartRun.
 	StartAnswered struct {
--- a/quetzalcore/quetzalwork/minion.go
+++ b/quetzalcore/quetzalwork/minion.go
@@ -89,23 +89,18 @@
 	LeaseEnd quetzalunit.MinionTime
 	// LastAnsweredAt is when the minion last answered a poll.
 	LastAnsweredAt quetzalunit.Instant
-	// AckedThrough is the last end that may be acknowledged, SeenThrough the last one that this
-	// process has applied.
-	AckedThrough, SeenThrough quetzalunit.EndNumber
-	// ForgottenThrough is the last end that a poll with an answer has acknowledged. The minion lists those from there
-	// up to AckedThrough until another poll does. AckDueSince is when it last became less than AckedThrough.
-	ForgottenThrough quetzalunit.EndNumber
-	AckDueSince      quetzalunit.Instant
+	// Ends is what is known of the ends that the known process lists. AckDueSince is when it last began to list ends that
+	// may be acknowledged.
+	Ends        EndLog
+	AckDueSince quetzalunit.Instant
 	// ReportSentAt is when the last poll was sent that the known process has answered.
 	ReportSentAt quetzalunit.Instant
 	// Acknowledging is set from the decision that the next poll acknowledges ends until this poll has ended. The minion
 	// gets no new run meanwhile. AckPollThrough is the last end that the poll acknowledges.
 	Acknowledging  bool
 	AckPollThrough quetzalunit.EndNumber
-	// UnackedEnds are the applied ends that must not be acknowledged yet.
-	UnackedEnds []UnackedEnd
-	// EndsPending reports whether the minion may have ends beyond SeenThrough, by its last answer: the
-	// answer had no room for them, or they follow one of an unknown job. Until they are applied, a run
+	// EndsPending reports whether the minion may have ends that are not applied, by its last answer: the
+	// answer had no room for them or left them out, or they follow one of an unknown job. Until they are applied, a run
 	// that the minion does not report may have ended. EndsPendingSince is when this began.
 	EndsPending      bool
 	EndsPendingSince quetzalunit.Instant
