Log from whom a dispatcher has taken over a pool

The line of a takeover had the token alone. It could not be told whether the former holder had released the pool, was replaced by a later process, was silent or had never been, nor what showed that nobody else dispatched the pool, as after all entries had been off.

"This entry dispatches the pool." now has the predecessor as its reason, with token, incarnation and entry, and a proof with its age. quetzalctl prints both under a second start whose first run is of another term, and marks the proof that nobody had dispatched the pool as contradicted by that run. No decision changes.

--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzallimit"
@@ -85,7 +86,7 @@
 		p.ReleasedLeases = predecessor.Leases
 		p.PredecessorLeasesEnd = lastReleasedLease(p)
 	}
-	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "This entry dispatches the pool.", Pool: p.ID, Version: int64(p.Token)})
+	logTakeover(w, p, &predecessor, mayBeRunning)
 	readPool(w, row, p.Token)
 	listMinions(w)
 	lookBack(w)
@@ -96,6 +97,31 @@
 	w.Timers.Push(w.Now.Add(watchdogPeriod), quetzalwork.WatchdogDue{Pool: row, Token: p.Token})
 }
 
+// logTakeover logs from whom this process has taken over a pool, and what shows that nobody else dispatches it.
+func logTakeover(w *quetzalwork.World, p *quetzalwork.Pool, d *quetzalwork.Duty, mayBeRunning bool) {
+	reason, proof := "Silent", quetzalwork.Proof{Kind: quetzalwork.ProofTakeover, Age: ageOf(w, d.FreeSince)}
+	holder := w.Members.At(w.MemberByID.Get(d.Holder))
+	switch {
+	case d.Revision == 0 && mayBeRunning:
+		reason = "Unknown"
+	case d.Revision == 0:
+		reason, proof = "None", quetzalwork.Proof{Kind: quetzalwork.ProofNoDispatcher, Age: ageOf(w, w.Membership.ReadSentAt)}
+	case d.Holder == "":
+		reason, proof = "Released", quetzalwork.Proof{Kind: quetzalwork.ProofRelease, Age: ageOf(w, d.LeasesFrom)}
+	case !mayBeRunning:
+		reason, proof = "Replaced", quetzalwork.Proof{Kind: quetzalwork.ProofLaterProcess, Age: ageOf(w, w.Membership.ReadSentAt)}
+	case holder != nil && holder.Incarnation == d.Incarnation:
+		proof = quetzalwork.Proof{Kind: quetzalwork.ProofLastRenewal, Age: ageOf(w, holder.RenewalSeenAt)}
+	}
+	if d.Revision != 0 {
+		reason += fmt.Sprintf("Revision%d", d.Revision)
+	}
+	if d.Holder != "" {
+		reason += fmt.Sprintf("Incarnation%dEntry%s", d.Incarnation, d.Holder)
+	}
+	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "This entry dispatches the pool.", Pool: p.ID, Version: int64(p.Token), Reason: reason, Proof: &proof})
+}
+
 // updatePredecessorEnd moves PredecessorLeasesEnd to an earlier instant if possible. A predecessor
 // extends leases for at most dutyValidity from its last renewal, and not at all once a later
 // process of the same entry runs. Only rows that were read after the takeover prove either. A renewal
--- a/quetzalcore/quetzalscheduler/passover_test.go
+++ b/quetzalcore/quetzalscheduler/passover_test.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	takeoverLine       = "This entry dispatches the pool."
 	passedOverLine     = "A minion is passed over whose runs and ends are not known."
 	furtherPassedLine  = "Further minions are passed over whose runs and ends are not known."
 	maxPassedOverLines = 24
@@ -172,3 +173,32 @@
 	require.Len(t, further, 1)
 	require.EqualValues(t, silent-maxPassedOverLines, further[0].Version)
 }
+
+// The line of a takeover names the predecessor, what became of it, and what shows that.
+func TestTakeoverIsLoggedWithItsPredecessor(t *testing.T) {
+	unheld := released(testToken-1, quetzalwork.ReleasedLeases{})
+	later := quetzalwork.Member{Entry: "e1", Incarnation: 2, Address: "e1"}
+	heldBy := fmt.Sprintf("Revision%dIncarnation1Entrye1", heldByE1.Revision)
+	for name, test := range map[string]struct {
+		duty   quetzalwork.Duty
+		member quetzalwork.Member
+		reason string
+		proof  quetzalwork.ProofKind
+	}{
+		"first":             {quetzalwork.Duty{}, mayBeAlive, "None", quetzalwork.ProofNoDispatcher},
+		"released":          {unheld, mayBeAlive, fmt.Sprintf("ReleasedRevision%d", unheld.Revision), quetzalwork.ProofRelease},
+		"silent":            {heldByE1, mayBeAlive, "Silent" + heldBy, quetzalwork.ProofLastRenewal},
+		"killed, restarted": {heldByE1, later, "Replaced" + heldBy, quetzalwork.ProofLaterProcess},
+		"killed, row gone":  {heldByE1, quetzalwork.Member{Entry: "e5", Incarnation: 1, Address: "e5"}, "Silent" + heldBy, quetzalwork.ProofTakeover},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSuccessor(t, test.duty, test.member)
+			s.runUntilTakeover()
+			lines := s.loggedWith(takeoverLine)
+			require.Len(t, lines, 1)
+			require.Equal(t, test.reason, lines[0].Reason)
+			require.Equal(t, test.proof, lines[0].Proof.Kind)
+			require.Equal(t, int64(s.w.Pools.At(s.w.PoolByID.Get(testPool)).Token), lines[0].Version)
+		})
+	}
+}
--- a/quetzalctl/quetzaltimeline/fact.go
+++ b/quetzalctl/quetzaltimeline/fact.go
@@ -11,7 +11,10 @@
 
 // Facts on the terms in which entries dispatch a pool.
 type (
-	termBegan struct{ token quetzalunit.FencingToken }
+	termBegan struct {
+		token quetzalunit.FencingToken
+		from  Predecessor
+	}
 	termEnded struct{ token quetzalunit.FencingToken }
 	// workKnown means that the dispatcher with the token knows the rows that earlier ones stored up to a revision.
 	workKnown struct {
@@ -78,7 +81,9 @@
 
 // messages are the messages of the lines from which facts are read.
 var messages = map[string]func(l *Line) fact{
-	"duty: This entry dispatches the pool.":           func(l *Line) fact { return termBegan{quetzalunit.FencingToken(l.Version)} },
+	"duty: This entry dispatches the pool.": func(l *Line) fact {
+		return termBegan{quetzalunit.FencingToken(l.Version), predecessorOf(l.Reason)}
+	},
 	"duty: This entry no longer dispatches the pool.": func(l *Line) fact { return termEnded{quetzalunit.FencingToken(l.Version)} },
 	"duty: What earlier dispatchers started and stored is known.": func(l *Line) fact {
 		f := workKnown{seen: quetzalunit.Revision(l.Version)}
--- a/quetzalctl/quetzaltimeline/givenup.go
+++ b/quetzalctl/quetzaltimeline/givenup.go
@@ -19,6 +19,7 @@
 		texts = append(texts, r.explainNotice(l)...)
 	}
 	if r.before.Token() != r.run.Token() {
+		texts = append(texts, t.explainTakeover(r)...)
 		texts = append(texts, t.explainPassOver(r)...)
 	}
 	return texts
--- a/quetzalctl/quetzaltimeline/term.go
+++ b/quetzalctl/quetzaltimeline/term.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalunit"
+	"quetzalstair/quetzalcore/quetzalwork"
 )
 
 // Term is a term in which an entry dispatches a pool, as far as the logs show it.
@@ -14,6 +15,10 @@
 	Pool  quetzalunit.PoolID
 	Token quetzalunit.FencingToken
 	Entry quetzalunit.EntryID
+	// From tells from whom the entry has taken over the pool, and TakenBy what shows that nobody else dispatches it. Both are
+	// zero if no line tells them.
+	From    Predecessor
+	TakenBy Proof
 	// Began and Ended are zero if no line shows them. EndReason is why it ended.
 	Began, Ended time.Time
 	EndReason    string
@@ -45,7 +50,8 @@
 		l := &lines[i]
 		switch f := factOf(l).(type) {
 		case termBegan:
-			at(l, f.token).Began = l.Time
+			t := at(l, f.token)
+			t.Began, t.From, t.TakenBy = l.Time, f.from, l.Proof
 		case termEnded:
 			t := at(l, f.token)
 			t.Ended, t.EndReason = l.Time, l.Reason
@@ -81,6 +87,11 @@
 	return during
 }
 
+// contradicts reports whether the proof by which the term began rules out an earlier term, of which a run is.
+func (t *Term) contradicts(run quetzalunit.RunNumber) bool {
+	return t.TakenBy.ProofKind == quetzalwork.ProofNoDispatcher && run.Token() != 0 && run.Token() != t.Token
+}
+
 // String formats the term.
 func (t *Term) String() string {
 	text := fmt.Sprintf("pool %s token %d: %s", t.Pool, t.Token, t.Entry)
