Log the calls to minions that are sent once more

No line told whether the order to start a run was sent twice, or whether a second poll was in flight beside an overdue one and whose answer counted.

Tests: TestRepeatedCallsAreLogged, TestSecondStartShowsTheCallsThatWereRepeated.

--- a/quetzalcore/quetzalscheduler/lostcalls_test.go
+++ b/quetzalcore/quetzalscheduler/lostcalls_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"quetzalstair/quetzalcore/quetzalwork"
 )
 
 // A share of the calls to minions is lost, and carried out late, while a queue has its peak. A lost poll must not keep
@@ -39,3 +41,31 @@
 	const seed = 0xdc87
 	require.Empty(t, playStrictly(seed, allStrict).problems())
 }
+
+// An order to start and a poll beside it have no answer. The log tells that both were sent once more.
+func TestRepeatedCallsAreLogged(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.startsInProgress = true
+	lost := false
+	d.answerPoll = func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
+		in := d.idle(c)
+		if len(d.starts) > 0 && !lost {
+			// The answer to a poll that was not sent is ignored.
+			lost, in.SentAt = true, 0
+		}
+		return in
+	}
+	d.run(2 * time.Second)
+	starts := d.loggedWith("The order to start a run is sent once more.")
+	require.Len(t, starts, 1)
+	require.Equal(t, d.starts[1].Number, starts[0].Run)
+	require.Equal(t, testJob, starts[0].Job)
+	polls := d.loggedWith("A poll is overdue; the answer to the second one counts.")
+	require.Len(t, polls, 1)
+	require.Regexp(t, `^Sent\d+ms$`, polls[0].Reason)
+	for _, l := range append(starts, polls...) {
+		require.EqualValues(t, "m0", l.Minion)
+		require.Positive(t, l.Age)
+		require.True(t, l.Routine)
+	}
+}
--- a/quetzalcore/quetzalscheduler/overdue.go
+++ b/quetzalcore/quetzalscheduler/overdue.go
@@ -1,6 +1,7 @@
 package quetzalscheduler
 
 import (
+	"fmt"
 	"time"
 
 	"quetzalstair/quetzalcore/quetzalwork"
@@ -65,6 +66,10 @@
 		if unanswered {
 			return false
 		}
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartMinion, Message: "A poll is overdue; the answer to the second one counts.", Minion: m.ID, Pool: m.Pool, Version: int64(m.Ends.SeenThrough()),
+			Age: w.Now.Sub(m.PolledAt), Reason: fmt.Sprintf("Sent%dms", w.Now.Sub(m.ProbedAt).Milliseconds()), Routine: true,
+		})
 		// The minion may carry out the poll after the probe.
 		m.PollInFlight, m.PollWait = false, 0
 		abandonAck(w, m)
@@ -92,6 +97,11 @@
 		!usable(w, m) || !mayExtendLeases(w) || !listPermitsStarts(w, w.Pools.At(m.PoolRow)) {
 		return
 	}
+	task := taskName(w, t)
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartMinion, Message: "The order to start a run is sent once more.", Job: task.Job, Task: task.TaskRef, Run: r.Number, Minion: m.ID, Pool: m.Pool,
+		Version: int64(w.Pools.At(m.PoolRow).Token), Age: w.Now.Sub(r.OrderedAt), Routine: true,
+	})
 	r.OrderedAt, r.OrdersInFlight = w.Now, r.OrdersInFlight+1
 	w.Emit(startOrder(w, row, ticketFor(w, s, r.Minion)))
 }
--- a/quetzalctl/quetzaltimeline/fact.go
+++ b/quetzalctl/quetzaltimeline/fact.go
@@ -26,6 +26,8 @@
 // Facts on runs.
 type (
 	runStarted struct{}
+	// startRepeated means that the order to start a run was sent twice, since its answer was overdue.
+	startRepeated struct{}
 	// runCopied means that the task starts again on purpose.
 	runCopied struct{}
 	// endAcknowledged means that the minion may forget the run's end. stored is the revision of the row that records
@@ -47,6 +49,8 @@
 type (
 	// minionChanged means that what a dispatcher knew of a minion's runs and ends may not hold any more.
 	minionChanged struct{}
+	// pollRepeated means that two polls of a minion were in flight, and that the answer to the second one counts.
+	pollRepeated struct{}
 	// runsGivenUp means that a dispatcher no longer counts the runs of a minion, or has removed it.
 	runsGivenUp struct{}
 	// passedOver means that the dispatcher with the token went on without knowing the runs and ends of a minion.
@@ -63,6 +67,8 @@
 func (termEnded) implementsFact()       {}
 func (workKnown) implementsFact()       {}
 func (runStarted) implementsFact()      {}
+func (startRepeated) implementsFact()   {}
+func (pollRepeated) implementsFact()    {}
 func (runCopied) implementsFact()       {}
 func (endAcknowledged) implementsFact() {}
 func (runSuperfluous) implementsFact()  {}
@@ -98,14 +104,16 @@
 		}
 		return endAcknowledged{}
 	},
-	"placement: A copy of a slow run is started.":                 always(runCopied{}),
-	"placement: A run moves to another minion.":                   always(runCopied{}),
-	"placement: A long-running task moves to another minion.":     always(runCopied{}),
-	"minion: A task is done.":                                     always(runDone{}),
-	"minion: A run has failed.":                                   always(runEnded{}),
-	"minion: A run ended without a result.":                       always(runEnded{}),
-	"minion: A minion has crashed under a run.":                   always(runEnded{}),
-	"minion: The minion has neither an accepted run nor its end.": always(runEnded{}),
+	"minion: The order to start a run is sent once more.":             always(startRepeated{}),
+	"minion: A poll is overdue; the answer to the second one counts.": always(pollRepeated{}),
+	"placement: A copy of a slow run is started.":                     always(runCopied{}),
+	"placement: A run moves to another minion.":                       always(runCopied{}),
+	"placement: A long-running task moves to another minion.":         always(runCopied{}),
+	"minion: A task is done.":                                         always(runDone{}),
+	"minion: A run has failed.":                                       always(runEnded{}),
+	"minion: A run ended without a result.":                           always(runEnded{}),
+	"minion: A minion has crashed under a run.":                       always(runEnded{}),
+	"minion: The minion has neither an accepted run nor its end.":     always(runEnded{}),
 	"minion: A run that no longer counted has ended as done.": func(l *Line) fact {
 		if other := quetzalunit.RunNumber(l.Version); other != l.Run {
 			return runSuperfluous{other}
--- a/quetzalctl/quetzaltimeline/givenup_test.go
+++ b/quetzalctl/quetzaltimeline/givenup_test.go
@@ -109,3 +109,15 @@
 	text := explainedAs(t, passedOverLog(`{"time":"2026-01-01T00:01:04.5Z","entry":"e2","job":"aa","pool":"p","version":14,"age_ms":1500,"reason":"NoticeToken20Seen17","message":"store: A job of an earlier term is known without a read."}`), "")
 	require.Equal(t, 2, strings.Count(text, "A job of an earlier term is known without a read. after 1500 ms version 14 (NoticeToken20Seen17)\n"))
 }
+
+const (
+	startRepeatedM1 = `{"time":"2026-01-01T00:01:00.2Z","entry":"e1","job":"aa","pool":"p","minion":"m1","run":15361,"occurrence":0,"step":0,"task":1,"version":15,"age_ms":200,"message":"minion: The order to start a run is sent once more."}`
+	pollRepeatedM1  = `{"time":"2026-01-01T00:01:00.4Z","entry":"e1","pool":"p","minion":"m1","version":6,"age_ms":350,"reason":"Sent90ms","message":"minion: A poll is overdue; the answer to the second one counts."}`
+)
+
+func TestSecondStartShowsTheCallsThatWereRepeated(t *testing.T) {
+	_, text, _ := strings.Cut(explainedAs(t, passedOverLog(startRepeatedM1, pollRepeatedM1, strings.ReplaceAll(pollRepeatedM1, `"m1"`, `"m2"`)), ""), "the logs tell:\n")
+	require.Contains(t, text, "The order to start a run is sent once more. task 0.1 run 15361 of token 15 on m1 after 200 ms token 15\n")
+	require.Contains(t, text, "A poll is overdue; the answer to the second one counts. on m1 after 350 ms end 6 (Sent90ms)\n")
+	require.NotContains(t, text, "on m2 after")
+}
--- a/quetzalctl/quetzaltimeline/restart.go
+++ b/quetzalctl/quetzaltimeline/restart.go
@@ -141,10 +141,13 @@
 // concernedBy reports whether a line tells something of the run before, or of a minion of it.
 func (r *restart) concernedBy(l *Line, meanwhile span) bool {
 	switch f := factOf(l).(type) {
-	case runStarted, runCopied, endAcknowledged, runSuperfluous, runDone, runEnded:
+	case runStarted, startRepeated, runCopied, endAcknowledged, runSuperfluous, runDone, runEnded:
 		return l.Run == r.before && l.TaskRef == r.task
 	case minionChanged, endsConcerned, runsGivenUp, hostWithdrawn:
 		return r.minions[l.Minion] && meanwhile.contains(l.Time) && !l.Time.After(r.startedAt)
+	case pollRepeated:
+		// There may be many during a long run.
+		return r.minions[l.Minion] && span{r.startedAt.Add(-contextTime), r.startedAt}.contains(l.Time)
 	case passedOver:
 		return r.minions[l.Minion] && f.token == r.run.Token() && f.token != r.before.Token()
 	case jobKnown:
--- a/quetzalctl/quetzaltimeline/timeline.go
+++ b/quetzalctl/quetzaltimeline/timeline.go
@@ -189,7 +189,7 @@
 // versionName returns what the version of a line counts.
 func versionName(l *Line) string {
 	switch f := factOf(l).(type) {
-	case termBegan, termEnded, runStarted, passedOver:
+	case termBegan, termEnded, runStarted, startRepeated, passedOver:
 		return "token"
 	case runSuperfluous:
 		return "run"
@@ -199,7 +199,7 @@
 		return "incarnation"
 	case workKnown:
 		return "revision"
-	case endsConcerned:
+	case endsConcerned, pollRepeated:
 		return "end"
 	case endAcknowledged:
 		if f.stored != 0 {
