Name both entries and revisions where an end was stored before a second start

The explanation of a second start told up to which revision the new dispatcher had read the rows, and left it to the reader who had stored the end, at which revision, and how long before the start the rows were read.

It now names the entry and the revision of the acknowledgement, and the entry, revision and time of the reads, with the comparison of the two revisions.

Test: TestSecondStartAfterAnEndThatTheSuccessorHadNotRead requires the new sentences word for word, also those of which it required parts before.

--- a/quetzalctl/quetzaltimeline/restart.go
+++ b/quetzalctl/quetzaltimeline/restart.go
@@ -211,20 +211,27 @@
 
 // explainStored tells whether the dispatcher of a start had read the row that records the end of the run before.
 func (t *Timeline) explainStored(r *restart, l *Line, f endAcknowledged) []string {
-	token := r.run.Token()
 	term := t.termOf(r)
+	stored := fmt.Sprintf("stored at revision %d by %s", f.stored, l.Entry)
 	switch {
 	case f.stored == 0:
 		return nil
-	case term != nil && term.Entry == l.Entry && !l.Time.Before(term.Began):
-		return []string{fmt.Sprintf("    by the dispatcher with token %d itself", token)}
+	case r.acknowledgedItself(l, term):
+		return []string{fmt.Sprintf("    %s, by the dispatcher with token %d itself", stored, term.Token)}
 	case term == nil || term.WorkKnownAt.IsZero():
-		return []string{fmt.Sprintf("    no line tells which rows the dispatcher with token %d had read", token)}
-	case term.Seen >= f.stored:
-		return []string{fmt.Sprintf("    the dispatcher with token %d had read the rows up to revision %d at %s, so this one, too", token, term.Seen, clock(term.WorkKnownAt))}
-	default:
-		return []string{fmt.Sprintf("    NOT READ: the dispatcher with token %d had read the rows only up to revision %d at %s", token, term.Seen, clock(term.WorkKnownAt))}
+		return []string{fmt.Sprintf("    %s; no line tells which rows the dispatcher with token %d had read", stored, r.run.Token())}
+	}
+	read := fmt.Sprintf("%s; %s had read up to revision %d with token %d at %s, %d ms before it placed the task",
+		stored, term.Entry, term.Seen, term.Token, clock(term.WorkKnownAt), r.startedAt.Sub(term.WorkKnownAt).Milliseconds())
+	if term.Seen < f.stored {
+		return []string{fmt.Sprintf("    NOT READ: %s: %d < %d", read, term.Seen, f.stored)}
 	}
+	return []string{fmt.Sprintf("    %s: %d >= %d, so this one, too", read, term.Seen, f.stored)}
+}
+
+// acknowledgedItself reports whether the dispatcher of a start has acknowledged the end of the run before.
+func (r *restart) acknowledgedItself(l *Line, term *Term) bool {
+	return term != nil && term.Entry == l.Entry && !l.Time.Before(term.Began)
 }
 
 // explainOmissions tells which entries have left out routine lines.
--- a/quetzalctl/quetzaltimeline/secondstart_test.go
+++ b/quetzalctl/quetzaltimeline/secondstart_test.go
@@ -52,21 +52,22 @@
     second start of task 0.1; of run 15361 before it (token 15) the logs tell:
       00:01:00.000 e1                     placement: A task is placed. task 0.1 run 15361 of token 15 on m1 token 15
       00:01:02.000 e1                     minion: The end of a run is acknowledged. task 0.1 run 15361 of token 15 on m1 revision 18 (Stored)
-        NOT READ: the dispatcher with token 20 had read the rows only up to revision 17 at 00:01:04.000
+        NOT READ: stored at revision 18 by e1; e2 had read up to revision 17 with token 20 at 00:01:04.000, 1000 ms before it placed the task: 17 < 18
 `, explainedAs(t, log, ""))
-	require.Contains(t, explainedAs(t, strings.ReplaceAll(log, `"version":18`, `"version":16`), ""), "had read the rows up to revision 17 at 00:01:04.000, so this one, too")
+	require.Contains(t, explainedAs(t, strings.ReplaceAll(log, `"version":18`, `"version":16`), ""), "        stored at revision 16 by e1; e2 had read up to revision 17 with token 20 at 00:01:04.000, 1000 ms before it placed the task: 17 >= 16, so this one, too\n")
 	withoutRead := strings.ReplaceAll(log, "What earlier dispatchers", "")
-	require.Contains(t, explainedAs(t, withoutRead, ""), "no line tells which rows the dispatcher with token 20 had read")
+	require.Contains(t, explainedAs(t, withoutRead, ""), "stored at revision 18 by e1; no line tells which rows the dispatcher with token 20 had read")
 	require.Contains(t, explainedAs(t, withoutRead, ""), "pool p token 20: e2 from 00:01:03.000, no line tells when earlier work was known")
 	itself := strings.ReplaceAll(log, `02Z","entry":"e1","job"`, `04Z","entry":"e2","job"`)
-	require.Contains(t, explainedAs(t, itself, ""), "by the dispatcher with token 20 itself")
+	require.Contains(t, explainedAs(t, itself, ""), "stored at revision 18 by e2, by the dispatcher with token 20 itself")
 }
 
 func TestSecondStartAfterAnEndWithoutARecord(t *testing.T) {
 	log := takeoverLog(`{"time":"2026-01-01T00:01:02Z","entry":"e1","job":"aa","pool":"p","minion":"m1","run":15361,"occurrence":0,"step":0,"task":1,"version":7,"reason":"UnknownJob","message":"minion: The end of a run is acknowledged."}`)
 	text := explainedAs(t, log, "")
 	require.Contains(t, text, "on m1 end 7 (UnknownJob)\n")
-	require.NotContains(t, text, "read the rows")
+	require.NotContains(t, text, "stored at revision")
+	require.NotContains(t, text, "had read up to")
 	require.NotContains(t, text, "nothing of how it ended")
 }
 
