Count second starts by their possible causes

`quetzalctl repeats` printed what the logs tell of each second start, and left it to the reader to find what dozens of them have in common.

Each start after a run that is done, or of whose end no line tells, now has a line with its possible causes, in `explain`, too, and `repeats` ends with a table that counts the starts by cause, "NoRecord" included. Copies and starts after failed or lost runs do not count.

Tests: TestRepeatsAreCountedByTheirCauses has a log for each cause, as the entries write the lines; TestStartsAfterLostRunsAreNotCounted. The exact texts of three tests have the new lines.

--- /dev/null
+++ b/quetzalctl/quetzaltimeline/cause_test.go
@@ -0,0 +1,67 @@
+package quetzaltimeline
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// doneM1 tells that run 15361 has ended as done, ackedM1 how its end was acknowledged, by an entry at a time, with a version and a reason.
+const doneM1 = `{"time":"2026-01-01T00:01:00.9Z","entry":"e1","job":"aa","pool":"p","minion":"m1","run":15361,"occurrence":0,"step":0,"task":1,"version":1,"message":"minion: A task is done."}`
+
+func ackedM1(entry, time string, version int, reason string) string {
+	return fmt.Sprintf(`{"time":"2026-01-01T00:%sZ","entry":%q,"job":"aa","pool":"p","minion":"m1","run":15361,"occurrence":0,"step":0,"task":1,"version":%d,"reason":%q,"message":"minion: The end of a run is acknowledged."}`, time, entry, version, reason)
+}
+
+// countedIn returns the causes that the table of repeats counts in a log, each with its count.
+func countedIn(t *testing.T, log string) string {
+	t.Helper()
+	_, table, found := strings.Cut(repeatsIn(t, log), "\nsecond starts by cause, as far as the logs tell; several may fit one:\n")
+	require.True(t, found)
+	var counted []string
+	for line := range strings.Lines(table) {
+		if n, name, _ := strings.Cut(strings.TrimSpace(line), " "); n != "0" {
+			counted = append(counted, n+" "+name)
+		}
+	}
+	return strings.Join(counted, ", ")
+}
+
+func TestRepeatsAreCountedByTheirCauses(t *testing.T) {
+	earlierJob := `{"time":"2026-01-01T00:01:04.5Z","entry":"e2","job":"aa","pool":"p","version":14,"age_ms":1500,"reason":"NoticeToken20Seen17","message":"store: A job of an earlier term is known without a read."}`
+	given := `{"time":"2026-01-01T00:01:04Z","entry":"e2","job":"aa","minion":"m1","run":15361,"step":0,"task":1,"reason":"AbsentLapsed","proof":"Report","proof_age_ms":20,"message":"minion: A run ended without a result."}`
+	for log, expected := range map[string]string{
+		takeoverLog(ackedM1("e1", "01:02", 18, "Stored")):                                             "1 StoredNotRead",
+		takeoverLog(ackedM1("e1", "01:02", 17, "Stored"), passedOverM1):                               "1 StoredAndRead",
+		strings.ReplaceAll(takeoverLog(ackedM1("e1", "01:02", 17, "Stored")), "What earlier", "what"): "1 StoredReadsUnknown",
+		takeoverLog(ackedM1("e2", "01:04.5", 18, "Stored")):                                           "1 StoredItself",
+		takeoverLog(doneM1, ackedM1("e2", "01:06", 18, "Stored")):                                     "1 NoRecord",
+		takeoverLog(doneM1):                                              "1 NoRecord",
+		takeoverLog(doneM1, passedOverM1):                                "1 PassedOver",
+		passedOverLog(passedOverM1):                                      "1 PassedOver",
+		takeoverLog(doneM1, given):                                       "1 GivenUp",
+		takeoverLog(doneM1, startRepeatedM1):                             "1 RepeatedCall",
+		takeoverLog(doneM1, pollRepeatedM1):                              "1 RepeatedCall",
+		takenOver("None", "NoDispatcher"):                                "1 PassedOver, 1 NoDispatcher",
+		takenOver("Unknown", "Takeover"):                                 "1 PassedOver",
+		takeoverLog(doneM1, earlierJob):                                  "1 UnknownJob",
+		takeoverLog(ackedM1("e1", "01:02", 7, "UnknownJob"), earlierJob): "1 UnknownJob",
+		takeoverLog(doneM1, strings.Replace(earlierJob, "e2", "e3", 1)):  "1 NoRecord",
+		takeoverLog(ackedM1("e1", "01:02", 7, "UnknownTask")):            "1 NotRecorded",
+	} {
+		require.Equal(t, expected, countedIn(t, log), log)
+	}
+}
+
+// Run 20481 repeats one that is done; 20482 follows the loss of 20481.
+func TestStartsAfterLostRunsAreNotCounted(t *testing.T) {
+	log := takeoverLog(ackedM1("e1", "01:02", 18, "Stored")) + `
+{"time":"2026-01-01T00:01:08Z","entry":"e2","job":"aa","pool":"p","minion":"m2","run":20481,"step":0,"task":1,"reason":"SilentLapsed","message":"minion: A run ended without a result."}
+{"time":"2026-01-01T00:01:09Z","entry":"e2","job":"aa","pool":"p","minion":"m3","run":20482,"step":0,"task":1,"message":"placement: A task is placed."}`
+	text := repeatsIn(t, log)
+	require.Contains(t, text, "second start of task 0.1; of run 20481 before it")
+	require.Equal(t, 1, strings.Count(text, "possible causes: "))
+	require.Equal(t, "1 StoredNotRead", countedIn(t, log))
+}
--- a/quetzalctl/quetzaltimeline/fact.go
+++ b/quetzalctl/quetzaltimeline/fact.go
@@ -82,8 +82,12 @@
 func (endsForgotten) implementsFact()   {}
 func (endsConcerned) implementsFact()   {}
 
-// reasonStored is the reason of an acknowledged end that a row records.
-const reasonStored = "Stored"
+// Reasons of acknowledged ends.
+const (
+	// reasonStored means that a row records the end, reasonUnknownJob that its job is not known.
+	reasonStored     = "Stored"
+	reasonUnknownJob = "UnknownJob"
+)
 
 // messages are the messages of the lines from which facts are read.
 var messages = map[string]func(l *Line) fact{
--- a/quetzalctl/quetzaltimeline/givenup_test.go
+++ b/quetzalctl/quetzaltimeline/givenup_test.go
@@ -31,6 +31,7 @@
       00:01:04.000 e2                     minion: A minion is passed over whose runs and ends are not known. on m1 after 300 ms token 20 (ListedMissed2) by ReleaseListed of 3400 ms ago
       00:01:05.040 e2                     minion: A run that no longer counted has ended as done. task 0.1 run 15361 of token 15 on m1 run 20481 (OtherRun)
       PASSED OVER by e2 with token 20 at 00:01:04.000: m1 (ListedMissed2) by ReleaseListed of 3400 ms ago, settled 300 ms before
+      possible causes: PassedOver
 00:01:05.040 e2                     minion: A run that no longer counted has ended as done. task 0.1 run 15361 of token 15 on m1 run 20481 (OtherRun)
 `, text)
 }
--- a/quetzalctl/quetzaltimeline/repeat.go
+++ b/quetzalctl/quetzaltimeline/repeat.go
@@ -61,21 +61,30 @@
 	return r
 }
 
-// String formats the second starts of the tasks, each with what the logs tell of the run before.
+// String formats the second starts of the tasks, each with what the logs tell of the run before, and a table of their causes.
 func (r *Repeats) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d tasks were started again although a run of them has ended as done\n", len(r.tasks))
+	counts := make(causeCounts)
 	for _, task := range r.tasks {
 		t := ForJob(r.lines, task.Job, Tasks{one: true, inOccurrence: true, ref: task.TaskRef})
 		fmt.Fprintf(&b, "\njob %s task %s\n", task.Job, taskName(task.TaskRef))
 		for i := range t.Lines {
-			if again, ok := t.restarts[i]; ok && again.task == task.TaskRef {
-				b.WriteString(t.Lines[i].String() + "\n")
-				for _, text := range t.explain(&again) {
-					b.WriteString("    " + text + "\n")
-				}
+			again, ok := t.restarts[i]
+			if !ok || again.task != task.TaskRef {
+				continue
+			}
+			b.WriteString(t.Lines[i].String() + "\n")
+			for _, text := range t.explain(&again) {
+				b.WriteString("    " + text + "\n")
+			}
+			if again.isRepeat() {
+				counts.add(t.causesOf(&again))
 			}
 		}
 	}
+	if len(r.tasks) > 0 {
+		b.WriteString("\n" + counts.String())
+	}
 	return b.String()
 }
--- a/quetzalctl/quetzaltimeline/repeat_test.go
+++ b/quetzalctl/quetzaltimeline/repeat_test.go
@@ -29,6 +29,21 @@
 	require.Contains(t, text, "\njob bb task 0.7\n")
 	require.Equal(t, 2, strings.Count(text, "PASSED OVER by e2 with token 20 at 00:01:04.000: m1"))
 	require.Equal(t, 2, strings.Count(text, "second start of task"))
+	require.True(t, strings.HasSuffix(text, `
+
+second starts by cause, as far as the logs tell; several may fit one:
+     0 StoredNotRead
+     0 StoredAndRead
+     0 StoredReadsUnknown
+     0 StoredItself
+     2 PassedOver
+     0 GivenUp
+     0 RepeatedCall
+     0 NoDispatcher
+     0 UnknownJob
+     0 NotRecorded
+     0 NoRecord
+`), text)
 }
 
 // A start after an end that was read, as in TestSecondStartAfterAnEndThatTheSuccessorHadNotRead.
--- a/quetzalctl/quetzaltimeline/restart.go
+++ b/quetzalctl/quetzaltimeline/restart.go
@@ -181,6 +181,9 @@
 		texts = append(texts, "  nothing of how it ended")
 		texts = append(texts, r.explainOmissions()...)
 	}
+	if r.isRepeat() {
+		texts = append(texts, "  possible causes: "+causeNames(t.causesOf(r)))
+	}
 	return texts
 }
 
--- a/quetzalctl/quetzaltimeline/secondstart_test.go
+++ b/quetzalctl/quetzaltimeline/secondstart_test.go
@@ -53,6 +53,7 @@
       00:01:00.000 e1                     placement: A task is placed. task 0.1 run 15361 of token 15 on m1 token 15
       00:01:02.000 e1                     minion: The end of a run is acknowledged. task 0.1 run 15361 of token 15 on m1 revision 18 (Stored)
         NOT READ: stored at revision 18 by e1; e2 had read up to revision 17 with token 20 at 00:01:04.000, 1000 ms before it placed the task: 17 < 18
+      possible causes: StoredNotRead
 `, explainedAs(t, log, ""))
 	require.Contains(t, explainedAs(t, strings.ReplaceAll(log, `"version":18`, `"version":16`), ""), "        stored at revision 16 by e1; e2 had read up to revision 17 with token 20 at 00:01:04.000, 1000 ms before it placed the task: 17 >= 16, so this one, too\n")
 	withoutRead := strings.ReplaceAll(log, "What earlier dispatchers", "")
