Tell from the logs when dropped ends explain a second start

If no entry has a line of the acknowledgement of the first run's end, and ends of its minion were discarded or left out before the second start, one sentence says so, with the routine lines that were left out meanwhile; `repeats` counts it as EndsDropped.

Tests: TestSecondStartAfterDroppedEndsTellsThatNoneWasAcknowledged, and four logs more in TestRepeatsAreCountedByTheirCauses.

--- a/quetzalctl/quetzaltimeline/cause.go
+++ b/quetzalctl/quetzaltimeline/cause.go
@@ -12,6 +12,9 @@
 type cause string
 
 const (
+	// causeEndsDropped means that ends of the minion were discarded, or left out of an answer, and no entry has acknowledged the
+	// end of the run before.
+	causeEndsDropped cause = "EndsDropped"
 	// causeNotRead means that another dispatcher had stored the end, at a revision up to which the one of the start had not read
 	// the rows; causeRead that it had; and causeReadsUnknown that no line tells that.
 	causeNotRead      cause = "StoredNotRead"
@@ -37,7 +40,7 @@
 
 // causes are all causes in the order of the table.
 var causes = []cause{
-	causeNotRead, causeRead, causeReadsUnknown, causeStoredItself, causePassedOver, causeGivenUp, causeRepeatedCall, causeNoDispatcher, causeUnknownJob, causeNotRecorded, causeNoRecord,
+	causeEndsDropped, causeNotRead, causeRead, causeReadsUnknown, causeStoredItself, causePassedOver, causeGivenUp, causeRepeatedCall, causeNoDispatcher, causeUnknownJob, causeNotRecorded, causeNoRecord,
 }
 
 // causeCounts counts second starts by their possible causes.
@@ -110,6 +113,7 @@
 		}
 	}
 	if len(found) == 0 {
+		found = appendIf(found, len(r.droppedEnds()) > 0, causeEndsDropped)
 		found = appendIf(found, passed, causePassedOver)
 		found = appendIf(found, r.givenUpBy() != nil, causeGivenUp)
 		found = appendIf(found, repeated, causeRepeatedCall)
--- a/quetzalctl/quetzaltimeline/cause_test.go
+++ b/quetzalctl/quetzaltimeline/cause_test.go
@@ -15,6 +15,11 @@
 	return fmt.Sprintf(`{"time":"2026-01-01T00:%sZ","entry":%q,"job":"aa","pool":"p","minion":"m1","run":15361,"occurrence":0,"step":0,"task":1,"version":%d,"reason":%q,"message":"minion: The end of a run is acknowledged."}`, time, entry, version, reason)
 }
 
+const (
+	discardedM1 = `{"time":"2026-01-01T00:01:02Z","entry":"e1","pool":"p","minion":"m1","version":4,"age_ms":30,"reason":"WithdrawnEnds2From3Through4","message":"minion: Ends of the minion that are not acknowledged are discarded."}`
+	leftOutM1   = `{"time":"2026-01-01T00:01:02.1Z","entry":"e1","pool":"p","minion":"m1","version":4,"age_ms":70,"reason":"Seen2","message":"minion: An answer leaves out ends that count as new."}`
+)
+
 // countedIn returns the causes that the table of repeats counts in a log, each with its count.
 func countedIn(t *testing.T, log string) string {
 	t.Helper()
@@ -38,6 +43,10 @@
 		strings.ReplaceAll(takeoverLog(ackedM1("e1", "01:02", 17, "Stored")), "What earlier", "what"): "1 StoredReadsUnknown",
 		takeoverLog(ackedM1("e2", "01:04.5", 18, "Stored")):                                           "1 StoredItself",
 		takeoverLog(doneM1, ackedM1("e2", "01:06", 18, "Stored")):                                     "1 NoRecord",
+		takeoverLog(doneM1, discardedM1):                                                              "1 EndsDropped",
+		takeoverLog(doneM1, discardedM1, ackedM1("e2", "01:06", 18, "Stored")):                        "1 NoRecord",
+		takeoverLog(doneM1, strings.ReplaceAll(discardedM1, "m1", "m2")):                              "1 NoRecord",
+		takeoverLog(doneM1, leftOutM1, passedOverM1):                                                  "1 EndsDropped, 1 PassedOver",
 		takeoverLog(doneM1):                                              "1 NoRecord",
 		takeoverLog(doneM1, passedOverM1):                                "1 PassedOver",
 		passedOverLog(passedOverM1):                                      "1 PassedOver",
@@ -65,3 +74,18 @@
 	require.Equal(t, 1, strings.Count(text, "possible causes: "))
 	require.Equal(t, "1 StoredNotRead", countedIn(t, log))
 }
+
+// An acknowledgement that is missing may be among the lines that were left out.
+func TestSecondStartAfterDroppedEndsTellsThatNoneWasAcknowledged(t *testing.T) {
+	omitted := `{"time":"2026-01-01T00:01:02.9Z","entry":"e1","omitted":5,"message":"log: Routine lines were omitted."}`
+	text := explainedAs(t, takeoverLog(doneM1, discardedM1, leftOutM1, omitted), "")
+	require.Contains(t, text, `
+      00:01:02.000 e1                     minion: Ends of the minion that are not acknowledged are discarded. on m1 after 30 ms end 4 (WithdrawnEnds2From3Through4)
+      00:01:02.100 e1                     minion: An answer leaves out ends that count as new. on m1 after 70 ms end 4 (Seen2)
+      NOT ACKNOWLEDGED: no line of any entry acknowledges the end of the run; before the start, e1 discarded ends of m1 at 00:01:02.000 (WithdrawnEnds2From3Through4), and an answer to e1 left out ends of m1 up to 4 at 00:01:02.100 (Seen2)
+      e1 left out 5 routine lines meanwhile
+      possible causes: EndsDropped
+`)
+	text = explainedAs(t, takeoverLog(doneM1, discardedM1, ackedM1("e1", "01:02.5", 18, "Stored")), "")
+	require.NotContains(t, text, "NOT ACKNOWLEDGED")
+}
--- a/quetzalctl/quetzaltimeline/fact.go
+++ b/quetzalctl/quetzaltimeline/fact.go
@@ -57,6 +57,10 @@
 	passedOver struct{ token quetzalunit.FencingToken }
 	// hostWithdrawn means that the host controller has told a dispatcher that a minion's host was withdrawn.
 	hostWithdrawn struct{}
+	// endsDiscarded means that a dispatcher has discarded ends of a minion that it had applied and not acknowledged.
+	endsDiscarded struct{}
+	// endsLeftOut means that the answer of a minion to a poll lacks ends that the dispatcher has not applied.
+	endsLeftOut struct{}
 	// endsForgotten means that it has forgotten ends which nobody has read. The next end that is read shows it.
 	endsForgotten struct{}
 	// endsConcerned means the same of its ends up to a number.
@@ -79,6 +83,8 @@
 func (hostWithdrawn) implementsFact()   {}
 func (jobKnown) implementsFact()        {}
 func (minionChanged) implementsFact()   {}
+func (endsDiscarded) implementsFact()   {}
+func (endsLeftOut) implementsFact()     {}
 func (endsForgotten) implementsFact()   {}
 func (endsConcerned) implementsFact()   {}
 
@@ -124,6 +130,8 @@
 		}
 		return runSuperfluous{}
 	},
+	"minion: Ends of the minion that are not acknowledged are discarded.":    always(endsDiscarded{}),
+	"minion: An answer leaves out ends that count as new.":                   always(endsLeftOut{}),
 	"minion: The runs of a minion are given up.":                             always(runsGivenUp{}),
 	"minion: A minion is removed from the tables with runs or ends.":         always(runsGivenUp{}),
 	"minion: A minion is passed over whose runs and ends are not known.":     func(l *Line) fact { return passedOver{quetzalunit.FencingToken(l.Version)} },
--- a/quetzalctl/quetzaltimeline/givenup.go
+++ b/quetzalctl/quetzaltimeline/givenup.go
@@ -13,7 +13,7 @@
 // explainLoss tells which dispatcher gave up the run before a start, and how that of the start went on without knowing its
 // minion.
 func (t *Timeline) explainLoss(r *restart) []string {
-	var texts []string
+	texts := r.explainDroppedEnds()
 	if l := r.givenUpBy(); l != nil {
 		texts = append(texts, fmt.Sprintf("  GIVEN UP by %s at %s, %d ms before the start: %s%s", l.Entry, clock(l.Time), r.startedAt.Sub(l.Time).Milliseconds(), l.Reason, &l.Proof))
 		texts = append(texts, r.explainNotice(l)...)
@@ -25,6 +25,43 @@
 	return texts
 }
 
+// droppedEnds returns the lines that tell that ends of the minion of the run before were discarded, or left out of an answer, before
+// the start. It returns none if some entry has acknowledged the end of the run.
+func (r *restart) droppedEnds() []*Line {
+	var dropped []*Line
+	for i := range r.told {
+		l := &r.told[i]
+		switch factOf(l).(type) {
+		case endAcknowledged:
+			return nil
+		case endsDiscarded, endsLeftOut:
+			dropped = append(dropped, l)
+		default:
+			// It tells of something else.
+		}
+	}
+	return dropped
+}
+
+// explainDroppedEnds tells that no entry has acknowledged the end of the run before, and which ends of its minion were dropped.
+func (r *restart) explainDroppedEnds() []string {
+	var parts []string
+	for _, l := range r.droppedEnds() {
+		switch factOf(l).(type) {
+		case endsDiscarded:
+			parts = append(parts, fmt.Sprintf("%s discarded ends of %s at %s (%s)", l.Entry, l.Minion, clock(l.Time), l.Reason))
+		case endsLeftOut:
+			parts = append(parts, fmt.Sprintf("an answer to %s left out ends of %s up to %d at %s (%s)", l.Entry, l.Minion, l.Version, clock(l.Time), l.Reason))
+		default:
+			// droppedEnds returns no others.
+		}
+	}
+	if len(parts) == 0 {
+		return nil
+	}
+	return []string{"  NOT ACKNOWLEDGED: no line of any entry acknowledges the end of the run; before the start, " + strings.Join(parts, ", and ")}
+}
+
 // givenUpBy returns the last line before a start that tells that the run before no longer counts without a report of its end, nil
 // if there is none. Lines on the run go before those on all runs of its minion.
 func (r *restart) givenUpBy() *Line {
--- a/quetzalctl/quetzaltimeline/repeat_test.go
+++ b/quetzalctl/quetzaltimeline/repeat_test.go
@@ -32,6 +32,7 @@
 	require.True(t, strings.HasSuffix(text, `
 
 second starts by cause, as far as the logs tell; several may fit one:
+     0 EndsDropped
      0 StoredNotRead
      0 StoredAndRead
      0 StoredReadsUnknown
--- a/quetzalctl/quetzaltimeline/restart.go
+++ b/quetzalctl/quetzaltimeline/restart.go
@@ -143,7 +143,7 @@
 	switch f := factOf(l).(type) {
 	case runStarted, startRepeated, runCopied, endAcknowledged, runSuperfluous, runDone, runEnded:
 		return l.Run == r.before && l.TaskRef == r.task
-	case minionChanged, endsConcerned, runsGivenUp, hostWithdrawn:
+	case minionChanged, endsConcerned, endsDiscarded, endsLeftOut, runsGivenUp, hostWithdrawn:
 		return r.minions[l.Minion] && meanwhile.contains(l.Time) && !l.Time.After(r.startedAt)
 	case pollRepeated:
 		// There may be many during a long run.
@@ -179,6 +179,9 @@
 	texts = append(texts, t.explainLoss(r)...)
 	if !ended {
 		texts = append(texts, "  nothing of how it ended")
+	}
+	if !ended || len(r.droppedEnds()) > 0 {
+		// The line that would tell it may be among them.
 		texts = append(texts, r.explainOmissions()...)
 	}
 	if r.isRepeat() {
--- a/quetzalctl/quetzaltimeline/timeline.go
+++ b/quetzalctl/quetzaltimeline/timeline.go
@@ -199,7 +199,7 @@
 		return "incarnation"
 	case workKnown:
 		return "revision"
-	case endsConcerned, pollRepeated:
+	case endsConcerned, endsDiscarded, endsLeftOut, pollRepeated:
 		return "end"
 	case endAcknowledged:
 		if f.stored != 0 {
