Store progress only under the duty that the dispatcher holds

Callers could see a task run again after its end was done and acknowledged, many at once after one takeover.

Cause: a transaction with progress was conditional on the revisions of the progress rows alone. A dispatcher that still works and hears nothing of a takeover went on storing progress and acknowledging ends while its successor loaded the pool's rows. The successor counts on a read of the changes after the minions' first answers to show that. If that read shows less, as while the store is about to drop its history ("watches hear nothing for a second while changes are made"), all tasks that ended meanwhile start again at once, and are stopped by nobody.

Now the transaction is also conditional on the row that fences the shard, as those with new jobs are. All progress of earlier dispatchers thus has a lower revision than the takeover, and the load that follows it shows all of it, whatever the changes show. A conflict tells the former dispatcher who holds the duty, and its dispatch ends. Without a row that fences the shard the transaction is repeated after the usual delay.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -66,6 +66,13 @@
 	// compactedThrough is the revision up to which the change history has been compacted, of the
 	// minion list listCompactedThrough, of the rows of members and duties membersCompactedThrough.
 	compactedThrough, listCompactedThrough, membersCompactedThrough quetzalunit.Revision
+	// silentSince, if not zero, is the revision after which reads of the changes to members, duties and jobs show none.
+	silentSince quetzalunit.Revision
+}
+
+// isSilent reports whether a read of changes does not show those of a revision.
+func (s *store) isSilent(since, revision quetzalunit.Revision) bool {
+	return since > 0 && s.silentSince > 0 && revision > s.silentSince
 }
 
 // tableKey is the key of a job's row with the pool in whose table it is.
@@ -282,7 +289,7 @@
 		}
 		in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: c.SinceRevision == 0, SeenRevision: s.revision, StoreNow: quetzalunit.StoreTime(e.f.now.Milliseconds()), Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
 		for _, m := range s.members {
-			if m.revision > c.SinceRevision {
+			if m.revision > c.SinceRevision && !s.isSilent(c.SinceRevision, m.revision) {
 				in.Members = append(in.Members, m.Member)
 			}
 		}
@@ -291,7 +298,7 @@
 			in.HostLease = s.hostLease
 		}
 		for id, d := range s.duties {
-			if d.Revision > c.SinceRevision {
+			if d.Revision > c.SinceRevision && !s.isSilent(c.SinceRevision, d.Revision) {
 				in.Duties[id] = d
 			}
 		}
@@ -342,7 +349,7 @@
 			return in
 		}
 		in.Rows = s.find(c.Pool, func(r *quetzalwork.JobRow) bool {
-			return !c.Full && r.Revision > c.SinceRevision || c.Full && rowKey(r) > c.StartKey
+			return !c.Full && r.Revision > c.SinceRevision && !s.isSilent(c.SinceRevision, r.Revision) || c.Full && rowKey(r) > c.StartKey
 		})
 		if c.Full && s.pageSize > 0 && len(in.Rows) > s.pageSize {
 			in.Rows, in.More = in.Rows[:s.pageSize], true
@@ -395,6 +402,9 @@
 			in.Result = quetzalwork.StoreRejected
 			return in
 		}
+		if d := s.duties[c.Pool]; d.Revision != quetzalunit.Revision(c.Token) {
+			in.Result, in.CurrentDuty = quetzalwork.StoreConflict, &d
+		}
 		for i := range c.Rows {
 			if old := s.rows[tableKey{c.Pool, rowKey(&c.Rows[i])}]; old.Revision != c.Rows[i].Revision {
 				in.Result = quetzalwork.StoreConflict
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -11,8 +11,8 @@
 
 const (
 	// maxProgressBatch is the maximum number of jobs in one transaction. The store accepts at most
-	// 100 entries, and a job needs up to three: the condition and the value of its progress row,
-	// and its row without the specification once the job has ended.
+	// 100 entries, of which one is the condition on the duty, and a job needs up to three: the condition
+	// and the value of its progress row, and its row without the specification once the job has ended.
 	maxProgressBatch = 33
 	// progressInterval is the delay after a transaction of a pool, in which further ends of runs
 	// collect for the next one.
@@ -125,6 +125,11 @@
 		// The transaction was sent under an earlier duty of this process for the pool.
 		return
 	}
+	if in.CurrentDuty != nil {
+		if applyDutyRow(w, in.Pool, *in.CurrentDuty); !p.Held || p.Token != in.Token {
+			return
+		}
+	}
 	shard := &p.Shards[in.Shard]
 	shard.StoreProgressInFlight = false
 	if in.Result == quetzalwork.StoreDone {
@@ -144,7 +149,9 @@
 	// conflict, and the newer rows that the conflict returns are merged.
 	shard.StoreProgressNotBefore = w.Now.Add(progressRetryDelay)
 	if in.Result == quetzalwork.StoreConflict {
-		shard.StoreProgressNotBefore = w.Now
+		if in.CurrentDuty == nil {
+			shard.StoreProgressNotBefore = w.Now
+		}
 		mergeConflictRows(w, poolRow, in.CurrentRows)
 	}
 	for _, row := range in.Jobs {
--- a/quetzalcore/quetzalwork/commands.go
+++ b/quetzalcore/quetzalwork/commands.go
@@ -132,7 +132,8 @@
 		SentAt      quetzalunit.Instant
 	}
 	// StoreProgress stores the progress of jobs of one shard in one transaction, provided that each
-	// row still has its expected revision.
+	// row still has its expected revision and the pool's duty the revision Token. What a dispatcher
+	// stores thus precedes the takeover by its successor.
 	StoreProgress struct {
 		Pool  quetzalunit.PoolID
 		Shard quetzalunit.Shard
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -167,6 +167,9 @@
 		Revision quetzalunit.Revision
 		// CurrentRows are the stored rows that caused a conflict.
 		CurrentRows []JobRow
+		// CurrentDuty is the pool's duty if a conflict shows that its revision is not Token, nil otherwise. Its revision is
+		// zero if it could not be read.
+		CurrentDuty *Duty
 	}
 	// CancelStored is the result of StoreCancel.
 	CancelStored struct {
