Find the proof that nobody had dispatched a pool in earlier logs, too

Logs of code before the extended line of a takeover have that proof only beside "What earlier dispatchers started and stored is known.", so that a start it explains was counted as NoRecord. Both lines count now.

--- a/quetzalctl/quetzaltimeline/term.go
+++ b/quetzalctl/quetzaltimeline/term.go
@@ -87,9 +87,10 @@
 	return during
 }
 
-// contradicts reports whether the proof by which the term began rules out an earlier term, of which a run is.
+// contradicts reports whether the proofs of the term rule out an earlier one, of which a run is.
 func (t *Term) contradicts(run quetzalunit.RunNumber) bool {
-	return t.TakenBy.ProofKind == quetzalwork.ProofNoDispatcher && run.Token() != 0 && run.Token() != t.Token
+	first := t.TakenBy.ProofKind == quetzalwork.ProofNoDispatcher || t.Unlisted.ProofKind == quetzalwork.ProofNoDispatcher
+	return first && run.Token() != 0 && run.Token() != t.Token
 }
 
 // String formats the term.
