Count reads of the members only if they show the own renewal before them

What callers could see: two runs of a task at once, or tasks that start again, after an entry has taken a pool over from a dispatcher that works on.

Cause: a read of the rows of members and duties counted by the instant at which it was sent. If reads are behind for longer than memberTimeout, all other members seem dead, and their duties are taken over while they work; a dispatcher whose reads are behind for longer than dutyValidity goes on extending leases after a takeover, which its successor does not expect.

Each renewal returns its revision. A read that is sent after the answer to a renewal and shows less counts like one without an answer, and the log says so.

TestDispatcherWhoseReadsAreBehindExtendsNoLease fails without the check.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -310,7 +310,7 @@
 	case quetzalwork.RenewMember:
 		s.revision++
 		s.members[c.Member.Entry] = versionedMember{c.Member, s.revision}
-		return quetzalwork.MemberRenewed{SentAt: c.SentAt}
+		return quetzalwork.MemberRenewed{Revision: s.revision, SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
 		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, Expected: c.Expected, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
 		if s.duties[c.Pool].Revision == c.Expected && (!c.CheckLease || s.hostLease == c.ExpectedLease) {
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"time"
@@ -63,7 +64,9 @@
 	w.Membership.RenewalInFlight = false
 	if in.Result == quetzalwork.StoreDone {
 		noteStoreAnswer(w)
-		w.Membership.RenewalSentAt = max(w.Membership.RenewalSentAt, in.SentAt)
+		m := &w.Membership
+		m.RenewalSentAt = max(m.RenewalSentAt, in.SentAt)
+		m.RenewedRevision, m.RenewalAnsweredAt = in.Revision, w.Now
 	}
 }
 
@@ -81,7 +84,7 @@
 		m.SeenRevision = 0
 		readMembers(w)
 	}
-	if in.Result != quetzalwork.StoreDone {
+	if in.Result != quetzalwork.StoreDone || isBehind(w, in) {
 		return
 	}
 	m.SeenRevision = in.SeenRevision
@@ -124,6 +127,20 @@
 	}
 }
 
+// isBehind reports whether a read shows less than a renewal of this process that was answered before the read was sent. Such a
+// read proves neither that this process still holds its duties nor that others do not renew their rows.
+func isBehind(w *quetzalwork.World, in *quetzalwork.MembersRead) bool {
+	m := &w.Membership
+	if in.SentAt < m.RenewalAnsweredAt || in.SeenRevision >= m.RenewedRevision {
+		return false
+	}
+	w.Log(quetzalwork.Decision{
+		Part: quetzalwork.PartStore, Message: "A read of the members is behind.", Version: int64(in.SeenRevision), Age: ageOf(w, m.ReadAt),
+		Reason: fmt.Sprintf("Renewed%d", m.RenewedRevision),
+	})
+	return true
+}
+
 // noteReachable notes whether the store has answered a read of the rows of members, and logs changes.
 func noteReachable(w *quetzalwork.World, reachable bool) {
 	m := &w.Membership
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -21,7 +21,9 @@
 	// readsFail makes reads of the duties fail, rowsFail reads of the pool's rows. rows is what a
 	// read of the pool's rows returns.
 	readsFail, rowsFail bool
-	rows                []quetzalwork.JobRow
+	// renewed is the revision of renewals of the member row.
+	renewed quetzalunit.Revision
+	rows    []quetzalwork.JobRow
 	// readRows, if not nil, answers reads of the pool's rows instead of rows.
 	readRows func(quetzalwork.ReadPoolJobs) quetzalwork.Input
 	// minions is the list of minions. lookBack answers reads that tell which have left it before; its
@@ -102,7 +104,7 @@
 func (d *dispatcher) perform(cmd quetzalwork.Command) quetzalwork.Input {
 	switch cmd := cmd.(type) {
 	case quetzalwork.RenewMember:
-		return quetzalwork.MemberRenewed{SentAt: cmd.SentAt}
+		return quetzalwork.MemberRenewed{Revision: d.renewed, SentAt: cmd.SentAt}
 	case quetzalwork.ReadMembers:
 		if d.readsFail {
 			return quetzalwork.MembersRead{Result: quetzalwork.StoreUnanswered}
@@ -261,6 +263,27 @@
 	require.NotEmpty(t, d.starts)
 }
 
+// Reads of the duties that are behind the renewals of the dispatcher's own row show no takeover.
+func TestDispatcherWhoseReadsAreBehindExtendsNoLease(t *testing.T) {
+	d := newDispatcher(t)
+	d.answerPoll = d.idle
+	d.run(2 * time.Second)
+	d.renewed = testToken + 1
+	d.run(7 * time.Second)
+	d.polls = nil
+	row := accepted(testJob, testToken)
+	d.tick(quetzalwork.PeerMessageReceived{Caller: 1, Message: quetzalwork.NotifyAccepted{Pool: testPool, Jobs: []quetzalwork.JobRow{row}}})
+	d.run(2 * time.Second)
+	require.Empty(t, d.starts)
+	for _, poll := range d.polls {
+		require.Zero(t, poll.LeaseEnd)
+	}
+	require.NotEmpty(t, d.loggedWith("A read of the members is behind."))
+	d.renewed = testToken
+	d.run(2 * time.Second)
+	require.NotEmpty(t, d.starts)
+}
+
 // A job that was stored under a later duty belongs to a successor that may have started it already.
 func TestJobStoredUnderALaterDutyIsNotStarted(t *testing.T) {
 	d := newDispatcher(t)
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -351,6 +351,10 @@
 	Heartbeat quetzalunit.Heartbeat
 	// RenewalSentAt is when the last successful renewal was sent; zero before the first.
 	RenewalSentAt quetzalunit.Instant
+	// RenewedRevision is the revision of the last successful renewal, RenewalAnsweredAt when it was answered. Reads that are
+	// sent later show it, unless they are behind.
+	RenewedRevision   quetzalunit.Revision
+	RenewalAnsweredAt quetzalunit.Instant
 	// ReadAt is the instant of the last successful read.
 	ReadAt quetzalunit.Instant
 	// ReadSentAt is when the last successful read was sent. The read confirms that until then
--- a/quetzalcore/quetzalwork/inputs.go
+++ b/quetzalcore/quetzalwork/inputs.go
@@ -96,7 +96,9 @@
 	// MemberRenewed is the result of RenewMember.
 	MemberRenewed struct {
 		Result StoreResult
-		SentAt quetzalunit.Instant
+		// Revision is that of the renewed row.
+		Revision quetzalunit.Revision
+		SentAt   quetzalunit.Instant
 	}
 	// DutyWritten is the result of WriteDuty.
 	DutyWritten struct {
