Rig: one listener carries all links of an entry

A rig of 39 entries and 350 minions has 15,210 links. Each had a listener of its own, and with the connections they need more than the 20,000 files that a process may have open here. Now the links of an entry share a listener and are told apart by the loopback address to which the entry connects.

--- a/quetzalproof/link_test.go
+++ b/quetzalproof/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
@@ -59,7 +60,6 @@
 	// fromZone and toZone are the zones of both ends; the platform's services have none.
 	fromZone, toZone quetzalunit.ZoneID
 	toStore          bool
-	listener         net.Listener
 
 	mu     sync.Mutex
 	faults []*linkFault
@@ -90,32 +90,72 @@
 	at   time.Time
 }
 
-// addLink starts a link of an entry to an address and returns the address to use instead.
-func (r *rig) addLink(from *rigEntry, target quetzalunit.Address, zone quetzalunit.ZoneID) quetzalunit.Address {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// gate accepts the connections of the links of an entry. Each link has a loopback address of its own at the port of the gate, since
+// the links of a large fleet are more than the files that a process may have open.
+type gate struct {
+	listener net.Listener
+	// links has the links by the last two bytes of their loopback addresses.
+	links []*link
+}
+
+const (
+	loopbackNet  = 127
+	gateNet      = 1
+	valuesOfByte = 256
+)
+
+// openGate opens the gate of an entry. The caller adds its links before it calls serve.
+func (r *rig) openGate() *gate {
+	listener, err := net.Listen("tcp4", "0.0.0.0:0")
 	require.NoError(r.t, err)
-	l := &link{
-		rig: r, from: from.Entry, target: target, fromZone: from.Zone, toZone: zone, listener: listener,
-		changed: make(chan struct{}), conns: make(map[*linkConn]bool),
-	}
-	r.links = append(r.links, l)
+	g := &gate{listener: listener}
 	r.t.Cleanup(func() {
 		_ = listener.Close()
-		l.closeConns()
+		for _, l := range g.links {
+			l.closeConns()
+		}
 	})
-	go l.accept()
-	return quetzalunit.Address(listener.Addr().String())
+	return g
 }
 
-// accept opens a connection to the target for each one that it accepts, until the listener is closed.
-func (l *link) accept() {
+// addLink adds a link of an entry to an address and returns the address to use instead.
+func (r *rig) addLink(from *rigEntry, target quetzalunit.Address, zone quetzalunit.ZoneID) quetzalunit.Address {
+	g := from.gate
+	l := &link{
+		rig: r, from: from.Entry, target: target, fromZone: from.Zone, toZone: zone,
+		changed: make(chan struct{}), conns: make(map[*linkConn]bool),
+	}
+	n := len(g.links)
+	g.links, r.links = append(g.links, l), append(r.links, l)
+	_, port, err := net.SplitHostPort(g.listener.Addr().String())
+	require.NoError(r.t, err)
+	return quetzalunit.Address(fmt.Sprintf("%d.%d.%d.%d:%s", loopbackNet, gateNet, n/valuesOfByte, n%valuesOfByte, port))
+}
+
+// serve opens a connection to the target of a link for each one that the gate accepts, until the listener is closed.
+func (g *gate) serve() {
 	for {
-		c, err := l.listener.Accept()
+		c, err := g.listener.Accept()
 		if err != nil {
 			return
 		}
-		go l.connect(c.(*net.TCPConn)) //nolint:forcetypeassert // the listener is one of TCP
+		caller := c.(*net.TCPConn) //nolint:forcetypeassert // the listener is one of TCP
+		if l := g.linkOf(caller); l != nil {
+			go l.connect(caller)
+		} else {
+			_ = caller.Close() // the connection is none of an entry
+		}
+	}
+}
+
+// linkOf returns the link to whose address a connection was opened, nil if there is none.
+func (g *gate) linkOf(c *net.TCPConn) *link {
+	at := c.LocalAddr().(*net.TCPAddr).IP.To4() //nolint:forcetypeassert // the network is TCP
+	n := int(at[2])*valuesOfByte + int(at[3])
+	if at[0] != loopbackNet || at[1] != gateNet || n >= len(g.links) {
+		return nil
 	}
+	return g.links[n]
 }
 
 // connect connects a caller to the target once the link is not cut.
--- a/quetzalproof/rig_test.go
+++ b/quetzalproof/rig_test.go
@@ -21,6 +21,7 @@
 	*process
 	quetzalplatformstandin.EntrySpec
 	settings string
+	gate     *gate
 	// ending reports whether the rig ends the process. The rig's lock guards it.
 	ending bool
 }
@@ -152,6 +153,7 @@
 	require.NoError(r.t, err)
 	r.hosts = hosts
 	for _, e := range r.entries {
+		e.gate = r.openGate()
 		store, err := r.fleet.ServeStore(e.Entry)
 		require.NoError(r.t, err)
 		e.Store, e.Hosts = r.addLink(e, store, ""), r.addLink(e, hosts, "")
@@ -166,6 +168,7 @@
 				r.fleet.View(e.Entry, listens, r.addLink(e, listens, peer.Zone))
 			}
 		}
+		go e.gate.serve()
 		require.NoError(r.t, quetzalplatformstandin.WriteSettings(e.settings, &e.EntrySpec))
 	}
 }
