Soak: a fleet of 39 entries and 350 minions in five zones

The shape large has its size, with four pools and a spare one. The shape crowd has the same entries and faults with 62 minions.

--- a/quetzalproof/rig_test.go
+++ b/quetzalproof/rig_test.go
@@ -67,14 +67,23 @@
 	// pool; otherwise minions take turns in the pools.
 	pools []quetzalunit.PoolID
 	hosts []int
+	// zoneSizes, if not empty, has the number of the entries of each zone; otherwise entries take turns in the zones.
+	zoneSizes []int
 	// cores is the capacity of each minion.
 	cores quetzalunit.MilliCores
 	// direct reports whether entries call minions without links between them.
 	direct bool
-	// cpuShare is the part of a core that entries are told to have; 0 stands for the default of the stand-in.
-	cpuShare float64
+	// cpuShare is the part of a core that entries are told to have; 0 stands for the default of the stand-in. The first
+	// strongEntries of each zone are told to have strongShare.
+	cpuShare      float64
+	strongEntries int
+	// jobPause is the mean time between two jobs of a soak.
+	jobPause time.Duration
 }
 
+// strongShare is the part of a core that strong entries are told to have.
+const strongShare = 0.8
+
 // hostsPerRack is the number of hosts in a rack.
 const hostsPerRack = 4
 
@@ -89,12 +98,22 @@
 	return s.pools[minion%len(s.pools)]
 }
 
+// placeOf returns the zone of an entry and its index within it.
+func (s *rigSpec) placeOf(entry int) (zone, index int) {
+	for i, n := range s.zoneSizes {
+		if entry < n {
+			return i, entry
+		}
+		entry -= n
+	}
+	return entry % s.zones, entry / s.zones
+}
+
 func zoneName(i int) quetzalunit.ZoneID {
 	return quetzalunit.ZoneID("zone-" + string(rune('a'+i)))
 }
 
-// newRig starts a rig and waits until its entries are ready. Entries and minions take turns in the zones, minions in
-// the pools.
+// newRig starts a rig and waits until its entries are ready. Minions take turns in the zones.
 func newRig(t testing.TB, s *rigSpec) *rig {
 	t.Helper()
 	r := &rig{t: t, dir: s.dir, direct: s.direct, rng: rand.New(rand.NewPCG(s.Seed, 1))}
@@ -117,8 +136,12 @@
 	}
 	r.configure(s.pools)
 	for i := range s.entries {
-		r.addEntry(quetzalunit.EntryID(fmt.Sprint("entry-", i)), zoneName(i%s.zones))
+		zone, index := s.placeOf(i)
+		r.addEntry(quetzalunit.EntryID(fmt.Sprint("entry-", i)), zoneName(zone))
 		r.entries[i].CPUShare = s.cpuShare
+		if index < s.strongEntries {
+			r.entries[i].CPUShare = strongShare
+		}
 	}
 	r.connect()
 	for _, e := range r.entries {
--- a/quetzalproof/sitefault_test.go
+++ b/quetzalproof/sitefault_test.go
@@ -53,11 +53,27 @@
 		Links linkKind
 		Fault linkFault
 	}
-	// entriesEnded ends entries, one Gap after the other, and starts each again after Down.
+	// entriesEnded ends entries, one Gap after the other, and starts each again after Down. With PowerOff nobody learns of the end
+	// of their connections.
 	entriesEnded struct {
 		Entries   []int
 		Signal    syscall.Signal
 		Gap, Down time.Duration
+		PowerOff  bool
+	}
+	// zonesCut disturbs the links between some zones and the others. The store and the list of hosts are beyond the cut if
+	// StoreBeyond is true, on the side of the zones if it is false. With OneWay only what the zones send is held back.
+	zonesCut struct {
+		Zones               []quetzalunit.ZoneID
+		StoreBeyond, OneWay bool
+		Fault               linkFault
+	}
+	// poolLeaves lets a share of the minions of a pool drain and leave, or replaces them at once.
+	poolLeaves struct {
+		Pool     quetzalunit.PoolID
+		Share    float64
+		Replaced bool
+		Seed     uint64
 	}
 	// poolCut disturbs the links between some entries and a share of the minions of a pool.
 	poolCut struct {
@@ -111,6 +127,8 @@
 func (dispatcherEnded) siteFault() {}
 func (dispatcherCut) siteFault()   {}
 func (entriesEnded) siteFault()    {}
+func (zonesCut) siteFault()        {}
+func (poolLeaves) siteFault()      {}
 func (poolCut) siteFault()         {}
 func (hostsCut) siteFault()        {}
 func (poolDisturbed) siteFault()   {}
@@ -130,6 +148,17 @@
 		s.cutDispatcher(f, length)
 	case entriesEnded:
 		s.endInTurn(f)
+	case zonesCut:
+		s.cutZones(f, length)
+	case poolLeaves:
+		ids, _ := s.fleet.MinionsOf(f.Pool)
+		if ids = share(ids, f.Share, f.Seed); !f.Replaced {
+			s.fleet.DrainMinions(ids)
+			return
+		}
+		for _, id := range ids {
+			s.fleet.ReplaceMinion(id)
+		}
 	case poolCut:
 		_, addresses := s.fleet.MinionsOf(f.Pool)
 		addresses = share(addresses, f.Share, f.Seed)
@@ -180,6 +209,43 @@
 	}
 }
 
+// cutZones disturbs the links between some zones and the others. The minions beyond the cut do not reach the store.
+func (s *soak) cutZones(f zonesCut, length time.Duration) {
+	inside := func(zone quetzalunit.ZoneID) bool {
+		if zone == "" { // that of the store and of the list of hosts
+			return !f.StoreBeyond
+		}
+		return slices.Contains(f.Zones, zone)
+	}
+	var ends []func()
+	for _, l := range s.links {
+		if inside(l.fromZone) == inside(l.toZone) {
+			continue
+		}
+		fault := f.Fault
+		if f.OneWay {
+			fault = cutAnswers{}
+			if inside(l.fromZone) {
+				fault = cutRequests{}
+			}
+		}
+		ends = append(ends, l.begin(fault))
+	}
+	if !f.OneWay || f.StoreBeyond {
+		var beyond []int
+		for n, m := range s.minions {
+			if inside(m.zone) != inside("") {
+				beyond = append(beyond, n)
+			}
+		}
+		ends = append(ends, s.fleet.BeginMinionFault(quetzalplatformstandin.CutFromStore{}, s.minionIDs(beyond)...))
+	}
+	time.Sleep(length)
+	for _, end := range ends {
+		end()
+	}
+}
+
 // endDispatcher takes the dispatcher of a pool out of service, once there is one.
 func (s *soak) endDispatcher(f dispatcherEnded) {
 	const patience, period = 2 * time.Second, 20 * time.Millisecond
@@ -266,7 +332,16 @@
 func (s *soak) endInTurn(f entriesEnded) {
 	var restarts sync.WaitGroup
 	for _, n := range f.Entries {
-		restarts.Go(func() { s.whileRunning(n, func(e *rigEntry) { s.restart(e, f.Signal, f.Down) }) })
+		restarts.Go(func() {
+			s.whileRunning(n, func(e *rigEntry) {
+				if f.PowerOff {
+					for _, l := range e.gate.links {
+						l.silence()
+					}
+				}
+				s.restart(e, f.Signal, f.Down)
+			})
+		})
 		time.Sleep(f.Gap)
 	}
 	restarts.Wait()
--- a/quetzalproof/siteplan_test.go
+++ b/quetzalproof/siteplan_test.go
@@ -40,10 +40,15 @@
 	}
 	s.addBlackout(quietStart + s.upTo(day))
 	s.list = append(s.list, s.plan(day)...)
+	return s.withinDay()
+}
+
+// withinDay returns the faults of the day in the order of their times.
+func (s *siteSource) withinDay() []plannedFault {
 	for i := range s.list {
-		s.list[i].Length = min(s.list[i].Length, max(0, day-s.list[i].At))
+		s.list[i].Length = min(s.list[i].Length, max(0, s.day-s.list[i].At))
 	}
-	s.list = slices.DeleteFunc(s.list, func(p plannedFault) bool { return p.At >= day })
+	s.list = slices.DeleteFunc(s.list, func(p plannedFault) bool { return p.At >= s.day })
 	slices.SortStableFunc(s.list, func(a, b plannedFault) int { return int(a.At - b.At) })
 	return s.list
 }
--- a/quetzalproof/siteshape_test.go
+++ b/quetzalproof/siteshape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"quetzalstair/platform/quetzalplatformstandin"
@@ -17,10 +18,17 @@
 	// siteShape has the size of a site of the users: nine entries, four pools and a spare one, hosts that move by load, waves,
 	// jobs with occurrences and with tasks that last.
 	siteShape fleetShape = "site"
+	// largeShape has the size of the largest site of the users: 39 entries in five zones, 350 minions, four pools and a spare one.
+	// Zones are cut from each other, the store is slow, the feed falls behind, and all entries lose power at once.
+	largeShape fleetShape = "large"
+	// crowdShape has the entries and the faults of largeShape with fewer minions and jobs, for short runs.
+	crowdShape fleetShape = "crowd"
 )
 
 // valid reports whether a shape is known.
-func (s fleetShape) valid() bool { return s == smallShape || s == siteShape }
+func (s fleetShape) valid() bool {
+	return slices.Contains([]fleetShape{smallShape, siteShape, largeShape, crowdShape}, s)
+}
 
 // specOf draws the size of a rig.
 func specOf(shape fleetShape, seed uint64, rng *rand.Rand, dir string) *rigSpec {
@@ -28,16 +36,37 @@
 		shape: shape, Options: quetzalplatformstandin.Options{Seed: seed, ConnsOutlive: rng.IntN(2) == 0, NearClocks: 0.5},
 		dir: dir, zones: 3, entries: 6 + rng.IntN(4), minions: 9 + rng.IntN(4), pools: []quetzalunit.PoolID{"desk", "mill"}, cores: 12000,
 	}
-	if shape == siteShape {
-		spec.entries, spec.minions, spec.cores = 9, 47, 32000
-		spec.pools, spec.hosts, spec.Spare = []quetzalunit.PoolID{"desk", "mill", "press", "stock"}, []int{9, 9, 10, 11, 8}, "spare"
-		spec.NearClocks += 0.5 * float64(rng.IntN(2))
-		spec.RecordDelay.Most = time.Duration(rng.IntN(800)) * time.Millisecond
-		spec.HostsPerPage, spec.HostsDelay = 10+rng.IntN(30), quetzalplatformstandin.Delay{Most: time.Duration(1+rng.IntN(150)) * time.Millisecond}
+	if shape == smallShape {
+		return spec
+	}
+	spec.pools, spec.Spare, spec.cores = []quetzalunit.PoolID{"desk", "mill", "press", "stock"}, "spare", 32000
+	switch shape {
+	case largeShape:
+		spec.hosts, spec.jobPause = []int{58, 68, 76, 88, 60}, 65*time.Millisecond
+	case crowdShape:
+		spec.hosts, spec.jobPause = []int{10, 12, 14, 16, 10}, 200*time.Millisecond
+	case siteShape, smallShape:
+		spec.hosts, spec.jobPause = []int{9, 9, 10, 11, 8}, 130*time.Millisecond
+	}
+	spec.entries, spec.minions = 9, sum(spec.hosts)
+	if shape != siteShape {
+		spec.zoneSizes, spec.strongEntries = []int{10, 8, 7, 7, 7}, 2
+		spec.zones, spec.entries, spec.cpuShare = len(spec.zoneSizes), sum(spec.zoneSizes), 0.2
 	}
+	spec.NearClocks += 0.5 * float64(rng.IntN(2))
+	spec.RecordDelay.Most = time.Duration(rng.IntN(800)) * time.Millisecond
+	spec.HostsPerPage, spec.HostsDelay = 10+rng.IntN(30), quetzalplatformstandin.Delay{Most: time.Duration(1+rng.IntN(150)) * time.Millisecond}
 	return spec
 }
 
+func sum(list []int) int {
+	total := 0
+	for _, n := range list {
+		total += n
+	}
+	return total
+}
+
 // siteJobs draws the jobs of a site. The queues take turns in their peaks.
 type siteJobs struct {
 	jobSource
@@ -111,7 +140,7 @@
 
 // submitSiteJobs submits jobs until the end of the day and waits for the last answers.
 func (s *soak) submitSiteJobs(seed uint64, day time.Duration) {
-	const meanPause, lasting = 130 * time.Millisecond, 2
+	const lasting = 2
 	rng := rand.New(rand.NewPCG(seed, 0))
 	began := time.Now()
 	source := siteJobs{jobSource: jobSource{rng: rng}, began: began, end: began.Add(day), pools: s.spec.pools}
@@ -122,7 +151,7 @@
 		}
 	}
 	for time.Now().Before(source.end) {
-		time.Sleep(time.Duration(rng.ExpFloat64() * float64(meanPause)))
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(s.spec.jobPause)))
 		all.begin(rng.Uint64(), source.draw())
 	}
 	all.open.Wait()
--- a/quetzalproof/soak_test.go
+++ b/quetzalproof/soak_test.go
@@ -152,10 +152,13 @@
 	s := &soak{rig: newRig(t, spec), spec: spec, seed: seed, busy: make([]sync.Mutex, spec.entries)}
 	var plan []plannedFault
 	submit, limit := s.submitJobs, finishLimit
-	if r.shape == siteShape {
-		plan, submit, limit = planSite(rng, spec, day), s.submitSiteJobs, siteFinishLimit
-	} else {
+	switch r.shape {
+	case smallShape:
 		plan = newFaultSource(rng, spec).plan(day)
+	case siteShape:
+		plan, submit, limit = planSite(rng, spec, day), s.submitSiteJobs, siteFinishLimit
+	case largeShape, crowdShape:
+		plan, submit, limit = planLarge(rng, spec, day), s.submitSiteJobs, siteFinishLimit
 	}
 	s.writeSchedule(plan)
 	s.fleet.SetCalm(false)
