Soak: zones that are cut from each other beside a store that all reach

A site's zones lose each other while the platform answers all of them, so that the dispatcher of a pool and its successor on the two sides both read and write. The store was always on one side. Now it is on both in six of ten cuts, and jobs of 0.2 to 1 s keep pools busy while their dispatchers end beside the cut.

--- a/quetzalproof/largeplan_test.go
+++ b/quetzalproof/largeplan_test.go
@@ -42,19 +42,26 @@
 	return s.withinDay()
 }
 
-// addZoneCut adds a cut of one zone or two from the others, often with takeovers meanwhile.
+// addZoneCut adds a cut of one zone or two from the others while many tasks are at work, with takeovers of some pools meanwhile.
 func (s *siteSource) addZoneCut(at time.Duration) {
-	f := zonesCut{StoreBeyond: s.chance(50), OneWay: s.chance(30), Fault: s.brokenLink()}
+	f := zonesCut{OneWay: s.chance(30), Fault: s.brokenLink()}
 	for _, zone := range s.rng.Perm(s.zones)[:1+s.rng.IntN(2)] {
 		f.Zones = append(f.Zones, zoneName(zone))
 	}
 	if s.chance(50) {
 		f.Fault = cut{}
 	}
+	if s.chance(40) {
+		f.Store = withZones + storeSide(s.rng.IntN(2))
+	}
 	length := 2*time.Second + s.upTo(4*time.Second)
 	s.addAtSite(at, length, f)
-	if s.chance(50) {
-		s.addTakeovers(at+s.upTo(length), s.pools[s.rng.IntN(len(s.pools))])
+	for _, pool := range s.rng.Perm(len(s.pools))[:s.rng.IntN(3)] {
+		s.addAtSite(at-time.Second, length, jobsBurst{Pool: s.pools[pool], Shortest: 200 * time.Millisecond, Longest: time.Second, Seed: s.rng.Uint64()})
+		s.addTakeovers(at+s.upTo(length), s.pools[pool])
+	}
+	if s.chance(30) {
+		s.addLateFeed(at + s.upTo(length))
 	}
 }
 
@@ -105,7 +112,7 @@
 func (s *siteSource) addWithdrawals(at time.Duration, pool quetzalunit.PoolID) {
 	length := 3*time.Second + s.upTo(3*time.Second)
 	s.add(at, length, storeDisturbed{Fault: s.slowStore()})
-	s.addAtSite(at, length, jobsBurst{Pool: pool, Seed: s.rng.Uint64()})
+	s.addAtSite(at, length, s.shortJobs(pool))
 	if s.chance(60) {
 		s.addAtSite(at+s.upTo(time.Second), length, poolDisturbed{Pool: pool, Share: s.rng.Float64(), Fault: s.lateCalls(), Seed: s.rng.Uint64()})
 	}
--- a/quetzalproof/sitefault_test.go
+++ b/quetzalproof/sitefault_test.go
@@ -40,6 +40,15 @@
 	toAll
 )
 
+// storeSide is where the store and the list of hosts are when zones are cut from the others.
+type storeSide int
+
+const (
+	onBothSides storeSide = iota
+	withZones
+	withOthers
+)
+
 type (
 	// dispatcherEnded takes the dispatcher of a pool out of service for Down.
 	dispatcherEnded struct {
@@ -61,12 +70,12 @@
 		Gap, Down time.Duration
 		PowerOff  bool
 	}
-	// zonesCut disturbs the links between some zones and the others. The store and the list of hosts are beyond the cut if
-	// StoreBeyond is true, on the side of the zones if it is false. With OneWay only what the zones send is held back.
+	// zonesCut disturbs the links between some zones and the others. With OneWay only what the zones send is held back.
 	zonesCut struct {
-		Zones               []quetzalunit.ZoneID
-		StoreBeyond, OneWay bool
-		Fault               linkFault
+		Zones  []quetzalunit.ZoneID
+		Store  storeSide
+		OneWay bool
+		Fault  linkFault
 	}
 	// poolLeaves lets a share of the minions of a pool drain and leave, or replaces them at once.
 	poolLeaves struct {
@@ -109,8 +118,9 @@
 	}
 	// jobsBurst submits jobs of short tasks to the queue of a pool.
 	jobsBurst struct {
-		Pool quetzalunit.PoolID
-		Seed uint64
+		Pool              quetzalunit.PoolID
+		Shortest, Longest time.Duration
+		Seed              uint64
 	}
 	// minionsLeave lets minions drain and leave.
 	minionsLeave struct{ Minions []int }
@@ -209,37 +219,34 @@
 	}
 }
 
-// cutZones disturbs the links between some zones and the others. The minions beyond the cut do not reach the store.
+// cutZones disturbs the links between some zones and the others. The minions beyond a cut do not reach the store.
 func (s *soak) cutZones(f zonesCut, length time.Duration) {
-	inside := func(zone quetzalunit.ZoneID) bool {
-		if zone == "" { // that of the store and of the list of hosts
-			return !f.StoreBeyond
-		}
-		return slices.Contains(f.Zones, zone)
-	}
+	inside := func(zone quetzalunit.ZoneID) bool { return slices.Contains(f.Zones, zone) }
 	var ends []func()
 	for _, l := range s.links {
-		if inside(l.fromZone) == inside(l.toZone) {
+		from, to := inside(l.fromZone), inside(l.toZone)
+		if l.toZone == "" {
+			to = from && f.Store == onBothSides || f.Store == withZones
+		}
+		if from == to {
 			continue
 		}
 		fault := f.Fault
-		if f.OneWay {
+		switch {
+		case f.OneWay && from:
+			fault = cutRequests{}
+		case f.OneWay:
 			fault = cutAnswers{}
-			if inside(l.fromZone) {
-				fault = cutRequests{}
-			}
 		}
 		ends = append(ends, l.begin(fault))
 	}
-	if !f.OneWay || f.StoreBeyond {
-		var beyond []int
-		for n, m := range s.minions {
-			if inside(m.zone) != inside("") {
-				beyond = append(beyond, n)
-			}
+	var beyond []int
+	for n, m := range s.minions {
+		if f.Store == withZones && !inside(m.zone) && !f.OneWay || f.Store == withOthers && inside(m.zone) {
+			beyond = append(beyond, n)
 		}
-		ends = append(ends, s.fleet.BeginMinionFault(quetzalplatformstandin.CutFromStore{}, s.minionIDs(beyond)...))
 	}
+	ends = append(ends, s.fleet.BeginMinionFault(quetzalplatformstandin.CutFromStore{}, s.minionIDs(beyond)...))
 	time.Sleep(length)
 	for _, end := range ends {
 		end()
@@ -285,7 +292,7 @@
 			if rng.Float64() >= f.Share {
 				continue
 			}
-			front, pause := s.entries[rng.IntN(len(s.entries))].Front, time.Duration(rng.Int64N(int64(time.Until(until)+period)))
+			front, pause := s.entries[rng.IntN(len(s.entries))].Front, time.Duration(rng.Int64N(int64(max(0, time.Until(until))+period)))
 			calls.Go(func() {
 				time.Sleep(pause)
 				s.caller.Cancel(front, &j)
@@ -302,7 +309,7 @@
 	all := callers{soak: s}
 	for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(period) {
 		all.begin(source.rng.Uint64(), &quetzalplatformstandin.JobSpec{
-			ID: source.id(), Queue: quetzalunit.QueueID(f.Pool), Shortest: 20 * time.Millisecond, Longest: 100 * time.Millisecond,
+			ID: source.id(), Queue: quetzalunit.QueueID(f.Pool), Shortest: f.Shortest, Longest: f.Longest,
 			Steps: []quetzalplatformstandin.StepSpec{{Count: tasks, Cores: cores, MaxPerMinion: 1}},
 		})
 	}
--- a/quetzalproof/siteplan_test.go
+++ b/quetzalproof/siteplan_test.go
@@ -91,7 +91,7 @@
 func (s *siteSource) addRestarts(at time.Duration, pool quetzalunit.PoolID) {
 	const restarts, period = 4, 2 * time.Second
 	polls := quetzalplatformstandin.LatePolls{Share: 1, Delay: quetzalplatformstandin.Delay{Most: 400*time.Millisecond + s.upTo(300*time.Millisecond)}}
-	s.addAtSite(at, restarts*period, jobsBurst{Pool: pool, Seed: s.rng.Uint64()})
+	s.addAtSite(at, restarts*period, s.shortJobs(pool))
 	s.addAtSite(at, restarts*period, poolDisturbed{Pool: pool, Share: 1, Fault: polls, Seed: s.rng.Uint64()})
 	for n := range restarts {
 		down := quetzalplatformstandin.Delay{Least: 20 * time.Millisecond, Most: 200 * time.Millisecond}
@@ -99,6 +99,11 @@
 	}
 }
 
+// shortJobs returns jobs of tasks that end soon.
+func (s *siteSource) shortJobs(pool quetzalunit.PoolID) siteFault {
+	return jobsBurst{Pool: pool, Shortest: 20 * time.Millisecond, Longest: 100 * time.Millisecond, Seed: s.rng.Uint64()}
+}
+
 // addTakeovers adds a series of faults around takeovers of a pool.
 func (s *siteSource) addTakeovers(at time.Duration, pool quetzalunit.PoolID) {
 	if s.chance(15) {
