Stop the runs of a task that a row shows as done

Callers could see a second run of a task go on to its end although the dispatcher knew that the task was done: it was at work twice, and both ends were taken note of.

Cause: progress that is merged from a row finished the task and left its runs alone, unless it was the last task of its job. completeTask stops them for an end that a minion reports.

Evidence: TestRunOfATaskThatARowShowsAsDoneIsStopped, red before.

Now the runs of a task that a row shows as done are stopped as duplicates.

--- a/quetzalcore/quetzalscheduler/acknowledgedend_test.go
+++ b/quetzalcore/quetzalscheduler/acknowledgedend_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"quetzalstair/quetzalcore/quetzalunit"
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
@@ -75,3 +76,20 @@
 	require.Equal(t, d.starts[0].Number, lines[0].Run)
 	require.Equal(t, int64(d.starts[len(d.starts)-1].Number), lines[0].Version, "the run that is at work meanwhile")
 }
+
+// Guards against a run that goes on although a row that becomes known after its start shows its task as done. The task of
+// a job that has further ones is not stopped with the job.
+func TestRunOfATaskThatARowShowsAsDoneIsStopped(t *testing.T) {
+	row := accepted(testJob, testToken)
+	row.Content.(quetzalwork.AcceptedJob).Spec.Steps[0] = smallStep(2)
+	d := newDispatcher(t, row)
+	d.reports(nil)
+	d.run(2 * time.Second)
+	require.Len(t, d.starts, 2)
+	require.Empty(t, d.stops)
+	d.rows = append(d.rows, progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning, Done: []quetzalwork.TaskRef{{Task: 1}}}))
+	d.run(2 * time.Second)
+	require.NotEmpty(t, d.stops)
+	require.Equal(t, quetzalunit.TaskIndex(1), d.stops[0].Task.Task)
+	require.Len(t, d.starts, 2)
+}
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -217,7 +217,7 @@
 			j.Started = true
 			j.Progress.Done = append(j.Progress.Done, ref)
 			if task := findTask(w, row, ref); task != 0 {
-				finishTask(w, task)
+				finishStoredTask(w, task)
 			}
 		}
 	}
@@ -243,12 +243,25 @@
 		}
 		for _, taskRow := range slices.Clone(s.Tasks) {
 			if w.Tasks.At(taskRow) != nil {
-				finishTask(w, taskRow)
+				finishStoredTask(w, taskRow)
 			}
 		}
 	}
 }
 
+// finishStoredTask finishes a task that a row shows as done. Its runs, which were started or adopted without that
+// knowledge, are stopped.
+func finishStoredTask(w *quetzalwork.World, taskRow quetzalwork.Row) {
+	t := w.Tasks.At(taskRow)
+	if t.State == quetzalwork.TaskDone {
+		return
+	}
+	for _, run := range slices.Clone(t.Runs) {
+		stopRun(w, run, quetzalwork.StopDuplicate)
+	}
+	finishTask(w, taskRow)
+}
+
 // recordFailure records a failed run of a task. It returns false if the run is recorded already.
 func recordFailure(w *quetzalwork.World, row quetzalwork.Row, f quetzalwork.TaskFailure) bool {
 	j := w.Jobs.At(row)
