Count reads of a pool's rows only if they are as new as the takeover

Callers could see a task run again after its end was done and acknowledged. Suspected: the store promises answers that are linearizable, and no run has shown one that is not.

Cause: a read counted by the instant at which it was sent, whatever revision it showed. A read of changes, or a later page of a load after the history was dropped, that shows the rows of an earlier moment lacks what the predecessor stored last, and the tasks that ended then started again.

Now a page whose revision is lower than the takeover, or than the pages before it, counts as failed, with "Outdated" and the revisions in the log, and is repeated. All that earlier dispatchers have stored has a lower revision than the takeover since their progress is conditional on the duty. A load of all rows that failed before its first page is read goes on as a load: changes after revision zero would count as outdated. The store of the dispatcher rig answers with the revision of a takeover at least: it answered reads after later takeovers with that of the first.

--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -25,11 +25,12 @@
 		return
 	}
 	p.ReadInFlight = true
-	w.Emit(quetzalwork.ReadPoolJobs{Pool: p.ID, Token: token, Full: !p.JobsLoaded || p.NextKey != "", StartKey: p.NextKey, SinceRevision: p.SeenRevision, SentAt: w.Now})
+	w.Emit(quetzalwork.ReadPoolJobs{Pool: p.ID, Token: token, Full: p.SeenRevision == 0 || p.NextKey != "", StartKey: p.NextKey, SinceRevision: p.SeenRevision, SentAt: w.Now})
 }
 
 // handlePoolRead applies a page of a pool's job rows. Applying a row can end this process's
-// dispatch of the pool (see applyJobRow).
+// dispatch of the pool (see applyJobRow). A page counts only if it is as new as the takeover, which all that earlier
+// dispatchers have stored precedes, and as the pages before it.
 func handlePoolRead(w *quetzalwork.World, in *quetzalwork.PoolJobsRead) {
 	row := poolRow(w, in.Pool)
 	p := w.Pools.At(row)
@@ -37,7 +38,12 @@
 		return
 	}
 	p.ReadInFlight = false
-	logPoolRead(w, p, in.Result)
+	reason := in.Result.String()
+	if in.Result == quetzalwork.StoreDone && in.SeenRevision < max(quetzalunit.Revision(p.Token), p.SeenRevision) {
+		// The read was sent after the takeover and after the reads before it, and the store has answered with earlier rows.
+		in.Result, reason = quetzalwork.StoreUnanswered, fmt.Sprintf("OutdatedToken%dSeen%dRead%d", p.Token, p.SeenRevision, in.SeenRevision)
+	}
+	logPoolRead(w, p, in.Result, reason)
 	switch in.Result {
 	case quetzalwork.StoreDone:
 		for i := range in.Rows {
@@ -50,8 +56,7 @@
 	case quetzalwork.StoreCompacted:
 		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The store has compacted the change history of the pool's rows; reading all rows again.", Pool: p.ID})
 		p.NextKey, p.SeenRevision = "", 0
-		p.ReadInFlight = true
-		w.Emit(quetzalwork.ReadPoolJobs{Pool: p.ID, Token: p.Token, Full: true, SentAt: w.Now})
+		readPool(w, row, p.Token)
 	default:
 		schedulePoolRead(w, row, poolReadRetryDelay)
 	}
@@ -59,14 +64,14 @@
 
 // logPoolRead logs the first of several failed reads of a pool's rows, and the first one after them that succeeds.
 // Without these reads the dispatcher does not learn of jobs and cancellations whose notification was lost.
-func logPoolRead(w *quetzalwork.World, p *quetzalwork.Pool, result quetzalwork.StoreResult) {
+func logPoolRead(w *quetzalwork.World, p *quetzalwork.Pool, result quetzalwork.StoreResult, reason string) {
 	failed := result != quetzalwork.StoreDone && result != quetzalwork.StoreCompacted
 	switch {
 	case failed && p.ReadFailingSince == 0:
 		p.ReadFailingSince = w.Now
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The pool's rows cannot be read.", Pool: p.ID, Age: ageOf(w, p.CompletedReadSentAt), Reason: result.String()})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The pool's rows cannot be read.", Pool: p.ID, Age: ageOf(w, p.CompletedReadSentAt), Reason: reason})
 	case !failed && p.ReadFailingSince != 0:
-		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The pool's rows can be read again.", Pool: p.ID, Age: w.Now.Sub(p.ReadFailingSince), Reason: result.String()})
+		w.Log(quetzalwork.Decision{Part: quetzalwork.PartStore, Message: "The pool's rows can be read again.", Pool: p.ID, Age: w.Now.Sub(p.ReadFailingSince), Reason: reason})
 		p.ReadFailingSince = 0
 	}
 }
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -154,7 +154,9 @@
 		if d.rowsFail {
 			return quetzalwork.PoolJobsRead{Pool: cmd.Pool, Token: cmd.Token, Result: quetzalwork.StoreUnanswered}
 		}
-		return quetzalwork.PoolJobsRead{Pool: cmd.Pool, Token: cmd.Token, Full: cmd.Full, Rows: d.rows, SeenRevision: testToken, SentAt: cmd.SentAt}
+		return quetzalwork.PoolJobsRead{
+			Pool: cmd.Pool, Token: cmd.Token, Full: cmd.Full, Rows: d.rows, SeenRevision: max(testToken, quetzalunit.Revision(cmd.Token)), SentAt: cmd.SentAt,
+		}
 	case quetzalwork.ListMinions:
 		if cmd.LookBack {
 			in := d.lookBack
