Let simulated minions answer as the decoder reads, and check that acknowledged ends are stored

The searches did not meet it: the answers of the simulated minions had all ends, where the decoder leaves out those that had been seen when the poll was sent, and an end that is acknowledged too early showed only if its dispatcher was killed before it stored the end.

Change: the simulated minions leave out these ends and tell so in EndsAfter. The checker requires of each end `done` that is acknowledged that the store has it, or that its job is over, cancelled or not stored.

--- a/quetzalcore/quetzalscheduler/checker_test.go
+++ b/quetzalcore/quetzalscheduler/checker_test.go
@@ -251,6 +251,9 @@
 				continue
 			}
 			r.acknowledged = true
+			if !c.f.store.records(t) {
+				c.violationf("UNSTORED: the end of %v run %d on %s was acknowledged and is not stored", t, r.run, r.minion)
+			}
 			for _, later := range records[i+1:] {
 				if later.startedAt > r.endedAt && !c.step(t).Speculative {
 					c.violationf("TWICE: %v run %d was started after run %d had ended, which was acknowledged", t, later.run, r.run)
@@ -260,6 +263,19 @@
 	}
 }
 
+// records reports whether the stored rows of a job show that a task needs no further run: it is done, or its job is over, cancelled or
+// not stored.
+func (s *store) records(t quetzalwork.TaskID) bool {
+	_, accepted := s.stored(quetzalwork.JobRow{Job: t.Job, Content: quetzalwork.AcceptedJob{}})
+	_, cancelled := s.stored(quetzalwork.JobRow{Job: t.Job, Content: quetzalwork.JobCancellation{}})
+	row, ok := s.stored(quetzalwork.JobRow{Job: t.Job, Content: quetzalwork.JobProgress{}})
+	if !accepted || cancelled || !ok {
+		return !accepted || cancelled
+	}
+	p := row.Content.(quetzalwork.JobProgress).Progress
+	return p.State.Final() || p.DoneOccurrences.Contains(t.Occurrence) || slices.Contains(p.Done, t.TaskRef)
+}
+
 // running returns the number of a job's runs that have not ended.
 func (c *checker) running(id quetzalunit.JobID) int {
 	n := 0
--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -63,6 +63,8 @@
 	maxRowBytes, rejected int
 	// fullListTime is how long a read of the whole minion list takes.
 	fullListTime time.Duration
+	// heldShards are the shards, as bits, whose progress the store neither stores nor answers for.
+	heldShards uint64
 	// compactedThrough is the revision up to which the change history has been compacted, of the
 	// minion list listCompactedThrough, of the rows of members and duties membersCompactedThrough.
 	compactedThrough, listCompactedThrough, membersCompactedThrough quetzalunit.Revision
@@ -132,7 +134,7 @@
 		return
 	}
 	f.call(e.zone, storeZone, timeout, func() func() {
-		if _, ok := c.(quetzalwork.ListMinions); f.storeDown || ok && s.listDown {
+		if _, ok := c.(quetzalwork.ListMinions); f.storeDown || ok && s.listDown || s.holds(c) {
 			return nil
 		}
 		if _, ok := c.(quetzalwork.RenewMember); ok && s.renewalsLost[e.id] {
@@ -206,6 +208,12 @@
 	})
 }
 
+// holds reports whether a command stores progress of a shard in heldShards.
+func (s *store) holds(c quetzalwork.Command) bool {
+	p, ok := c.(quetzalwork.StoreProgress)
+	return ok && s.heldShards>>p.Shard&1 == 1
+}
+
 // enqueue returns how long a transaction waits for its shard and is executed.
 func (s *store) enqueue(now quetzalunit.Instant, c quetzalwork.Command) time.Duration {
 	var shard quetzalunit.Shard
@@ -930,10 +938,15 @@
 	})
 }
 
+// unseenEnds returns the ends that a poll reads from an answer: of those that had been seen when the poll was sent, only the first.
+func unseenEnds(ends []quetzalwork.ReportedEnd, seen quetzalunit.EndNumber) []quetzalwork.ReportedEnd {
+	return slices.DeleteFunc(ends, func(e quetzalwork.ReportedEnd) bool { return e.Number <= seen && e.Number > ends[0].Number })
+}
+
 // poll serves a poll, which also extends the lease. If the command allows a wait and there is no
 // end to report, the answer is delayed until a run ends or the wait is over. The caller waits until the timeout.
 func (m *minion) poll(from *entry, c quetzalwork.PollMinion, timeout time.Duration, post func(quetzalwork.Input)) func() {
-	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt}
+	in := quetzalwork.MinionPolled{Minion: c.Minion, Token: c.Target.Token, SentAt: c.SentAt, EndsAfter: c.SeenThrough}
 	if !m.acceptPoll(c) {
 		in.Result = quetzalwork.OrderFenced{}
 		return func() { post(in) }
@@ -949,6 +962,7 @@
 		if limit := m.f.maxReportedEnds; limit > 0 && len(in.Ends) >= limit {
 			in.Ends, in.MoreEnds = in.Ends[:limit], true
 		}
+		in.Ends = unseenEnds(in.Ends, in.EndsAfter)
 		for _, e := range in.Ends {
 			p.shownThrough = max(p.shownThrough, e.Number)
 		}
--- a/quetzalcore/quetzalscheduler/strictfleet_test.go
+++ b/quetzalcore/quetzalscheduler/strictfleet_test.go
@@ -214,7 +214,7 @@
 		d, duty := c.(quetzalwork.WriteDuty)
 		switch result := st.refused[e.id]; {
 		case !f.reaches(e.zone, storeZone), f.storeDown, list && s.listDown, (renewal || lease) && s.renewalsLost[e.id],
-			duty && !d.Release && s.takeoversLost[e.id], st.partDown != nil && st.partDown(c):
+			duty && !d.Release && s.takeoversLost[e.id], st.partDown != nil && st.partDown(c), s.holds(c):
 			return
 		case result == quetzalwork.StoreRefused:
 			reply(failedInput(c, result))
