Log up to which revision a dispatcher has stored progress

Without the line of the first run's end, nothing told whether its dispatcher had stored more than the next one had read.

The end of a dispatch now has one line, never left out, with the revision of the last transaction that stored progress. If that is higher than the revision up to which the next dispatcher had read the rows, quetzalctl says so under a second start, and counts it as NotAllRead. An entry that is killed writes no such line.

Tests: TestEndOfDispatchIsLoggedWithWhatWasStored, and cases in TestRepeatsAreCountedByTheirCauses and TestSecondStartNamesThePredecessorOfItsDispatcher.

--- a/quetzalcore/quetzalscheduler/acknowledgedend_test.go
+++ b/quetzalcore/quetzalscheduler/acknowledgedend_test.go
@@ -1,6 +1,7 @@
 package quetzalscheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,6 +62,30 @@
 	require.False(t, lines[0].Routine)
 }
 
+// A successor that has read the rows up to a lower revision does not know all ends that were acknowledged.
+func TestEndOfDispatchIsLoggedWithWhatWasStored(t *testing.T) {
+	d := newDispatcher(t, accepted(testJob, testToken))
+	d.answerPoll, d.recordsProgress = d.idle, true
+	for range 100 {
+		if len(d.starts) == 0 {
+			d.run(20 * time.Millisecond)
+		}
+	}
+	require.Len(t, d.starts, 1)
+	d.reportEnds(quetzalwork.ReportedEnd{Number: 1, Task: d.starts[0].Task, Run: d.starts[0].Number, Outcome: quetzalwork.OutcomeDone})
+	d.run(time.Second)
+	require.Len(t, d.stored, 1)
+	c := d.stored[0]
+	d.tick(quetzalwork.ProgressStored{Pool: c.Pool, Shard: c.Shard, Token: c.Token, Jobs: c.Jobs, Revision: testToken + 5})
+	d.tick(quetzalwork.StopRequested{})
+	d.run(300 * time.Millisecond)
+	lines := d.loggedWith("This entry has stored progress up to a revision.")
+	require.Len(t, lines, 1)
+	require.EqualValues(t, testToken+5, lines[0].Version)
+	require.Equal(t, fmt.Sprintf("Token%d", testToken), lines[0].Reason)
+	require.False(t, lines[0].Routine)
+}
+
 func TestDoneRunThatNoLongerCountedIsLogged(t *testing.T) {
 	d := newDispatcher(t, accepted(testJob, testToken))
 	d.answerPoll = d.idle
--- a/quetzalcore/quetzalscheduler/dispatch.go
+++ b/quetzalcore/quetzalscheduler/dispatch.go
@@ -70,6 +70,7 @@
 	p := w.Pools.At(row)
 	p.Held, p.Token, p.Restarts, p.HeldSince = true, quetzalunit.FencingToken(revision), 0, w.Now
 	p.JobsLoaded, p.NextKey, p.ReadInFlight, p.SeenRevision, p.PredecessorWorkKnown = false, "", false, 0, false
+	p.StoredRevision, p.StoredAt = 0, 0
 	p.RunNumbersExhausted, p.ReadFailingSince, p.UntoldToken, p.DroppedAt = false, 0, 0, 0
 	quetzallimit.ForgetPool(w, p)
 	p.RunTimeStats = make(map[quetzalunit.QueueID]*quetzalwork.RunTimeStats)
@@ -163,6 +164,13 @@
 func endDispatch(w *quetzalwork.World, row quetzalwork.Row, reason string) {
 	p := w.Pools.At(row)
 	w.Log(quetzalwork.Decision{Part: quetzalwork.PartDuty, Message: "This entry no longer dispatches the pool.", Pool: p.ID, Version: int64(p.Token), Reason: reason})
+	if p.StoredRevision != 0 {
+		// The lines of acknowledgements are routine, and most are left out at the peak.
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartDuty, Message: "This entry has stored progress up to a revision.", Pool: p.ID, Version: int64(p.StoredRevision), Age: ageOf(w, p.StoredAt),
+			Reason: fmt.Sprintf("Token%d", p.Token),
+		})
+	}
 	for jobRow, j := range w.Jobs.All() {
 		if j.Pool == row {
 			deleteJob(w, jobRow)
--- a/quetzalcore/quetzalscheduler/progress.go
+++ b/quetzalcore/quetzalscheduler/progress.go
@@ -134,6 +134,7 @@
 	shard.StoreProgressInFlight = false
 	if in.Result == quetzalwork.StoreDone {
 		shard.StoreProgressNotBefore = w.Now.Add(progressInterval)
+		p.StoredRevision, p.StoredAt = max(p.StoredRevision, in.Revision), w.Now
 		for _, row := range in.Jobs {
 			if j := w.Jobs.At(row); j != nil {
 				recordStoredProgress(j, in.Revision)
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -139,6 +139,10 @@
 	FirstPageSentAt quetzalunit.Instant
 	// SeenRevision is the revision up to which the stored rows are known.
 	SeenRevision quetzalunit.Revision
+	// StoredRevision is the revision of the last transaction of this process's term that stored progress, zero if there is none;
+	// StoredAt is when its answer came.
+	StoredRevision quetzalunit.Revision
+	StoredAt       quetzalunit.Instant
 	// NextReadAt is the instant of the next read of changes.
 	NextReadAt quetzalunit.Instant
 	// CompletedReadSentAt is when the last completed read of the stored rows was sent: what was
--- a/quetzalctl/quetzaltimeline/cause.go
+++ b/quetzalctl/quetzaltimeline/cause.go
@@ -20,6 +20,9 @@
 	causeNotRead      cause = "StoredNotRead"
 	causeRead         cause = "StoredAndRead"
 	causeReadsUnknown cause = "StoredReadsUnknown"
+	// causeNotAllRead means that no line tells of an acknowledgement, and that the dispatcher of the start had not read all that was
+	// stored in the term of the run before.
+	causeNotAllRead cause = "NotAllRead"
 	// causeStoredItself means that the dispatcher of the start had stored the end before.
 	causeStoredItself cause = "StoredItself"
 	// causeUnknownJob means that the end was acknowledged for a job that was not known, or that the dispatcher of the start
@@ -40,7 +43,7 @@
 
 // causes are all causes in the order of the table.
 var causes = []cause{
-	causeEndsDropped, causeNotRead, causeRead, causeReadsUnknown, causeStoredItself, causePassedOver, causeGivenUp, causeRepeatedCall, causeNoDispatcher, causeUnknownJob, causeNotRecorded, causeNoRecord,
+	causeEndsDropped, causeNotRead, causeRead, causeReadsUnknown, causeNotAllRead, causeStoredItself, causePassedOver, causeGivenUp, causeRepeatedCall, causeNoDispatcher, causeUnknownJob, causeNotRecorded, causeNoRecord,
 }
 
 // causeCounts counts second starts by their possible causes.
@@ -113,6 +116,7 @@
 		}
 	}
 	if len(found) == 0 {
+		found = appendIf(found, r.before.Token() != r.run.Token() && t.unreadTerm(r) != nil, causeNotAllRead)
 		found = appendIf(found, len(r.droppedEnds()) > 0, causeEndsDropped)
 		found = appendIf(found, passed, causePassedOver)
 		found = appendIf(found, r.givenUpBy() != nil, causeGivenUp)
--- a/quetzalctl/quetzaltimeline/cause_test.go
+++ b/quetzalctl/quetzaltimeline/cause_test.go
@@ -41,6 +41,7 @@
 	lost := `
 {"time":"2026-01-01T00:01:08Z","entry":"e2","job":"aa","pool":"p","minion":"m2","run":20481,"step":0,"task":1,"reason":"SilentLapsed","message":"minion: A run ended without a result."}
 {"time":"2026-01-01T00:01:09Z","entry":"e2","job":"aa","pool":"p","minion":"m3","run":20482,"step":0,"task":1,"message":"placement: A task is placed."}`
+	stored := `{"time":"2026-01-01T00:01:03Z","entry":"e1","pool":"p","version":18,"age_ms":20,"reason":"Token15","message":"duty: This entry has stored progress up to a revision."}`
 	for log, expected := range map[string]string{
 		takeoverLog(ackedM1("e1", "01:02", 18, "Stored")):                                             "1 StoredNotRead",
 		takeoverLog(ackedM1("e1", "01:02", 17, "Stored"), passedOverM1):                               "1 StoredAndRead",
@@ -55,6 +56,8 @@
 		takeoverLog(doneM1, passedOverM1):                                   "1 PassedOver",
 		passedOverLog(passedOverM1):                                         "1 PassedOver",
 		takeoverLog(doneM1, given):                                          "1 GivenUp",
+		takeoverLog(doneM1, stored):                                         "1 NotAllRead",
+		takeoverLog(doneM1, strings.Replace(stored, "18", "17", 1)):         "1 NoRecord",
 		takeoverLog(doneM1, startRepeatedM1):                                "1 RepeatedCall",
 		takeoverLog(doneM1, pollRepeatedM1):                                 "1 RepeatedCall",
 		takenOver("None", "NoDispatcher"):                                   "1 PassedOver, 1 NoDispatcher",
--- a/quetzalctl/quetzaltimeline/fact.go
+++ b/quetzalctl/quetzaltimeline/fact.go
@@ -16,6 +16,11 @@
 		from  Predecessor
 	}
 	termEnded struct{ token quetzalunit.FencingToken }
+	// progressStored means that the dispatcher with the token has stored progress up to a revision in its term.
+	progressStored struct {
+		token    quetzalunit.FencingToken
+		revision quetzalunit.Revision
+	}
 	// workKnown means that the dispatcher with the token knows the rows that earlier ones stored up to a revision.
 	workKnown struct {
 		token quetzalunit.FencingToken
@@ -69,6 +74,7 @@
 
 func (termBegan) implementsFact()       {}
 func (termEnded) implementsFact()       {}
+func (progressStored) implementsFact()  {}
 func (workKnown) implementsFact()       {}
 func (runStarted) implementsFact()      {}
 func (startRepeated) implementsFact()   {}
@@ -101,6 +107,12 @@
 		return termBegan{quetzalunit.FencingToken(l.Version), predecessorOf(l.Reason)}
 	},
 	"duty: This entry no longer dispatches the pool.": func(l *Line) fact { return termEnded{quetzalunit.FencingToken(l.Version)} },
+	"duty: This entry has stored progress up to a revision.": func(l *Line) fact {
+		f := progressStored{revision: quetzalunit.Revision(l.Version)}
+		// Without a token it belongs to no term.
+		_, _ = fmt.Sscanf(l.Reason, "Token%d", &f.token)
+		return f
+	},
 	"duty: What earlier dispatchers started and stored is known.": func(l *Line) fact {
 		f := workKnown{seen: quetzalunit.Revision(l.Version)}
 		// Without a token it belongs to no term.
--- a/quetzalctl/quetzaltimeline/predecessor.go
+++ b/quetzalctl/quetzaltimeline/predecessor.go
@@ -70,15 +70,37 @@
 	}
 }
 
-// explainTakeover tells from whom the dispatcher of a start had taken over the pool, if another one started the run before.
+// explainTakeover tells from whom the dispatcher of a start had taken over the pool, and whether it had read all that was stored in
+// the term of the run before, if another one started that.
 func (t *Timeline) explainTakeover(r *restart) []string {
 	term := t.termOf(r)
-	if term == nil || term.From.State == "" || r.before.Token() == r.run.Token() {
+	if term == nil || r.before.Token() == r.run.Token() {
 		return nil
 	}
-	text := fmt.Sprintf("  TAKEN OVER by %s with token %d at %s: %s,%s", term.Entry, term.Token, clock(term.Began), &term.From, &term.TakenBy)
-	if term.contradicts(r.before) {
-		text += fmt.Sprintf(", ALTHOUGH run %d is of token %d", r.before, r.before.Token())
+	var texts []string
+	if term.From.State != "" {
+		text := fmt.Sprintf("  TAKEN OVER by %s with token %d at %s: %s,%s", term.Entry, term.Token, clock(term.Began), &term.From, &term.TakenBy)
+		if term.contradicts(r.before) {
+			text += fmt.Sprintf(", ALTHOUGH run %d is of token %d", r.before, r.before.Token())
+		}
+		texts = append(texts, text)
 	}
-	return []string{text}
+	if before := t.unreadTerm(r); before != nil {
+		texts = append(texts, fmt.Sprintf("  NOT ALL READ: %s stored progress up to revision %d with token %d; %s had read up to revision %d at %s",
+			before.Entry, before.Stored, before.Token, term.Entry, term.Seen, clock(term.WorkKnownAt)))
+	}
+	return texts
+}
+
+// unreadTerm returns the term of the run before a start if progress was stored in it at a higher revision than that up to which the
+// dispatcher of the start had read the rows, nil if not or if no line tells it.
+func (t *Timeline) unreadTerm(r *restart) *Term {
+	term := t.termOf(r)
+	if term == nil || term.WorkKnownAt.IsZero() {
+		return nil
+	}
+	if before := t.terms[termKey{term.Pool, r.before.Token()}]; before != nil && before.Stored > term.Seen {
+		return before
+	}
+	return nil
 }
--- a/quetzalctl/quetzaltimeline/predecessor_test.go
+++ b/quetzalctl/quetzaltimeline/predecessor_test.go
@@ -26,4 +26,6 @@
 		require.Contains(t, text, "\n      TAKEN OVER by e2 with token 20 at 00:01:03.000: "+test.text+"\n")
 	}
 	require.NotContains(t, explainedAs(t, passedOverLog(), ""), "TAKEN OVER", "a line of an earlier version")
+	stored := `{"time":"2026-01-01T00:01:03Z","entry":"e1","pool":"p","version":18,"reason":"Token15","message":"duty: This entry has stored progress up to a revision."}`
+	require.Contains(t, explainedAs(t, passedOverLog(stored), ""), "\n      NOT ALL READ: e1 stored progress up to revision 18 with token 15; e2 had read up to revision 17 at 00:01:04.000\n")
 }
--- a/quetzalctl/quetzaltimeline/repeat_test.go
+++ b/quetzalctl/quetzaltimeline/repeat_test.go
@@ -36,6 +36,7 @@
      0 StoredNotRead
      0 StoredAndRead
      0 StoredReadsUnknown
+     0 NotAllRead
      0 StoredItself
      2 PassedOver
      0 GivenUp
--- a/quetzalctl/quetzaltimeline/term.go
+++ b/quetzalctl/quetzaltimeline/term.go
@@ -26,6 +26,8 @@
 	// to which the rows were known then.
 	WorkKnownAt time.Time
 	Seen        quetzalunit.Revision
+	// Stored is the revision up to which the entry stored progress in the term, zero if no line tells it.
+	Stored quetzalunit.Revision
 	// Unlisted is what rules out then that minions which the entry did not know had work of earlier ones.
 	Unlisted Proof
 }
@@ -55,6 +57,8 @@
 		case termEnded:
 			t := at(l, f.token)
 			t.Ended, t.EndReason = l.Time, l.Reason
+		case progressStored:
+			at(l, f.token).Stored = f.revision
 		case workKnown:
 			t := at(l, f.token)
 			t.WorkKnownAt, t.Seen, t.Unlisted = l.Time, f.seen, l.Proof
--- a/quetzalctl/quetzaltimeline/timeline.go
+++ b/quetzalctl/quetzaltimeline/timeline.go
@@ -197,7 +197,7 @@
 		return "runs"
 	case hostWithdrawn:
 		return "incarnation"
-	case workKnown:
+	case workKnown, progressStored:
 		return "revision"
 	case endsConcerned, endsDiscarded, endsLeftOut, pollRepeated:
 		return "end"
