Require of a read of the members the own renewal that was stored when it was sent

The read now has to show the renewal that was known when it was sent, and its own row as well as its revision count: a feed that is behind may name the newest revision and show no change. A late renewal of the same process, which is carried out after a later one, does not count as behind, since its row has the higher revision.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -317,6 +317,7 @@
 		return nil
 	case quetzalwork.RenewMember:
 		s.revision++
+		c.Member.Revision = s.revision
 		s.members[c.Member.Entry] = versionedMember{c.Member, s.revision}
 		return quetzalwork.MemberRenewed{Revision: s.revision, SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -48,7 +48,7 @@
 // readMembers reads the rows of members and duties unless a read is in flight.
 func readMembers(w *quetzalwork.World) {
 	if !w.Membership.ReadInFlight {
-		w.Membership.ReadInFlight = true
+		w.Membership.ReadInFlight, w.Membership.AwaitedRevision = true, w.Membership.RenewedRevision
 		w.Emit(quetzalwork.ReadMembers{SinceRevision: w.Membership.SeenRevision, SentAt: w.Now})
 	}
 }
@@ -64,9 +64,8 @@
 	w.Membership.RenewalInFlight = false
 	if in.Result == quetzalwork.StoreDone {
 		noteStoreAnswer(w)
-		m := &w.Membership
-		m.RenewalSentAt = max(m.RenewalSentAt, in.SentAt)
-		m.RenewedRevision, m.RenewalAnsweredAt = in.Revision, w.Now
+		w.Membership.RenewedRevision = in.Revision
+		w.Membership.RenewalSentAt = max(w.Membership.RenewalSentAt, in.SentAt)
 	}
 }
 
@@ -127,16 +126,22 @@
 	}
 }
 
-// isBehind reports whether a read shows less than a renewal of this process that was answered before the read was sent. Such a
-// read proves neither that this process still holds its duties nor that others do not renew their rows.
+// isBehind reports whether a read lacks a renewal of this process that was answered before the read was sent. Such a read
+// proves neither that this process still holds its duties nor that others do not renew their rows.
 func isBehind(w *quetzalwork.World, in *quetzalwork.MembersRead) bool {
 	m := &w.Membership
-	if in.SentAt < m.RenewalAnsweredAt || in.SeenRevision >= m.RenewedRevision {
+	shown := in.SeenRevision
+	if i := slices.IndexFunc(in.Members, func(r quetzalwork.Member) bool { return r.Entry == w.Self.Entry }); i >= 0 {
+		shown = min(shown, in.Members[i].Revision)
+	} else if own := w.Members.At(w.MemberByID.Get(w.Self.Entry)); own != nil {
+		shown = min(shown, own.Revision)
+	}
+	if shown >= m.AwaitedRevision {
 		return false
 	}
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartStore, Message: "A read of the members is behind.", Version: int64(in.SeenRevision), Age: ageOf(w, m.ReadAt),
-		Reason: fmt.Sprintf("Renewed%d", m.RenewedRevision),
+		Reason: fmt.Sprintf("Shown%dRenewed%d", shown, m.AwaitedRevision),
 	})
 	return true
 }
--- a/quetzalcore/quetzalscheduler/progressfence_test.go
+++ b/quetzalcore/quetzalscheduler/progressfence_test.go
@@ -10,17 +10,20 @@
 	"quetzalstair/quetzalcore/quetzalwork"
 )
 
-// takeOverFromAWorkingDispatcher makes an entry take testPool over from one that works off a backlog and hears nothing of
-// that for a while: reads of changes show none, as before the store drops its history, and it reaches no other entry.
+// takeOverFromAWorkingDispatcher makes an entry take testPool over from one whose renewals are lost, whose runs go on, and
+// which hears nothing of the takeover: it reaches no other entry, and reads of changes show none for a second, as before
+// the store drops its history.
 func takeOverFromAWorkingDispatcher(seed uint64) *fleet {
 	f := newFleet(seed, threeZones, 3, 6, testConfig())
 	f.store.pageSize = 1
-	f.runTime = func(quetzalwork.TaskID) time.Duration { return 150 * time.Millisecond }
+	f.runTime = func(t quetzalwork.TaskID) time.Duration {
+		return time.Second + time.Duration(t.Task%31)*100*time.Millisecond
+	}
 	f.run(3 * time.Second)
 	former := f.holder()
 	for range 40 {
 		step := smallStep(30)
-		step.Resources.Cores = 1000
+		step.Resources.Cores = 250
 		f.submit(former, step)
 	}
 	f.store.renewalsLost = map[quetzalunit.EntryID]bool{former.id: true}
@@ -29,11 +32,10 @@
 			f.cutPeers(former, e, time.Minute)
 		}
 	}
-	f.run(2 * time.Second)
-	f.store.renewalsLost, f.store.silentSince = nil, f.store.revision
 	for f.store.duties[testPool].Holder == former.id {
 		f.run(time.Millisecond)
 	}
+	f.store.renewalsLost, f.store.silentSince = nil, f.store.revision
 	f.run(time.Second)
 	f.store.silentSince, f.store.compactedThrough, f.store.membersCompactedThrough = 0, f.store.revision, f.store.revision
 	return f
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -116,7 +116,7 @@
 		return quetzalwork.MembersRead{
 			Full: true, SeenRevision: testToken, SentAt: cmd.SentAt,
 			Members: []quetzalwork.Member{
-				{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(d.now)}, {Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: quetzalunit.Heartbeat(d.now)},
+				{Entry: "e0", Incarnation: 1, Heartbeat: quetzalunit.Heartbeat(d.now), Revision: testToken}, {Entry: "e1", Incarnation: 1, Address: "e1", Heartbeat: quetzalunit.Heartbeat(d.now)},
 			},
 			Duties: map[quetzalunit.PoolID]quetzalwork.Duty{testPool: duty},
 		}
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -331,6 +331,8 @@
 	// Heartbeat grows with each renewal of the row: an entry whose row stays the same for too long
 	// is considered dead.
 	Heartbeat quetzalunit.Heartbeat
+	// Revision is that of the row.
+	Revision quetzalunit.Revision
 	// Stopping reports whether the entry is shutting down and acquires no duty.
 	Stopping bool
 	// CPUShare is the processor time that the entry has, in hundredths of a core; 0 counts as one
@@ -355,10 +357,9 @@
 	Heartbeat quetzalunit.Heartbeat
 	// RenewalSentAt is when the last successful renewal was sent; zero before the first.
 	RenewalSentAt quetzalunit.Instant
-	// RenewedRevision is the revision of the last successful renewal, RenewalAnsweredAt when it was answered. Reads that are
-	// sent later show it, unless they are behind.
-	RenewedRevision   quetzalunit.Revision
-	RenewalAnsweredAt quetzalunit.Instant
+	// RenewedRevision is the revision of the last successful renewal, AwaitedRevision what it was when the last read was sent.
+	// The read shows that renewal, unless it is behind.
+	RenewedRevision, AwaitedRevision quetzalunit.Revision
 	// ReadAt is the instant of the last successful read.
 	ReadAt quetzalunit.Instant
 	// ReadSentAt is when the last successful read was sent. The read confirms that until then
