Stand-in: pages of the store's rows that are shorter than the longest

A pool of the users' site has more rows than a page of the store, so that its rows are read by page beside writes. The pools of a soak fit in one page. The stand-in's pages can be shorter now, as the store permits; the shapes large and crowd have 15 to 114 rows a page.

--- a/quetzalproof/siteshape_test.go
+++ b/quetzalproof/siteshape_test.go
@@ -52,6 +52,8 @@
 	if shape != siteShape {
 		spec.zoneSizes, spec.strongEntries = []int{10, 8, 7, 7, 7}, 2
 		spec.zones, spec.entries, spec.cpuShare = len(spec.zoneSizes), sum(spec.zoneSizes), 0.2
+		// A day of a soak has fewer jobs than one of a site, whose pools take several pages.
+		spec.RowsPerPage = 15 + rng.IntN(100)
 	}
 	spec.NearClocks += 0.5 * float64(rng.IntN(2))
 	spec.RecordDelay.Most = time.Duration(rng.IntN(800)) * time.Millisecond
