Soak: dispatchers stop while the feed of the store is behind

The successor of a dispatcher that stops takes its pool over at once, and then reads what the feed does not show yet. After a kill it does so seconds later, when the feed has caught up.

--- a/quetzalproof/largeplan_test.go
+++ b/quetzalproof/largeplan_test.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// addLateFeed adds a feed that falls behind until the history is discarded.
+// addLateFeed adds a feed that falls behind until the history is discarded, often while pools change hands: the successor of a
+// dispatcher that stops takes its pool over at once.
 func (s *siteSource) addLateFeed(at time.Duration) {
 	length := 800*time.Millisecond + s.upTo(1200*time.Millisecond)
 	if s.chance(25) {
@@ -86,6 +87,10 @@
 	}
 	s.add(at, length, storeDisturbed{Fault: quetzalplatformstandin.FeedBehind{}})
 	s.add(at+length, 0, historyCompacted{})
+	for _, pool := range s.rng.Perm(len(s.pools))[:s.rng.IntN(3)] {
+		down := 300*time.Millisecond + s.upTo(2*time.Second)
+		s.addAtSite(at+s.upTo(length), 0, dispatcherEnded{Pool: s.pools[pool], Kind: stopped, Down: down})
+	}
 }
 
 // storeTrouble draws a fault of the store.
