Do not take a minion for ended since its host still shows the former one

What callers saw: nothing is known to come from it.

Cause: after a takeover a silent minion counts as replaced if the list of hosts shows another one on its host, whichever of the two is the later. If that list is behind, it shows the former minion, and the successor goes on at once beside leases of its predecessor. When the minion can be reached again, its lease holds still, and the runs that were started again may have ended.

Whether the platform's list of hosts can be behind is not known.

Change: a minion that is known to have run on the host before the silent one shows nothing. If the time of day was set back between the two, the wait lasts until the leases have ended.

The test fails without the change. The tests of takeovers, the census, restarts and hosts pass (77 s); the whole package was not run with it.

--- a/quetzalcore/quetzalscheduler/census.go
+++ b/quetzalcore/quetzalscheduler/census.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		// A minion that was not known when the read was sent may be later than the one that the read shows.
-		replaced := h.Minion != "" && h.Minion != m.ID && m.FirstSeenAt < in.SentAt
+		replaced := h.Minion != "" && h.Minion != m.ID && m.FirstSeenAt < in.SentAt && !precedes(w, h.Minion, m)
 		idle := h.State == quetzalwork.HostMoving || h.State == quetzalwork.HostInMaintenance || h.State == quetzalwork.HostDown
 		if !replaced && !idle {
 			continue
@@ -87,6 +87,12 @@
 	}
 }
 
+// precedes reports whether another minion is known to have run on a minion's host before it.
+func precedes(w *quetzalwork.World, id quetzalunit.MinionID, m *quetzalwork.Minion) bool {
+	other := w.Minions.At(w.MinionByID.Get(id))
+	return other != nil && other.Host == m.Host && other.Incarnation < m.Incarnation
+}
+
 // grantsEnd returns the instant after which no earlier dispatcher of a pool grants leases any more.
 func grantsEnd(p *quetzalwork.Pool) quetzalunit.Instant {
 	return max(p.HeldSince, max(p.PredecessorLeasesEnd, p.EarlierLeasesEnd).Add(-leaseExpiryTime))
--- a/quetzalcore/quetzalscheduler/silentcensus_test.go
+++ b/quetzalcore/quetzalscheduler/silentcensus_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// The list of hosts is behind: it still shows the minion that ran on the host before the silent one. That is no proof that the
+// silent one has ended.
+func TestHostThatShowsTheFormerMinionEndsNoWait(t *testing.T) {
+	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	former := s.minions[0]
+	former.ID, former.Address = "m9", "m9"
+	s.minions[0].Incarnation = 2
+	s.minions = append([]quetzalwork.MinionRecord{former}, s.minions...)
+	s.hosts = []quetzalwork.Host{{ID: "h0", Pool: testPool, Minion: "m9"}, {ID: "h1", Pool: testPool, Minion: "m1"}}
+	s.start("e0", 1)
+	s.runUntilTakeover()
+	s.other.Heartbeat++
+	s.requireStartAfter(s.takenOverAt.Add(extendTime + longestLease))
+}
+
 // A read of the hosts that was sent before the takeover shows nothing: the predecessor may have used the minion since.
 func TestReadOfTheHostsBeforeATakeoverEndsNoWait(t *testing.T) {
 	s := newSuccessor(t, quetzalwork.Duty{Holder: "e1", Incarnation: 1, Address: "e1", Revision: oldDuty}, quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
