Count the last own renewal in a read of the members

What callers would see since: an entry whose read of the changes has two or more of its own renewals counts that read as behind, and all later ones, which begin at the same revision. It takes no duty over, reads ever more rows, and as a dispatcher extends no leases while its row looks live, so that its pools stand still.

Cause: the check compared the first own row of the answer. The feed has all changes of a row in their order.

Now the last one counts. The simulated store leaves out no change of the rows of members, as the platform.

--- a/quetzalcore/quetzalscheduler/fakes_test.go
+++ b/quetzalcore/quetzalscheduler/fakes_test.go
@@ -21,7 +21,9 @@
 	// hostLease is the revision of the host controller's lease.
 	hostLease quetzalunit.Revision
 	members   map[quetzalunit.EntryID]versionedMember
-	settled   map[quetzalunit.PoolID]quetzalunit.Revision
+	// memberChanges are all changes of the rows of members. An answer with changes has also those that a later one has replaced.
+	memberChanges []versionedMember
+	settled       map[quetzalunit.PoolID]quetzalunit.Revision
 	// rows are the rows of jobs, each in the table of a pool.
 	rows map[tableKey]quetzalwork.JobRow
 	list map[quetzalunit.MinionID]versionedRecord
@@ -296,12 +298,16 @@
 			return quetzalwork.MembersRead{SentAt: c.SentAt, Result: quetzalwork.StoreCompacted}
 		}
 		in := quetzalwork.MembersRead{SentAt: c.SentAt, Full: c.SinceRevision == 0, SeenRevision: s.revision, StoreNow: quetzalunit.StoreTime(e.f.now.Milliseconds()), Duties: make(map[quetzalunit.PoolID]quetzalwork.Duty)}
-		for _, m := range s.members {
+		rows := s.memberChanges
+		if in.Full {
+			rows = slices.Collect(maps.Values(s.members))
+		}
+		for _, m := range rows {
 			if m.revision > c.SinceRevision && !s.isSilent(c.SinceRevision, m.revision) {
 				in.Members = append(in.Members, m.Member)
 			}
 		}
-		slices.SortFunc(in.Members, func(a, b quetzalwork.Member) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+		slices.SortStableFunc(in.Members, func(a, b quetzalwork.Member) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
 		if s.hostLease > c.SinceRevision {
 			in.HostLease = s.hostLease
 		}
@@ -319,6 +325,7 @@
 		s.revision++
 		c.Member.Revision = s.revision
 		s.members[c.Member.Entry] = versionedMember{c.Member, s.revision}
+		s.memberChanges = append(s.memberChanges, s.members[c.Member.Entry])
 		return quetzalwork.MemberRenewed{Revision: s.revision, SentAt: c.SentAt}
 	case quetzalwork.WriteDuty:
 		in := quetzalwork.DutyWritten{Pool: c.Pool, Release: c.Release, Expected: c.Expected, SentAt: c.SentAt, Result: quetzalwork.StoreConflict}
--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -130,12 +130,17 @@
 // proves neither that this process still holds its duties nor that others do not renew their rows.
 func isBehind(w *quetzalwork.World, in *quetzalwork.MembersRead) bool {
 	m := &w.Membership
-	shown := in.SeenRevision
-	if i := slices.IndexFunc(in.Members, func(r quetzalwork.Member) bool { return r.Entry == w.Self.Entry }); i >= 0 {
-		shown = min(shown, in.Members[i].Revision)
-	} else if own := w.Members.At(w.MemberByID.Get(w.Self.Entry)); own != nil {
-		shown = min(shown, own.Revision)
+	own := in.SeenRevision
+	if known := w.Members.At(w.MemberByID.Get(w.Self.Entry)); known != nil {
+		own = known.Revision
 	}
+	// The rows have all changes in their order, also those that a later one has replaced.
+	for i := range in.Members {
+		if in.Members[i].Entry == w.Self.Entry {
+			own = in.Members[i].Revision
+		}
+	}
+	shown := min(in.SeenRevision, own)
 	if shown >= m.AwaitedRevision {
 		return false
 	}
--- a/quetzalcore/quetzalscheduler/outdatedmembers_test.go
+++ b/quetzalcore/quetzalscheduler/outdatedmembers_test.go
@@ -23,3 +23,16 @@
 		require.Empty(t, f.checker.violations, "seed %d", seed)
 	}
 }
+
+// An entry that is no standby renews its row some ten times between two reads, and the answers have all these changes. Guards
+// against reads that count as behind because of the first of them, for ever, as each of them begins where the last one that
+// counted ended.
+func TestReadsWithSeveralOwnRenewalsCount(t *testing.T) {
+	f := newFleet(1, threeZones, 12, 6, testConfig())
+	for range 40 {
+		f.run(time.Second)
+		for _, e := range f.entries {
+			require.Less(t, f.now.Sub(e.world.Membership.ReadAt), 15*time.Second, "%s at %v", e.id, f.now)
+		}
+	}
+}
