Fail a job whose attempts are used up by failures of several dispatchers

Cause: whether the attempts of a task are used up was checked only where this dispatcher itself hears of a failure. Failures that it merges from a row, or loads, raised the count without the check. When two dispatchers have each recorded some of them, none of the two fails the job.

Now the check stands wherever failures are added: by an end, a merged row, or the creation of tasks from stored progress.

--- a/quetzalcore/quetzalscheduler/occurrence.go
+++ b/quetzalcore/quetzalscheduler/occurrence.go
@@ -126,7 +126,9 @@
 			}
 		}
 	}
-	markRunnableSteps(w, row, occurrence)
+	if !failExhaustedJob(w, row) {
+		markRunnableSteps(w, row, occurrence)
+	}
 }
 
 // finishOccurrence counts a finished occurrence and completes the job after the last one.
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -234,6 +234,7 @@
 		j.Started = true
 		recordCrash(w, row, c)
 	}
+	failExhaustedJob(w, row)
 }
 
 // mergeDoneOccurrences merges finished occurrences into a job. Those that are created already are
--- a/quetzalcore/quetzalscheduler/run.go
+++ b/quetzalcore/quetzalscheduler/run.go
@@ -338,7 +338,6 @@
 	if t.Failures == 1 {
 		countMinionFailure(w, minionRow)
 	}
-	q := w.Queues.At(w.QueueByID.Get(j.Queue))
 	w.Log(quetzalwork.Decision{
 		Part: quetzalwork.PartMinion, Message: "A run has failed.", Job: j.ID, Task: e.Task.TaskRef, Run: e.Run,
 		Minion: w.Minions.At(minionRow).ID, Version: int64(t.Failures), Reason: outcomeName(e.Outcome),
@@ -347,9 +346,25 @@
 		return
 	}
 	markProgressChanged(w, jobRow)
-	if q != nil && q.MaxAttempts > 0 && t.Failures >= q.MaxAttempts {
-		finishJob(w, jobRow, quetzalwork.JobFailed)
+	failExhaustedJob(w, jobRow)
+}
+
+// failExhaustedJob fails a job if the recorded failures of a task use up the attempts that the queue allows, whichever
+// dispatchers have recorded them. It returns whether it does.
+func failExhaustedJob(w *quetzalwork.World, row quetzalwork.Row) bool {
+	j := w.Jobs.At(row)
+	q := w.Queues.At(w.QueueByID.Get(j.Queue))
+	if j.State.Final() || q == nil || q.MaxAttempts <= 0 {
+		return false
+	}
+	exhausted := slices.ContainsFunc(j.Progress.Failures, func(f quetzalwork.TaskFailure) bool {
+		t := w.Tasks.At(findTask(w, row, f.TaskRef))
+		return t != nil && t.State != quetzalwork.TaskDone && t.Failures >= q.MaxAttempts
+	})
+	if exhausted {
+		finishJob(w, row, quetzalwork.JobFailed)
 	}
+	return exhausted
 }
 
 // countMinionFailure counts a failure on a minion. After several in a row the minion gets no
