Count changes of the minion list since a release only if they are as new as the list

What callers could see: two runs of a task at once, after a takeover of a released pool.

Cause: the read that looks back to the release counted by its success. If it is older than the list that the successor has read, it lacks the minions that have left in between, and the proof was that of a list read continuously.

The rig's answer to that read may have a revision of its own.

--- a/quetzalcore/quetzalscheduler/lookback_test.go
+++ b/quetzalcore/quetzalscheduler/lookback_test.go
@@ -35,3 +35,16 @@
 	require.NotZero(t, s.w.MinionByID.Get(quetzalunit.MinionID("m0")))
 	require.Empty(t, s.starts, "the task is done")
 }
+
+// A read of the changes since the release that is older than the list shows nothing of what has left it in between. Guards against
+// a start beside the work on a minion that has: the release tells how long that may last.
+func TestChangesSinceTheReleaseCountOnlyUpToTheList(t *testing.T) {
+	s := newSuccessor(t, released(testToken-20, quetzalwork.ReleasedLeases{}), quetzalwork.Member{Entry: "e1", Incarnation: 1, Address: "e1"})
+	s.minions = s.minions[1:]
+	s.lookBack = quetzalwork.MinionsListed{SeenRevision: testToken - 20}
+	s.start("e0", 2)
+	s.runUntilTakeover()
+	s.run(2 * time.Second)
+	require.Empty(t, s.starts)
+	require.NotZero(t, s.w.Pools.At(s.w.PoolByID.Get(testPool)).PredecessorWait)
+}
--- a/quetzalcore/quetzalscheduler/releasedleases.go
+++ b/quetzalcore/quetzalscheduler/releasedleases.go
@@ -202,7 +202,8 @@
 
 // handleLookBack applies the result of such a read. If this process knows all minions that have left or joined the
 // list since, it knows the list as if it had read it then; one that has left and returned is among those that have joined. The
-// read is repeated after a failure, but not if the store has no history that goes so far back.
+// read is repeated after a failure, but not if the store has no history that goes so far back. One that is older than the list
+// shows nothing of what has left it in between.
 func handleLookBack(w *quetzalwork.World, in *quetzalwork.MinionsListed) {
 	l := &w.MinionList
 	l.LookBackInFlight = false
@@ -211,7 +212,7 @@
 	}
 	unknown := func(id quetzalunit.MinionID) bool { return w.Minions.At(w.MinionByID.Get(id)) == nil }
 	missed := slices.ContainsFunc(in.Removed, unknown) || slices.ContainsFunc(in.Minions, func(r quetzalwork.MinionRecord) bool { return unknown(r.ID) })
-	if in.Result == quetzalwork.StoreDone && !missed {
+	if in.Result == quetzalwork.StoreDone && !missed && in.SeenRevision >= l.ContinuousFrom {
 		l.ContinuousFrom = min(l.ContinuousFrom, in.SinceRevision)
 	}
 	for _, p := range w.Pools.All() {
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -160,7 +160,10 @@
 	case quetzalwork.ListMinions:
 		if cmd.LookBack {
 			in := d.lookBack
-			in.LookBack, in.SinceRevision, in.SeenRevision = true, cmd.SinceRevision, testToken
+			in.LookBack, in.SinceRevision = true, cmd.SinceRevision
+			if in.SeenRevision == 0 {
+				in.SeenRevision = testToken
+			}
 			d.lookBack.Result = quetzalwork.StoreDone
 			return in
 		}
