Log the first of a series of reads that are behind, and test each bound of outdated reads

A line for each read would have been some forty a second in a fleet of 39 entries. The test of outdated reads noticed neither bound by itself: a read was below the takeover and below the reads before it at once. It has a case for each now, and one for the first page of a load.

--- a/quetzalcore/quetzalscheduler/member.go
+++ b/quetzalcore/quetzalscheduler/member.go
@@ -141,14 +141,19 @@
 		}
 	}
 	shown := min(in.SeenRevision, own)
-	if shown >= m.AwaitedRevision {
-		return false
+	behind := shown < m.AwaitedRevision
+	if behind != m.Behind {
+		m.Behind = behind
+		message := "The reads of the members are no longer behind."
+		if behind {
+			message = "The reads of the members are behind."
+		}
+		w.Log(quetzalwork.Decision{
+			Part: quetzalwork.PartStore, Message: message, Version: int64(in.SeenRevision), Age: ageOf(w, m.ReadAt),
+			Reason: fmt.Sprintf("Shown%dRenewed%d", shown, m.AwaitedRevision),
+		})
 	}
-	w.Log(quetzalwork.Decision{
-		Part: quetzalwork.PartStore, Message: "A read of the members is behind.", Version: int64(in.SeenRevision), Age: ageOf(w, m.ReadAt),
-		Reason: fmt.Sprintf("Shown%dRenewed%d", shown, m.AwaitedRevision),
-	})
-	return true
+	return behind
 }
 
 // noteReachable notes whether the store has answered a read of the rows of members, and logs changes.
--- a/quetzalcore/quetzalscheduler/outdatedread_test.go
+++ b/quetzalcore/quetzalscheduler/outdatedread_test.go
@@ -14,9 +14,15 @@
 // read was sent, it lacks what the predecessor stored last.
 func TestOutdatedReadsShowNothingOfAPredecessor(t *testing.T) {
 	done := progress(testJob, quetzalwork.Progress{State: quetzalwork.JobRunning, Done: []quetzalwork.TaskRef{{}}})
-	for name, outdated := range map[string]func(quetzalwork.ReadPoolJobs) bool{
-		"page":    func(c quetzalwork.ReadPoolJobs) bool { return c.StartKey != "" },
-		"changes": func(c quetzalwork.ReadPoolJobs) bool { return !c.Full },
+	first := func(c quetzalwork.ReadPoolJobs) bool { return c.Full && c.StartKey == "" }
+	page := func(c quetzalwork.ReadPoolJobs) bool { return c.StartKey != "" }
+	changes := func(c quetzalwork.ReadPoolJobs) bool { return !c.Full }
+	for name, test := range map[string]struct {
+		outdated func(quetzalwork.ReadPoolJobs) bool
+		shown    quetzalunit.Revision
+	}{
+		"load before the takeover": {first, testToken - 10}, "page before the takeover": {page, testToken - 10}, "page before the one before": {page, testToken + 5},
+		"changes before the takeover": {changes, testToken - 10}, "changes before the load": {changes, testToken + 5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDispatcher(t)
@@ -35,9 +41,9 @@
 					in.More, in.NextKey = true, "next"
 				}
 				switch {
-				case outdated(c) && behind:
-					in.SeenRevision = testToken - 10
-				case outdated(c):
+				case test.outdated(c) && behind:
+					in.SeenRevision = test.shown
+				case test.outdated(c):
 					in.Rows = append(in.Rows, done)
 				}
 				return in
--- a/quetzalcore/quetzalscheduler/takeover_test.go
+++ b/quetzalcore/quetzalscheduler/takeover_test.go
@@ -283,7 +283,7 @@
 	for _, poll := range d.polls {
 		require.Zero(t, poll.LeaseEnd)
 	}
-	require.NotEmpty(t, d.loggedWith("A read of the members is behind."))
+	require.NotEmpty(t, d.loggedWith("The reads of the members are behind."))
 	d.renewed = testToken
 	d.run(2 * time.Second)
 	require.NotEmpty(t, d.starts)
--- a/quetzalcore/quetzalwork/fleet.go
+++ b/quetzalcore/quetzalwork/fleet.go
@@ -360,6 +360,8 @@
 	// RenewedRevision is the revision of the last successful renewal, AwaitedRevision what it was when the last read was sent.
 	// The read shows that renewal, unless it is behind.
 	RenewedRevision, AwaitedRevision quetzalunit.Revision
+	// Behind reports whether the last read that was answered was behind.
+	Behind bool
 	// ReadAt is the instant of the last successful read.
 	ReadAt quetzalunit.Instant
 	// ReadSentAt is when the last successful read was sent. The read confirms that until then
