--- a/quetzalcore/quetzalscheduler/acknowledgement.go
+++ b/quetzalcore/quetzalscheduler/acknowledgement.go
@@ -24,7 +24,7 @@
 
 // ackDue reports whether a minion lists ends that may be acknowledged.
 func ackDue(m *quetzalwork.Minion) bool {
-	return m.Ends.Listed() > 0
+	return m.Ends.Acknowledgeable() > 0
 }
 
 // beginAck lets the next poll of a minion acknowledge ends if there are any and it is permitted. The poll is sent in this
--- a/quetzalcore/quetzalscheduler/forgottenends_test.go
+++ b/quetzalcore/quetzalscheduler/forgottenends_test.go
@@ -69,7 +69,7 @@
 		stopped := quetzalwork.ReportedEnd{Number: 1, Task: quetzalwork.TaskID{Job: testJob}, Run: 1, Outcome: quetzalwork.OutcomeStopped}
 		ends := []quetzalwork.ReportedEnd{stopped, {Number: 2, Task: quetzalwork.TaskID{Job: testJob}, Run: 2}}
 		var held *quetzalwork.PollMinion
-		hold := false
+		delaysNext := false
 		answer := func(c quetzalwork.PollMinion) quetzalwork.MinionPolled {
 			in := d.idle(c)
 			in.EndsAfter = c.SeenThrough
@@ -80,14 +80,14 @@
 			switch {
 			case c.Target.Minion != "m0":
 				return d.idle(c)
-			case hold && held == nil:
+			case delaysNext && held == nil:
 				held = &c
 				return quetzalwork.MinionPolled{}
 			}
 			return answer(c)
 		}
 		d.run(2 * time.Second)
-		hold = true
+		delaysNext = true
 		d.run(100 * time.Millisecond)
 		require.NotNil(t, held, name)
 		require.Equal(t, quetzalunit.EndNumber(2), held.SeenThrough, name)
--- a/quetzalcore/quetzalscheduler/minionpoll.go
+++ b/quetzalcore/quetzalscheduler/minionpoll.go
@@ -304,7 +304,7 @@
 	return true
 }
 
-// logLeftOutEnds logs that an answer is not used for ends, since it leaves out some that have been discarded after the poll.
+// logLeftOutEnds logs that an answer is not used for ends, since it leaves out some that are not applied.
 func logLeftOutEnds(w *quetzalwork.World, in *quetzalwork.MinionPolled) {
 	m := w.Minions.At(in.Minion)
 	w.Log(quetzalwork.Decision{
--- a/quetzalcore/quetzalscheduler/poolread.go
+++ b/quetzalcore/quetzalscheduler/poolread.go
@@ -38,13 +38,13 @@
 		return
 	}
 	p.ReadInFlight = false
-	reason := in.Result.String()
-	if in.Result == quetzalwork.StoreDone && in.SeenRevision < max(quetzalunit.Revision(p.Token), p.SeenRevision) {
+	result, reason := in.Result, in.Result.String()
+	if result == quetzalwork.StoreDone && in.SeenRevision < max(quetzalunit.Revision(p.Token), p.SeenRevision) {
 		// The read was sent after the takeover and after the reads before it, and the store has answered with earlier rows.
-		in.Result, reason = quetzalwork.StoreUnanswered, fmt.Sprintf("OutdatedToken%dSeen%dRead%d", p.Token, p.SeenRevision, in.SeenRevision)
+		result, reason = quetzalwork.StoreUnanswered, fmt.Sprintf("OutdatedToken%dSeen%dRead%d", p.Token, p.SeenRevision, in.SeenRevision)
 	}
-	logPoolRead(w, p, in.Result, reason)
-	switch in.Result {
+	logPoolRead(w, p, result, reason)
+	switch result {
 	case quetzalwork.StoreDone:
 		for i := range in.Rows {
 			applyJobRow(w, row, &in.Rows[i], rowRead)
--- a/quetzalcore/quetzalscheduler/releasedstarts.go
+++ b/quetzalcore/quetzalscheduler/releasedstarts.go
@@ -94,7 +94,7 @@
 // the minion have no room for further ones, so that these must be acknowledged.
 func mayStartLate(w *quetzalwork.World, m *quetzalwork.Minion) bool {
 	late := func(u quetzalwork.UnansweredStart) bool { return w.Now <= u.SentAt.Add(maxCallDelay) }
-	if m.Ends.Listed() >= maxHeldEnds {
+	if m.Ends.Acknowledgeable() >= maxHeldEnds {
 		return false
 	}
 	return w.Now <= unnamedStartsEnd(w.Pools.At(m.PoolRow)) || slices.ContainsFunc(m.UnansweredStarts, late)
--- a/quetzalcore/quetzalwork/endlog.go
+++ b/quetzalcore/quetzalwork/endlog.go
@@ -29,16 +29,16 @@
 // SettledThrough returns the last end that may be acknowledged.
 func (l *EndLog) SettledThrough() quetzalunit.EndNumber { return l.settledThrough }
 
-// Listed returns how many ends may be acknowledged that the minion may still list.
-func (l *EndLog) Listed() quetzalunit.EndNumber {
+// Acknowledgeable returns how many ends may be acknowledged that the minion may still list.
+func (l *EndLog) Acknowledgeable() quetzalunit.EndNumber {
 	return max(0, l.settledThrough-l.forgottenThrough)
 }
 
 // Open returns the ends that have been applied and must not be acknowledged yet.
 func (l *EndLog) Open() []UnackedEnd { return l.open }
 
-// NewEnds returns the ends of a report that are not applied yet. It returns none and false if the report leaves such ends
-// out: those of the log were discarded after the report had been asked for.
+// NewEnds returns the ends of a report that are not applied yet. It returns none and false if the report leaves out such ends: open
+// ones have been discarded since it was asked for.
 func (l *EndLog) NewEnds(report *MinionPolled) ([]ReportedEnd, bool) {
 	if report.EndsAfter > l.SeenThrough() {
 		return nil, false
